--- a/lacewinghub/history.py
+++ b/lacewinghub/history.py
@@ -79,6 +79,10 @@
         self._out = out
         self._keep = keep
 
+    def now(self) -> float:
+        """Return the wall time in seconds since the epoch; simulations override it."""
+        return time.time()
+
     def record(self, kind: EventKind, **members: object) -> None:
         """Record an event with the current wall time.
 
@@ -88,7 +92,7 @@
         """
         if not self._keep and self._out is None:
             return
-        event = Event(kind=kind, time=time.time(), node=self.node, **members)  # type: ignore[arg-type]
+        event = Event(kind=kind, time=self.now(), node=self.node, **members)  # type: ignore[arg-type]
         if self._keep:
             self.events.append(event)
         if self._out is not None:
--- /dev/null
+++ b/lacewinghub/queue.py
@@ -0,0 +1,282 @@
+"""Waiting requests of one pool at one node."""
+
+import asyncio
+import heapq
+from abc import ABC, abstractmethod
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from .request import Grant, Request
+
+BINDING_DEPTH = 8  # Requests of a tier that may be overtaken for a better match with an endpoint.
+
+
+@dataclass(slots=True, eq=False)
+class Waiter:
+    """A request that waits for a slot.
+
+    Attributes:
+        req: The request.
+        fut: Receives the grant or the refusal.
+        cost: Estimated work, in tokens.
+        preferred: Name of the endpoint with the longest cached prefix, or empty.
+        resumed: True for a request that was already dispatched once; it is never shed.
+        queued: True while the queue holds it.
+    """
+
+    req: Request
+    fut: asyncio.Future[Grant]
+    cost: float = 1.0
+    preferred: str = ""
+    resumed: bool = False
+    queued: bool = False
+
+
+Fits = Callable[[Waiter], bool]
+
+
+class WaitQueue(ABC):
+    """Order in which the waiting requests of a pool are served."""
+
+    @abstractmethod
+    def push(self, waiter: Waiter) -> None:
+        """Add a waiter."""
+
+    @abstractmethod
+    def pop(self, fits: Fits | None = None, tier: int | None = None) -> Waiter | None:
+        """Remove and return the next waiter.
+
+        Args:
+            fits: Marks waiters that suit the free slot well; a few others may be overtaken for one.
+            tier: Serve this tier only.
+
+        Returns:
+            The waiter, or None if there is none.
+        """
+
+    @abstractmethod
+    def remove(self, waiter: Waiter) -> bool:
+        """Withdraw a waiter; return False if it is not queued."""
+
+    @abstractmethod
+    def lowest(self) -> Waiter | None:
+        """Return the waiter to displace first: the latest of the lowest tier."""
+
+    @abstractmethod
+    def counts(self) -> dict[int, int]:
+        """Return the number of waiters by tier."""
+
+    @abstractmethod
+    def __iter__(self) -> Iterator[Waiter]:
+        """Iterate over the waiters in any order."""
+
+    @abstractmethod
+    def __len__(self) -> int:
+        """Return the number of waiters."""
+
+
+class FifoQueue(WaitQueue):
+    """First come, first served."""
+
+    def __init__(self) -> None:
+        self._waiters: dict[Waiter, None] = {}
+
+    def push(self, waiter: Waiter) -> None:
+        """Add a waiter at the end."""
+        waiter.queued = True
+        self._waiters[waiter] = None
+
+    def pop(self, fits: Fits | None = None, tier: int | None = None) -> Waiter | None:
+        """Remove the oldest waiter (of the tier)."""
+        found = next((item for item in self._waiters if tier in (None, item.req.tier)), None)
+        if found is not None:
+            self.remove(found)
+        return found
+
+    def remove(self, waiter: Waiter) -> bool:
+        """Withdraw a waiter."""
+        if not waiter.queued:
+            return False
+        waiter.queued = False
+        del self._waiters[waiter]
+        return True
+
+    def lowest(self) -> Waiter | None:
+        """Return the latest waiter."""
+        return next(reversed(self._waiters), None)
+
+    def counts(self) -> dict[int, int]:
+        """Return the number of waiters by tier."""
+        found: dict[int, int] = {}
+        for waiter in self._waiters:
+            found[waiter.req.tier] = found.get(waiter.req.tier, 0) + 1
+        return found
+
+    def __iter__(self) -> Iterator[Waiter]:
+        """Iterate in order of arrival."""
+        return iter(list(self._waiters))
+
+    def __len__(self) -> int:
+        """Return the number of waiters."""
+        return len(self._waiters)
+
+
+@dataclass(slots=True)
+class _Tier:
+    """Start-time fair queueing between the workspaces of one tier.
+
+    ``heads`` is a heap of (start tag, sequence, workspace) with one entry per workspace that has
+    waiters. The virtual time is the start tag of the last served request.
+    """
+
+    resumed: deque[Waiter] = field(default_factory=deque)
+    waiters: dict[str, deque[Waiter]] = field(default_factory=dict)
+    heads: list[tuple[float, int, str]] = field(default_factory=list)
+    finish: dict[str, float] = field(default_factory=dict)
+    virtual: float = 0.0
+    seq: int = 0
+    count: int = 0
+
+    def push(self, waiter: Waiter) -> None:
+        self.count += 1
+        if waiter.resumed:
+            self.resumed.append(waiter)
+            return
+        workspace = waiter.req.workspace
+        line = self.waiters.get(workspace)
+        if line is None:
+            line = self.waiters[workspace] = deque()
+            self._enter(workspace)
+        line.append(waiter)
+
+    def pop(self, fits: Fits | None) -> Waiter | None:
+        if not self.count:
+            return None
+        if self.resumed:
+            self.count -= 1
+            return self.resumed.popleft()
+        chosen = 0
+        if fits is not None:
+            window = heapq.nsmallest(BINDING_DEPTH, self.heads)
+            chosen = next(
+                (
+                    number
+                    for number, (_, _, name) in enumerate(window)
+                    if fits(self.waiters[name][0])
+                ),
+                0,
+            )
+            entry = window[chosen]
+            if chosen:
+                self.heads.remove(entry)
+                heapq.heapify(self.heads)
+            else:
+                heapq.heappop(self.heads)
+        else:
+            entry = heapq.heappop(self.heads)
+        return self._take(entry)
+
+    def remove(self, waiter: Waiter) -> None:
+        self.count -= 1
+        if waiter.resumed:
+            self.resumed.remove(waiter)
+            return
+        workspace = waiter.req.workspace
+        line = self.waiters[workspace]
+        line.remove(waiter)
+        if not line:
+            del self.waiters[workspace]
+            self.heads = [entry for entry in self.heads if entry[2] != workspace]
+            heapq.heapify(self.heads)
+
+    def latest(self) -> Waiter | None:
+        """Return the newest waiter of the workspace that was served most, or None."""
+        if not self.heads:
+            return None
+        longest = max(self.waiters.values(), key=lambda line: (len(line), line[-1].req.arrived))
+        return longest[-1]
+
+    def _enter(self, workspace: str) -> None:
+        start = max(self.virtual, self.finish.get(workspace, 0.0))
+        self.seq += 1
+        heapq.heappush(self.heads, (start, self.seq, workspace))
+
+    def _take(self, entry: tuple[float, int, str]) -> Waiter:
+        start, _, workspace = entry
+        line = self.waiters[workspace]
+        waiter = line.popleft()
+        self.count -= 1
+        self.virtual = max(self.virtual, start)
+        self.finish[workspace] = start + waiter.cost / waiter.req.weight
+        if line:
+            self._enter(workspace)
+        else:
+            del self.waiters[workspace]
+        if len(self.finish) > 2 * len(self.waiters) + 64:
+            self.finish = {name: tag for name, tag in self.finish.items() if tag > self.virtual}
+        return waiter
+
+
+class TierQueue(WaitQueue):
+    """Higher tiers first; within a tier, workspaces share by estimated tokens and weight."""
+
+    def __init__(self) -> None:
+        self._tiers: dict[int, _Tier] = {}
+        self._count = 0
+
+    def push(self, waiter: Waiter) -> None:
+        """Add a waiter to its tier."""
+        tier = self._tiers.get(waiter.req.tier)
+        if tier is None:
+            tier = self._tiers[waiter.req.tier] = _Tier()
+            self._tiers = dict(sorted(self._tiers.items()))
+        waiter.queued = True
+        tier.push(waiter)
+        self._count += 1
+
+    def pop(self, fits: Fits | None = None, tier: int | None = None) -> Waiter | None:
+        """Remove the next waiter of the highest tier, or of the given one."""
+        if tier is not None:
+            lines = [self._tiers[tier]] if tier in self._tiers else []
+        else:
+            lines = list(self._tiers.values())
+        for line in lines:
+            waiter = line.pop(fits)
+            if waiter is not None:
+                waiter.queued = False
+                self._count -= 1
+                return waiter
+        return None
+
+    def remove(self, waiter: Waiter) -> bool:
+        """Withdraw a waiter."""
+        if not waiter.queued:
+            return False
+        waiter.queued = False
+        self._tiers[waiter.req.tier].remove(waiter)
+        self._count -= 1
+        return True
+
+    def lowest(self) -> Waiter | None:
+        """Return the newest waiter of the longest line of the lowest tier."""
+        for tier in reversed(self._tiers.values()):
+            waiter = tier.latest()
+            if waiter is not None:
+                return waiter
+        return None
+
+    def counts(self) -> dict[int, int]:
+        """Return the number of waiters by tier, in tier order."""
+        return {number: tier.count for number, tier in self._tiers.items() if tier.count}
+
+    def __iter__(self) -> Iterator[Waiter]:
+        """Iterate over the waiters."""
+        for tier in list(self._tiers.values()):
+            yield from list(tier.resumed)
+            for line in list(tier.waiters.values()):
+                yield from list(line)
+
+    def __len__(self) -> int:
+        """Return the number of waiters."""
+        return self._count
--- a/lacewinghub/scheduler.py
+++ b/lacewinghub/scheduler.py
@@ -1,8 +1,51 @@
 """Decides when a request gets a slot, and of which endpoint."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 from .request import Grant, Observation, Request
+from .tables import Endpoint, Pool, Tables
+
+
+class PoolView(ABC):
+    """What a scheduler needs to know of the pools at any moment."""
+
+    @abstractmethod
+    def pool(self, name: str) -> Pool:
+        """Return a pool of the tables in force.
+
+        Raises:
+            UnknownPool: If it does not exist.
+        """
+
+    @abstractmethod
+    def usable(self, name: str) -> list[Endpoint]:
+        """Return the endpoints of a pool that are neither leaving nor ejected."""
+
+
+class TablesView(PoolView):
+    """View of tables that may be replaced.
+
+    Args:
+        tables: Returns the tables in force.
+        is_usable: Tells whether an endpoint may receive requests; by default each may.
+    """
+
+    def __init__(
+        self,
+        tables: Callable[[], Tables],
+        is_usable: Callable[[str], bool] = lambda endpoint: True,
+    ) -> None:
+        self._tables = tables
+        self._is_usable = is_usable
+
+    def pool(self, name: str) -> Pool:
+        """Return a pool of the tables in force."""
+        return self._tables().pool(name)
+
+    def usable(self, name: str) -> list[Endpoint]:
+        """Return the endpoints that pass ``is_usable``."""
+        return [item for item in self.pool(name).endpoints if self._is_usable(item.name)]
 
 
 class Scheduler(ABC):
