--- a/lacewinghub/endpoint.py
+++ b/lacewinghub/endpoint.py
@@ -1,14 +1,26 @@
 """Clients of endpoints: runners that stream answers and plain services."""
 
+import asyncio
+import json
 from abc import ABC, abstractmethod
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from dataclasses import dataclass
 from typing import Any
 
+import aiohttp
+
 from .errors import LacewingError
 from .request import Request
 from .tables import Endpoint
 
+CONNECT_TIMEOUT_S = 2.0
+IDLE_TIMEOUT_S = 30.0
+CANCEL_TIMEOUT_S = 1.0
+# A chunk of a stream is some hundred bytes; a longer event is a fault of the endpoint.
+MAX_EVENT_BYTES = 1024 * 1024
+_LEAVING_CODES = ("leaving", "draining")
+_DONE = b"[DONE]"
+
 
 class EndpointError(LacewingError):
     """Base of the failures of one endpoint; the router turns them into caller errors."""
@@ -69,7 +81,7 @@
     """Sends requests to endpoints."""
 
     @abstractmethod
-    def stream(self, endpoint: Endpoint, req: Request) -> AsyncIterator[Chunk]:
+    def stream(self, endpoint: Endpoint, req: Request) -> AsyncGenerator[Chunk, None]:
         """Start or resume an answer at a runner.
 
         Args:
@@ -106,3 +118,173 @@
     async def close(self) -> None:
         """Release the connections."""
         return None
+
+
+class HttpEndpoint(EndpointClient):
+    """Client of runners (server-sent events) and plain services over HTTP.
+
+    Every request has a connection of its own: after a failed connect it is certain that nothing
+    was sent, and a kept connection that the endpoint closes meanwhile is not mistaken for a crash.
+
+    Args:
+        connect_timeout_s: Longest wait for a connection, in seconds.
+        idle_timeout_s: Longest pause within an answer or before its begin, in seconds.
+    """
+
+    def __init__(
+        self,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        idle_timeout_s: float = IDLE_TIMEOUT_S,
+    ) -> None:
+        self._timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=connect_timeout_s, sock_read=idle_timeout_s
+        )
+        self._session_or_none: aiohttp.ClientSession | None = None
+
+    async def stream(self, endpoint: Endpoint, req: Request) -> AsyncGenerator[Chunk, None]:
+        """Start or resume an answer at a runner; see ``EndpointClient.stream``."""
+        body = req.body | {
+            "stream": True,
+            "priority": req.tier,
+            "request_id": req.id,
+            "resume_from": req.sent_tokens,
+        }
+        resp = await self._post(endpoint, "/v1/chat/completions", body, {})
+        try:
+            await _check_status(endpoint, resp, accept_below=300)
+            async for chunk in _chunks(endpoint, resp):
+                yield chunk
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            raise _crashed(endpoint, exc) from exc
+        finally:
+            resp.close()
+
+    async def call(self, endpoint: Endpoint, req: Request) -> Reply:
+        """Call a plain service once; see ``EndpointClient.call``."""
+        headers = {} if req.key is None else {"Idempotency-Key": req.key}
+        resp = await self._post(endpoint, "/run", req.body, headers)
+        try:
+            await _check_status(endpoint, resp, accept_below=500)
+            data = await resp.read()
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            raise _crashed(endpoint, exc) from exc
+        finally:
+            resp.close()
+        return Reply(resp.status, _decode(data))
+
+    async def cancel(self, endpoint: Endpoint, request_id: str) -> None:
+        """Stop the generation of an answer; failures are ignored."""
+        url = f"http://{endpoint.address}/cancel/{request_id}"
+        try:
+            async with asyncio.timeout(CANCEL_TIMEOUT_S), self._session().post(url):
+                return
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return
+
+    async def close(self) -> None:
+        """Release the connections."""
+        if self._session_or_none is not None:
+            await self._session_or_none.close()
+            self._session_or_none = None
+
+    async def _post(
+        self, endpoint: Endpoint, path: str, body: dict[str, Any], headers: dict[str, str]
+    ) -> aiohttp.ClientResponse:
+        url = f"http://{endpoint.address}{path}"
+        data = json.dumps(body, separators=(",", ":")).encode()
+        headers = headers | {"Content-Type": "application/json"}
+        try:
+            return await self._session().post(
+                url, data=data, headers=headers, allow_redirects=False
+            )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+            raise ConnectFailed(
+                f"endpoint {endpoint.name!r} at {endpoint.address} does not accept connections",
+                endpoint=endpoint.name,
+            ) from exc
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            raise _crashed(endpoint, exc) from exc
+
+    def _session(self) -> aiohttp.ClientSession:
+        if self._session_or_none is None:
+            self._session_or_none = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0, force_close=True),
+                timeout=self._timeout,
+                cookie_jar=aiohttp.DummyCookieJar(),
+            )
+        return self._session_or_none
+
+
+def _crashed(endpoint: Endpoint, exc: BaseException) -> EndpointCrashed:
+    timeout = isinstance(exc, TimeoutError)
+    what = "sent nothing for too long" if timeout else "broke the connection"
+    return EndpointCrashed(
+        f"endpoint {endpoint.name!r} {what}", endpoint=endpoint.name, timeout=timeout
+    )
+
+
+async def _check_status(
+    endpoint: Endpoint, resp: aiohttp.ClientResponse, accept_below: int
+) -> None:
+    if resp.status < accept_below:
+        return
+    reply = _decode(await resp.read())
+    error = reply.get("error") if isinstance(reply, dict) else None
+    code, message = "", resp.reason or ""
+    if isinstance(error, dict):
+        code, message = str(error.get("code", "")), str(error.get("message", message))
+    if resp.status == 503 and code in _LEAVING_CODES:
+        raise EndpointLeaving(f"endpoint {endpoint.name!r} is leaving", endpoint=endpoint.name)
+    raise EndpointRejected(
+        f"endpoint {endpoint.name!r} answered {resp.status}: {message}",
+        endpoint=endpoint.name,
+        status=resp.status,
+        reason=message,
+    )
+
+
+async def _chunks(endpoint: Endpoint, resp: aiohttp.ClientResponse) -> AsyncGenerator[Chunk, None]:
+    rest = b""
+    async for data in resp.content.iter_any():
+        *lines, rest = (rest + data).split(b"\n")
+        if len(rest) > MAX_EVENT_BYTES:
+            raise EndpointRejected(
+                f"endpoint {endpoint.name!r} sent an event of more than {MAX_EVENT_BYTES} bytes",
+                endpoint=endpoint.name,
+                status=resp.status,
+            )
+        for line in lines:
+            if not line.startswith(b"data:"):
+                continue
+            payload = line[5:].strip()
+            if payload == _DONE:
+                return
+            yield _parse_chunk(endpoint, payload)
+
+
+def _parse_chunk(endpoint: Endpoint, payload: bytes) -> Chunk:
+    try:
+        event = json.loads(payload)
+        if "error" in event:
+            raise EndpointRejected(
+                f"endpoint {endpoint.name!r} ended the answer: {event['error']}",
+                endpoint=endpoint.name,
+                status=500,
+            )
+        choice = event["choices"][0]
+        tokens = event.get("tokens")
+        if tokens is None:
+            text = choice.get("delta", {}).get("content")
+            tokens = (text,) if text else ()
+        return Chunk(event["index"], tuple(tokens), choice.get("finish_reason"), event.get("total"))
+    except (ValueError, KeyError, IndexError, TypeError, AttributeError) as exc:
+        raise EndpointRejected(
+            f"endpoint {endpoint.name!r} sent a malformed chunk", endpoint=endpoint.name, status=500
+        ) from exc
+
+
+def _decode(data: bytes) -> Any:
+    try:
+        return json.loads(data)
+    except ValueError:
+        return data.decode("utf-8", "replace")
--- a/lacewinghub/errors.py
+++ b/lacewinghub/errors.py
@@ -72,6 +72,18 @@
     code, status, run = "too_large", 413, Run.NOT_RUN
 
 
+class NotFound(LacewingError):
+    """The path does not exist."""
+
+    code, status, run = "not_found", 404, Run.NOT_RUN
+
+
+class MethodNotAllowed(LacewingError):
+    """The path does not serve the method."""
+
+    code, status, run = "method_not_allowed", 405, Run.NOT_RUN
+
+
 class Unauthorized(LacewingError):
     """The key is missing or unknown."""
 
--- a/lacewinghub/request.py
+++ b/lacewinghub/request.py
@@ -1,9 +1,21 @@
 """A request on its way through a node."""
 
+import json
 from dataclasses import dataclass, field
 from typing import Any
 
-from .tables import Target
+import xxhash
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from .errors import BadJson, BadRequest, KeyMissing, UnknownModel, UnknownPool
+from .tables import Pool, Route, Tables, Target, Workspace
+
+BLOCK_WORDS = 64
+# 65,536 words; longer prompts share cache entries on this part only.
+MAX_BLOCKS = 1024
+MAX_KEY_CHARS = 255
+DEFAULT_CLASS = "default"
+DEFAULT_MAX_TOKENS = 1024
 
 
 @dataclass(slots=True, eq=False)
@@ -81,3 +93,218 @@
     between_tokens_s: float | None = None
     tokens: int = 0
     crashed: bool = False
+
+
+class _Message(BaseModel):
+    model_config = ConfigDict(extra="allow")
+
+    role: str
+    content: str | list[dict[str, Any]] | None = None
+
+
+class _ChatBody(BaseModel):
+    """Members of a chat completion that the router reads; others are passed on unchanged."""
+
+    model_config = ConfigDict(extra="allow", strict=True)
+
+    model: str
+    messages: list[_Message] = Field(min_length=1)
+    stream: bool = False
+    max_tokens: int | None = Field(default=None, ge=1)
+    max_completion_tokens: int | None = Field(default=None, ge=1)
+    n: int | None = Field(default=None, ge=1, le=1)
+    stream_options: dict[str, Any] | None = None
+
+
+def decode_body(data: bytes) -> dict[str, Any]:
+    """Decode a JSON body.
+
+    Args:
+        data: The body as received.
+
+    Returns:
+        The JSON object.
+
+    Raises:
+        BadJson: If it is not a JSON object.
+    """
+    try:
+        body = json.loads(data)
+    except (ValueError, RecursionError) as exc:
+        raise BadJson(f"the body is not JSON: {exc}") from exc
+    if not isinstance(body, dict):
+        raise BadJson(f"the body is a JSON {type(body).__name__}, not an object")
+    return body
+
+
+def fingerprint(workspace: str, model: str, body: dict[str, Any]) -> int:
+    """Hash a request independently of spacing and member order.
+
+    Args:
+        workspace: Name of the workspace.
+        model: Name of the model, or of the pool for a plain call.
+        body: Decoded JSON body.
+
+    Returns:
+        A number of 64 bits.
+    """
+    text = json.dumps([workspace, model, body], sort_keys=True, separators=(",", ":"))
+    return xxhash.xxh3_64_intdigest(text.encode())
+
+
+def prefix_hashes(model: str, messages: list[dict[str, Any]]) -> tuple[int, ...]:
+    """Hash the prompt in blocks of 64 words; each hash covers the prompt up to its block's end.
+
+    Args:
+        model: Name of the model.
+        messages: Messages of a chat completion.
+
+    Returns:
+        One number of 64 bits per full block, at most ``MAX_BLOCKS``.
+    """
+    words: list[str] = []
+    for message in messages:
+        words.extend(_text(message.get("content")).split())
+        if len(words) >= BLOCK_WORDS * MAX_BLOCKS:
+            break
+    hashes = []
+    last = xxhash.xxh3_64_intdigest(model.encode("utf-8", "surrogatepass"))
+    for end in range(BLOCK_WORDS, len(words) + 1, BLOCK_WORDS)[:MAX_BLOCKS]:
+        block = " ".join(words[end - BLOCK_WORDS : end])
+        last = xxhash.xxh3_64_intdigest(f"{last}|{block}".encode("utf-8", "surrogatepass"))
+        hashes.append(last)
+    return tuple(hashes)
+
+
+def prompt_words(messages: list[dict[str, Any]]) -> int:
+    """Count the words of a prompt."""
+    return sum(len(_text(message.get("content")).split()) for message in messages)
+
+
+def classify_chat(
+    tables: Tables,
+    workspace: Workspace,
+    request_class: str | None,
+    body: dict[str, Any],
+    *,
+    request_id: str,
+    arrived: float,
+) -> Request:
+    """Check a chat completion and find its route.
+
+    Args:
+        tables: The tables in force.
+        workspace: Workspace of the caller.
+        request_class: Class that the caller named, or None.
+        body: Decoded JSON body.
+        request_id: Unique identifier.
+        arrived: Loop time of arrival, in seconds.
+
+    Returns:
+        The request.
+
+    Raises:
+        BadRequest: If a member of the body has a wrong type or value.
+        UnknownModel: If no route to a pool of runners serves the model.
+    """
+    try:
+        chat = _ChatBody.model_validate(body)
+    except ValidationError as exc:
+        first = exc.errors(include_url=False, include_input=False)[0]
+        place = ".".join(str(part) for part in first["loc"])
+        raise BadRequest(f"{place}: {first['msg']}", place=place) from exc
+    name = request_class or DEFAULT_CLASS
+    route = tables.route(workspace.name, name, chat.model)
+    if tables.pool(route.pool).kind != "model":
+        raise UnknownModel(f"{chat.model!r} is a service, not a model")
+    req = _request(route, workspace, name, body, request_id, arrived)
+    req.fingerprint = fingerprint(workspace.name, chat.model, body)
+    req.prefix = prefix_hashes(chat.model, body["messages"])
+    req.max_tokens = chat.max_completion_tokens or chat.max_tokens or DEFAULT_MAX_TOKENS
+    return req
+
+
+def classify_call(
+    tables: Tables,
+    workspace: Workspace,
+    request_class: str | None,
+    name: str,
+    key: str | None,
+    body: dict[str, Any],
+    *,
+    request_id: str,
+    arrived: float,
+) -> Request:
+    """Check a plain call and find its route.
+
+    Args:
+        tables: The tables in force.
+        workspace: Workspace of the caller.
+        request_class: Class that the caller named, or None.
+        name: Name of the pool in the path.
+        key: Idempotency key, or None.
+        body: Decoded JSON body.
+        request_id: Unique identifier.
+        arrived: Loop time of arrival, in seconds.
+
+    Returns:
+        The request.
+
+    Raises:
+        BadRequest: If the key is malformed.
+        KeyMissing: If the service is not repeatable and there is no key.
+        UnknownPool: If no route to a service has this name.
+    """
+    found = request_class or DEFAULT_CLASS
+    route, pool = _service_route(tables, workspace.name, found, name)
+    if key is not None and not (0 < len(key) <= MAX_KEY_CHARS and key.isprintable()):
+        raise BadRequest(f"Idempotency-Key must have 1 to {MAX_KEY_CHARS} printable characters")
+    if key is None and not pool.repeatable:
+        raise KeyMissing(f"service {pool.name!r} requires the header Idempotency-Key")
+    req = _request(route, workspace, found, body, request_id, arrived)
+    req.key = key
+    req.fingerprint = fingerprint(workspace.name, name, body)
+    return req
+
+
+def _service_route(
+    tables: Tables, workspace: str, request_class: str, name: str
+) -> tuple[Route, Pool]:
+    try:
+        route = tables.route(workspace, request_class, name)
+    except UnknownModel as exc:
+        raise UnknownPool(f"no route serves {name!r} in class {request_class!r}") from exc
+    pool = tables.pool(route.pool)
+    if pool.kind != "service":
+        raise UnknownPool(f"{name!r} is served by runners, not by a service")
+    return route, pool
+
+
+def _request(
+    route: Route,
+    workspace: Workspace,
+    request_class: str,
+    body: dict[str, Any],
+    request_id: str,
+    arrived: float,
+) -> Request:
+    return Request(
+        id=request_id,
+        workspace=workspace.name,
+        request_class=request_class,
+        tier=route.tier,
+        pool=route.pool,
+        body=body,
+        arrived=arrived,
+        patience_s=route.patience_s,
+        target=route.target,
+        weight=workspace.weight,
+    )
+
+
+def _text(content: Any) -> str:
+    if isinstance(content, str):
+        return content
+    if isinstance(content, list):
+        return " ".join(str(part.get("text", "")) for part in content if isinstance(part, dict))
+    return ""
--- /dev/null
+++ b/lacewinghub/router.py
@@ -0,0 +1,424 @@
+"""The way of a request through a node: slot, endpoint, answer, retry and resume."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections.abc import AsyncGenerator, Awaitable, Callable
+from contextlib import aclosing
+from dataclasses import dataclass, field
+
+from .answer import Answer
+from .endpoint import (
+    Chunk,
+    ConnectFailed,
+    EndpointClient,
+    EndpointCrashed,
+    EndpointError,
+    EndpointLeaving,
+    EndpointRejected,
+    Reply,
+)
+from .errors import (
+    AnswerIncomplete,
+    BadRequest,
+    EndpointFailed,
+    LacewingError,
+    NotRun,
+    OutcomeUnknown,
+    Overloaded,
+)
+from .history import EventKind, History
+from .request import Grant, Observation, Request
+from .scheduler import Scheduler
+from .tables import Endpoint, Tables
+
+MAX_ATTEMPTS = 6
+# Statuses with which an endpoint refuses the request itself; another endpoint would do the same.
+REFUSAL_STATUSES = (400, 404, 405, 413, 415, 422)
+
+Check = Callable[[], None]
+Send = Callable[[Check], Awaitable[Reply]]
+
+
+class Budget(ABC):
+    """Limits the retries of a pool to a share of its requests."""
+
+    @abstractmethod
+    def earn(self, pool: str) -> None:
+        """Count a request of a pool."""
+
+    @abstractmethod
+    def spend(self, pool: str) -> bool:
+        """Take one retry; False if none is left."""
+
+
+class Guard(ABC):
+    """Learns which requests were in flight when endpoints crashed, and refuses poison requests."""
+
+    @abstractmethod
+    def check(self, req: Request) -> None:
+        """Check a request before it is queued or retried.
+
+        Raises:
+            Quarantined: If identical requests crashed several endpoints.
+        """
+
+    @abstractmethod
+    def started(self, req: Request, endpoint: str) -> None:
+        """Note that the request is being sent to an endpoint."""
+
+    @abstractmethod
+    def ended(self, req: Request, endpoint: str, seen: Observation) -> None:
+        """Note that the request no longer is at the endpoint."""
+
+
+class Monitor(ABC):
+    """Learns how endpoints behave."""
+
+    @abstractmethod
+    def observe(self, pool: str, endpoint: str, seen: Observation) -> None:
+        """Note what was measured during one attempt."""
+
+    @abstractmethod
+    def leaving(self, endpoint: str) -> None:
+        """Note that the endpoint announced that it is leaving."""
+
+
+class Claims(ABC):
+    """Lets a keyed call be executed at most once."""
+
+    @abstractmethod
+    async def execute(self, req: Request, send: Send) -> Reply:
+        """Execute a keyed call, or return the stored reply of an earlier one.
+
+        Args:
+            req: The request with its key.
+            send: Sends the call. Its argument is called directly before anything is sent and raises
+                ``NotRun`` if sending is no longer permitted. It raises an error with ``run`` equal
+                to ``not_run`` if nothing was sent, otherwise ``OutcomeUnknown``.
+
+        Returns:
+            The reply.
+
+        Raises:
+            LacewingError: ``KeyReused``, ``InProgress``, ``OutcomeUnknown``, ``NotRun``,
+                ``NotReady`` or the error of ``send``.
+        """
+
+
+@dataclass(slots=True)
+class Parts:
+    """What a router works with; parts that are None are left out."""
+
+    scheduler: Scheduler
+    client: EndpointClient
+    tables: Callable[[], Tables]
+    history: History
+    budget: Budget | None = None
+    guard: Guard | None = None
+    monitors: list[Monitor] = field(default_factory=list)
+    claims: Claims | None = None
+
+
+@dataclass(slots=True)
+class _Attempt:
+    """Measurements of one use of a grant."""
+
+    endpoint: Endpoint
+    started: float
+    first: float | None = None
+    last: float = 0.0
+    tokens: int = 0
+
+    def take(self, now: float, tokens: int) -> None:
+        if self.first is None:
+            self.first = now
+        self.last = now
+        self.tokens += tokens
+
+    def observation(self, ok: bool, crashed: bool) -> Observation:
+        if self.first is None:
+            return Observation(ok, tokens=self.tokens, crashed=crashed)
+        between = (self.last - self.first) / (self.tokens - 1) if self.tokens > 1 else None
+        return Observation(ok, self.first - self.started, between, self.tokens, crashed)
+
+
+class Router:
+    """Serves classified requests.
+
+    Args:
+        parts: What the router works with.
+    """
+
+    def __init__(self, parts: Parts) -> None:
+        self._parts = parts
+        self._history = parts.history
+        self._cancels: set[asyncio.Task[None]] = set()
+        self._keyed: set[asyncio.Task[Reply]] = set()
+
+    async def handle(self, req: Request) -> AsyncGenerator[Chunk, None]:
+        """Stream an answer.
+
+        Closing the generator withdraws the request and cancels it at the runner.
+
+        Args:
+            req: The request.
+
+        Yields:
+            Chunks in order without repetition; the last one carries ``finish`` and ``total``. The
+            answer is complete exactly when the generator ends without an error.
+
+        Raises:
+            LacewingError: One coded error; ``AnswerIncomplete`` or ``Overloaded`` may come after
+                the first chunk.
+        """
+        answer = Answer()
+        self._arrive(req)
+        try:
+            for attempt in range(1, MAX_ATTEMPTS + 1):
+                self._check(req)
+                grant, endpoint = await self._acquire(req)
+                try:
+                    async with aclosing(self._stream(req, answer, grant, endpoint)) as chunks:
+                        async for chunk in chunks:
+                            yield chunk
+                    break
+                except EndpointError as exc:
+                    await self._prepare_retry(req, endpoint, exc, attempt, answer)
+        except LacewingError as exc:
+            self._fail(req, exc, answer.received)
+            raise
+        except (asyncio.CancelledError, GeneratorExit):
+            self._record(EventKind.CANCELLED, req, tokens=answer.received)
+            raise
+        self._record(EventKind.FINISHED, req, tokens=answer.received)
+
+    async def call(self, req: Request) -> Reply:
+        """Execute a plain call.
+
+        A call with a key goes on if its caller leaves, so that its result is stored.
+
+        Args:
+            req: The request; one with a key runs at most once.
+
+        Returns:
+            The reply of the service.
+
+        Raises:
+            LacewingError: One coded error.
+        """
+        self._arrive(req)
+        try:
+            if req.key is None:
+                reply = await self._call_repeatable(req)
+            else:
+                reply = await self._call_keyed(req)
+        except LacewingError as exc:
+            self._fail(req, exc, 0)
+            raise
+        except asyncio.CancelledError:
+            self._record(EventKind.CANCELLED, req)
+            raise
+        self._record(EventKind.FINISHED, req)
+        return reply
+
+    async def close(self) -> None:
+        """Wait for keyed calls whose callers left and for cancellations at runners."""
+        while self._keyed or self._cancels:
+            await asyncio.wait([*self._keyed, *self._cancels])
+
+    async def _stream(
+        self, req: Request, answer: Answer, grant: Grant, endpoint: Endpoint
+    ) -> AsyncGenerator[Chunk, None]:
+        loop = asyncio.get_running_loop()
+        attempt = _Attempt(endpoint, loop.time())
+        self._start(req, endpoint, resumed=answer.received > 0)
+        answer.restart()
+        crashed = left = False
+        try:
+            async with aclosing(self._parts.client.stream(endpoint, req)) as chunks:
+                async for chunk in chunks:
+                    attempt.take(loop.time(), len(chunk.tokens))
+                    index, tokens = answer.received, answer.add(chunk)
+                    if answer.complete:
+                        yield Chunk(index, tokens, answer.finish, answer.received)
+                        return
+                    if tokens:
+                        yield Chunk(index, tokens)
+            raise EndpointCrashed(
+                f"endpoint {endpoint.name!r} ended the answer early", endpoint=endpoint.name
+            )
+        except EndpointCrashed as exc:
+            crashed = not exc.details.get("timeout")
+            raise
+        except (asyncio.CancelledError, GeneratorExit):
+            left = True
+            raise
+        finally:
+            if left and not answer.complete:
+                self._cancel_at(endpoint, req)
+            self._end(req, grant, attempt.observation(answer.complete, crashed), endpoint, left)
+
+    async def _call_repeatable(self, req: Request) -> Reply:
+        for attempt in range(1, MAX_ATTEMPTS + 1):
+            self._check(req)
+            grant, endpoint = await self._acquire(req)
+            try:
+                return await self._exchange(req, grant, endpoint)
+            except EndpointError as exc:
+                await self._prepare_retry(req, endpoint, exc, attempt, None)
+        raise EndpointFailed("no endpoint completed the call")
+
+    async def _call_keyed(self, req: Request) -> Reply:
+        claims = self._parts.claims
+        if claims is None:
+            raise NotRun("this node cannot claim keys")
+        task = asyncio.ensure_future(claims.execute(req, lambda check: self._call_once(req, check)))
+        self._keyed.add(task)
+        task.add_done_callback(self._end_keyed)
+        return await asyncio.shield(task)
+
+    def _end_keyed(self, task: asyncio.Task[Reply]) -> None:
+        self._keyed.discard(task)
+        if not task.cancelled():
+            task.exception()  # Marks it as seen: the caller may have left.
+
+    async def _call_once(self, req: Request, check: Check) -> Reply:
+        """Send a call whose key this node owns; only calls that were not sent are repeated."""
+        for attempt in range(1, MAX_ATTEMPTS + 1):
+            self._check(req)
+            grant, endpoint = await self._acquire(req)
+            try:
+                check()
+            except LacewingError:
+                self._parts.scheduler.release(grant, Observation(ok=False))
+                raise
+            try:
+                return await self._exchange(req, grant, endpoint)
+            except (ConnectFailed, EndpointLeaving) as exc:
+                req.avoid.add(endpoint.name)
+                if attempt == MAX_ATTEMPTS or not self._spend(req):
+                    raise NotRun("no endpoint of the service took the call") from exc
+            except EndpointError as exc:
+                raise OutcomeUnknown(f"the call may have run: {exc.message}") from exc
+        raise NotRun("no endpoint of the service took the call")
+
+    async def _exchange(self, req: Request, grant: Grant, endpoint: Endpoint) -> Reply:
+        loop = asyncio.get_running_loop()
+        attempt = _Attempt(endpoint, loop.time())
+        self._start(req, endpoint, resumed=False)
+        ok = crashed = left = False
+        try:
+            reply = await self._parts.client.call(endpoint, req)
+            attempt.take(loop.time(), 0)
+            ok = True
+            return reply
+        except EndpointCrashed as exc:
+            crashed = not exc.details.get("timeout")
+            raise
+        except asyncio.CancelledError:
+            left = True
+            raise
+        finally:
+            self._end(req, grant, attempt.observation(ok, crashed), endpoint, left)
+
+    async def _acquire(self, req: Request) -> tuple[Grant, Endpoint]:
+        """Wait for a slot of an endpoint that the tables in force still name."""
+        while True:
+            grant = await self._parts.scheduler.acquire(req)
+            pool = self._parts.tables().pools.get(req.pool)
+            endpoint = pool.endpoint(grant.endpoint) if pool else None
+            if endpoint is not None:
+                return grant, endpoint
+            self._parts.scheduler.release(grant, Observation(ok=False))
+            if pool is None:
+                raise NotRun(f"pool {req.pool!r} was removed")
+            await asyncio.sleep(0.01)
+
+    async def _prepare_retry(
+        self,
+        req: Request,
+        endpoint: Endpoint,
+        exc: EndpointError,
+        attempt: int,
+        answer: Answer | None,
+    ) -> None:
+        """Return if the request may be tried again, otherwise raise the error for the caller."""
+        req.avoid.add(endpoint.name)
+        refused = isinstance(exc, EndpointRejected) and exc.details["status"] in REFUSAL_STATUSES
+        if refused and not (answer and answer.received):
+            raise BadRequest(exc.message, endpoint=endpoint.name) from exc
+        if attempt == MAX_ATTEMPTS or not self._repeatable(req, exc) or not self._spend(req):
+            raise self._final(exc, answer) from exc
+        if isinstance(exc, EndpointCrashed) and exc.details.get("timeout"):
+            # The runner may wake up; a resume there must not meet the old generation.
+            await self._parts.client.cancel(endpoint, req.id)
+        if answer is not None:
+            req.sent_tokens = answer.received
+
+    def _repeatable(self, req: Request, exc: EndpointError) -> bool:
+        if isinstance(exc, ConnectFailed | EndpointLeaving):
+            return True
+        pool = self._parts.tables().pools.get(req.pool)
+        return pool is None or pool.repeatable
+
+    def _final(self, exc: EndpointError, answer: Answer | None) -> LacewingError:
+        if answer is not None and answer.received:
+            return AnswerIncomplete(
+                f"the answer broke off after {answer.received} tokens", tokens=answer.received
+            )
+        if isinstance(exc, ConnectFailed | EndpointLeaving):
+            return NotRun(f"no endpoint took the request: {exc.message}")
+        return EndpointFailed(f"no endpoint completed the request: {exc.message}")
+
+    def _spend(self, req: Request) -> bool:
+        return self._parts.budget is None or self._parts.budget.spend(req.pool)
+
+    def _check(self, req: Request) -> None:
+        if self._parts.guard is not None:
+            self._parts.guard.check(req)
+
+    def _arrive(self, req: Request) -> None:
+        self._record(EventKind.ARRIVED, req)
+        if self._parts.budget is not None:
+            self._parts.budget.earn(req.pool)
+
+    def _start(self, req: Request, endpoint: Endpoint, resumed: bool) -> None:
+        kind = EventKind.RESUMED if resumed else EventKind.DISPATCHED
+        self._record(kind, req, endpoint=endpoint.name, tokens=req.sent_tokens)
+        if self._parts.guard is not None:
+            self._parts.guard.started(req, endpoint.name)
+
+    def _end(
+        self, req: Request, grant: Grant, seen: Observation, endpoint: Endpoint, left: bool
+    ) -> None:
+        self._parts.scheduler.release(grant, seen)
+        if self._parts.guard is not None:
+            self._parts.guard.ended(req, endpoint.name, seen)
+        if seen.crashed:
+            self._record(EventKind.CRASHED, req, endpoint=endpoint.name, tokens=seen.tokens)
+        if left:
+            return
+        for monitor in self._parts.monitors:
+            monitor.observe(req.pool, endpoint.name, seen)
+
+    def _cancel_at(self, endpoint: Endpoint, req: Request) -> None:
+        task = asyncio.get_running_loop().create_task(self._parts.client.cancel(endpoint, req.id))
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
+
+    def _fail(self, req: Request, exc: LacewingError, tokens: int) -> None:
+        # The scheduler records the requests that it sheds.
+        if not isinstance(exc, Overloaded):
+            self._record(EventKind.FAILED, req, code=exc.code, tokens=tokens)
+
+    def _record(self, kind: EventKind, req: Request, **members: object) -> None:
+        self._history.record(
+            kind,
+            request=req.id,
+            tier=req.tier,
+            pool=req.pool,
+            key=req.key or "",
+            request_class=req.request_class,
+            workspace=req.workspace,
+            **members,
+        )
