--- /dev/null
+++ b/lacewinghub/config.py
@@ -0,0 +1,384 @@
+"""The tables of a node, replicated through the stream ``config`` of the log."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+from typing import Any, Literal
+
+from loguru import logger
+from pydantic import TypeAdapter, ValidationError
+
+from .errors import LogUnavailable, LogUncertain, TablesInvalid
+from .history import EventKind, History
+from .log import Log, Page, Record
+from .membership import Contributor
+from .message import ConfigReply, ConfigRequest, Heartbeat
+from .tables import Change, Tables
+from .transport import Transport
+
+CONFIG_STREAM = "config"
+READ_WAIT_S = 2.0
+BACKOFF_MIN_S = 0.05
+BACKOFF_MAX_S = 2.0
+# A peer's version spreads with heartbeats faster than a record through a slow log; a node that
+# lags for a shorter time gets the change from the log soon.
+LAG_BEFORE_REQUEST_S = 0.5
+REQUEST_INTERVAL_S = 1.0
+# The newest snapshot may be this old, as a share of the retention.
+SNAPSHOT_AGE_SHARE = 1 / 3
+# Nodes spread their snapshots over this share of the retention, so that mostly one appends.
+SNAPSHOT_SPREAD_SHARE = 1 / 12
+# After an outage of the log no time is left: operators cannot publish without a kept snapshot.
+SNAPSHOT_URGENT_SHARE = 2 / 3
+SNAPSHOT_URGENT_SPREAD_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeRecord:
+    """A change of the tables.
+
+    Attributes:
+        base: Version that the change starts from.
+        version: Version after the change; always ``base + 1``.
+        author: Name of the operator.
+        id: Unique identifier of the change.
+        changes: Operations.
+    """
+
+    base: int
+    version: int
+    author: str
+    id: str
+    changes: list[Change]
+    kind: Literal["change"] = "change"
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotRecord:
+    """Full tables.
+
+    Attributes:
+        version: Version of the tables.
+        through: Offset of the first record that the tables do not reflect.
+        node: Node that appended it.
+        document: The tables as a JSON document.
+    """
+
+    version: int
+    through: int
+    node: str
+    document: Any
+    kind: Literal["snapshot"] = "snapshot"
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """A change that was accepted, by its identifier, author and resulting version."""
+
+    id: str
+    author: str
+    version: int
+
+
+_RECORDS: dict[Any, TypeAdapter[Any]] = {
+    "change": TypeAdapter(ChangeRecord),
+    "snapshot": TypeAdapter(SnapshotRecord),
+}
+
+
+class ConfigState:
+    """The tables as a function of the records of the stream, in log order.
+
+    Two states that reflect the stream up to the same offset are equal. After a gap the state is not
+    ``synced``: it holds the changes that it reads until a snapshot tells the tables at an offset
+    from which on it has read every record.
+
+    Attributes:
+        tables: Tables at ``next`` if synced, otherwise the last known ones.
+        next: Offset of the first record that was not read.
+        synced: True if the tables reflect every record before ``next``.
+        refreshed: Wall time of the record from which on a fresh reader can build the tables, or
+            None if that is not known.
+        gaps: Number of times that records expired before they were read.
+    """
+
+    def __init__(self) -> None:
+        self.tables = Tables()
+        self.next = 0
+        self.synced = True
+        self.refreshed: float | None = None
+        self.gaps = 0
+        self._pending: list[tuple[int, ChangeRecord]] = []
+        self._unbroken_from = 0
+
+    def feed(self, page: Page) -> list[Accepted]:
+        """Take over the records of a page.
+
+        Args:
+            page: Result of a read from ``next`` or from a smaller offset.
+
+        Returns:
+            The changes that were accepted, in log order.
+        """
+        self._check_gap(page)
+        accepted: list[Accepted] = []
+        for record in page.records:
+            if record.offset < self.next:
+                continue
+            accepted += self._take(record)
+        return accepted
+
+    def adopt(self, version: int, document: Any, through: int) -> list[Accepted] | None:
+        """Take over the tables at an offset.
+
+        Args:
+            version: Version of the tables.
+            document: The tables as a JSON document.
+            through: Offset of the first record that they do not reflect.
+
+        Returns:
+            The held changes that were accepted on top, or None if the tables are not usable:
+            records between them and ``next`` were not read, or this state is newer.
+
+        Raises:
+            TablesInvalid: If the document is wrong.
+        """
+        if through <= self.next and (self.synced or through < self._unbroken_from):
+            return None
+        if version < self.tables.version:
+            return None
+        self.tables = Tables.parse(document, version)
+        self.next = max(self.next, through)
+        self.synced = True
+        pending, self._pending = self._pending, []
+        return [
+            done for at, change in pending if at >= through for done in self._apply_change(change)
+        ]
+
+    def _check_gap(self, page: Page) -> None:
+        start = page.records[0].offset if page.records else page.first
+        if start <= self.next:
+            return
+        self.synced = False
+        self.refreshed = None
+        self.gaps += 1
+        self._pending = []
+        self._unbroken_from = self.next = start
+
+    def _take(self, record: Record) -> list[Accepted]:
+        self.next = record.offset + 1
+        parsed = parse_record(record)
+        if isinstance(parsed, ChangeRecord):
+            if not self.synced:
+                self._pending.append((record.offset, parsed))
+                return []
+            if self.refreshed is None:
+                self.refreshed = record.time
+            return self._apply_change(parsed)
+        if isinstance(parsed, SnapshotRecord):
+            return self._take_snapshot(parsed, record)
+        return []
+
+    def _take_snapshot(self, snapshot: SnapshotRecord, record: Record) -> list[Accepted]:
+        if snapshot.through > record.offset:
+            logger.error("snapshot at offset {} claims to reflect later records", record.offset)
+            return []
+        try:
+            accepted = self.adopt(snapshot.version, snapshot.document, snapshot.through)
+        except TablesInvalid as exc:
+            logger.error("snapshot of version {} is invalid: {}", snapshot.version, exc)
+            return []
+        if accepted is not None or (self.synced and snapshot.version == self.tables.version):
+            self.refreshed = record.time
+        return accepted or []
+
+    def _apply_change(self, change: ChangeRecord) -> list[Accepted]:
+        if change.base != self.tables.version or change.version != change.base + 1:
+            return []
+        try:
+            self.tables = self.tables.apply(change.changes, change.version)
+        except TablesInvalid as exc:
+            logger.warning("change {} of {} is invalid: {}", change.id, change.author, exc)
+            return []
+        return [Accepted(change.id, change.author, change.version)]
+
+
+def parse_record(record: Record) -> ChangeRecord | SnapshotRecord | None:
+    """Check a record of the stream.
+
+    Returns:
+        The record, or None if it is malformed and every node ignores it.
+    """
+    adapter = _RECORDS.get(record.data.get("kind"))
+    if adapter is None:
+        logger.warning("config record at offset {} has an unknown kind", record.offset)
+        return None
+    try:
+        return adapter.validate_python(record.data)
+    except ValidationError as exc:
+        logger.warning("config record at offset {} is malformed: {}", record.offset, exc)
+        return None
+
+
+class ConfigReplica(Contributor):
+    """Keeps the tables of one node up to date.
+
+    Args:
+        node: Identifier of this node.
+        log: The platform's log.
+        transport: Messages to peers, or None.
+        history: Receives an event for each version in force.
+        seed: Seed of the jitter; defaults to the node identifier.
+
+    Attributes:
+        tables: Tables in force; version 0 until the first ones are.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        log: Log,
+        transport: Transport | None = None,
+        history: History | None = None,
+        seed: int | str | None = None,
+    ) -> None:
+        self.tables = Tables()
+        self._node = node
+        self._log = log
+        self._transport = transport
+        self._history = history
+        self._random = random.Random(node if seed is None else seed)
+        self._state = ConfigState()
+        self._listeners: list[Callable[[Tables], None]] = []
+        self._changed = asyncio.Event()
+        self._in_force = False
+        self._behind_since: float | None = None
+        self._requested_at = float("-inf")
+        self._snapshot_due: float | None = None
+        self._document: tuple[int, dict[str, Any]] | None = None
+        if transport is not None:
+            transport.subscribe(ConfigRequest, self._on_request)
+            transport.subscribe(ConfigReply, self._on_reply)
+
+    @property
+    def ready(self) -> bool:
+        """True once tables are in force."""
+        return self._in_force and self.tables.version > 0
+
+    def subscribe(self, listener: Callable[[Tables], None]) -> None:
+        """Register a function that is called with every new version in force."""
+        self._listeners.append(listener)
+
+    async def wait_version(self, version: int) -> Tables:
+        """Wait until a version, or a larger one, is in force."""
+        while self.tables.version < version:
+            await self._changed.wait()
+        return self.tables
+
+    async def run(self) -> None:
+        """Tail the stream until cancelled."""
+        backoff = BACKOFF_MIN_S
+        wait_s = 0.0
+        while True:
+            try:
+                page = await self._log.read(CONFIG_STREAM, self._state.next, wait_s=wait_s)
+            except LogUnavailable:
+                await asyncio.sleep(backoff * self._random.uniform(0.5, 1.0))
+                backoff = min(BACKOFF_MAX_S, backoff * 2)
+                continue
+            backoff = BACKOFF_MIN_S
+            self._state.feed(page)
+            at_tail = self._state.next >= page.next
+            if self._state.synced and (at_tail or self._in_force):
+                self._put_in_force()
+            wait_s = READ_WAIT_S if at_tail else 0.0
+            if at_tail:
+                await self._refresh(page)
+
+    def fill(self, heartbeat: Heartbeat) -> None:
+        """Write the version in force into an outgoing heartbeat."""
+        heartbeat.config_version = self.tables.version
+
+    def observe(self, heartbeat: Heartbeat) -> None:
+        """Ask the peer for its tables if this node stays behind."""
+        if self._transport is None or heartbeat.config_version <= self.tables.version:
+            return
+        now = asyncio.get_running_loop().time()
+        if self._behind_since is None:
+            self._behind_since = now
+        if now - self._behind_since < LAG_BEFORE_REQUEST_S:
+            return
+        if now - self._requested_at < REQUEST_INTERVAL_S:
+            return
+        self._requested_at = now
+        self._transport.send(heartbeat.node, ConfigRequest(self.tables.version))
+
+    def _on_request(self, sender: str, request: ConfigRequest) -> None:
+        if self._transport is None or not self.ready or not self._state.synced:
+            return
+        if self.tables.version <= request.version:
+            return
+        reply = ConfigReply(
+            self.tables.version,
+            self._full_document(),
+            self._state.next,
+            self._state.refreshed or 0.0,
+        )
+        self._transport.send(sender, reply)
+
+    def _on_reply(self, sender: str, reply: ConfigReply) -> None:
+        try:
+            accepted = self._state.adopt(reply.version, reply.document, reply.through)
+        except TablesInvalid as exc:
+            logger.error("peer {} sent invalid tables: {}", sender, exc)
+            return
+        if accepted is None:
+            return
+        self._state.refreshed = self._state.refreshed or reply.refreshed
+        self._put_in_force()
+
+    def _put_in_force(self) -> None:
+        self._in_force = True
+        tables = self._state.tables
+        if tables.version <= self.tables.version:
+            return
+        self.tables = tables
+        self._behind_since = None
+        self._changed.set()
+        self._changed = asyncio.Event()
+        if self._history is not None:
+            self._history.record(EventKind.CONFIG, version=tables.version)
+        for listener in self._listeners:
+            listener(tables)
+
+    def _full_document(self) -> dict[str, Any]:
+        tables = self.tables
+        if self._document is None or self._document[0] != tables.version:
+            self._document = (tables.version, tables.to_document())
+        return self._document[1]
+
+    async def _refresh(self, page: Page) -> None:
+        """Append a snapshot if the newest one gets old and no other node does so first."""
+        if not self._state.synced or self._state.tables.version == 0:
+            return
+        age = page.time - (self._state.refreshed or 0.0)
+        if age < SNAPSHOT_AGE_SHARE * page.retention_s:
+            self._snapshot_due = None
+            return
+        if self._snapshot_due is None:
+            spread = SNAPSHOT_SPREAD_SHARE * page.retention_s
+            if age > SNAPSHOT_URGENT_SHARE * page.retention_s:
+                spread = min(spread, SNAPSHOT_URGENT_SPREAD_S)
+            self._snapshot_due = page.time + self._random.uniform(0.0, spread)
+        if page.time < self._snapshot_due:
+            return
+        self._snapshot_due = None
+        snapshot = SnapshotRecord(
+            self.tables.version, self._state.next, self._node, self._full_document()
+        )
+        self._document = None
+        try:
+            await self._log.append(CONFIG_STREAM, [asdict(snapshot)])
+        except (LogUnavailable, LogUncertain) as exc:
+            logger.debug("snapshot of version {} was not confirmed: {}", snapshot.version, exc)
--- a/lacewinghub/log.py
+++ b/lacewinghub/log.py
@@ -1,10 +1,17 @@
 """The platform's append-only log, as the nodes see it."""
 
+import asyncio
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from typing import Any
 
-from pydantic import TypeAdapter
+import aiohttp
+from pydantic import TypeAdapter, ValidationError
+
+from .errors import LogUnavailable, LogUncertain
+
+REQUEST_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,3 +90,76 @@
     async def close(self) -> None:
         """Release the connections."""
         return None
+
+
+class HttpLog(Log):
+    """Client of a log that is served over HTTP.
+
+    A status from 400 to 499 and status 503 mean that the log took nothing; every other failure
+    after the request was sent leaves the outcome of an append open.
+
+    Args:
+        address: Address of the log, ``IP:port``.
+        timeout_s: How long to wait for a reply beyond the wait of a read, in seconds.
+    """
+
+    def __init__(self, address: str, timeout_s: float = REQUEST_TIMEOUT_S) -> None:
+        self._base = f"http://{address}/streams/"
+        self._timeout_s = timeout_s
+        self._session: aiohttp.ClientSession | None = None
+
+    async def append(self, stream: str, records: list[dict[str, Any]]) -> list[int]:
+        """See ``Log.append``."""
+        try:
+            async with self._http().post(
+                self._base + stream, json={"records": records}, timeout=self._limit(0.0)
+            ) as resp:
+                if 400 <= resp.status < 500 or resp.status == 503:
+                    raise LogUnavailable(f"the log refused the append with status {resp.status}")
+                if resp.status != 200:
+                    raise LogUncertain(f"the log answered an append with status {resp.status}")
+                return _OFFSETS.validate_python((await resp.json())["offsets"])
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+            raise LogUnavailable(f"no connection to the log: {exc}") from exc
+        except _FAILURES as exc:
+            raise LogUncertain(f"the log did not confirm an append: {exc!r}") from exc
+
+    async def read(self, stream: str, start: int, limit: int = 500, wait_s: float = 0.0) -> Page:
+        """See ``Log.read``."""
+        params = {"from": start, "limit": limit, "wait_ms": round(wait_s * 1000)}
+        try:
+            async with self._http().get(
+                self._base + stream, params=params, timeout=self._limit(wait_s)
+            ) as resp:
+                if resp.status != 200:
+                    raise LogUnavailable(f"the log answered a read with status {resp.status}")
+                return PAGE.validate_python(await resp.json())
+        except _FAILURES as exc:
+            raise LogUnavailable(f"the log did not answer a read: {exc!r}") from exc
+
+    async def close(self) -> None:
+        """See ``Log.close``."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    def _http(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        return self._session
+
+    def _limit(self, wait_s: float) -> aiohttp.ClientTimeout:
+        return aiohttp.ClientTimeout(
+            total=self._timeout_s + wait_s, connect=min(CONNECT_TIMEOUT_S, self._timeout_s)
+        )
+
+
+_OFFSETS = TypeAdapter(list[int])
+_FAILURES = (
+    aiohttp.ClientError,
+    asyncio.TimeoutError,
+    ValidationError,
+    ValueError,
+    KeyError,
+    TypeError,
+)
--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -162,12 +162,22 @@
 
 @dataclass(slots=True)
 class ConfigReply:
-    """Full tables of a version."""
+    """Full tables of a version.
+
+    Attributes:
+        version: Version of the tables.
+        document: The tables as a JSON document.
+        through: Offset of the first record of stream ``config`` that they do not reflect.
+        refreshed: Wall time of the record from which on a reader of the stream can build the
+            tables, in seconds since the epoch.
+    """
 
     CODE: ClassVar[int] = 7
 
     version: int
     document: dict[str, Any]
+    through: int = 0
+    refreshed: float = 0.0
 
 
 Message = Hello | Heartbeat | Demand | Grants | Release | ConfigRequest | ConfigReply
--- /dev/null
+++ b/tests/test_publish.py
@@ -0,0 +1,88 @@
+"""Tests of publishing and of the replicas that follow it."""
+
+import asyncio
+import unittest
+from typing import Any
+
+from lacewinghub.config import ConfigReplica
+from lacewinghub.errors import PublishLost, TablesInvalid
+from lacewinghub.fake_log import MemoryLog
+from lacewinghub.publish import publish
+from tests.clock import simulate, wall
+
+
+def tables_document(**weights: float) -> dict[str, Any]:
+    """Build tables with one pool and one workspace per argument."""
+    return {
+        "pools": [{"name": "assistant", "endpoints": []}],
+        "routes": [{"name": "all", "pool": "assistant", "tier": 1}],
+        "workspaces": [{"name": name, "weight": weight} for name, weight in weights.items()],
+    }
+
+
+class PublishTest(unittest.TestCase):
+    """Guards against a publish that reports success for a change that is not in force."""
+
+    def test_published_tables_come_into_force(self) -> None:
+        async def main() -> None:
+            log = MemoryLog(clock=wall)
+            replica = ConfigReplica("n1", log)
+            task = asyncio.ensure_future(replica.run())
+            done = await publish(log, tables_document(trust=1.0), "ana")
+            await asyncio.wait_for(replica.wait_version(1), 4.0)
+            self.assertEqual((done.version, done.author, done.changes), (1, "ana", 3))
+            self.assertIn("trust", replica.tables.workspaces)
+            self.assertTrue(replica.ready)
+            task.cancel()
+
+        simulate(main)
+
+    def test_same_tables_are_not_published_again(self) -> None:
+        async def main() -> None:
+            log = MemoryLog(clock=wall)
+            await publish(log, tables_document(trust=1.0), "ana")
+            done = await publish(log, tables_document(trust=1.0), "ben")
+            self.assertEqual((done.version, done.changes, log.appends), (1, 0, 1))
+
+        simulate(main)
+
+    def test_stale_base_loses_to_the_named_winner(self) -> None:
+        async def main() -> None:
+            log = MemoryLog(clock=wall)
+            await publish(log, tables_document(trust=1.0), "ana")
+            await publish(log, tables_document(trust=2.0), "ben", base=1)
+            with self.assertRaises(PublishLost) as caught:
+                await publish(log, tables_document(trust=3.0), "cy", base=1)
+            self.assertEqual(caught.exception.details, {"winner": "ben", "version": 2})
+
+        simulate(main)
+
+    def test_change_is_published_once_whatever_the_append_fault(self) -> None:
+        cases: list[dict[str, Any]] = [
+            {"lose_replies": 1},
+            {"lose_appends": 2},
+            {"late_appends": 1, "late_s": 5.0},
+            {"late_appends": 3, "late_s": 0.5},
+        ]
+
+        async def main(faults: dict[str, Any]) -> None:
+            log = MemoryLog(clock=wall)
+            log.set_faults(**faults)
+            done = await publish(log, tables_document(trust=1.0), "ana")
+            self.assertEqual(done.version, 1)
+            await asyncio.sleep(10.0)
+            done = await publish(log, tables_document(trust=2.0), "ana")
+            self.assertEqual(done.version, 2)
+
+        for faults in cases:
+            with self.subTest(**faults):
+                simulate(lambda faults=faults: main(faults))
+
+    def test_invalid_tables_are_not_appended(self) -> None:
+        async def main() -> None:
+            log = MemoryLog(clock=wall)
+            with self.assertRaises(TablesInvalid):
+                await publish(log, tables_document() | {"pools": []}, "ana")
+            self.assertEqual(log.appends, 0)
+
+        simulate(main)
