--- /dev/null
+++ b/lacewinghub/fake_service.py
@@ -0,0 +1,170 @@
+"""Stand-in of a plain service whose calls may have effects.
+
+``POST /run`` executes the body once per call, whatever its ``Idempotency-Key``, so that a call sent
+twice shows as two entries of ``GET /ledger``.
+"""
+
+import argparse
+import asyncio
+import random
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+from typing import Any
+
+from sanic import HTTPResponse, Request, Sanic
+
+from ._fake_server import LEAVING, LIVE, FakeServer, run_process
+
+
+@dataclass(slots=True)
+class ServiceFaults:
+    """Faults of calls, as probabilities per call.
+
+    Attributes:
+        fail_before: Status 500 without a run.
+        fail_after: Status 500 after the run.
+        lose_reply: The connection closes after the run, without a reply.
+        lose_request: The connection closes without a run.
+        delay_s: Time that a run takes, in seconds.
+    """
+
+    fail_before: float = 0.0
+    fail_after: float = 0.0
+    lose_reply: float = 0.0
+    lose_request: float = 0.0
+    delay_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """One execution; ``time`` is wall time in seconds since the epoch."""
+
+    number: int
+    key: str
+    time: float
+    body: Any
+
+
+class FakeService(FakeServer):
+    """A plain service with a ledger of its runs.
+
+    The ledger survives crashes, like the effects of a real service.
+
+    Args:
+        name: Name of the endpoint.
+        host: IP address to bind.
+        port: Port to bind; 0 lets the system choose one.
+        faults: Faults of calls.
+        slots: Calls that it reports as its capacity.
+        seed: Seed of the random faults.
+    """
+
+    def __init__(
+        self,
+        name: str = "service",
+        host: str = "127.0.0.1",
+        port: int = 0,
+        faults: ServiceFaults | None = None,
+        slots: int = 8,
+        seed: int = 1,
+    ) -> None:
+        super().__init__(name, host, port)
+        self.faults = faults or ServiceFaults()
+        self.ledger: list[Run] = []
+        self._slots = slots
+        self._running = 0
+        self._random = random.Random(f"{seed}:{name}")
+
+    def set_faults(self, **members: float) -> None:
+        """Set the faults; members of ``ServiceFaults``, the others become 0."""
+        self.faults = ServiceFaults(**members)
+
+    def double_runs(self) -> int:
+        """Return the number of runs beyond the first one of their key."""
+        counts = Counter(run.key for run in self.ledger if run.key)
+        return sum(count - 1 for count in counts.values())
+
+    def _routes(self, app: Sanic) -> None:
+        app.add_route(self._run, "/run", methods=["POST"], name="run")
+        app.add_route(self._get_ledger, "/ledger", name="ledger")
+        app.add_route(self._get_load, "/load", name="load")
+
+    def _controls(self) -> dict[str, Callable[..., Any]]:
+        return super()._controls() | {"faults": self.set_faults}
+
+    async def _run(self, request: Request) -> HTTPResponse | None:
+        await self._thawed.wait()
+        if self.leaving:
+            return self._refuse_leaving()
+        faults = self.faults
+        if self._hits(faults.lose_request):
+            self._drop(request)
+            return None
+        if self._hits(faults.fail_before):
+            return self._reply({"error": {"message": "failed before the run"}}, 500)
+        self._running += 1
+        try:
+            # A run that has started ends even if its caller disconnects.
+            run = await asyncio.shield(self._execute(request, faults.delay_s))
+        finally:
+            self._running -= 1
+        if self._hits(faults.lose_reply):
+            self._drop(request)
+            return None
+        if self._hits(faults.fail_after):
+            return self._reply({"error": {"message": "failed after the run"}}, 500)
+        return self._reply({"run": run.number, "key": run.key, "result": run.body})
+
+    async def _execute(self, request: Request, delay_s: float) -> Run:
+        key = request.headers.get("Idempotency-Key", "")
+        body = request.json
+        if delay_s > 0:
+            await asyncio.sleep(delay_s)
+        await self._thawed.wait()
+        run = Run(len(self.ledger) + 1, key, time.time(), body)
+        self.ledger.append(run)
+        return run
+
+    def _drop(self, request: Request) -> None:
+        transport: Any = request.transport
+        if transport is not None:
+            transport.abort()
+
+    def _hits(self, probability: float) -> bool:
+        return probability > 0 and self._random.random() < probability
+
+    async def _get_ledger(self, request: Request) -> HTTPResponse:
+        return self._reply(
+            {"runs": [asdict(run) for run in self.ledger], "double_runs": self.double_runs()}
+        )
+
+    async def _get_load(self, request: Request) -> HTTPResponse:
+        await self._thawed.wait()
+        return self._reply(
+            {
+                "running": self._running,
+                "waiting": 0,
+                "slots": self._slots,
+                "state": LEAVING if self.leaving else LIVE,
+                "time": asyncio.get_running_loop().time(),
+            }
+        )
+
+
+def main() -> None:
+    """Run one fake service as a process."""
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument("--delay_s", type=float, default=0.0)
+    parser.add_argument("--seed", type=int, default=1)
+    run_process(
+        lambda args: FakeService(
+            args.name, args.host, args.port, ServiceFaults(delay_s=args.delay_s), seed=args.seed
+        ),
+        parser,
+    )
+
+
+if __name__ == "__main__":
+    main()
