Add JSON log lines and statsd metrics

Operators need one JSON object per line with the members of the request, and counters that cost nothing when no statsd address is set.

--- /dev/null
+++ b/lacewinghub/logs.py
@@ -0,0 +1,87 @@
+"""Log output: one JSON object per line on standard error.
+
+Every line has ``time`` (RFC 3339, UTC), ``level``, ``message`` and ``node``. Lines about a request
+add ``request_id``, ``class``, ``tier``, ``pool``, ``endpoint`` and ``outcome``.
+"""
+
+import json
+import sys
+from datetime import UTC
+from typing import TYPE_CHECKING, Any, TextIO
+
+from loguru import logger
+
+if TYPE_CHECKING:
+    from loguru import Logger, Message
+
+    from .request import Request
+
+LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+
+
+def format_line(record: Any) -> str:
+    """Return the JSON line of a loguru record, without a line end."""
+    line: dict[str, Any] = {
+        "time": record["time"].astimezone(UTC).isoformat(timespec="milliseconds"),
+        "level": record["level"].name.lower(),
+        "message": record["message"],
+        **record["extra"],
+    }
+    exc = record["exception"]
+    if exc is not None:
+        line["error"] = f"{getattr(exc.type, '__name__', exc.type)}: {exc.value}"
+    return json.dumps(line, default=str)
+
+
+def setup(level: str = "INFO", node: str = "", out: TextIO | None = None) -> None:
+    """Send all log lines to one stream as JSON, replacing the handlers set before.
+
+    Args:
+        level: Lowest level to write; one of ``LEVELS``.
+        node: Identifier of the node, added to every line.
+        out: Text stream; standard error if None.
+
+    Raises:
+        ValueError: If the level is not one of ``LEVELS``.
+    """
+    if level.upper() not in LEVELS:
+        raise ValueError(f"log level {level!r} is not one of {', '.join(LEVELS)}")
+    stream = out or sys.stderr
+
+    def write(message: "Message") -> None:
+        stream.write(format_line(message.record) + "\n")
+        stream.flush()
+
+    logger.remove()
+    logger.configure(extra={"node": node} if node else {})
+    logger.add(write, level=level.upper(), format="{message}", backtrace=False, diagnose=False)
+
+
+def for_request(req: "Request", **members: object) -> "Logger":
+    """Return a logger whose lines name a request.
+
+    Args:
+        req: The request.
+        members: Further members, such as ``endpoint`` and ``outcome``.
+    """
+    return logger.bind(
+        **{
+            "request_id": req.id,
+            "class": req.request_class,
+            "tier": req.tier,
+            "pool": req.pool,
+            **members,
+        }
+    )
+
+
+def request_done(req: "Request", outcome: str, endpoint: str = "", **members: object) -> None:
+    """Write the closing line of a request.
+
+    Args:
+        req: The request.
+        outcome: ``ok`` or an error code.
+        endpoint: Name of the last endpoint used.
+        members: Further members, such as ``tokens`` and ``seconds``.
+    """
+    for_request(req, endpoint=endpoint, outcome=outcome, **members).info("request done")
--- /dev/null
+++ b/lacewinghub/metrics.py
@@ -0,0 +1,124 @@
+"""Metrics in the statsd protocol over UDP; docs/metrics.md lists them."""
+
+import re
+from typing import Any
+
+import statsd
+
+from .errors import SettingsInvalid
+
+PREFIX = "lacewinghub"
+# statsd separates the parts of a name with dots and the value with a colon.
+_UNSAFE = re.compile(r"[^A-Za-z0-9_-]")
+
+COUNTERS = {
+    "requests.CLASS.OUTCOME": "finished requests; OUTCOME is `ok` or an error code",
+    "shed.POOL.TIER": "requests refused or displaced for lack of capacity",
+    "admitted.POOL.TIER": "requests accepted into the queue",
+    "tokens.POOL": "tokens delivered to callers",
+    "wasted_tokens.POOL.CAUSE": (
+        "generated tokens that nobody used; CAUSE is `cancelled`, `crashed`, `shed` or `repeated`"
+    ),
+    "retries.POOL": "requests sent to a second endpoint before the first token",
+    "resumes.POOL": "answers continued at another runner",
+    "ejections.POOL": "endpoints taken out of use after failures or slowness",
+    "quarantined": "requests refused because identical ones crashed endpoints",
+    "claims.RESULT": "claims for calls that run at most once; RESULT is `won`, `lost` or `failed`",
+    "log_errors": "failed operations on the log",
+    "peer_rejected": "peer messages or handshakes that were refused",
+    "restarts.TASK": "restarts of a background task after a failure",
+}
+TIMERS = {
+    "first_token.CLASS": "time from arrival to the first token",
+    "between_tokens.CLASS": "mean time between tokens of an answer",
+    "completion.CLASS": "time from arrival to the end of the answer",
+    "queue_wait.POOL": "time in the queue",
+    "loop_delay": "how much later than planned the event loop ran a timer",
+}
+GAUGES = {
+    "queued.POOL": "requests waiting at this node",
+    "in_flight.POOL": "requests at endpoints",
+    "floor.POOL": "lowest tier (largest number) that this node admits",
+    "config_version": "version of the tables in force",
+    "live_nodes": "nodes in state live, this one included",
+    "memory_bytes": "resident memory of the process",
+}
+
+
+class Metrics:
+    """Sends metrics to a statsd address; without an address it does nothing.
+
+    Names are ``lacewinghub.NODE.`` followed by the parts, in which characters that statsd gives a
+    meaning are replaced by ``_``. A datagram that cannot be sent is dropped without an error.
+
+    Args:
+        address: ``IP:port`` of the statsd server, or an empty string.
+        node: Identifier of the node.
+
+    Raises:
+        SettingsInvalid: If the address has no valid port.
+    """
+
+    def __init__(self, address: str = "", node: str = "") -> None:
+        self._client: Any = None
+        if not address:
+            return
+        host, _, port = address.rpartition(":")
+        host = host.strip("[]")
+        if not host or not port.isdigit() or not 0 < int(port) < 65536:
+            raise SettingsInvalid(f"statsd address {address!r} is not IP:port", key="statsd")
+        prefix = f"{PREFIX}.{_safe(node)}" if node else PREFIX
+        self._client = statsd.StatsClient(host, int(port), prefix=prefix, ipv6=":" in host)
+
+    def count(self, *parts: object, n: int = 1) -> None:
+        """Add to a counter.
+
+        Args:
+            parts: Parts of its name, for example ``"shed", pool, tier``.
+            n: How much to add.
+        """
+        if self._client is not None:
+            self._client.incr(_name(parts), n)
+
+    def time(self, *parts: object, seconds: float) -> None:
+        """Report a duration.
+
+        Args:
+            parts: Parts of its name.
+            seconds: The duration in seconds; sent in milliseconds.
+        """
+        if self._client is not None:
+            self._client.timing(_name(parts), seconds * 1000)
+
+    def gauge(self, *parts: object, value: float) -> None:
+        """Report the present value of a quantity.
+
+        Args:
+            parts: Parts of its name.
+            value: The value.
+        """
+        if self._client is not None:
+            self._client.gauge(_name(parts), value)
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._client is not None:
+            self._client.close()
+
+
+def markdown() -> str:
+    """Return the list of metrics as it stands in docs/metrics.md."""
+    lines = []
+    for title, items in (("Counters", COUNTERS), ("Timers", TIMERS), ("Gauges", GAUGES)):
+        lines += [f"## {title}", "", "| Name | Meaning |", "| --- | --- |"]
+        lines += [f"| `{name}` | {meaning} |" for name, meaning in items.items()]
+        lines.append("")
+    return "\n".join(lines).rstrip() + "\n"
+
+
+def _safe(part: object) -> str:
+    return _UNSAFE.sub("_", str(part)) or "_"
+
+
+def _name(parts: tuple[object, ...]) -> str:
+    return ".".join(_safe(part) for part in parts)
