Add connections between nodes

The nodes had an interface for messages but nothing that carried them.

PeerServer opens and accepts websockets with CBOR messages. Both ends prove possession of the peer key with HMAC-SHA256 over both nonces and identities; certificate files add mutual TLS. One connection per pair is kept, send queues are bounded and drop, and messages and bytes are counted by class.

Transport gains Peer, peers, dial and broadcast; Addresses is a new message with the addresses of known nodes.

--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -170,10 +170,20 @@
     document: dict[str, Any]
 
 
-Message = Hello | Heartbeat | Demand | Grants | Release | ConfigRequest | ConfigReply
+@dataclass(slots=True)
+class Addresses:
+    """Peer addresses of the members that the sender knows to be alive."""
+
+    CODE: ClassVar[int] = 8
+
+    addresses: list[str]
+
+
+Message = Hello | Heartbeat | Demand | Grants | Release | ConfigRequest | ConfigReply | Addresses
 
 _TYPES: dict[int, type] = {
-    cls.CODE: cls for cls in (Hello, Heartbeat, Demand, Grants, Release, ConfigRequest, ConfigReply)
+    cls.CODE: cls
+    for cls in (Hello, Heartbeat, Demand, Grants, Release, ConfigRequest, ConfigReply, Addresses)
 }
 _NESTED: dict[tuple[type, str], type] = {
     (Heartbeat, "pressure"): Pressure,
--- a/lacewinghub/transport.py
+++ b/lacewinghub/transport.py
@@ -1,7 +1,8 @@
 """How nodes send each other messages."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from typing import Any
 
 from .message import Message
@@ -9,6 +10,24 @@
 Handler = Callable[[str, Any], None]
 
 
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """A node as it introduces itself on connect.
+
+    Attributes:
+        node: Identifier of the node.
+        incarnation: Start time of the process in milliseconds since the epoch; a restarted node
+            has a larger one.
+        availability_zone: Name of its availability zone.
+        address: IP address and port on which it accepts peers.
+    """
+
+    node: str
+    incarnation: int
+    availability_zone: str
+    address: str
+
+
 class Transport(ABC):
     """Sends messages to other nodes and passes received ones to handlers.
 
@@ -36,6 +55,32 @@
             False if there is no connection or its send queue is full; the message is dropped.
         """
 
+    def broadcast(self, nodes: Iterable[str], message: Message) -> int:
+        """Queue one message for several nodes.
+
+        Args:
+            nodes: Identifiers of the receivers.
+            message: The message.
+
+        Returns:
+            The number of receivers for which it was queued.
+        """
+        return sum(self.send(node, message) for node in nodes)
+
+    def peers(self) -> list[Peer]:
+        """Return the nodes to which there is a connection, in no particular order."""
+        return []
+
+    def dial(self, addresses: Iterable[str]) -> None:
+        """Keep connections to these addresses; called again, it replaces the earlier set.
+
+        Connections that peers opened, and established ones, are kept.
+
+        Args:
+            addresses: IP addresses with port.
+        """
+        return None
+
     def subscribe(self, kind: type, handler: Handler) -> None:
         """Register a handler for a message class.
 
--- /dev/null
+++ b/tests/test_peer.py
@@ -0,0 +1,252 @@
+"""Tests of the connections between nodes, over real loopback sockets."""
+
+import asyncio
+import unittest
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from websockets.asyncio.client import connect
+
+from lacewinghub import peer as peer_module
+from lacewinghub.errors import PeerRejected
+from lacewinghub.membership import Membership, MemberState
+from lacewinghub.message import ConfigReply, ConfigRequest, Demand, Heartbeat, encode
+from lacewinghub.peer import PeerServer, PeerTls
+from lacewinghub.transport import Peer
+
+KEY = b"k" * 32
+
+# Made for these tests with ``openssl req -x509``; the keys of the authorities were discarded.
+TLS = Path(__file__).parent / "tls"
+
+
+def certificate(name: str) -> PeerTls:
+    """Return certificate files of the test authority with this name."""
+    return PeerTls(*(str(TLS / f"{name}{end}") for end in (".pem", ".key", "-ca.pem")))
+
+
+async def until(check: Callable[[], object], timeout_s: float = 5.0) -> None:
+    """Wait for a condition."""
+    async with asyncio.timeout(timeout_s):
+        while not check():
+            await asyncio.sleep(0.01)
+
+
+def server(name: str, key: bytes = KEY, incarnation: int = 1, **options: Any) -> PeerServer:
+    """Build a node on a free port."""
+    return PeerServer(Peer(name, incarnation, "zone", "127.0.0.1:0"), key, **options)
+
+
+class PeerCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def asyncTearDown(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def start(self, *servers: PeerServer) -> None:
+        for item in servers:
+            await item.start()
+            self.tasks.append(asyncio.create_task(item.run()))
+
+
+class TestPeerServer(PeerCase):
+    async def test_message_reaches_the_other_end_in_both_directions(self) -> None:
+        """Guards against a connection that works only for the node that opened it."""
+        one, two = server("n1"), server("n2")
+        got: list[tuple[str, int]] = []
+        for item in (one, two):
+            item.subscribe(ConfigRequest, lambda sender, m: got.append((sender, m.version)))
+        await self.start(one, two)
+        one.dial([two.identity.address])
+        await until(lambda: one.peers() and two.peers())
+        self.assertTrue(one.send("n2", ConfigRequest(5)))
+        self.assertTrue(two.send("n1", ConfigRequest(6)))
+        self.assertTrue(one.send("n1", ConfigRequest(7)))
+        await until(lambda: len(got) == 3)
+        self.assertEqual(sorted(got), [("n1", 5), ("n1", 7), ("n2", 6)])
+        self.assertEqual(one.traffic.of("ConfigRequest").sent, 1)
+        self.assertEqual(one.traffic.of("ConfigRequest").received, 1)
+        self.assertEqual(
+            two.traffic.of("ConfigRequest").received_bytes, len(encode(ConfigRequest(5)))
+        )
+
+    async def test_simultaneous_dials_leave_one_connection(self) -> None:
+        """Guards against two connections per pair, or both being closed again and again."""
+        one, two = server("n1", seed=1), server("n2", seed=1)
+        await self.start(one, two)
+        one.dial([two.identity.address])
+        two.dial([one.identity.address])
+        await until(lambda: one.peers() and two.peers())
+        await asyncio.sleep(0.5)
+        first = one._links["n2"]
+        await asyncio.sleep(0.5)
+        self.assertIs(one._links["n2"], first)
+        self.assertEqual(len(two._links), 1)
+        self.assertEqual(first.dialler, two._links["n1"].dialler)
+
+    async def test_wrong_key_is_rejected(self) -> None:
+        """Guards against messages from a node that does not hold the peer key."""
+        one, two = server("n1"), server("n2", key=b"x" * 32)
+        await self.start(one, two)
+        one.dial([two.identity.address])
+        two.dial([one.identity.address])
+        await asyncio.sleep(0.6)
+        self.assertEqual((one.peers(), two.peers()), ([], []))
+        self.assertFalse(one.send("n2", ConfigRequest(1)))
+        self.assertEqual(one.traffic.of("ConfigRequest").dropped, 1)
+
+    async def test_reflected_proof_is_rejected(self) -> None:
+        """Guards against a peer without the key that returns a node's own proof to it."""
+        one = server("n1")
+        two = Peer("n2", 1, "zone", "127.0.0.1:1")
+        nonces = b"n" * 32
+        accept = one._proof(b"accept", one.identity, two, nonces)
+        self.assertNotEqual(accept, one._proof(b"dial", one.identity, two, nonces))
+        self.assertNotEqual(accept, one._proof(b"accept", two, one.identity, nonces))
+        with self.assertRaises(PeerRejected):
+            peer_module._verify(accept, one._proof(b"dial", two, one.identity, nonces))
+
+    async def test_message_before_handshake_is_rejected(self) -> None:
+        """Guards against messages that are delivered before the sender is authenticated."""
+        one = server("n1")
+        got: list[object] = []
+        one.subscribe(Heartbeat, lambda _, message: got.append(message))
+        await self.start(one)
+        messages = (encode(Heartbeat("n9", 1, 1, "live")), b"\xff\x00", b"x" * 100_000)
+        for message in messages:
+            async with connect(f"ws://{one.identity.address}/peer", proxy=None) as conn:
+                await conn.send(message)
+                await conn.wait_closed()
+                self.assertEqual(conn.close_code, 1008)
+        self.assertEqual((got, one.peers()), ([], []))
+
+    async def test_restarted_node_replaces_its_earlier_self(self) -> None:
+        """Guards against a half-open connection that keeps a restarted node out."""
+        one, old, new = server("n1"), server("n2"), server("n2", incarnation=2)
+        await self.start(one, old, new)
+        old.dial([one.identity.address])
+        await until(lambda: [p.incarnation for p in one.peers()] == [1])
+        new.dial([one.identity.address])
+        await until(lambda: [p.incarnation for p in one.peers()] == [2])
+        await asyncio.sleep(0.4)
+        self.assertEqual([p.incarnation for p in one.peers()], [2])
+
+    async def test_connection_comes_back(self) -> None:
+        """Guards against a peer that is never dialled again after its process went away."""
+        one, two = server("n1"), server("n2")
+        await self.start(one, two)
+        one.dial([two.identity.address])
+        await until(lambda: one.peers())
+        self.tasks[-1].cancel()
+        await until(lambda: not one.peers())
+        again = PeerServer(Peer("n2", 2, "zone", two.identity.address), KEY)
+        await self.start(again)
+        await until(lambda: [p.incarnation for p in one.peers()] == [2])
+
+    async def test_silent_connection_is_closed(self) -> None:
+        """Guards against a connection to a frozen node that is kept for ever."""
+        one, two = server("n1", idle_s=0.3), server("n2")
+        await self.start(one, two)
+        two.dial([one.identity.address])
+        await until(lambda: one.peers())
+        link = one._links["n2"]
+        await until(link.closed.is_set, 2.0)
+
+    async def test_queue_of_a_stalled_peer_is_bounded(self) -> None:
+        """Guards against memory that grows while a peer does not read."""
+        one, two = server("n1"), server("n2")
+        await self.start(one, two)
+        one.dial([two.identity.address])
+        await until(lambda: one.peers() and two.peers())
+        two._links["n1"]._conn.transport.pause_reading()
+        reply = ConfigReply(1, {"text": "x" * 1_000_000})
+        sent = [one.send("n2", reply) for _ in range(40)]
+        await asyncio.sleep(0.1)
+        self.assertFalse(sent[-1])
+        self.assertLessEqual(one._links["n2"]._queued_bytes, peer_module.QUEUE_BYTES)
+        self.assertEqual(one.traffic.of("ConfigReply").dropped, sent.count(False))
+
+    async def test_fault_in_a_handler_keeps_the_connection(self) -> None:
+        """Guards against one failing handler that cuts the node off from a peer."""
+        one, two = server("n1"), server("n2")
+        got: list[int] = []
+
+        def handle(_: str, message: ConfigRequest) -> None:
+            if message.version == 1:
+                raise ValueError("fault")
+            got.append(message.version)
+
+        two.subscribe(ConfigRequest, handle)
+        await self.start(one, two)
+        one.dial([two.identity.address])
+        await until(lambda: one.peers())
+        one.send("n2", ConfigRequest(1))
+        one.send("n2", ConfigRequest(2))
+        await until(lambda: got == [2])
+
+    async def test_order_is_kept(self) -> None:
+        """Guards against reordering between the send queue and the socket."""
+        one, two = server("n1"), server("n2")
+        got: list[int] = []
+        two.subscribe(Demand, lambda _, message: got.append(message.seq))
+        await self.start(one, two)
+        one.dial([two.identity.address])
+        await until(lambda: one.peers() and two.peers())
+        for seq in range(500):
+            one.send("n2", Demand("g", seq, [], [], []))
+        await until(lambda: len(got) == 500)
+        self.assertEqual(got, list(range(500)))
+
+    async def test_tls_needs_a_certificate_of_the_same_authority(self) -> None:
+        """Guards against peers that connect without TLS or with a foreign certificate."""
+        one = server("n1", tls=certificate("node"))
+        others = {
+            "same authority": server("n2", tls=certificate("node")),
+            "other authority": server("n3", tls=certificate("other")),
+            "no TLS": server("n4"),
+        }
+        await self.start(one, *others.values())
+        for other in others.values():
+            other.dial([one.identity.address])
+        await until(lambda: one.peers())
+        await asyncio.sleep(0.5)
+        self.assertEqual([item.node for item in one.peers()], ["n2"])
+        got: list[int] = []
+        one.subscribe(ConfigRequest, lambda _, message: got.append(message.version))
+        others["same authority"].send("n1", ConfigRequest(3))
+        await until(lambda: got == [3])
+
+
+class TestMesh(PeerCase):
+    async def test_nodes_find_each_other_from_one_seed(self) -> None:
+        """Guards against a mesh with gaps when the host list does not answer."""
+        first = server("n0")
+        await self.start(first)
+        servers = [first] + [server(f"n{i}") for i in range(1, 5)]
+        await self.start(*servers[1:])
+        members = [
+            Membership(s.identity, s, [first.identity.address], period_s=0.05) for s in servers
+        ]
+        self.tasks += [asyncio.create_task(item.run()) for item in members]
+        await until(lambda: all(len(item.live()) == 5 for item in members))
+        await until(lambda: all(len(s.peers()) == 4 for s in servers))
+
+    async def test_planned_stop_is_seen_at_once(self) -> None:
+        """Guards against work that is sent to a node after it announced its stop."""
+        servers = [server(f"n{i}") for i in range(3)]
+        await self.start(*servers)
+        seeds = [item.identity.address for item in servers]
+        members = [Membership(s.identity, s, seeds) for s in servers]
+        self.tasks += [asyncio.create_task(item.run()) for item in members]
+        await until(lambda: all(len(item.live()) == 3 for item in members))
+        members[0].leave()
+        await until(lambda: members[1].state("n0") is MemberState.LEAVING, 0.2)
+        self.assertEqual([m.node for m in members[2].live()], ["n1", "n2"])
+
+
+if __name__ == "__main__":
+    unittest.main()
