Add membership by heartbeats

Brokers and floors need to know which nodes are alive.

Membership sends a heartbeat every 250 ms over a full mesh, calls a node suspect after 1.5 s and dead after 5 s of silence, and replaces a node by its later incarnation. Addresses come from seeds, the host list and the peers.

--- a/lacewinghub/membership.py
+++ b/lacewinghub/membership.py
@@ -1,13 +1,25 @@
 """Which nodes are alive, as this node sees it."""
 
+import asyncio
+import random
 from abc import ABC, abstractmethod
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import StrEnum
 
 import xxhash
+from loguru import logger
 
-from .message import Heartbeat
+from .message import Addresses, Heartbeat
+from .transport import Peer, Transport
+
+HEARTBEAT_S = 0.25
+SUSPECT_S = 1.5
+DEAD_S = 5.0
+# A dead node that comes back within this time is still known, so that its address is dialled.
+FORGET_S = 300.0
+ADDRESSES_EVERY = 20
+MAX_ADDRESSES = 4096
 
 
 class MemberState(StrEnum):
@@ -69,3 +81,203 @@
         key=lambda node: (xxhash.xxh3_64_intdigest(f"{key}|{node}".encode()), node),
         default=None,
     )
+
+
+@dataclass(slots=True)
+class _Seen:
+    peer: Peer
+    seq: int
+    heard: float
+    leaving: bool
+
+
+class Membership(Members):
+    """View that is built from the heartbeats of all nodes, each connected to each (full mesh).
+
+    Args:
+        identity: This node.
+        transport: Connections to the other nodes.
+        seeds: Addresses of nodes from the settings; this node's own address may be among them.
+        period_s: Time between heartbeats in seconds.
+        suspect_s: Silence after which a node is suspect, in seconds.
+        dead_s: Silence after which a node is dead, in seconds.
+    """
+
+    def __init__(
+        self,
+        identity: Peer,
+        transport: Transport,
+        seeds: Iterable[str] = (),
+        period_s: float = HEARTBEAT_S,
+        suspect_s: float = SUSPECT_S,
+        dead_s: float = DEAD_S,
+    ) -> None:
+        self.identity = identity
+        self._transport = transport
+        self._seeds = set(seeds)
+        self._listed: set[str] = set()
+        self._period_s = period_s
+        self._suspect_s = suspect_s
+        self._dead_s = dead_s
+        self._contributors: list[Contributor] = []
+        self._seen: dict[str, _Seen] = {}
+        self._learned: dict[str, float] = {}
+        self._leaving = False
+        self._seq = 0
+        self._live: list[Member] | None = None
+        self._random = random.Random(identity.node)
+        transport.subscribe(Heartbeat, self._on_heartbeat)
+        transport.subscribe(Addresses, self._on_addresses)
+
+    def add(self, contributor: Contributor) -> None:
+        """Share the state of a part of this node from now on."""
+        self._contributors.append(contributor)
+
+    def live(self) -> list[Member]:
+        """Return the nodes in state live, this one included, ordered by identifier."""
+        if self._live is None:
+            self._live = [item for item in self.members() if item.state is MemberState.LIVE]
+        return list(self._live)
+
+    def members(self) -> list[Member]:
+        """Return all known nodes in any state, this one included, ordered by identifier."""
+        found = [_member(seen.peer, self.state(node)) for node, seen in self._seen.items()]
+        found.append(_member(self.identity, self.state(self.identity.node)))
+        return sorted(found, key=lambda item: item.node)
+
+    def state(self, node: str) -> MemberState:
+        """Return the state of a node; an unknown one is dead."""
+        if node == self.identity.node:
+            return MemberState.LEAVING if self._leaving else MemberState.LIVE
+        seen = self._seen.get(node)
+        if seen is None:
+            return MemberState.DEAD
+        silence = asyncio.get_running_loop().time() - seen.heard
+        if silence >= self._dead_s or (seen.leaving and silence >= self._suspect_s):
+            return MemberState.DEAD
+        if seen.leaving:
+            return MemberState.LEAVING
+        return MemberState.SUSPECT if silence >= self._suspect_s else MemberState.LIVE
+
+    def discovered(self, addresses: Iterable[str]) -> None:
+        """Take over the peer addresses that the platform's host list names as live.
+
+        The last answer stays in use while the host list is unavailable.
+
+        Args:
+            addresses: IP addresses with port of entry hosts.
+        """
+        self._listed = set(addresses)
+        self._dial()
+
+    def leave(self) -> None:
+        """Announce that this node takes no new work; peers hear it at once."""
+        self._leaving = True
+        self._live = None
+        self.beat()
+
+    async def run(self) -> None:
+        """Send heartbeats until cancelled."""
+        loop = asyncio.get_running_loop()
+        due = loop.time()
+        while True:
+            self.tick()
+            # After a pause of the process, the missed beats are not made up for.
+            due = max(due + self._period_s, loop.time())
+            await asyncio.sleep(due - loop.time())
+
+    def tick(self) -> None:
+        """Do the work of one heartbeat period."""
+        self._live = None
+        if self._seq % ADDRESSES_EVERY == 0:
+            self._forget()
+            self._dial()
+            self._share_addresses()
+        self.beat()
+
+    def beat(self) -> None:
+        """Send one heartbeat to all connected nodes."""
+        self._seq += 1
+        state = MemberState.LEAVING if self._leaving else MemberState.LIVE
+        own = self.identity
+        heartbeat = Heartbeat(own.node, own.incarnation, self._seq, str(state))
+        for contributor in self._contributors:
+            contributor.fill(heartbeat)
+        self._transport.broadcast((peer.node for peer in self._transport.peers()), heartbeat)
+
+    def _on_heartbeat(self, sender: str, heartbeat: Heartbeat) -> None:
+        if sender != heartbeat.node or sender == self.identity.node:
+            return
+        if not self._accept(heartbeat):
+            return
+        for contributor in self._contributors:
+            contributor.observe(heartbeat)
+
+    def _accept(self, heartbeat: Heartbeat) -> bool:
+        seen = self._seen.get(heartbeat.node)
+        now = asyncio.get_running_loop().time()
+        leaving = heartbeat.state == MemberState.LEAVING
+        if seen is None or heartbeat.incarnation != seen.peer.incarnation:
+            return self._join(heartbeat, seen, _Seen(self.identity, heartbeat.seq, now, leaving))
+        if heartbeat.seq <= seen.seq:
+            return False
+        if seen.leaving != leaving or now - seen.heard >= self._suspect_s:
+            self._live = None
+        seen.seq, seen.heard, seen.leaving = heartbeat.seq, now, leaving
+        return True
+
+    def _join(self, heartbeat: Heartbeat, old: _Seen | None, new: _Seen) -> bool:
+        """Add a node or a later self of a known one.
+
+        An earlier incarnation is taken only when the known one is dead: the clock of a replaced
+        host may be behind that of its predecessor.
+        """
+        earlier = old is not None and heartbeat.incarnation < old.peer.incarnation
+        if earlier and self.state(heartbeat.node) is not MemberState.DEAD:
+            return False
+        peer = next((p for p in self._transport.peers() if p.node == heartbeat.node), None)
+        if peer is None:
+            return False
+        new.peer = Peer(peer.node, heartbeat.incarnation, peer.availability_zone, peer.address)
+        self._seen[heartbeat.node] = new
+        self._live = None
+        logger.info("node {} joined, incarnation {}", peer.node, heartbeat.incarnation)
+        self._dial()
+        self._transport.send(peer.node, Addresses(self._known_addresses()))
+        return True
+
+    def _on_addresses(self, sender: str, message: Addresses) -> None:
+        now = asyncio.get_running_loop().time()
+        new = [item for item in message.addresses[:MAX_ADDRESSES] if item not in self._learned]
+        for address in message.addresses[:MAX_ADDRESSES]:
+            self._learned[address] = now
+        if new:
+            self._dial()
+
+    def _share_addresses(self) -> None:
+        """Send the known addresses to one random node, which repairs a mesh with gaps."""
+        peers = self._transport.peers()
+        if peers:
+            self._transport.send(
+                self._random.choice(peers).node, Addresses(self._known_addresses())
+            )
+
+    def _known_addresses(self) -> list[str]:
+        states = (MemberState.LIVE, MemberState.SUSPECT)
+        return [item.address for item in self.members() if item.state in states]
+
+    def _forget(self) -> None:
+        limit = asyncio.get_running_loop().time() - FORGET_S
+        for node in [node for node, seen in self._seen.items() if seen.heard < limit]:
+            del self._seen[node]
+        for address in [item for item, heard in self._learned.items() if heard < limit]:
+            del self._learned[address]
+
+    def _dial(self) -> None:
+        known = {seen.peer.address for seen in self._seen.values()}
+        addresses = self._seeds | self._listed | known | set(self._learned)
+        self._transport.dial(addresses - {self.identity.address})
+
+
+def _member(peer: Peer, state: MemberState) -> Member:
+    return Member(peer.node, peer.address, peer.availability_zone, peer.incarnation, state)
