Run the thin path: a node process that serves chats and plain calls

A caller's request now passes gateway, router, scheduler and endpoint client in one process; the tables arrive through the log only.

Settings are JSON with comments and are refused with line, key and what is allowed.

--- a/lacewinghub/gateway.py
+++ b/lacewinghub/gateway.py
@@ -161,6 +161,8 @@
         app.config.RESPONSE_TIMEOUT = NO_TIMEOUT_S
         app.config.FALLBACK_ERROR_FORMAT = "json"
         app.config.MOTD = False
+        # Sanic's rewriting of its own methods at start fails for the second app of a process.
+        app.config.TOUCHUP = False
         app.add_route(self._chat, "/v1/chat/completions", methods=["POST"], name="chat")
         app.add_route(self._call, "/v1/services/<pool:str>", methods=["POST"], name="call")
         app.add_route(self._healthz, "/healthz", name="healthz")
@@ -334,6 +336,8 @@
     def events(self, chunk: Chunk) -> bytes:
         """Format one event per token, and one for the end."""
         parts = [f"{self._head}{json.dumps(token)}{self._tail}" for token in chunk.tokens]
+        if self._tokens == 0 and parts:
+            parts[0] = parts[0].replace('"delta":{', '"delta":{"role":"assistant",', 1)
         self._tokens += len(parts)
         if chunk.finish is not None:
             choice = {"index": 0, "delta": {}, "finish_reason": chunk.finish}
--- a/lacewinghub/node.py
+++ b/lacewinghub/node.py
@@ -3,10 +3,12 @@
 import asyncio
 import os
 import signal
+import sys
 from typing import TextIO
 
 from loguru import logger
 
+from . import logs
 from .config import ConfigReplica
 from .endpoint import HttpEndpoint
 from .gateway import Gateway, GatewayParts, Phase
@@ -17,18 +19,10 @@
 from .router import Parts, Router
 from .scheduler import Scheduler, TablesView
 from .selection import LoadReports
-from .settings import Settings
+from .settings import Settings, load
 from .supervisor import Supervisor
 
 
-def use_uvloop() -> None:
-    """Make uvloop the event loop of this process, without io_uring."""
-    os.environ["UV_USE_IO_URING"] = "0"
-    import uvloop
-
-    uvloop.install()
-
-
 class Node:
     """One node with all its parts, inside the running event loop.
 
@@ -148,3 +142,26 @@
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, node.request_stop)
     await node.run()
+
+
+def serve(path: str) -> None:
+    """Run the node of a settings file in this process, on uvloop without io_uring.
+
+    Args:
+        path: Path of the settings file.
+
+    Raises:
+        SettingsInvalid: If the settings are wrong.
+        OSError: If an address cannot be bound.
+    """
+    cfg = load(path)
+    logs.setup(cfg.log_level, cfg.node)
+    # uvloop reads the variable when the loop is created.
+    os.environ["UV_USE_IO_URING"] = "0"
+    import uvloop
+
+    uvloop.run(run_node(cfg))
+
+
+if __name__ == "__main__":
+    serve(sys.argv[1])
--- a/lacewinghub/settings.py
+++ b/lacewinghub/settings.py
@@ -12,6 +12,9 @@
 from .gateway import DEFAULT_BODY_BYTES
 from .tables import Address, Name, Sha256
 
+# Keys whose values never appear in error messages.
+SECRETS = ("peer_key",)
+
 
 class Limits(BaseModel):
     """Limits of a node.
@@ -119,7 +122,7 @@
     found = re.search(r"near (\d+)", str(exc))
     position = min(int(found.group(1)), len(text)) if found else len(text)
     line = text.count("\n", 0, position) + 1
-    reason = str(exc.args[0]) if exc.args else type(exc).__name__
+    reason = re.sub(r"b'(\w+)'", r"\1", str(exc.args[0]))
     return SettingsInvalid(
         f"line {line}: not JSON with comments: {reason}",
         line=line,
@@ -164,6 +167,8 @@
         return "unknown key"
     if error["type"] == "missing":
         return "required key is missing"
+    if error["loc"] and error["loc"][0] in SECRETS:
+        return "the value is not accepted"
     if error["type"] == "value_error":
         return f"{error['input']!r} is not accepted: {error['ctx']['error']}"
     return f"{error['input']!r} is not accepted"
@@ -180,15 +185,10 @@
     if error["type"] == "literal_error":
         return str(error["ctx"]["expected"])
     if error["type"] == "missing":
-        field = Settings.model_fields.get(place[-1])
-        return f"a value of type {field.annotation.__name__}" if _is_class(field) else "a value"
+        return "a value; the key has no default"
     return str(error["msg"]).removeprefix("Input should be ")
 
 
-def _is_class(field: Any) -> bool:
-    return field is not None and isinstance(field.annotation, type)
-
-
 _TOKEN = re.compile(
     r"""
     (?P<skip>\s+ | //[^\n\r]* | \#[^\n\r]* | /\*.*?\*/)
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,245 @@
+"""Starts the parts of a deployment as processes on loopback."""
+
+import asyncio
+import hashlib
+import json
+import os
+import re
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from lacewinghub.log import HttpLog
+from lacewinghub.publish import publish
+
+ROOT = Path(__file__).resolve().parent.parent
+START_TIMEOUT_S = 15.0
+WORKSPACE_KEY = "key-of-the-trust"
+OPERATOR_KEY = "key-of-the-operator"
+
+
+def sha256(key: str) -> str:
+    """Return the digest of a key in hex."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def free_port() -> int:
+    """Return a loopback port that was free a moment ago."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def child_pids(pid: int) -> list[int]:
+    """Return the processes whose parent is ``pid``, from /proc."""
+    found = []
+    for path in Path("/proc").glob("[0-9]*/stat"):
+        try:
+            fields = path.read_text().rsplit(")", 1)[1].split()
+        except OSError:
+            continue
+        if int(fields[1]) == pid:
+            found.append(int(path.parent.name))
+    return found
+
+
+def descriptors(pid: int) -> list[str]:
+    """Return the targets of the open descriptors of a process, from /proc."""
+    found = []
+    for path in Path(f"/proc/{pid}/fd").iterdir():
+        try:
+            found.append(os.readlink(path))
+        except OSError:
+            continue
+    return found
+
+
+class Process:
+    """One process whose first line of output names its address.
+
+    Args:
+        module: Module of lacewinghub.
+        args: Command line arguments.
+        log: File that receives standard error.
+        announces: False if it prints no address.
+    """
+
+    def __init__(self, module: str, args: list[str], log: Path, announces: bool = True) -> None:
+        self.log = log
+        self._err = log.open("ab")
+        self.popen = subprocess.Popen(
+            [sys.executable, "-m", f"lacewinghub.{module}", *args],
+            cwd=ROOT,
+            stdout=subprocess.PIPE if announces else subprocess.DEVNULL,
+            stderr=self._err,
+        )
+        self.address = ""
+        if announces:
+            assert self.popen.stdout is not None
+            line = self.popen.stdout.readline().decode()
+            found = re.search(r"\d+\.\d+\.\d+\.\d+:\d+", line)
+            if found is None:
+                raise AssertionError(f"{module} did not start: {log.read_text()}")
+            self.address = found.group()
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        return self.popen.pid
+
+    def terminate(self) -> None:
+        """Send SIGTERM."""
+        self.popen.send_signal(signal.SIGTERM)
+
+    def kill(self) -> None:
+        """End the process at once and wait for it."""
+        if self.popen.poll() is None:
+            self.popen.kill()
+        self.popen.wait(10)
+        if self.popen.stdout is not None:
+            self.popen.stdout.close()
+        self._err.close()
+
+
+class Deployment:
+    """A log, runners, a service and nodes, each a process.
+
+    Args:
+        runners: Number of runners.
+        nodes: Number of nodes; more can be started later.
+        limits: Member ``limits`` of the nodes' settings.
+        runner_args: Further arguments of the runners.
+        service_args: Further arguments of the service.
+    """
+
+    def __init__(
+        self,
+        runners: int = 2,
+        nodes: int = 3,
+        limits: dict[str, Any] | None = None,
+        runner_args: list[str] | None = None,
+        service_args: list[str] | None = None,
+    ) -> None:
+        self._dir = tempfile.TemporaryDirectory()
+        self.path = Path(self._dir.name)
+        self.limits = limits or {}
+        self.processes: list[Process] = []
+        self.log = self._start("fake_log", [], "log")
+        self.runners = [
+            self._start("fake_runner", ["--name", f"r{i}", *(runner_args or [])], f"r{i}")
+            for i in range(runners)
+        ]
+        self.service = self._start("fake_service", ["--name", "s0", *(service_args or [])], "s0")
+        self.settings: dict[str, dict[str, Any]] = {}
+        self.nodes: dict[str, Process] = {}
+        peers = [f"127.0.0.1:{free_port()}" for _ in range(nodes)]
+        for index, peer in enumerate(peers):
+            self.add_node(f"n{index}", peer_listen=peer, peers=peers)
+
+    def add_node(self, name: str, **members: Any) -> Process:
+        """Start a node.
+
+        Args:
+            name: Its identifier.
+            members: Settings that differ from the deployment's.
+        """
+        cfg = {
+            "node": name,
+            "availability_zone": "north-a",
+            "listen": f"127.0.0.1:{free_port()}",
+            "peer_listen": f"127.0.0.1:{free_port()}",
+            "log": self.log.address,
+            "peer_key": "peer-key-of-the-tests",
+            "operator_keys": [sha256(OPERATOR_KEY)],
+            "history_file": str(self.path / f"{name}.history"),
+            "limits": self.limits,
+        } | members
+        path = self.path / f"{name}.json5"
+        path.write_text("// Settings of a test.\n" + json.dumps(cfg, indent=1))
+        self.settings[name] = cfg
+        node = Process("node", [str(path)], self.path / f"{name}.log", announces=False)
+        node.address = cfg["listen"]
+        self.processes.append(node)
+        self.nodes[name] = node
+        return node
+
+    def document(self) -> dict[str, Any]:
+        """Return the tables of the deployment."""
+        zone = {"availability_zone": "north-a"}
+        runners = [
+            {"name": f"r{i}", "address": item.address} | zone for i, item in enumerate(self.runners)
+        ]
+        service = {"name": "s0", "address": self.service.address} | zone
+        return {
+            "pools": [
+                {"name": "assistant", "endpoints": runners},
+                {"name": "booking", "kind": "service", "repeatable": False, "endpoints": [service]},
+                {"name": "prices", "kind": "service", "endpoints": [service]},
+            ],
+            "routes": [
+                {"name": "chat", "pool": "assistant", "tier": 2, "model": "colour"},
+                {"name": "book", "pool": "booking", "tier": 1, "model": "booking"},
+                {"name": "price", "pool": "prices", "tier": 3, "model": "prices"},
+            ],
+            "workspaces": [{"name": "trust", "keys": [sha256(WORKSPACE_KEY)]}],
+        }
+
+    async def publish(self, document: dict[str, Any] | None = None) -> None:
+        """Publish tables through the log."""
+        log = HttpLog(self.log.address)
+        try:
+            await publish(log, document or self.document(), "test")
+        finally:
+            await log.close()
+
+    async def wait_ready(self, *names: str) -> None:
+        """Wait until nodes answer ``/readyz`` with 200; by default all."""
+        async with aiohttp.ClientSession() as http:
+            for name in names or tuple(self.nodes):
+                await self._wait_status(http, name, "/readyz", (200,))
+
+    async def wait_up(self, *names: str) -> None:
+        """Wait until nodes answer ``/healthz``."""
+        async with aiohttp.ClientSession() as http:
+            for name in names or tuple(self.nodes):
+                await self._wait_status(http, name, "/healthz", (200,))
+
+    def close(self) -> None:
+        """End all processes."""
+        for process in self.processes:
+            process.kill()
+        self._dir.cleanup()
+
+    def history(self, name: str) -> list[dict[str, Any]]:
+        """Return the events that a node wrote."""
+        lines = (self.path / f"{name}.history").read_text().splitlines()
+        return [json.loads(line) for line in lines]
+
+    def _start(self, module: str, args: list[str], name: str) -> Process:
+        process = Process(module, args, self.path / f"{name}.log")
+        self.processes.append(process)
+        return process
+
+    async def _wait_status(
+        self, http: aiohttp.ClientSession, name: str, path: str, wanted: tuple[int, ...]
+    ) -> None:
+        node = self.nodes[name]
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < deadline:
+            try:
+                async with http.get(f"http://{node.address}{path}") as resp:
+                    if resp.status in wanted:
+                        return
+            except aiohttp.ClientError:
+                pass
+            if node.popen.poll() is not None:
+                break
+            await asyncio.sleep(0.05)
+        raise AssertionError(f"node {name} does not answer {path}: {node.log.read_text()[-2000:]}")
