--- a/lacewinghub/router.py
+++ b/lacewinghub/router.py
@@ -233,7 +233,7 @@
         attempt = _Attempt(endpoint, loop.time())
         self._start(req, endpoint, resumed=answer.received > 0)
         answer.restart()
-        crashed = left = False
+        failure: BaseException | None = None
         try:
             async with aclosing(self._parts.client.stream(endpoint, req)) as chunks:
                 async for chunk in chunks:
@@ -247,16 +247,13 @@
             raise EndpointCrashed(
                 f"endpoint {endpoint.name!r} ended the answer early", endpoint=endpoint.name
             )
-        except EndpointCrashed as exc:
-            crashed = not exc.details.get("timeout")
-            raise
-        except (asyncio.CancelledError, GeneratorExit):
-            left = True
+        except BaseException as exc:
+            failure = exc
             raise
         finally:
-            if left and not answer.complete:
+            if _caller_left(failure) and not answer.complete:
                 self._cancel_at(endpoint, req)
-            self._end(req, grant, attempt.observation(answer.complete, crashed), endpoint, left)
+            self._end(req, grant, attempt, answer.complete, failure)
 
     async def _call_repeatable(self, req: Request) -> Reply:
         for attempt in range(1, MAX_ATTEMPTS + 1):
@@ -306,20 +303,17 @@
         loop = asyncio.get_running_loop()
         attempt = _Attempt(endpoint, loop.time())
         self._start(req, endpoint, resumed=False)
-        ok = crashed = left = False
+        ok, failure = False, None
         try:
             reply = await self._parts.client.call(endpoint, req)
             attempt.take(loop.time(), 0)
             ok = True
             return reply
-        except EndpointCrashed as exc:
-            crashed = not exc.details.get("timeout")
-            raise
-        except asyncio.CancelledError:
-            left = True
+        except BaseException as exc:
+            failure = exc
             raise
         finally:
-            self._end(req, grant, attempt.observation(ok, crashed), endpoint, left)
+            self._end(req, grant, attempt, ok, failure)
 
     async def _acquire(self, req: Request) -> tuple[Grant, Endpoint]:
         """Wait for a slot of an endpoint that the tables in force still name."""
@@ -344,8 +338,7 @@
     ) -> None:
         """Return if the request may be tried again, otherwise raise the error for the caller."""
         req.avoid.add(endpoint.name)
-        refused = isinstance(exc, EndpointRejected) and exc.details["status"] in REFUSAL_STATUSES
-        if refused and not (answer and answer.received):
+        if _refused(exc) and not (answer and answer.received):
             raise BadRequest(exc.message, endpoint=endpoint.name) from exc
         if attempt == MAX_ATTEMPTS or not self._repeatable(req, exc) or not self._spend(req):
             raise self._final(exc, answer) from exc
@@ -389,17 +382,29 @@
             self._parts.guard.started(req, endpoint.name)
 
     def _end(
-        self, req: Request, grant: Grant, seen: Observation, endpoint: Endpoint, left: bool
+        self,
+        req: Request,
+        grant: Grant,
+        attempt: _Attempt,
+        ok: bool,
+        failure: BaseException | None,
     ) -> None:
+        """Return the slot and tell the other parts how the attempt ended."""
+        endpoint = attempt.endpoint.name
+        crashed = isinstance(failure, EndpointCrashed) and not failure.details.get("timeout")
+        seen = attempt.observation(ok, crashed)
         self._parts.scheduler.release(grant, seen)
         if self._parts.guard is not None:
-            self._parts.guard.ended(req, endpoint.name, seen)
-        if seen.crashed:
-            self._record(EventKind.CRASHED, req, endpoint=endpoint.name, tokens=seen.tokens)
-        if left:
+            self._parts.guard.ended(req, endpoint, seen)
+        if crashed:
+            self._record(EventKind.CRASHED, req, endpoint=endpoint, tokens=seen.tokens)
+        if _caller_left(failure) or _refused(failure):
             return
         for monitor in self._parts.monitors:
-            monitor.observe(req.pool, endpoint.name, seen)
+            if isinstance(failure, EndpointLeaving):
+                monitor.leaving(endpoint)
+            else:
+                monitor.observe(req.pool, endpoint, seen)
 
     def _cancel_at(self, endpoint: Endpoint, req: Request) -> None:
         task = asyncio.get_running_loop().create_task(self._parts.client.cancel(endpoint, req.id))
@@ -422,3 +427,13 @@
             workspace=req.workspace,
             **members,
         )
+
+
+def _caller_left(failure: BaseException | None) -> bool:
+    return isinstance(failure, asyncio.CancelledError | GeneratorExit)
+
+
+def _refused(failure: BaseException | None) -> bool:
+    return (
+        isinstance(failure, EndpointRejected) and failure.details.get("status") in REFUSAL_STATUSES
+    )
