--- a/lacewinghub/supervisor.py
+++ b/lacewinghub/supervisor.py
@@ -85,7 +85,7 @@
                 return
             except Exception:
                 logger.exception("task {} failed", name)
-            if not restart:
+            if not restart or self._stopping:
                 return
             if loop.time() - started > STABLE_S:
                 backoff_s = MIN_BACKOFF_S
