Execute requests with a key at most once through claims on the log

A release can precede its own claim when the append takes effect late, so releases leave tombstones. A loser whose claim was appended twice could own the key after the winner's release, so it appends a release. A fresh node could admit a key whose claim expired while an old node still holds it, so a node is ready only with a complete index: from offset 0, from a copy of the index that names its offset, or when all missed records are older than the key window. Every mechanism has a scenario that fails without it.

--- /dev/null
+++ b/lacewinghub/claim.py
@@ -0,0 +1,477 @@
+"""Runs each request that must not be repeated at most once, with claims on the log."""
+
+import asyncio
+import json
+import random
+import time
+import uuid
+from collections.abc import Awaitable, Callable
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+from loguru import logger
+
+from ._outbox import Item, Outbox
+from ._refresh import RefreshTimer
+from .claim_index import (
+    CLAIM_STREAM,
+    KEY_WINDOW_S,
+    MAX_ANSWER_BYTES,
+    ClaimIndex,
+    ClaimRecord,
+    Entry,
+    ReleaseRecord,
+    ResultRecord,
+    Status,
+    body_hash,
+    key_hash,
+)
+from .claim_index import unpack as unpack_answer
+from .endpoint import ConnectFailed, EndpointError, EndpointLeaving, Reply
+from .errors import (
+    InProgress,
+    KeyMissing,
+    KeyReused,
+    LacewingError,
+    LogUnavailable,
+    NotReady,
+    NotRun,
+    OutcomeUnknown,
+)
+from .history import EventKind, History
+from .log import Log, Page
+from .membership import Members, MemberState
+from .request import Request
+
+READ_WAIT_S = 2.0
+BACKOFF_MIN_S = 0.05
+BACKOFF_MAX_S = 2.0
+CLAIM_TIMEOUT_S = 3.0
+# An answer waits this long for its result record; after that a crash of the node can lose it.
+SETTLE_WAIT_S = 1.0
+ALIVE_POLL_S = 0.25
+# The last records of a claimant can arrive after the news of its end.
+DEAD_GRACE_S = 0.5
+# A claim may be sent only in this share of the retention after its append began.
+SEND_SHARE = 1 / 4
+
+
+class Permit:
+    """The right to send one request once.
+
+    Args:
+        elapsed: Returns the time since the claim's append began, in seconds.
+        limit: Returns the largest permitted elapsed time, in seconds.
+
+    Attributes:
+        used: True once the request may have been sent.
+    """
+
+    def __init__(self, elapsed: Callable[[], float], limit: Callable[[], float]) -> None:
+        self.used = False
+        self._elapsed = elapsed
+        self._limit = limit
+        self._revoked = False
+
+    def use(self) -> None:
+        """Declare that the request is about to be sent; call it directly before sending.
+
+        Raises:
+            NotRun: If the claim is too old or was given up. The request must not be sent.
+        """
+        if self.used:
+            raise RuntimeError("a claim permits one dispatch")
+        if self._revoked:
+            raise NotRun("the claim was given up")
+        if self._elapsed() >= self._limit():
+            raise NotRun("the claim is too old to be sent")
+        self.used = True
+
+    def give_back(self) -> None:
+        """Declare that nothing was sent after ``use``, because no connection was made."""
+        self.used = False
+
+    def revoke(self) -> None:
+        """Forbid any later use."""
+        self._revoked = True
+
+
+Call = Callable[[Permit], Awaitable[Reply]]
+
+
+@dataclass(slots=True, eq=False)
+class _Attempt:
+    """A claim of this node from its creation to its result."""
+
+    key: bytes
+    body: bytes
+    id: str
+    permit: Permit
+    decided: asyncio.Future[bool] = field(default_factory=asyncio.Future)
+    claimed: float = 0.0
+
+
+class Claimer:
+    """Executes requests under claims, on behalf of one node.
+
+    Args:
+        node: Identifier of this node.
+        log: The platform's log.
+        members: Tells which claimants are alive; without it only this node is.
+        incarnation: Incarnation of this node.
+        window_s: Key window in seconds; the same at every node.
+        claim_timeout_s: How long a claim may take before the request is refused, in seconds.
+        clock: Wall clock in seconds.
+        history: Receives an event for each claim that was won.
+        seed: Seed of the jitter; defaults to the node identifier.
+
+    Attributes:
+        index: Owners of the keys.
+        ready: True while the index is complete and requests are accepted.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        log: Log,
+        members: Members | None = None,
+        *,
+        incarnation: int = 0,
+        window_s: float = KEY_WINDOW_S,
+        claim_timeout_s: float = CLAIM_TIMEOUT_S,
+        clock: Callable[[], float] = time.time,
+        history: History | None = None,
+        seed: int | str | None = None,
+    ) -> None:
+        self.index = ClaimIndex(window_s, self._on_claim, self._wake)
+        self.ready = False
+        self._node = node
+        self._log = log
+        self._members = members
+        self._incarnation = incarnation
+        self._claim_timeout_s = claim_timeout_s
+        self._clock = clock
+        self._history = history
+        self._random = random.Random(node if seed is None else seed)
+        self._prefix = uuid.uuid4().hex[:16]
+        self._count = 0
+        self._attempts: dict[bytes, _Attempt] = {}
+        self._undecided: dict[str, _Attempt] = {}
+        self._waiters: dict[bytes, list[asyncio.Future[None]]] = {}
+        self._outbox = Outbox(log, CLAIM_STREAM, self._random)
+        self._refresh_timer = RefreshTimer(self._random)
+        self._copying: asyncio.Task[None] | None = None
+        self._log_time = 0.0
+        self._log_time_at = 0.0
+        self._retention_s = 0.0
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    async def run(self) -> None:
+        """Follow the stream and append records until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._tail())
+            group.create_task(self._outbox.run())
+
+    async def run_once(self, req: Request, call: Call) -> Reply:
+        """Execute a request unless it was executed before, or return the stored answer.
+
+        A cancelled caller does not stop a request that was sent; its result is still stored.
+
+        Args:
+            req: The request; ``req.key`` is its idempotency key.
+            call: Sends the request to a service once. It gets the permit and must call ``use`` on
+                it directly before sending. If it fails before that, or with ``ConnectFailed`` or
+                ``EndpointLeaving``, the claim is released.
+
+        Returns:
+            The answer of this or of the earlier execution.
+
+        Raises:
+            KeyMissing: If the request has no key.
+            KeyReused: If the key was used with another body.
+            NotReady: If the claims were not replayed yet.
+            NotRun: If the claim could not be made or nothing was sent.
+            InProgress: If another execution did not end within the request's patience.
+            OutcomeUnknown: If the request may or may not have been executed.
+            LacewingError: Any error that ``call`` raised before it used the permit.
+        """
+        if req.key is None:
+            raise KeyMissing(f"pool {req.pool!r} requires an idempotency key")
+        key, body = key_hash(req.workspace, req.key), body_hash(req.pool, req.body)
+        deadline = req.arrived + req.patience_s
+        while True:
+            if not self.ready:
+                raise NotReady("the node has not replayed the claims yet")
+            entry = self.index.get(key, self._log_now())
+            if entry is not None:
+                if entry.body != body:
+                    raise KeyReused("the idempotency key was used with another body")
+                if entry.status is not Status.PENDING:
+                    return _stored(entry)
+                await self._await_change(key, entry, deadline)
+                continue
+            attempt = self._attempts.get(key)
+            if attempt is not None:
+                if attempt.body != body:
+                    raise KeyReused("the idempotency key is in use with another body")
+                await self._await_change(key, None, deadline)
+                continue
+            reply = await self._attempt(req, key, body, call)
+            if reply is not None:
+                return reply
+
+    async def flush(self, timeout_s: float) -> bool:
+        """Wait until the pending records are in the log.
+
+        Args:
+            timeout_s: Longest wait in seconds.
+
+        Returns:
+            True if nothing is pending.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                while self._tasks or not self._outbox.idle:
+                    await asyncio.sleep(0.02)
+        except TimeoutError:
+            return False
+        return True
+
+    async def _attempt(self, req: Request, key: bytes, body: bytes, call: Call) -> Reply | None:
+        """Claim and execute; None if another claim owns the key."""
+        self._count += 1
+        attempt = _Attempt(key, body, f"{self._prefix}-{self._count}", self._permit())
+        self._attempts[key] = attempt
+        task = asyncio.create_task(self._execute(attempt, req, call))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            task.add_done_callback(_retrieve)
+            if not attempt.permit.used:
+                attempt.permit.revoke()
+                task.cancel()
+            raise
+
+    def _permit(self) -> Permit:
+        loop = asyncio.get_running_loop()
+        started, started_wall = loop.time(), self._clock()
+
+        # The loop's clock stands still while the machine sleeps, the wall clock can be set back.
+        def elapsed() -> float:
+            return max(loop.time() - started, self._clock() - started_wall)
+
+        return Permit(elapsed, lambda: SEND_SHARE * self._retention_s)
+
+    async def _execute(self, attempt: _Attempt, req: Request, call: Call) -> Reply | None:
+        try:
+            left = req.arrived + req.patience_s - asyncio.get_running_loop().time()
+            if not await self._claim(attempt, min(self._claim_timeout_s, max(0.0, left))):
+                return None
+            if self._history is not None:
+                self._history.record(
+                    EventKind.CLAIMED, request=req.id, key=req.key, workspace=req.workspace
+                )
+            return await self._dispatch(attempt, call)
+        finally:
+            self._attempts.pop(attempt.key, None)
+            self._wake(attempt.key)
+
+    async def _claim(self, attempt: _Attempt, timeout_s: float) -> bool:
+        """Append the claim and read back who owns the key."""
+        self._undecided[attempt.id] = attempt
+        record = ClaimRecord(
+            attempt.key.hex(),
+            attempt.body.hex(),
+            attempt.id,
+            self._node,
+            self._incarnation,
+            self.index.next,
+        )
+        item = self._enqueue(record)
+        try:
+            async with asyncio.timeout(timeout_s):
+                owns = await self._decision(attempt, item)
+        except (TimeoutError, asyncio.CancelledError) as exc:
+            attempt.permit.revoke()
+            if item.sends:
+                self._release(attempt)
+            if isinstance(exc, asyncio.CancelledError):
+                raise
+            raise NotRun("the log did not confirm the claim in time; nothing was sent") from exc
+        finally:
+            item.dropped = True
+            del self._undecided[attempt.id]
+        if not owns:
+            attempt.permit.revoke()
+            if item.sends > 1:
+                # A late duplicate of the claim would own the key after the winner's release.
+                self._release(attempt)
+            return False
+        return True
+
+    async def _decision(self, attempt: _Attempt, _item: Item) -> bool:
+        return await asyncio.shield(attempt.decided)
+
+    async def _dispatch(self, attempt: _Attempt, call: Call) -> Reply:
+        permit = attempt.permit
+        try:
+            reply = await call(permit)
+        except (ConnectFailed, EndpointLeaving) as exc:
+            raise await self._not_sent(attempt, NotRun(f"nothing was sent: {exc.message}")) from exc
+        except BaseException as exc:
+            if permit.used:
+                await self._finish(attempt, None)
+                raise OutcomeUnknown(f"the outcome of the request is unknown: {exc!r}") from exc
+            if not isinstance(exc, LacewingError) or isinstance(exc, EndpointError):
+                raise await self._not_sent(attempt, NotRun(f"nothing was sent: {exc!r}")) from exc
+            raise await self._not_sent(attempt, exc) from exc.__cause__
+        await self._finish(attempt, reply)
+        return reply
+
+    async def _not_sent(self, attempt: _Attempt, error: LacewingError) -> LacewingError:
+        attempt.permit.revoke()
+        await self._settled(self._release(attempt))
+        return error
+
+    async def _finish(self, attempt: _Attempt, reply: Reply | None) -> None:
+        attempt.permit.revoke()
+        size = len(json.dumps(reply.body)) if reply is not None else 0
+        kept = reply is not None and size <= MAX_ANSWER_BYTES
+        result = ResultRecord(
+            attempt.key.hex(),
+            attempt.id,
+            attempt.body.hex(),
+            self._node,
+            self._incarnation,
+            attempt.claimed,
+            reply is not None,
+            reply.status if reply is not None else 0,
+            kept,
+            reply.body if reply is not None and kept else None,
+        )
+        self.index.settle(result)
+        await self._settled(self._enqueue(result, 256 + size))
+
+    def _release(self, attempt: _Attempt) -> Item:
+        return self._enqueue(ReleaseRecord(attempt.key.hex(), attempt.id))
+
+    async def _settled(self, item: Item) -> None:
+        await asyncio.wait([item.confirmed], timeout=SETTLE_WAIT_S)
+
+    async def _await_change(self, key: bytes, entry: Entry | None, deadline: float) -> None:
+        """Wait until the state of a key changes."""
+        loop = asyncio.get_running_loop()
+        fut: asyncio.Future[None] = loop.create_future()
+        self._waiters.setdefault(key, []).append(fut)
+        try:
+            while not fut.done():
+                alive = entry is None or self._is_alive(entry)
+                if not alive:
+                    deadline = min(deadline, loop.time() + DEAD_GRACE_S)
+                if loop.time() >= deadline:
+                    raise _unfinished(alive)
+                pause = min(ALIVE_POLL_S, deadline - loop.time())
+                await asyncio.wait([fut], timeout=max(0.0, pause))
+        finally:
+            waiting = self._waiters.get(key)
+            if waiting is not None and fut in waiting:
+                waiting.remove(fut)
+                if not waiting:
+                    del self._waiters[key]
+
+    def _is_alive(self, entry: Entry) -> bool:
+        if entry.id.startswith(self._prefix):
+            return True
+        if self._members is None or entry.node == self._node or entry.blocked:
+            return False
+        if self._members.state(entry.node) is MemberState.DEAD:
+            return False
+        return all(
+            member.incarnation == entry.incarnation
+            for member in self._members.live()
+            if member.node == entry.node
+        )
+
+    def _wake(self, key: bytes) -> None:
+        for fut in self._waiters.pop(key, ()):
+            if not fut.done():
+                fut.set_result(None)
+
+    def _on_claim(self, claim_id: str, owns: bool) -> None:
+        attempt = self._undecided.get(claim_id)
+        if attempt is None or attempt.decided.done():
+            return
+        entry = self.index.entries.get(attempt.key)
+        attempt.claimed = entry.time if entry is not None else self._log_now()
+        attempt.decided.set_result(owns)
+
+    def _log_now(self) -> float:
+        return self._log_time + asyncio.get_running_loop().time() - self._log_time_at
+
+    def _enqueue(self, record: ClaimRecord | ReleaseRecord | ResultRecord, size: int = 256) -> Item:
+        return self._outbox.add(asdict(record), size)
+
+    async def _tail(self) -> None:
+        backoff = BACKOFF_MIN_S
+        wait_s = 0.0
+        while True:
+            try:
+                page = await self._log.read(CLAIM_STREAM, self.index.next, wait_s=wait_s)
+            except LogUnavailable:
+                await asyncio.sleep(backoff * self._random.uniform(0.5, 1.0))
+                backoff = min(BACKOFF_MAX_S, backoff * 2)
+                continue
+            backoff = BACKOFF_MIN_S
+            self._take(page)
+            wait_s = READ_WAIT_S if self.index.next >= page.next else 0.0
+
+    def _take(self, page: Page) -> None:
+        self._log_time = page.time
+        self._log_time_at = asyncio.get_running_loop().time()
+        self._retention_s = page.retention_s
+        self.index.feed(page)
+        if not self.index.synced:
+            self.ready = False
+        elif self.index.next >= page.next:
+            self.ready = True
+            self._start_copy(page)
+
+    def _start_copy(self, page: Page) -> None:
+        """Re-append the index before the records that hold it expire."""
+        if page.retention_s >= self.index.window_s or self.index.next == 0:
+            return
+        if self._copying is not None and not self._copying.done():
+            return
+        if self._refresh_timer.due(page, self.index.refreshed):
+            self._copying = asyncio.create_task(self._copy())
+
+    async def _copy(self) -> None:
+        for part in self.index.copy(uuid.uuid4().hex[:16], self._node):
+            if not await self._outbox.append_now(asdict(part)):
+                logger.warning("copy of the claims was given up: the log did not confirm it")
+                return
+
+
+def _stored(entry: Entry) -> Reply:
+    if entry.status is Status.UNKNOWN:
+        raise OutcomeUnknown("the outcome of the earlier request with this key is unknown")
+    if entry.answer is None:
+        raise OutcomeUnknown(
+            "the earlier request with this key was executed, but its answer was too large to keep",
+            executed=True,
+            status=entry.code,
+        )
+    return Reply(entry.code, unpack_answer(entry.answer))
+
+
+def _unfinished(alive: bool) -> LacewingError:
+    if alive:
+        return InProgress("another request with this key is executing")
+    return OutcomeUnknown("the node that executed this key is gone; its outcome is unknown")
+
+
+def _retrieve(task: asyncio.Task[Any]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        logger.info("request of a caller that went away ended with {!r}", task.exception())
--- a/lacewinghub/config.py
+++ b/lacewinghub/config.py
@@ -9,6 +9,7 @@
 from loguru import logger
 from pydantic import TypeAdapter, ValidationError
 
+from ._refresh import RefreshTimer
 from .errors import LogUnavailable, LogUncertain, TablesInvalid
 from .history import EventKind, History
 from .log import Log, Page, Record
@@ -25,13 +26,6 @@
 # lags for a shorter time gets the change from the log soon.
 LAG_BEFORE_REQUEST_S = 0.5
 REQUEST_INTERVAL_S = 1.0
-# The newest snapshot may be this old, as a share of the retention.
-SNAPSHOT_AGE_SHARE = 1 / 3
-# Nodes spread their snapshots over this share of the retention, so that mostly one appends.
-SNAPSHOT_SPREAD_SHARE = 1 / 12
-# After an outage of the log no time is left: operators cannot publish without a kept snapshot.
-SNAPSHOT_URGENT_SHARE = 2 / 3
-SNAPSHOT_URGENT_SPREAD_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -255,7 +249,7 @@
         self._in_force = False
         self._behind_since: float | None = None
         self._requested_at = float("-inf")
-        self._snapshot_due: float | None = None
+        self._refresh_timer = RefreshTimer(self._random)
         self._document: tuple[int, dict[str, Any]] | None = None
         if transport is not None:
             transport.subscribe(ConfigRequest, self._on_request)
@@ -362,18 +356,8 @@
         """Append a snapshot if the newest one gets old and no other node does so first."""
         if not self._state.synced or self._state.tables.version == 0:
             return
-        age = page.time - (self._state.refreshed or 0.0)
-        if age < SNAPSHOT_AGE_SHARE * page.retention_s:
-            self._snapshot_due = None
+        if not self._refresh_timer.due(page, self._state.refreshed):
             return
-        if self._snapshot_due is None:
-            spread = SNAPSHOT_SPREAD_SHARE * page.retention_s
-            if age > SNAPSHOT_URGENT_SHARE * page.retention_s:
-                spread = min(spread, SNAPSHOT_URGENT_SPREAD_S)
-            self._snapshot_due = page.time + self._random.uniform(0.0, spread)
-        if page.time < self._snapshot_due:
-            return
-        self._snapshot_due = None
         snapshot = SnapshotRecord(
             self.tables.version, self._state.next, self._node, self._full_document()
         )
--- a/tests/clock.py
+++ b/tests/clock.py
@@ -5,6 +5,9 @@
 from typing import Any
 
 import looptime
+from loguru import logger
+
+logger.disable("lacewinghub")
 
 # Wall time at loop time 0, in seconds since the epoch.
 EPOCH_S = 1_800_000_000.0
--- /dev/null
+++ b/tests/test_claim.py
@@ -0,0 +1,528 @@
+"""Proofs of at-most-once execution in simulated time.
+
+Each proof is run a second time against a claimer without the mechanism that it is about, and must
+then fail.
+"""
+
+import asyncio
+import unittest
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from lacewinghub.claim import Claimer, Permit
+from lacewinghub.claim_index import ClaimIndex
+from lacewinghub.endpoint import ConnectFailed, EndpointCrashed, Reply
+from lacewinghub.errors import LacewingError, NotRun, OutcomeUnknown
+from lacewinghub.log import Page
+from tests.claim_cluster import Cluster, Node, stop_forever
+from tests.clock import simulate
+
+Scenario = Callable[[type[Claimer]], Coroutine[Any, Any, Cluster]]
+
+
+class NoReadBack(Claimer):
+    """Believes that its claim owns the key as soon as the log took it."""
+
+    async def _decision(self, attempt: Any, item: Any) -> bool:
+        await asyncio.wait([item.confirmed])
+        attempt.claimed = self._log_now()
+        return True
+
+
+class NoTimeLimit(Claimer):
+    """Sends under a claim of any age."""
+
+    def _permit(self) -> Permit:
+        return Permit(lambda: 0.0, lambda: 1.0)
+
+
+class ReadyAtOnce(Claimer):
+    """Starts without a complete index."""
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self.index = _IncompleteIndex(self.index.window_s, self._on_claim, self._wake)
+
+
+class _IncompleteIndex(ClaimIndex):
+    def _check_gap(self, page: Page) -> None:
+        self.next = max(self.next, page.first)
+
+
+class NoTombstones(Claimer):
+    """Forgets a release that precedes the late claim."""
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self.index = _ForgetfulIndex(self.index.window_s, self._on_claim, self._wake)
+
+
+class _ForgetfulIndex(ClaimIndex):
+    def _is_released(self, claim_id: str, now: float) -> bool:
+        return False
+
+
+class NoReplay(Claimer):
+    """Accepts requests before it has read the stream to its tail."""
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self.index.get = lambda key, now: None  # type: ignore[method-assign]
+
+
+class ReleaseThenSend(Claimer):
+    """Releases a claim that the log did not confirm in time and sends the request all the same."""
+
+    async def _claim(self, attempt: Any, timeout_s: float) -> bool:
+        try:
+            return await super()._claim(attempt, timeout_s)
+        except NotRun:
+            attempt.permit = Permit(lambda: 0.0, lambda: 1.0)
+            return True
+
+
+def _run(scenario: Scenario, kind: type[Claimer] = Claimer) -> Cluster:
+    return simulate(lambda: scenario(kind))
+
+
+async def _racing_repeats(kind: type[Claimer]) -> Cluster:
+    cluster = Cluster(kind)
+    nodes = await cluster.add_ready(3)
+    for turn in range(20):
+        asks = [node.ask(cluster.request(f"k{turn}")) for node in nodes for _ in range(2)]
+        await asyncio.gather(*asks)
+    return cluster
+
+
+async def _frozen_winner(kind: type[Claimer]) -> Cluster:
+    """A winner freezes before it sends, until its claim and all nodes that knew it are gone."""
+    cluster = Cluster(kind, retention_s=3600.0)
+    options = {"window_s": 3000.0, "claim_timeout_s": 1e6}
+    (frozen,) = await cluster.add_ready(1, **options)
+
+    async def freeze() -> None:
+        frozen.freeze()
+
+    frozen.before_use = freeze
+    task = asyncio.ensure_future(frozen.ask(cluster.request("k")))
+    await asyncio.sleep(4000.0)
+    (fresh,) = await cluster.add_ready(1, **options)
+    await fresh.ask(cluster.request("k"))
+    frozen.thaw()
+    await task
+    return cluster
+
+
+async def _fresh_after_expiry(kind: type[Claimer]) -> Cluster:
+    """An outage outlasts the retention; then a fresh node gets the key before the old one."""
+    cluster = Cluster(kind, retention_s=600.0)
+    (old,) = await cluster.add_ready(1)
+    assert (await old.ask(cluster.request("k"))).startswith("ok")
+    cluster.log.set_faults(unavailable=True)
+    await asyncio.sleep(2000.0)
+    cluster.log.set_faults()
+    fresh = cluster.add()
+    for _ in range(20):
+        await fresh.ask(cluster.request("k"))
+        await asyncio.sleep(0.5)
+    return cluster
+
+
+async def _late_claim_after_release(kind: type[Claimer]) -> Cluster:
+    """A claim takes effect after its release and another node's claim; the key is free at last."""
+    cluster = Cluster(kind)
+    first, second = await cluster.add_ready(2)
+    cluster.log.set_faults(late_appends=100, late_s=30.0)
+    await first.ask(cluster.request("k", patience_s=1.0))
+    cluster.log.set_faults()
+    await asyncio.sleep(60.0)
+    await second.ask(cluster.request("k"))
+    return cluster
+
+
+async def _released_and_repeated(kind: type[Claimer]) -> Cluster:
+    """A claim whose reply is late is refused; the caller repeats the request at another node."""
+    cluster = Cluster(kind)
+    first, second = await cluster.add_ready(2)
+
+    async def hang() -> None:
+        await asyncio.sleep(20.0)
+
+    first.log.before_append["claim"] = hang
+    await first.ask(cluster.request("k"))
+    await second.ask(cluster.request("k"))
+    await asyncio.sleep(60.0)
+    return cluster
+
+
+async def _restart_and_repeat(kind: type[Claimer]) -> Cluster:
+    cluster = Cluster(kind)
+    (old,) = await cluster.add_ready(1)
+    await old.ask(cluster.request("k"))
+    await old.kill()
+    (fresh,) = await cluster.add_ready(1)
+    await fresh.ask(cluster.request("k"))
+    return cluster
+
+
+class MechanismTest(unittest.TestCase):
+    """Guards against a mechanism that is lost or that no test needs."""
+
+    def test_every_mechanism_is_needed(self) -> None:
+        cases: list[tuple[Scenario, type[Claimer]]] = [
+            (_racing_repeats, NoReadBack),
+            (_frozen_winner, NoTimeLimit),
+            (_fresh_after_expiry, ReadyAtOnce),
+            (_released_and_repeated, ReleaseThenSend),
+            (_restart_and_repeat, NoReplay),
+        ]
+        for scenario, naive in cases:
+            with self.subTest(scenario.__name__, kind="current"):
+                self.assertEqual(_run(scenario).faults(), [])
+            with self.subTest(scenario.__name__, kind=naive.__name__):
+                self.assertNotEqual(_run(scenario, naive).faults(), [])
+
+    def test_late_claim_does_not_block_its_key(self) -> None:
+        codes = []
+        for kind in (Claimer, NoTombstones):
+            cluster = _run(_late_claim_after_release, kind)
+            self.assertEqual(cluster.faults(), [])
+            codes.append([task.result()[:2] for _, task in cluster.asked])
+        self.assertEqual(codes[0], ["no", "ok"])
+        self.assertNotEqual(codes[1], ["no", "ok"])
+
+
+def _die_at(point: str, node: Node) -> None:
+    async def die() -> None:
+        await node.die()
+
+    if point == "before append":
+        node.log.before_append["claim"] = die
+    elif point == "after append":
+        node.log.after_append["claim"] = die
+        node.before_use = die
+    elif point == "after read-back":
+        node.before_use = die
+    elif point == "after dispatch":
+        node.after_run = die
+    elif point == "before result":
+        node.log.before_append["result"] = die
+    elif point == "before answer":
+        node.log.after_append["result"] = die
+
+
+class CrashPointTest(unittest.TestCase):
+    """Guards against a second execution, or a wrong answer, after the claimant stopped."""
+
+    # Point at which the claimant stops, executions, and what repeats are answered.
+    CASES = (
+        ("before append", 1, "ok"),
+        ("after append", 0, "outcome_unknown"),
+        ("after read-back", 0, "outcome_unknown"),
+        ("after dispatch", 1, "outcome_unknown"),
+        ("before result", 1, "outcome_unknown"),
+        ("before answer", 1, "ok"),
+    )
+
+    def test_repeats_after_each_crash_point(self) -> None:
+        async def main(point: str, pause: float, restart: bool) -> Cluster:
+            cluster = Cluster()
+            nodes = await cluster.add_ready(3)
+            _die_at(point, nodes[0])
+            task = asyncio.ensure_future(nodes[0].ask(cluster.request("k")))
+            await asyncio.sleep(pause)
+            if restart:
+                await nodes[1].kill()
+                nodes[1:2] = await cluster.add_ready(1)
+            for turn in range(2):
+                asks = [node.ask(cluster.request("k")) for node in nodes[1:]]
+                answers.append([answer.split()[0] for answer in await asyncio.gather(*asks)])
+                await asyncio.sleep(10.0 * turn)
+            self.assertFalse(task.done())
+            return cluster
+
+        for point, runs, expected in self.CASES:
+            for pause in (0.0, 0.5, 60.0):
+                for restart in (False, True):
+                    with self.subTest(point, pause=pause, restart=restart):
+                        answers: list[list[str]] = []
+                        cluster = simulate(lambda p=point, s=pause, r=restart: main(p, s, r))
+                        self.assertEqual(cluster.faults(), [])
+                        self.assertEqual(cluster.service.by_key["k"], runs)
+                        self.assertEqual(answers, [[expected, expected]] * 2)
+
+
+class LogFaultTest(unittest.TestCase):
+    """Guards against a second execution when the log fails at any step."""
+
+    FAULTS: tuple[dict[str, Any], ...] = (
+        {},
+        {"unavailable": True},
+        {"slow_s": 0.3},
+        {"slow_s": 5.0},
+        {"lose_replies": 1},
+        {"lose_replies": 6},
+        {"lose_appends": 3},
+        {"late_appends": 1, "late_s": 0.2},
+        {"late_appends": 3, "late_s": 5.0},
+        {"late_appends": 2, "lose_replies": 2, "late_s": 2.0},
+        {"lose_share": 0.5},
+    )
+
+    def test_racing_repeats_under_each_log_fault(self) -> None:
+        async def main(faults: dict[str, Any], step: str) -> Cluster:
+            cluster = Cluster()
+            nodes = await cluster.add_ready(3)
+
+            async def break_log() -> None:
+                cluster.log.set_faults(**faults)
+
+            if step == "arrival":
+                await break_log()
+            nodes[0].before_use = break_log if step == "dispatch" else None
+            nodes[0].after_run = break_log if step == "result" else None
+            for pause in (0.0, 1.0, 8.0):
+                await asyncio.sleep(pause)
+                await asyncio.gather(*(node.ask(cluster.request("k")) for node in nodes))
+            cluster.log.set_faults()
+            await asyncio.sleep(20.0)
+            last.extend(await asyncio.gather(*(n.ask(cluster.request("k")) for n in nodes)))
+            return cluster
+
+        for faults in self.FAULTS:
+            for step in ("arrival", "dispatch", "result"):
+                with self.subTest(step=step, **faults):
+                    last: list[str] = []
+                    cluster = simulate(lambda f=faults, s=step: main(dict(f), s))
+                    self.assertEqual(cluster.faults(), [])
+                    self.assertEqual(cluster.service.by_key["k"], 1)
+                    self.assertEqual(len(set(last)), 1)
+                    self.assertTrue(last[0].startswith("ok"), last)
+
+    def test_log_down_is_refused_as_not_run(self) -> None:
+        async def main() -> Cluster:
+            cluster = Cluster()
+            (node,) = await cluster.add_ready(1)
+            cluster.log.set_faults(unavailable=True)
+            self.assertEqual(await node.ask(cluster.request("k")), "not_run")
+            cluster.log.set_faults()
+            await asyncio.sleep(5.0)
+            self.assertEqual(cluster.log.records("claims"), [])
+            self.assertTrue((await node.ask(cluster.request("k"))).startswith("ok"))
+            return cluster
+
+        self.assertEqual(simulate(main).faults(), [])
+
+    def test_answer_survives_a_log_that_fails_after_the_execution(self) -> None:
+        async def main() -> Cluster:
+            cluster = Cluster()
+            nodes = await cluster.add_ready(2)
+
+            async def break_log() -> None:
+                cluster.log.set_faults(unavailable=True)
+
+            nodes[0].after_run = break_log
+            answer = await nodes[0].ask(cluster.request("k"))
+            self.assertTrue(answer.startswith("ok"))
+            self.assertEqual(await nodes[0].ask(cluster.request("k")), answer)
+            self.assertEqual(await nodes[1].ask(cluster.request("k")), "in_progress")
+            cluster.log.set_faults()
+            self.assertTrue(await nodes[0].claimer.flush(10.0))
+            await asyncio.sleep(3.0)
+            self.assertEqual(await nodes[1].ask(cluster.request("k")), answer)
+            return cluster
+
+        self.assertEqual(simulate(main).faults(), [])
+
+
+class ExpiryTest(unittest.TestCase):
+    """Guards against a key that is forgotten when its records expire."""
+
+    def test_key_outlives_its_records_while_all_nodes_are_replaced(self) -> None:
+        async def main() -> Cluster:
+            cluster = Cluster(retention_s=600.0)
+            nodes = await cluster.add_ready(3)
+            for n in range(30):
+                await nodes[n % 3].ask(cluster.request(f"k{n}"))
+            for turn in range(60):
+                await nodes.pop(0).kill()
+                nodes += await cluster.add_ready(1)
+                answer = await nodes[-1].ask(cluster.request(f"k{turn % 30}"))
+                self.assertTrue(answer.startswith("ok"))
+                await asyncio.sleep(100.0)
+            return cluster
+
+        cluster = simulate(main)
+        self.assertEqual(cluster.faults(), [])
+        self.assertEqual(set(cluster.service.by_key.values()), {1})
+
+    def test_all_replaced_in_an_outage_beyond_the_retention_refuses_for_the_window(self) -> None:
+        async def main() -> Cluster:
+            cluster = Cluster(retention_s=600.0)
+            (old,) = await cluster.add_ready(1, window_s=3600.0)
+            await old.ask(cluster.request("k"))
+            cluster.log.set_faults(unavailable=True)
+            await old.kill()
+            fresh = cluster.add(window_s=3600.0)
+            await asyncio.sleep(700.0)
+            cluster.log.set_faults()
+            await asyncio.sleep(10.0)
+            self.assertEqual(await fresh.ask(cluster.request("k2")), "not_ready")
+            await asyncio.sleep(3600.0)
+            self.assertTrue((await fresh.ask(cluster.request("k2"))).startswith("ok"))
+            return cluster
+
+        self.assertEqual(simulate(main).faults(), [])
+
+    def test_key_is_free_after_the_window(self) -> None:
+        async def main() -> int:
+            cluster = Cluster(retention_s=50.0)
+            nodes = await cluster.add_ready(2, window_s=100.0)
+            await nodes[0].ask(cluster.request("k"))
+            await asyncio.sleep(95.0)
+            await nodes[1].ask(cluster.request("k"))
+            before = cluster.service.by_key["k"]
+            await asyncio.sleep(200.0)
+            await nodes[1].ask(cluster.request("k"))
+            await asyncio.sleep(200.0)
+            self.assertEqual([len(node.claimer.index.entries) for node in nodes], [0, 0])
+            return before * 10 + cluster.service.by_key["k"]
+
+        self.assertEqual(simulate(main), 12)
+
+    def test_node_that_missed_expired_records_replays_before_it_accepts(self) -> None:
+        async def main() -> Cluster:
+            cluster = Cluster(retention_s=300.0)
+            awake, frozen = await cluster.add_ready(2)
+            frozen.freeze()
+            for n in range(5):
+                await awake.ask(cluster.request(f"k{n}"))
+            await asyncio.sleep(1000.0)
+            frozen.thaw()
+            for _ in range(10):
+                for n in range(5):
+                    codes.add((await frozen.ask(cluster.request(f"k{n}"))).split()[0])
+                await asyncio.sleep(1.0)
+            return cluster
+
+        codes: set[str] = set()
+        self.assertEqual(simulate(main).faults(), [])
+        self.assertIn("ok", codes)
+
+
+class ClaimerTest(unittest.TestCase):
+    """Guards against wrong answers to repeats and failed calls."""
+
+    def test_calls_that_fail_are_settled_by_what_is_known(self) -> None:
+        class Refused(LacewingError):
+            code = "overloaded"
+
+        # Error of the call, whether it comes after the permit was used, codes of first and repeat.
+        cases: list[tuple[Exception, bool, str, str]] = [
+            (ConnectFailed("refused"), True, "not_run", "ok"),
+            (EndpointCrashed("reset"), True, "outcome_unknown", "outcome_unknown"),
+            (RuntimeError("fault"), True, "outcome_unknown", "outcome_unknown"),
+            (Refused("full"), False, "overloaded", "ok"),
+            (RuntimeError("fault"), False, "not_run", "ok"),
+        ]
+
+        async def main(error: Exception, used: bool) -> list[str]:
+            cluster = Cluster()
+            first, second = await cluster.add_ready(2)
+
+            async def fail() -> None:
+                raise error
+
+            if used:
+                first.after_use = fail
+            else:
+                first.before_use = fail
+            answers = [await first.ask(cluster.request("k"))]
+            answers.append(await second.ask(cluster.request("k")))
+            self.assertEqual(cluster.faults(), [])
+            return [answer.split()[0] for answer in answers]
+
+        for error, used, *expected in cases:
+            with self.subTest(repr(error), used=used):
+                self.assertEqual(simulate(lambda e=error, u=used: main(e, u)), expected)
+
+    def test_other_body_is_refused(self) -> None:
+        async def main() -> None:
+            cluster = Cluster()
+            first, second = await cluster.add_ready(2)
+            await first.ask(cluster.request("k"))
+            for node in (first, second):
+                answer = await node.ask(cluster.request("k", body={"kitchen": "other"}))
+                self.assertEqual(answer, "key_reused")
+            self.assertEqual(cluster.service.by_key["k"], 1)
+
+        simulate(main)
+
+    def test_repeat_waits_for_the_result_of_another_node(self) -> None:
+        async def main() -> None:
+            cluster = Cluster()
+            nodes = await cluster.add_ready(3)
+            cluster.service.delay_s = 4.0
+            first = asyncio.ensure_future(nodes[0].ask(cluster.request("k")))
+            await asyncio.sleep(0.1)
+            short = await nodes[1].ask(cluster.request("k", patience_s=1.0))
+            self.assertEqual(short, "in_progress")
+            self.assertEqual(await nodes[2].ask(cluster.request("k")), await first)
+
+        simulate(main)
+
+    def test_large_answer_is_not_kept_and_not_truncated(self) -> None:
+        async def main() -> None:
+            cluster = Cluster()
+            first, second = await cluster.add_ready(2)
+
+            async def call(permit: Permit) -> Reply:
+                permit.use()
+                return Reply(200, "x" * 20_000)
+
+            reply = await first.claimer.run_once(cluster.request("k"), call)
+            self.assertEqual(len(reply.body), 20_000)
+            with self.assertRaises(OutcomeUnknown) as caught:
+                await second.claimer.run_once(cluster.request("k"), call)
+            self.assertTrue(caught.exception.details["executed"])
+
+        simulate(main)
+
+    def test_caller_that_goes_away_loses_nothing(self) -> None:
+        async def main(sent: bool) -> str:
+            cluster = Cluster()
+            first, second = await cluster.add_ready(2)
+            cluster.service.delay_s = 2.0
+            if not sent:
+                first.before_use = stop_forever
+            req = cluster.request("k")
+            task = asyncio.ensure_future(
+                first.claimer.run_once(req, lambda permit: first._call(permit, req))
+            )
+            await asyncio.sleep(0.5)
+            task.cancel()
+            answer = await second.ask(cluster.request("k"))
+            self.assertEqual(cluster.service.by_key["k"], 1)
+            return answer
+
+        self.assertEqual(simulate(lambda: main(True)), "ok k/r1")
+        self.assertEqual(simulate(lambda: main(False)), "ok k/r2")
+
+    def test_permit_is_refused_after_a_sleep_that_only_the_wall_clock_shows(self) -> None:
+        clocks = {"loop": 0.0, "wall": 0.0}
+        permit = Permit(lambda: max(clocks["loop"], clocks["wall"]), lambda: 10.0)
+        clocks["wall"] = 11.0
+        with self.assertRaises(NotRun):
+            permit.use()
+        self.assertFalse(permit.used)
+
+    def test_claims_that_arrive_during_an_append_share_the_next_one(self) -> None:
+        async def main() -> int:
+            cluster = Cluster()
+            (node,) = await cluster.add_ready(1)
+            cluster.log.set_faults(slow_s=0.05)
+            await asyncio.gather(*(node.ask(cluster.request(f"k{n}")) for n in range(100)))
+            self.assertEqual(cluster.faults(), [])
+            return cluster.log.appends
+
+        self.assertLess(simulate(main), 8)
