--- a/lacewinghub/admission.py
+++ b/lacewinghub/admission.py
@@ -1,11 +1,25 @@
 """Decides which requests may wait and which are refused."""
 
+import math
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
 
+from .membership import Contributor, Members, MemberState
+from .message import Heartbeat, Pressure
 from .queue import Waiter, WaitQueue
 from .request import Request
-from .tables import Pool
+from .tables import MAX_TIER, Pool
+
+NEWS_BOUND_S = 1.0  # Propagation delay between nodes that guarantee 1 excludes.
+MIN_SHARE = 0.02  # Share of a tier below which it counts as starving.
+SHARE_WINDOW_S = 10.0
+RAISE_AFTER_S = 2.0  # Hysteresis: time without pressure before a floor rises by one tier.
+FILL_START = 0.5  # Fill of the queue at which the floor begins to fall.
+DRAIN_WINDOW_S = 5.0
+MIN_BUSY_S = 0.25  # With less queueing than this, no wait is predicted.
+AGE_LIMIT_MS = 60_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,13 +45,13 @@
     """Rules for accepting, displacing and expiring requests."""
 
     @abstractmethod
-    def decide(self, pool: Pool, queue: WaitQueue, req: Request, now: float) -> Verdict:
+    def decide(self, pool: Pool, queue: WaitQueue, waiter: Waiter, now: float) -> Verdict:
         """Decide on an arriving request.
 
         Args:
             pool: Its pool.
             queue: The pool's queue at this node.
-            req: The request.
+            waiter: The request, not queued yet.
             now: Loop time, in seconds.
 
         Returns:
@@ -48,7 +62,7 @@
     def may_shed(self, req: Request, now: float) -> bool:
         """Tell whether a queued request may be displaced or expire."""
 
-    def served(self, pool: str, tier: int, now: float) -> None:  # noqa: B027
+    def served(self, waiter: Waiter, now: float) -> None:  # noqa: B027
         """Note that a request got a slot."""
 
     def update(self, pool: Pool, queue: WaitQueue, now: float) -> None:  # noqa: B027
@@ -65,15 +79,252 @@
     def __init__(self, displace: bool = False) -> None:
         self._displace = displace
 
-    def decide(self, pool: Pool, queue: WaitQueue, req: Request, now: float) -> Verdict:
+    def decide(self, pool: Pool, queue: WaitQueue, waiter: Waiter, now: float) -> Verdict:
         """Admit below the queue limit."""
         if len(queue) < pool.queue_limit:
             return Verdict(True)
         lowest = queue.lowest() if self._displace else None
-        if lowest is not None and lowest.req.tier > req.tier:
+        if lowest is not None and lowest.req.tier > waiter.req.tier:
             return Verdict(True, displaced=lowest)
         return Verdict(False, reason=f"the queue of pool {pool.name!r} is full")
 
     def may_shed(self, req: Request, now: float) -> bool:
         """Every request may expire."""
         return True
+
+
+class _Drain:
+    """Rate at which a queue is emptied while it holds something, and the work that arrives."""
+
+    def __init__(self) -> None:
+        self._busy_s = 0.0
+        self._work = 0.0
+        self._time: float | None = None
+        self._arrived = [0.0] * (MAX_TIER + 1)
+
+    def advance(self, now: float, busy: bool) -> None:
+        elapsed = now - self._time if self._time is not None else 0.0
+        self._time = now
+        if elapsed <= 0.0:
+            return
+        fade = math.exp(-elapsed / DRAIN_WINDOW_S)
+        self._arrived = [work * fade for work in self._arrived]
+        if busy:
+            self._busy_s = self._busy_s * fade + elapsed
+            self._work *= fade
+
+    def served(self, work: float) -> None:
+        self._work += work
+
+    def arrived(self, tier: int, work: float) -> None:
+        self._arrived[tier] += work
+
+    def rate(self, tier: int) -> float | None:
+        """Return the tokens per second left to a tier, or None without queueing."""
+        if self._busy_s < MIN_BUSY_S:
+            return None
+        total = self._work / self._busy_s
+        higher = sum(self._arrived[:tier]) / DRAIN_WINDOW_S
+        return max(total - higher, MIN_SHARE * total, 1e-9)
+
+
+@dataclass(slots=True)
+class _Floor:
+    """This node's floor for one pool."""
+
+    tier: int = MAX_TIER
+    pressed: float = -math.inf
+    since: list[float] = field(default_factory=lambda: [math.inf] * (MAX_TIER + 1))
+    patience: list[float] = field(default_factory=lambda: [math.inf] * (MAX_TIER + 1))
+    admitted: deque[tuple[float, int]] = field(default_factory=deque)
+    last: list[float] = field(default_factory=lambda: [-math.inf] * (MAX_TIER + 1))
+    drain: _Drain = field(default_factory=_Drain)
+
+    def lower(self, tier: int, now: float) -> None:
+        for number in range(tier, self.tier):
+            self.since[number] = now
+        self.tier = tier
+
+    def rise(self, now: float) -> None:
+        self.since[self.tier] = math.inf
+        self.tier += 1
+        self.pressed = now
+
+    def strict_for(self, tier: int, now: float) -> float:
+        """Return for how long the floor has been at the tier or stricter, in seconds."""
+        return now - self.since[tier]
+
+
+@dataclass(slots=True)
+class _PeerPressure:
+    floor: int
+    last: list[float]
+
+
+class FloorAdmission(Admission, Contributor):
+    """Floors and admission evidence shared through heartbeats.
+
+    Args:
+        members: View of the live nodes.
+        clock: Returns the loop time, in seconds.
+    """
+
+    def __init__(self, members: Members, clock: Callable[[], float]) -> None:
+        self._members = members
+        self._clock = clock
+        self._floors: dict[str, _Floor] = {}
+        self._peers: dict[str, dict[str, _PeerPressure]] = {}
+
+    def floor(self, pool: str) -> int:
+        """Return this node's own floor for a pool."""
+        return self._own(pool).tier
+
+    def effective_floor(self, pool: str) -> int:
+        """Return the smallest floor of this node and its live peers."""
+        floors = [self._own(pool).tier]
+        for node, pressure in self._peers.items():
+            if pool in pressure and self._members.state(node) is MemberState.LIVE:
+                floors.append(pressure[pool].floor)
+        return min(floors)
+
+    def decide(self, pool: Pool, queue: WaitQueue, waiter: Waiter, now: float) -> Verdict:
+        """Apply rules 1 to 3 of the design, section 2.2."""
+        req, own = waiter.req, self._own(pool.name)
+        own.patience[req.tier] = req.patience_s
+        self.update(pool, queue, now)
+        floor = self.effective_floor(pool.name)
+        if req.tier > floor:
+            if not self.starving(pool.name, req.tier, now):
+                return Verdict(False, reason=f"pool {pool.name!r} admits tiers 1 to {floor}")
+            return self._admit(pool, waiter, now, quota=True)
+        may_refuse = own.strict_for(req.tier, now) >= NEWS_BOUND_S
+        if len(queue) >= pool.queue_limit:
+            lowest = queue.lowest()
+            if lowest is not None and lowest.req.tier > req.tier:
+                displaced = lowest if self.may_shed(lowest.req, now) else None
+                return self._admit(pool, waiter, now, displaced=displaced)
+            if may_refuse:
+                return Verdict(False, reason=f"the queue of pool {pool.name!r} is full")
+        wait = self.predicted_wait(pool.name, queue, req.tier)
+        if wait > req.patience_s and may_refuse:
+            if self.starving(pool.name, req.tier, now):
+                return self._admit(pool, waiter, now, quota=True)
+            reason = f"the predicted wait of {wait:.1f} s exceeds {req.patience_s:g} s"
+            return Verdict(False, reason=reason, retry_after_s=wait - req.patience_s)
+        return self._admit(pool, waiter, now)
+
+    def may_shed(self, req: Request, now: float) -> bool:
+        """Apply rule 4: no node admitted a lower tier after the news bound."""
+        limit = req.arrived + NEWS_BOUND_S
+        own = self._own(req.pool).last
+        if max(own[req.tier + 1 :], default=-math.inf) > limit:
+            return False
+        return all(
+            max(pressure[req.pool].last[req.tier + 1 :], default=-math.inf) <= limit
+            for pressure in self._peers.values()
+            if req.pool in pressure
+        )
+
+    def starving(self, pool: str, tier: int, now: float) -> bool:
+        """Tell whether the tier's share of the pool's admissions is below the minimum.
+
+        The node's own share is counted. What the peers admitted is inferred from their evidence:
+        a tier that any node admitted within one mean interval of its minimum share is not starving.
+        """
+        own = self._own(pool)
+        while own.admitted and own.admitted[0][0] < now - SHARE_WINDOW_S:
+            own.admitted.popleft()
+        count = sum(1 for _, number in own.admitted if number == tier)
+        if count and count >= MIN_SHARE * len(own.admitted):
+            return False
+        rate = len(own.admitted) / SHARE_WINDOW_S * max(1, len(self._members.live()))
+        interval = min(SHARE_WINDOW_S, 1.0 / (MIN_SHARE * rate)) if rate else SHARE_WINDOW_S
+        known = [pressure[pool].last[tier] for pressure in self._peers.values() if pool in pressure]
+        return max(known, default=-math.inf) < now - interval
+
+    def predicted_wait(self, pool: str, queue: WaitQueue, tier: int) -> float:
+        """Return the expected wait of a new request of a tier, in seconds."""
+        rate = self._own(pool).drain.rate(tier)
+        return 0.0 if rate is None else queue.work(tier) / rate
+
+    def served(self, waiter: Waiter, now: float) -> None:
+        """Count the work that left the queue."""
+        self._own(waiter.req.pool).drain.served(waiter.cost)
+
+    def update(self, pool: Pool, queue: WaitQueue, now: float) -> None:
+        """Move the floor; lower at once, raise step by step."""
+        own = self._own(pool.name)
+        own.drain.advance(now, len(queue) > 0)
+        wanted = min(self._by_fill(pool, queue), self._by_wait(pool.name, queue, own))
+        if wanted <= own.tier:
+            if wanted < MAX_TIER:
+                own.pressed = now
+            own.lower(wanted, now)
+        elif now - own.pressed >= RAISE_AFTER_S:
+            own.rise(now)
+
+    def fill(self, heartbeat: Heartbeat) -> None:
+        """Write floors and admission ages."""
+        now = self._clock()
+        for name, own in self._floors.items():
+            ages = [_age_ms(now, time) for time in own.last[1:]]
+            while ages and ages[-1] < 0:
+                ages.pop()
+            heartbeat.pressure.append(Pressure(name, own.tier, ages))
+
+    def observe(self, heartbeat: Heartbeat) -> None:
+        """Take over floors and admission ages of a peer."""
+        now = self._clock()
+        known: dict[str, _PeerPressure] = {}
+        for item in heartbeat.pressure:
+            last = [-math.inf] * (MAX_TIER + 1)
+            for tier, age in enumerate(item.admit_age_ms[:MAX_TIER], start=1):
+                if age >= 0:
+                    last[tier] = now - age / 1000
+            known[item.pool] = _PeerPressure(item.floor, last)
+        self._peers = {
+            node: pressure
+            for node, pressure in self._peers.items()
+            if self._members.state(node) is not MemberState.DEAD
+        }
+        self._peers[heartbeat.node] = known
+
+    def _admit(
+        self,
+        pool: Pool,
+        waiter: Waiter,
+        now: float,
+        displaced: Waiter | None = None,
+        quota: bool = False,
+    ) -> Verdict:
+        own, tier = self._own(pool.name), waiter.req.tier
+        own.last[tier] = now
+        own.admitted.append((now, tier))
+        own.drain.arrived(tier, waiter.cost)
+        return Verdict(True, displaced=displaced, quota=quota)
+
+    def _by_fill(self, pool: Pool, queue: WaitQueue) -> int:
+        fill = len(queue) / pool.queue_limit
+        if fill < FILL_START:
+            return MAX_TIER
+        worst = max(queue.counts())
+        return max(1, worst - math.floor((worst - 1) * (fill - FILL_START) / (1.0 - FILL_START)))
+
+    def _by_wait(self, pool: str, queue: WaitQueue, own: _Floor) -> int:
+        if not len(queue):
+            return MAX_TIER
+        for tier in range(1, MAX_TIER + 1):
+            if self.predicted_wait(pool, queue, tier) > own.patience[tier]:
+                return tier
+        return MAX_TIER
+
+    def _own(self, pool: str) -> _Floor:
+        found = self._floors.get(pool)
+        if found is None:
+            found = self._floors[pool] = _Floor()
+        return found
+
+
+def _age_ms(now: float, time: float) -> int:
+    age = (now - time) * 1000
+    return int(age) if age < AGE_LIMIT_MS else -1
--- /dev/null
+++ b/lacewinghub/bench.py
@@ -0,0 +1,286 @@
+"""Compares the versions of the decisions over all scenarios.
+
+``python -m lacewinghub.bench`` prints one JSON object per line.
+"""
+
+import argparse
+import asyncio
+import json
+import time
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from dataclasses import asdict, dataclass
+from typing import TypeVar
+
+import looptime
+
+from .scenario import DEPLOYMENTS, QUICK, SCENARIOS, Deployment, Scenario, shortened
+from .simulation import VERSIONS, Result, Run, Simulation
+
+SEED = 1
+
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, slots=True)
+class Attained:
+    """Shares of the arrived requests of a class that met each target; refused ones did not.
+
+    Attributes:
+        requests: Number of requests.
+        finished: Share that finished.
+        first_token: Share within the first-token target.
+        between_tokens: Share within the between-token target.
+        completion: Share within the completion target.
+        all: Share that met all targets.
+    """
+
+    requests: int
+    finished: float
+    first_token: float
+    between_tokens: float
+    completion: float
+    all: float
+
+
+@dataclass(frozen=True, slots=True)
+class Measure:
+    """Figures of one run.
+
+    Attributes:
+        scenario: Name of the scenario.
+        deployment: Name of the deployment.
+        version: Version of the decisions.
+        seed: Seed.
+        attainment: By class.
+        top_tier: Share of the requests of the top tiers of all pools that met all targets.
+        goodput: Tokens per second of answers that met their targets.
+        throughput: Tokens per second of all finished answers.
+        wasted: Wasted tokens by cause.
+        wasted_share: Wasted tokens over generated tokens.
+        refusals: Refused requests by tier.
+        share: Share of each class in the finished answers of its pool.
+        fairness: Jain index over the workspaces of served work relative to the fair share.
+        cpu_ms_per_s: CPU time of the decisions per node and simulated second, in milliseconds.
+        control_bytes_per_s: Bytes sent between nodes per node and second.
+        wall_s: Time that the run took.
+    """
+
+    scenario: str
+    deployment: str
+    version: str
+    seed: int
+    attainment: dict[str, Attained]
+    top_tier: float
+    goodput: float
+    throughput: float
+    wasted: dict[str, int]
+    wasted_share: float
+    refusals: dict[str, int]
+    share: dict[str, float]
+    fairness: float
+    cpu_ms_per_s: float
+    control_bytes_per_s: float
+    wall_s: float
+
+
+def simulate(scenario: Scenario, deployment: Deployment, version: str, seed: int = SEED) -> Measure:
+    """Run one scenario with one version and measure it.
+
+    Args:
+        scenario: The scenario.
+        deployment: The deployment.
+        version: One of ``simulation.VERSIONS``.
+        seed: Seed of all randomness.
+
+    Returns:
+        The figures.
+    """
+    began = time.perf_counter()
+    sim = Simulation(scenario, deployment, version, seed)
+    with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
+        run = runner.run(sim.run())
+    return measure(sim, run, time.perf_counter() - began)
+
+
+def measure(sim: Simulation, run: Run, wall_s: float) -> Measure:
+    """Compute the figures of a run.
+
+    Args:
+        sim: The simulation.
+        run: Its outcome.
+        wall_s: Time that it took, in seconds.
+
+    Returns:
+        The figures.
+    """
+    begin, end = sim.scenario.measured
+    arrived = [item for item in run.results if begin <= item.call.time < end]
+    top = sim.deployment.top_tiers()
+    tops = [item for item in arrived if item.call.kind.tier == top[item.call.kind.pool]]
+    done = [
+        item
+        for item in run.results
+        if item.end == "finished" and begin <= item.done - sim.started < end
+    ]
+    node_s = len(sim.nodes) * run.simulated_s
+    return Measure(
+        scenario=sim.scenario.name,
+        deployment=sim.deployment.name,
+        version=sim.version,
+        seed=sim.seed,
+        attainment={
+            kind.name: _attained([item for item in arrived if item.call.kind is kind], sim.started)
+            for kind in sim.deployment.classes
+        },
+        top_tier=_share(tops, lambda item: all(_met(item, sim.started))),
+        goodput=_rate([item for item in done if all(_met(item, sim.started))], end - begin),
+        throughput=_rate(done, end - begin),
+        wasted={cause: count for cause, count in run.wasted.items() if count},
+        wasted_share=round(sum(run.wasted.values()) / max(1, run.generated), 5),
+        refusals=_refusals(arrived),
+        share=_shares(sim, done),
+        fairness=_fairness(arrived),
+        cpu_ms_per_s=round(1000 * run.cpu_s / node_s, 3),
+        control_bytes_per_s=round(run.control_bytes / node_s, 1),
+        wall_s=round(wall_s, 2),
+    )
+
+
+def jain(values: Iterable[float]) -> float:
+    """Return the Jain index of fairness: 1 when all values are equal, 1/n when one has all."""
+    found = list(values)
+    squares = sum(value * value for value in found)
+    return sum(found) ** 2 / (len(found) * squares) if squares else 1.0
+
+
+def fair_shares(demands: Mapping[str, float], total: float) -> dict[str, float]:
+    """Divide a total max-min fairly.
+
+    Args:
+        demands: Demand by name.
+        total: What there is to divide.
+
+    Returns:
+        The share by name, at most its demand.
+    """
+    shares: dict[str, float] = {}
+    for number, (name, demand) in enumerate(sorted(demands.items(), key=lambda item: item[1])):
+        shares[name] = min(demand, total / (len(demands) - number))
+        total -= shares[name]
+    return shares
+
+
+def _met(item: Result, started: float) -> tuple[bool, bool, bool]:
+    """Tell whether the first-token, between-token and completion targets were met."""
+    target, arrived = item.call.kind.target, started + item.call.time
+    if item.end != "finished" or item.first is None:
+        return (False, False, False)
+    between = (item.done - item.first) / max(1, item.tokens - 1)
+    return (
+        target.first_token_s is None or item.first - arrived <= target.first_token_s,
+        target.between_tokens_s is None or between <= target.between_tokens_s,
+        target.completion_s is None or item.done - arrived <= target.completion_s,
+    )
+
+
+def _attained(items: list[Result], started: float) -> Attained:
+    met = [_met(item, started) for item in items]
+    return Attained(
+        len(items),
+        _share(items, lambda item: item.end == "finished"),
+        _share(met, lambda flags: flags[0]),
+        _share(met, lambda flags: flags[1]),
+        _share(met, lambda flags: flags[2]),
+        _share(met, all),
+    )
+
+
+def _share(items: list[T], holds: Callable[[T], bool]) -> float:
+    return round(sum(1 for item in items if holds(item)) / len(items), 4) if items else 1.0
+
+
+def _rate(items: list[Result], seconds: float) -> float:
+    return round(sum(item.tokens for item in items) / seconds, 1)
+
+
+def _refusals(items: list[Result]) -> dict[str, int]:
+    found = Counter(
+        f"{item.call.kind.pool}.{item.call.kind.tier}"
+        for item in items
+        if item.end in ("refused", "not_run")
+    )
+    return dict(sorted(found.items()))
+
+
+def _shares(sim: Simulation, done: list[Result]) -> dict[str, float]:
+    pools = Counter(item.call.kind.pool for item in done)
+    kinds = Counter(item.call.kind.name for item in done)
+    return {
+        kind.name: round(kinds[kind.name] / max(1, pools[kind.pool]), 4)
+        for kind in sim.deployment.classes
+    }
+
+
+def _fairness(items: list[Result]) -> float:
+    """Fairness in the first pool, over the tiers in which something was refused.
+
+    Within a tier, what the workspaces were served is compared with the max-min fair division of
+    what the tier was served. The lowest index of all tiers counts.
+    """
+    tiers: dict[tuple[str, int], list[Result]] = defaultdict(list)
+    for item in items:
+        tiers[item.call.kind.pool, item.call.kind.tier].append(item)
+    lowest = 1.0
+    for group in tiers.values():
+        demand: Counter[str] = Counter()
+        served: Counter[str] = Counter()
+        for item in group:
+            demand[item.call.workspace] += item.call.output
+            served[item.call.workspace] += item.tokens if item.end == "finished" else 0
+        if sum(served.values()) < 0.05 * sum(demand.values()):
+            continue
+        fair = fair_shares(demand, sum(served.values()))
+        lowest = min(lowest, jain(min(1.0, served[name] / fair[name]) for name in demand))
+    return round(lowest, 4)
+
+
+def _runs(
+    scenarios: Iterable[Scenario], deployments: Iterable[Deployment], versions: Iterable[str]
+) -> Iterator[tuple[Scenario, Deployment, str]]:
+    versions = list(versions)
+    for deployment in list(deployments):
+        for scenario in scenarios:
+            for version in versions:
+                yield scenario, deployment, version
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the comparison and print one JSON object per run.
+
+    Args:
+        argv: Arguments; by default those of the process.
+
+    Returns:
+        Exit status.
+    """
+    parser = argparse.ArgumentParser(prog="lacewinghub bench", description=__doc__)
+    parser.add_argument("--quick", action="store_true", help="two short scenarios only")
+    parser.add_argument("--seed", type=int, default=SEED)
+    parser.add_argument("--scenario", action="append", choices=[item.name for item in SCENARIOS])
+    parser.add_argument("--deployment", action="append", choices=list(DEPLOYMENTS))
+    parser.add_argument("--version", action="append", choices=list(VERSIONS))
+    args = parser.parse_args(argv)
+    names = args.scenario or (QUICK if args.quick else [item.name for item in SCENARIOS])
+    scenarios = [item for item in SCENARIOS if item.name in names]
+    if args.quick:
+        scenarios = [shortened(item) for item in scenarios]
+    default = ["trust"] if args.quick else list(DEPLOYMENTS)
+    deployments = [DEPLOYMENTS[name] for name in args.deployment or default]
+    for scenario, deployment, version in _runs(scenarios, deployments, args.version or VERSIONS):
+        print(json.dumps(asdict(simulate(scenario, deployment, version, args.seed))), flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/lacewinghub/broker.py
@@ -0,0 +1,377 @@
+"""Hands out the slots of runner groups to the nodes."""
+
+import asyncio
+import random
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+
+from .group import Group, Groups
+from .limit import ConcurrencyLimit
+from .message import REFUSED, Demand, GrantItem, Grants, GroupFree, Release, ReleaseItem
+from .scheduler import PoolView
+from .selection import AFFINITY_BOUND
+from .tables import Endpoint
+from .transport import Transport
+
+LEASE_S = 2.0
+START_S = 0.5  # A new broker waits this long for the demands of all nodes.
+SWEEP_S = 0.1
+IDLE_S = 10.0  # A group without demands for this long is dropped.
+ANSWER_EVERY_S = 0.1  # Smallest interval between empty answers to a node.
+MIN_SHARE = 0.02
+MAX_CREDIT = 1.0
+CRASH_REST_S = 1.0  # First pause after a crash; doubles up to MAX_REST_S.
+MAX_REST_S = 8.0
+SLOW_FACTOR = 2.0  # Against the group's median time between tokens.
+PROBE_EVERY_S = 2.0
+REFUSAL_S = 1.0  # How long a node is not offered an endpoint that it gave back.
+SPEED_WEIGHT = 0.3
+
+
+@dataclass(slots=True)
+class _Lease:
+    endpoint: str
+    tier: int
+    expires: float
+    confirmed: bool
+
+
+@dataclass(slots=True)
+class _Node:
+    """Demand of one node."""
+
+    seq: int = -1
+    seen: float = 0.0
+    answered: float = 0.0
+    waiting: Counter[tuple[int, str]] = field(default_factory=Counter)
+    refused: dict[str, float] = field(default_factory=dict)
+    turn: float = 0.0
+
+
+@dataclass(slots=True)
+class _Runner:
+    """Slots and speed of one endpoint."""
+
+    limit: ConcurrencyLimit
+    granted: int = 0
+    between_tokens_s: float | None = None
+    rests_until: float = 0.0
+    rest_s: float = CRASH_REST_S
+    probed: float = 0.0
+
+
+@dataclass(slots=True)
+class _State:
+    """What the broker keeps for one group."""
+
+    group: Group
+    started: float
+    seen: float
+    nodes: dict[str, _Node] = field(default_factory=dict)
+    leases: dict[tuple[str, int], _Lease] = field(default_factory=dict)
+    runners: dict[str, _Runner] = field(default_factory=dict)
+    credit: defaultdict[int, float] = field(default_factory=lambda: defaultdict(float))
+
+
+class Broker:
+    """Broker of every group that some node asks this node for.
+
+    All state is soft: it is rebuilt from the demands of the nodes.
+
+    Args:
+        transport: Connects the nodes.
+        view: Pools and usable endpoints.
+        rng: Source of randomness.
+    """
+
+    def __init__(
+        self,
+        transport: Transport,
+        view: PoolView,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._transport = transport
+        self._view = view
+        self._rng = rng or random.Random()
+        self._last_id = self._rng.getrandbits(24) << 8
+        self._groups = Groups(view)
+        self._states: dict[str, _State] = {}
+        transport.subscribe(Demand, self._on_demand)
+        transport.subscribe(Release, self._on_release)
+
+    def free(self) -> list[GroupFree]:
+        """Return the free slots of each group that this node is broker of."""
+        now = _now()
+        return [
+            GroupFree(name, sum(self._room(state, item, now) for item in self._usable(state)))
+            for name, state in self._states.items()
+        ]
+
+    async def run(self) -> None:
+        """Free expired leases and drop idle groups until cancelled."""
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            now = _now()
+            for state in list(self._states.values()):
+                self._expire(state, now)
+                if now - state.seen > IDLE_S:
+                    del self._states[state.group.name]
+                else:
+                    self._grant(state, now)
+
+    def _on_demand(self, sender: str, demand: Demand) -> None:
+        now = _now()
+        state = self._open(demand.group, now)
+        if state is None:
+            return
+        state.seen = now
+        node = state.nodes.setdefault(sender, _Node())
+        if demand.seq <= node.seq and now - node.seen < LEASE_S:
+            return
+        node.seq, node.seen = demand.seq, now
+        self._take_held(state, sender, demand, now)
+        node.waiting = Counter()
+        for item in demand.waiting:
+            node.waiting[item.tier, item.preferred] += item.count
+        for (holder, _), lease in state.leases.items():
+            if holder == sender and not lease.confirmed:
+                _subtract(node.waiting, lease.tier)
+        self._grant(state, now)
+        if now - state.started >= START_S and now - node.answered >= ANSWER_EVERY_S:
+            self._answer(state, sender, [], now)
+
+    def _on_release(self, sender: str, release: Release) -> None:
+        state = self._states.get(release.group)
+        if state is None:
+            return
+        now = _now()
+        for item in release.items:
+            lease = state.leases.get((sender, item.id))
+            if lease is None:
+                continue
+            if item.tokens != REFUSED:
+                self._learn(state, lease, item, now)
+            elif sender in state.nodes:
+                state.nodes[sender].refused[item.endpoint] = now + REFUSAL_S
+            self._end(state, (sender, item.id))
+        self._grant(state, now)
+
+    def _open(self, name: str, now: float) -> _State | None:
+        state = self._states.get(name)
+        group = self._groups.find(name)
+        if group is None:
+            return None
+        if state is None:
+            state = self._states[name] = _State(group, now, now)
+            asyncio.get_running_loop().call_later(START_S, self._start, state)
+        state.group = group
+        return state
+
+    def _start(self, state: _State) -> None:
+        self._grant(state, _now())
+
+    def _take_held(self, state: _State, sender: str, demand: Demand, now: float) -> None:
+        listed = set()
+        for item in demand.held:
+            key = (sender, item.id)
+            listed.add(key)
+            lease = state.leases.get(key)
+            if lease is None:
+                lease = state.leases[key] = _Lease(item.endpoint, item.tier, now, True)
+                self._runner(state, item.endpoint).granted += 1
+            lease.confirmed = True
+            lease.expires = now + LEASE_S
+        ended = [
+            key
+            for key, lease in state.leases.items()
+            if key[0] == sender and lease.confirmed and key not in listed
+        ]
+        for key in ended:
+            self._end(state, key)
+
+    def _learn(self, state: _State, lease: _Lease, item: ReleaseItem, now: float) -> None:
+        runner = self._runner(state, lease.endpoint)
+        if item.crashed:
+            if now >= runner.rests_until:
+                runner.rests_until = now + runner.rest_s
+                runner.rest_s = min(MAX_REST_S, 2 * runner.rest_s)
+            return
+        if item.ok:
+            runner.rest_s = CRASH_REST_S
+        first = item.first_token_ms / 1000 if item.first_token_ms >= 0 else None
+        between = item.between_tokens_us / 1e6 if item.between_tokens_us >= 0 else None
+        if between is not None and item.tokens > 1:
+            old = runner.between_tokens_s
+            change = SPEED_WEIGHT * (between - old) if old is not None else 0.0
+            runner.between_tokens_s = between if old is None else old + change
+        target = self._view.target(state.group.pool, lease.tier)
+        runner.limit.observe(first, between, target, runner.granted, now)
+
+    def _end(self, state: _State, key: tuple[str, int]) -> None:
+        lease = state.leases.pop(key, None)
+        if lease is not None:
+            self._runner(state, lease.endpoint).granted -= 1
+
+    def _expire(self, state: _State, now: float) -> None:
+        for key in [key for key, lease in state.leases.items() if lease.expires <= now]:
+            self._end(state, key)
+        for name in [name for name, node in state.nodes.items() if now - node.seen > LEASE_S]:
+            del state.nodes[name]
+
+    def _grant(self, state: _State, now: float) -> None:
+        if now - state.started < START_S:
+            return
+        made: dict[str, list[GrantItem]] = {}
+        endpoints = self._usable(state)
+        slow = self._slow(state, endpoints)
+        while waiting := _by_tier(state):
+            free = [item for item in endpoints if self._room(state, item, now) > 0]
+            tier, only = self._next_tier(state, waiting)
+            free, tier = self._without_slow(state, free, slow, tier, waiting, now)
+            if not free:
+                break
+            name = _next_node(state, tier)
+            node = state.nodes[name]
+            free = [item for item in free if node.refused.get(item.name, 0.0) <= now]
+            preferred = _take_waiting(node, tier)
+            if not free:
+                continue
+            chosen = self._choose(state, free, preferred, endpoints)
+            item = self._lease(state, name, chosen.name, tier, now)
+            item.only = only
+            made.setdefault(name, []).append(item)
+            _pay(state, waiting, tier)
+        for name, items in made.items():
+            self._answer(state, name, items, now)
+
+    def _lease(self, state: _State, node: str, endpoint: str, tier: int, now: float) -> GrantItem:
+        self._last_id += 1
+        state.leases[node, self._last_id] = _Lease(endpoint, tier, now + LEASE_S, False)
+        self._runner(state, endpoint).granted += 1
+        return GrantItem(self._last_id, endpoint, tier)
+
+    def _answer(self, state: _State, node: str, items: list[GrantItem], now: float) -> None:
+        state.nodes[node].answered = now
+        self._transport.send(node, Grants(state.group.name, items))
+
+    def _next_tier(self, state: _State, waiting: Counter[int]) -> tuple[int, bool]:
+        starving = [tier for tier in waiting if state.credit[tier] >= MAX_CREDIT]
+        highest = min(waiting)
+        if not starving or highest in starving:
+            return highest, False
+        return min(starving), True
+
+    def _without_slow(
+        self,
+        state: _State,
+        free: list[Endpoint],
+        slow: set[str],
+        tier: int,
+        waiting: Counter[int],
+        now: float,
+    ) -> tuple[list[Endpoint], int]:
+        """Keep slow endpoints for a probe now and then, with a request of the lowest tier."""
+        fast = [item for item in free if item.name not in slow]
+        if fast or not slow:
+            return fast, tier
+        for item in free:
+            runner = self._runner(state, item.name)
+            if runner.granted == 0 and now - runner.probed >= PROBE_EVERY_S:
+                runner.probed = now
+                return [item], max(waiting)
+        return [], tier
+
+    def _slow(self, state: _State, endpoints: list[Endpoint]) -> set[str]:
+        speeds: dict[str, float] = {}
+        for item in endpoints:
+            speed = self._runner(state, item.name).between_tokens_s
+            if speed is not None:
+                speeds[item.name] = speed
+        if len(speeds) < 2:
+            return set()
+        median = sorted(speeds.values())[(len(speeds) - 1) // 2]
+        return {name for name, speed in speeds.items() if speed > SLOW_FACTOR * median}
+
+    def _choose(
+        self, state: _State, free: list[Endpoint], preferred: str, endpoints: list[Endpoint]
+    ) -> Endpoint:
+        if preferred:
+            mean = sum(self._load(state, item) for item in endpoints) / len(endpoints)
+            for item in free:
+                if item.name == preferred and self._load(state, item) <= AFFINITY_BOUND * mean:
+                    return item
+        if len(free) == 1:
+            return free[0]
+        return min(self._rng.sample(free, 2), key=lambda item: self._load(state, item))
+
+    def _load(self, state: _State, item: Endpoint) -> float:
+        runner = self._runner(state, item.name)
+        return (runner.granted + 1) / runner.limit.value
+
+    def _room(self, state: _State, item: Endpoint, now: float) -> int:
+        runner = self._runner(state, item.name)
+        if runner.limit.slots != item.slots:
+            runner.limit = ConcurrencyLimit(item.slots)
+        return max(0, runner.limit.value - runner.granted) if runner.rests_until <= now else 0
+
+    def _usable(self, state: _State) -> list[Endpoint]:
+        return self._groups.usable(state.group)
+
+    def _runner(self, state: _State, endpoint: str) -> _Runner:
+        found = state.runners.get(endpoint)
+        if found is None:
+            item = next((item for item in state.group.endpoints if item.name == endpoint), None)
+            found = _Runner(ConcurrencyLimit(item.slots if item else 1))
+            state.runners[endpoint] = found
+        return found
+
+
+def _by_tier(state: _State) -> Counter[int]:
+    found: Counter[int] = Counter()
+    for node in state.nodes.values():
+        for (tier, _), count in node.waiting.items():
+            found[tier] += count
+    return found
+
+
+def _next_node(state: _State, tier: int) -> str:
+    """Take turns, weighted by waiting counts (smooth weighted round robin)."""
+    total, best, best_turn = 0, "", float("-inf")
+    for name, node in state.nodes.items():
+        count = sum(count for (number, _), count in node.waiting.items() if number == tier)
+        if not count:
+            continue
+        total += count
+        node.turn += count
+        if node.turn > best_turn:
+            best, best_turn = name, node.turn
+    state.nodes[best].turn -= total
+    return best
+
+
+def _take_waiting(node: _Node, tier: int) -> str:
+    options = [(count, name) for (number, name), count in node.waiting.items() if number == tier]
+    _, preferred = max(options)
+    _subtract(node.waiting, tier, preferred)
+    return preferred
+
+
+def _pay(state: _State, waiting: Counter[int], served: int) -> None:
+    """Every waiting tier earns its minimum share of a slot; the served one pays for it."""
+    for tier in waiting:
+        state.credit[tier] = min(MAX_CREDIT, state.credit[tier] + MIN_SHARE)
+    state.credit[served] = max(0.0, state.credit[served] - 1.0)
+
+
+def _subtract(waiting: Counter[tuple[int, str]], tier: int, preferred: str | None = None) -> None:
+    """Count one waiting request of a tier off; without a preference, any of them."""
+    for key in waiting:
+        if key[0] == tier and preferred in (None, key[1]):
+            waiting[key] -= 1
+            if waiting[key] <= 0:
+                del waiting[key]
+            return
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/lacewinghub/brokered.py
@@ -0,0 +1,226 @@
+"""The current scheduler: brokered grants, with direct dispatch when the broker is silent."""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from .admission import Admission, FloorAdmission
+from .broker import Broker
+from .errors import UnknownPool
+from .grant import GrantClient
+from .group import Group, Groups, pool_of
+from .history import History
+from .length import LengthEstimator
+from .local import QueueScheduler
+from .membership import Contributor, Members
+from .message import REFUSED, GrantItem, Heartbeat
+from .prefix import PrefixMap
+from .queue import TierQueue, Waiter, WaitQueue
+from .request import Grant, Observation, Request
+from .scheduler import PoolView
+from .selection import Affinity, LoadReports, TwoChoices
+from .transport import Transport
+
+TICK_S = 0.05
+REGROUP_S = 0.5  # A request that waits longer asks the broker with the most free slots each tick.
+MEDIAN = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class _Use:
+    """A grant in use."""
+
+    group: str
+    number: int
+    req: Request
+
+
+class BrokeredScheduler(QueueScheduler, Contributor):
+    """Tier queues, floors shared between nodes, and slots granted by brokers.
+
+    Args:
+        view: Pools and usable endpoints.
+        reports: Reported loads, for direct dispatch.
+        transport: Connects the nodes.
+        members: View of the live nodes.
+        history: Receives the events ``admitted`` and ``shed``.
+        rng: Source of randomness.
+        admission: Admission rules; by default ``FloorAdmission``.
+    """
+
+    def __init__(
+        self,
+        view: PoolView,
+        reports: LoadReports,
+        transport: Transport,
+        members: Members,
+        history: History | None = None,
+        rng: random.Random | None = None,
+        admission: Admission | None = None,
+    ) -> None:
+        self.floors = FloorAdmission(members, _now)
+        super().__init__(view, TierQueue, admission or self.floors, history)
+        self.lengths = LengthEstimator()
+        self.prefixes = PrefixMap()
+        self.broker = Broker(transport, view, rng)
+        self._rng = rng or random.Random()
+        self._members = members
+        self._groups = Groups(view)
+        self._client = GrantClient(
+            transport, members, self._groups.find, self._waiters, self._on_grant
+        )
+        self._selection = Affinity(self.prefixes, TwoChoices(reports, rng), reports)
+        self._uses: dict[int, _Use] = {}
+        self._advertised: dict[str, int] = {}
+
+    def make_waiter(self, req: Request, fut: asyncio.Future[Grant]) -> Waiter:
+        """Estimate the work, choose a group and the preferred endpoint."""
+        waiter = super().make_waiter(req, fut)
+        waiter.cost = self.lengths.quantile(req.request_class, req.workspace, MEDIAN)
+        group = self._choose_group(req.pool)
+        waiter.group = group.name
+        if req.prefix:
+            names = [item.name for item in group.endpoints if item.name not in req.avoid]
+            waiter.preferred = self.prefixes.best(req.prefix, names)
+        return waiter
+
+    def pump(self, pool: str) -> None:
+        """Tell the brokers about the waiters, or dispatch directly if they are silent."""
+        for group in self._groups.of(pool):
+            if self._client.silent(group.name):
+                self._dispatch(group)
+            self._client.changed(group.name)
+
+    def release(self, grant: Grant, seen: Observation) -> None:
+        """Return a slot to its broker and learn from what was measured."""
+        use = self._uses.pop(grant.id, None)
+        if use is None:
+            return
+        in_flight = self.state(grant.pool).in_flight
+        in_flight[grant.endpoint] = max(0, in_flight[grant.endpoint] - 1)
+        if seen.crashed:
+            self.prefixes.forget(grant.endpoint)
+        elif seen.ok and seen.tokens:
+            total = use.req.sent_tokens or seen.tokens
+            self.lengths.observe(use.req.request_class, use.req.workspace, total)
+        self._client.give_back(use.group, use.number, grant.endpoint, seen)
+        if self._client.silent(use.group):
+            self.pump(grant.pool)
+
+    async def run(self) -> None:
+        """Run the broker and the periodic work until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.broker.run())
+            tasks.create_task(self._tick())
+
+    def fill(self, heartbeat: Heartbeat) -> None:
+        """Write floors, admission ages and free slots."""
+        self.floors.fill(heartbeat)
+        heartbeat.free.extend(self.broker.free())
+
+    def observe(self, heartbeat: Heartbeat) -> None:
+        """Take over floors, admission ages and free slots of a peer."""
+        self.floors.observe(heartbeat)
+        for item in heartbeat.free:
+            self._advertised[item.group] = item.free
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = _now()
+            for name in list(self._pools):
+                with contextlib.suppress(UnknownPool):
+                    self._tick_pool(name, now)
+            self._client.tick()
+
+    def _tick_pool(self, name: str, now: float) -> None:
+        queue = self.state(name).queue
+        self.admission.update(self.view.pool(name), queue, now)
+        groups = self._groups.of(name)
+        for group in groups:
+            if len(queue) and self._client.silent(group.name):
+                self._dispatch(group)
+        names = {group.name for group in groups}
+        for waiter in queue:
+            late = len(groups) > 1 and now - waiter.req.arrived > REGROUP_S
+            if late or waiter.group not in names:
+                waiter.group = self._choose_group(name).name
+
+    def _on_grant(self, name: str, item: GrantItem) -> None:
+        pool = pool_of(name)
+        queue = self.state(pool).queue
+        usable = {endpoint.name for endpoint in self.view.usable(pool)}
+        waiter = None
+        if item.endpoint in usable:
+
+            def fits(waiter: Waiter) -> int:
+                if item.endpoint in waiter.req.avoid and not usable <= waiter.req.avoid:
+                    return 0
+                return 1 + (waiter.preferred == item.endpoint)
+
+            waiter = queue.pop(fits, item.tier if item.only else None)
+            if waiter is None and item.only:
+                waiter = queue.pop(fits)
+        if waiter is None:
+            refused = REFUSED if len(queue) else 0
+            self._client.give_back(
+                name, item.id, item.endpoint, Observation(ok=False, tokens=refused)
+            )
+            return
+        self._client.hold(name, item, waiter.req.tier)
+        self._use(waiter, name, item.id, item.endpoint, brokered=True)
+        if waiter.req.tier != item.tier or waiter.group != name:
+            self._client.changed(name)
+            self._client.changed(waiter.group)
+
+    def _dispatch(self, group: Group) -> None:
+        state = self.state(group.pool)
+        live = max(1, len(self._members.live()))
+        while len(state.queue):
+            free = [
+                item
+                for item in self._groups.usable(group)
+                if state.in_flight[item.name] < max(1, item.slots // live)
+            ]
+            if not free:
+                return
+            names = {item.name for item in free}
+            waiter = _pop_for(state.queue, names)
+            if waiter is None:
+                return
+            better = [item for item in free if item.name not in waiter.req.avoid]
+            chosen = self._selection.choose(waiter.req, better or free, state.in_flight)
+            number = self._client.hold_direct(group.name, chosen.name, waiter.req.tier)
+            self._use(waiter, group.name, number, chosen.name, brokered=False)
+
+    def _use(self, waiter: Waiter, group: str, number: int, endpoint: str, brokered: bool) -> None:
+        req = waiter.req
+        grant = Grant(self.next_grant(), req.pool, endpoint, brokered)
+        self._uses[grant.id] = _Use(group, number, req)
+        if req.prefix:
+            item = self.view.pool(req.pool).endpoint(endpoint)
+            self.prefixes.record(endpoint, req.prefix, item.cache_blocks if item else 0)
+        self.give(waiter, grant)
+
+    def _waiters(self, group: str) -> Iterator[Waiter]:
+        state = self._pools.get(pool_of(group))
+        if state is None:
+            return iter(())
+        return (waiter for waiter in state.queue if waiter.group == group)
+
+    def _choose_group(self, pool: str) -> Group:
+        """Two random choices over the free slots that the brokers advertised."""
+        groups = self._groups.of(pool)
+        pair = groups if len(groups) <= 2 else self._rng.sample(groups, 2)
+        return max(pair, key=lambda group: self._advertised.get(group.name, 0))
+
+
+def _pop_for(queue: WaitQueue, names: set[str]) -> Waiter | None:
+    """Take the next waiter, if possible one that does not avoid all of these endpoints."""
+    return queue.pop(lambda waiter: not names <= waiter.req.avoid) or queue.pop()
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/lacewinghub/grant.py
@@ -0,0 +1,178 @@
+"""Asks the brokers of runner groups for slots on behalf of one node."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from .group import Group, broker_of
+from .membership import Members
+from .message import Demand, GrantItem, Grants, Held, Release, ReleaseItem, Waiting
+from .queue import Waiter
+from .request import Observation
+from .tables import MAX_TIER
+from .transport import Transport
+
+COALESCE_S = 0.005
+RENEW_S = 0.25
+REPEAT_S = 0.1  # Interval at which an unanswered demand is sent again.
+SILENCE_S = 0.3  # Without an answer for this long, the node dispatches directly.
+
+OnGrant = Callable[[str, GrantItem], None]
+Waiters = Callable[[str], Iterable[Waiter]]
+
+
+@dataclass(slots=True)
+class _Asked:
+    """State of the conversation about one group."""
+
+    seq: int = 0
+    broker: str | None = None
+    sent: float = float("-inf")
+    asked: float | None = None
+    scheduled: bool = False
+    held: dict[int, Held] = field(default_factory=dict)
+
+
+class GrantClient:
+    """Sends demands and releases, and receives grants.
+
+    Args:
+        transport: Connects the nodes.
+        members: View of the live nodes.
+        find: Returns a group by name, or None.
+        waiters: Returns the waiters assigned to a group.
+        on_grant: Receives each granted slot with the name of its group.
+    """
+
+    def __init__(
+        self,
+        transport: Transport,
+        members: Members,
+        find: Callable[[str], Group | None],
+        waiters: Waiters,
+        on_grant: OnGrant,
+    ) -> None:
+        self._transport = transport
+        self._members = members
+        self._find = find
+        self._waiters = waiters
+        self._on_grant = on_grant
+        self._asked: dict[str, _Asked] = {}
+        self._last_direct = 0
+        transport.subscribe(Grants, self._on_grants)
+
+    def changed(self, group: str) -> None:
+        """Send a demand soon, because the waiters or grants of a group changed."""
+        state = self._state(group)
+        if state.scheduled:
+            return
+        state.scheduled = True
+        loop = asyncio.get_running_loop()
+        wait = max(0.0, state.sent + COALESCE_S - loop.time())
+        loop.call_later(wait, self._send, group)
+
+    def hold(self, group: str, item: GrantItem, tier: int) -> None:
+        """Keep a granted slot for a request of a tier."""
+        self._state(group).held[item.id] = Held(item.id, item.endpoint, tier)
+
+    def hold_direct(self, group: str, endpoint: str, tier: int) -> int:
+        """Tell the broker about a slot that was taken without it.
+
+        Returns:
+            The identifier of the slot; negative, so that it differs from all granted ones.
+        """
+        self._last_direct -= 1
+        self.hold(group, GrantItem(self._last_direct, endpoint, tier), tier)
+        return self._last_direct
+
+    def give_back(self, group: str, number: int, endpoint: str, seen: Observation) -> None:
+        """Release a slot with what was measured."""
+        state = self._state(group)
+        state.held.pop(number, None)
+        item = ReleaseItem(
+            number,
+            endpoint,
+            seen.ok,
+            _scaled(seen.first_token_s, 1e3),
+            _scaled(seen.between_tokens_s, 1e6),
+            seen.tokens,
+            seen.crashed,
+        )
+        broker = state.broker or self._broker(group)
+        if broker is not None:
+            self._transport.send(broker, Release(group, [item]))
+
+    def silent(self, group: str) -> bool:
+        """Tell whether a demand has been without an answer for too long."""
+        asked = self._state(group).asked
+        return asked is not None and _now() - asked > SILENCE_S
+
+    def tick(self) -> None:
+        """Renew leases and repeat unanswered demands; called several times per second."""
+        now = _now()
+        for name, state in self._asked.items():
+            waits = next(iter(self._waiters(name)), None) is not None
+            if not waits:
+                state.asked = None
+            elapsed = now - state.sent
+            if (state.asked is not None and elapsed >= REPEAT_S) or (
+                (state.held or waits) and elapsed >= RENEW_S
+            ):
+                self.changed(name)
+
+    def _send(self, name: str) -> None:
+        state = self._state(name)
+        state.scheduled = False
+        broker = self._broker(name)
+        waiters = list(self._waiters(name))
+        now = _now()
+        state.seq += 1
+        state.sent = now
+        state.broker = broker
+        if state.asked is None and waiters:
+            state.asked = now
+        if broker is not None:
+            self._transport.send(broker, self._demand(name, state, waiters, now))
+
+    def _demand(self, name: str, state: _Asked, waiters: list[Waiter], now: float) -> Demand:
+        counts = Counter((item.req.tier, item.preferred) for item in waiters)
+        oldest = [0] * MAX_TIER
+        for item in waiters:
+            age = int((now - item.req.arrived) * 1000)
+            oldest[item.req.tier - 1] = max(oldest[item.req.tier - 1], age)
+        while oldest and not oldest[-1]:
+            oldest.pop()
+        return Demand(
+            name,
+            state.seq,
+            [Waiting(tier, preferred, count) for (tier, preferred), count in counts.items()],
+            oldest,
+            list(state.held.values()),
+        )
+
+    def _on_grants(self, sender: str, grants: Grants) -> None:
+        state = self._asked.get(grants.group)
+        if state is None:
+            return
+        state.asked = None
+        for item in grants.items:
+            self._on_grant(grants.group, item)
+
+    def _broker(self, name: str) -> str | None:
+        group = self._find(name)
+        return broker_of(group, self._members) if group is not None else None
+
+    def _state(self, group: str) -> _Asked:
+        found = self._asked.get(group)
+        if found is None:
+            found = self._asked[group] = _Asked()
+        return found
+
+
+def _scaled(value: float | None, factor: float) -> int:
+    return -1 if value is None else int(value * factor)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/lacewinghub/limit.py
@@ -0,0 +1,94 @@
+"""Limits that adapt: concurrency of an endpoint and retries of a pool."""
+
+from .tables import Target
+
+DECREASE = 0.8
+DECREASE_EVERY_S = 1.0  # Several answers report the same overload; only the first one counts.
+
+
+class ConcurrencyLimit:
+    """Additive increase, multiplicative decrease on latency against the targets.
+
+    Args:
+        slots: Upper bound, in requests.
+    """
+
+    def __init__(self, slots: int) -> None:
+        self.slots = slots
+        self._value = float(slots)
+        self._decreased = float("-inf")
+
+    @property
+    def value(self) -> int:
+        """Largest number of concurrent requests; at least 1."""
+        return max(1, int(self._value))
+
+    def observe(
+        self,
+        first_token_s: float | None,
+        between_tokens_s: float | None,
+        target: Target,
+        in_use: int,
+        now: float,
+    ) -> None:
+        """Adapt to the latencies of one answer.
+
+        Args:
+            first_token_s: Time from dispatch to the first token in seconds, or None.
+            between_tokens_s: Mean time between tokens in seconds, or None.
+            target: Targets of the class.
+            in_use: Requests at the endpoint; an idle endpoint's latencies do not lower the limit.
+            now: Loop time, in seconds.
+        """
+        if _missed(first_token_s, target.first_token_s) or _missed(
+            between_tokens_s, target.between_tokens_s
+        ):
+            if now - self._decreased >= DECREASE_EVERY_S:
+                self._decreased = now
+                self._value = max(1.0, min(self._value, in_use) * DECREASE)
+            return
+        if in_use >= self.value:
+            self._value = min(float(self.slots), self._value + 1.0 / self._value)
+
+
+def _missed(seen: float | None, target: float | None) -> bool:
+    return seen is not None and target is not None and seen > target
+
+
+class RetryBudget:
+    """Token bucket for retries: a share of the requests, and a minimum rate.
+
+    Args:
+        share: Retries per request.
+        min_per_s: Retries per second that are always permitted.
+        burst: Size of the bucket.
+    """
+
+    def __init__(self, share: float = 0.1, min_per_s: float = 1.0, burst: float = 10.0) -> None:
+        self._share = share
+        self._min_per_s = min_per_s
+        self._burst = burst
+        self._tokens = burst
+        self._time: float | None = None
+
+    def note_request(self) -> None:
+        """Count a request that is not a retry."""
+        self._tokens = min(self._burst, self._tokens + self._share)
+
+    def take(self, now: float) -> bool:
+        """Use up one retry.
+
+        Args:
+            now: Loop time, in seconds.
+
+        Returns:
+            False if the budget is used up.
+        """
+        if self._time is not None:
+            refill = (now - self._time) * self._min_per_s
+            self._tokens = min(self._burst, self._tokens + refill)
+        self._time = now
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
--- a/lacewinghub/local.py
+++ b/lacewinghub/local.py
@@ -63,7 +63,7 @@
         loop = asyncio.get_running_loop()
         waiter = self.make_waiter(req, loop.create_future())
         if not waiter.resumed:
-            self._admit(pool, state, waiter, loop.time())
+            self._admit(pool, state, waiter)
         state.queue.push(waiter)
         self.pump(pool.name)
         if waiter.fut.done():
@@ -104,16 +104,17 @@
         self.state(grant.pool).in_flight[grant.endpoint] += 1
         waiter.fut.set_result(grant)
         loop = asyncio.get_running_loop()
-        self.admission.served(grant.pool, waiter.req.tier, loop.time())
+        self.admission.served(waiter, loop.time())
 
     def next_grant(self) -> int:
         """Return a new grant identifier."""
         self._last_grant += 1
         return self._last_grant
 
-    def _admit(self, pool: Pool, state: PoolState, waiter: Waiter, now: float) -> None:
+    def _admit(self, pool: Pool, state: PoolState, waiter: Waiter) -> None:
         req = waiter.req
-        verdict = self.admission.decide(pool, state.queue, req, now)
+        now = asyncio.get_running_loop().time()
+        verdict = self.admission.decide(pool, state.queue, waiter, now)
         if not verdict.admitted:
             self._record(EventKind.SHED, req)
             raise Overloaded(verdict.reason, retry_after_s=verdict.retry_after_s)
--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -12,6 +12,7 @@
 
 from .errors import PeerRejected
 
+REFUSED = -1
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 
 
@@ -112,11 +113,19 @@
 
 @dataclass(slots=True)
 class GrantItem:
-    """One slot handed out by a broker for a request of at least this tier."""
+    """One slot handed out by a broker for a request of at least this tier.
+
+    Attributes:
+        id: Unique within the broker.
+        endpoint: Name of the endpoint.
+        tier: Tier whose turn it is.
+        only: True if the slot is for this tier only, to keep its minimum share.
+    """
 
     id: int
     endpoint: str
     tier: int
+    only: bool = False
 
 
 @dataclass(slots=True)
@@ -131,7 +140,17 @@
 
 @dataclass(slots=True)
 class ReleaseItem:
-    """End of a grant with its measurements; times in milliseconds, -1 if unknown."""
+    """End of a grant with its measurements.
+
+    Attributes:
+        id: Identifier of the grant.
+        endpoint: Name of the endpoint.
+        ok: True if the endpoint served the request to its end.
+        first_token_ms: Time to the first token in milliseconds, or -1.
+        between_tokens_us: Mean time between tokens in microseconds, or -1.
+        tokens: Tokens received; ``REFUSED`` if the node did not want this endpoint.
+        crashed: True if the connection to the endpoint broke.
+    """
 
     id: int
     endpoint: str
@@ -139,6 +158,7 @@
     first_token_ms: int
     between_tokens_us: int
     tokens: int
+    crashed: bool = False
 
 
 @dataclass(slots=True)
--- a/lacewinghub/queue.py
+++ b/lacewinghub/queue.py
@@ -9,7 +9,7 @@
 
 from .request import Grant, Request
 
-BINDING_DEPTH = 8  # Requests of a tier that may be overtaken for a better match with an endpoint.
+BINDING_DEPTH = 8  # Workspaces whose next requests are compared for a match with an endpoint.
 
 
 @dataclass(slots=True, eq=False)
@@ -23,6 +23,7 @@
         preferred: Name of the endpoint with the longest cached prefix, or empty.
         resumed: True for a request that was already dispatched once; it is never shed.
         queued: True while the queue holds it.
+        group: Runner group whose broker is asked for a slot, or empty.
     """
 
     req: Request
@@ -31,9 +32,10 @@
     preferred: str = ""
     resumed: bool = False
     queued: bool = False
+    group: str = ""
 
 
-Fits = Callable[[Waiter], bool]
+Fits = Callable[[Waiter], int]
 
 
 class WaitQueue(ABC):
@@ -48,7 +50,8 @@
         """Remove and return the next waiter.
 
         Args:
-            fits: Marks waiters that suit the free slot well; a few others may be overtaken for one.
+            fits: Rates how well a waiter suits the free slot; 0 means not at all. A few others may
+                be overtaken for a better rating.
             tier: Serve this tier only.
 
         Returns:
@@ -67,6 +70,10 @@
     def counts(self) -> dict[int, int]:
         """Return the number of waiters by tier."""
 
+    @abstractmethod
+    def work(self, tier: int) -> float:
+        """Return the estimated tokens that wait in this and all higher tiers."""
+
     @abstractmethod
     def __iter__(self) -> Iterator[Waiter]:
         """Iterate over the waiters in any order."""
@@ -113,6 +120,10 @@
             found[waiter.req.tier] = found.get(waiter.req.tier, 0) + 1
         return found
 
+    def work(self, tier: int) -> float:
+        """Return all waiting work, since every waiter is ahead of a new one."""
+        return sum(waiter.cost for waiter in self._waiters)
+
     def __iter__(self) -> Iterator[Waiter]:
         """Iterate in order of arrival."""
         return iter(list(self._waiters))
@@ -137,9 +148,11 @@
     virtual: float = 0.0
     seq: int = 0
     count: int = 0
+    work: float = 0.0
 
     def push(self, waiter: Waiter) -> None:
         self.count += 1
+        self.work += waiter.cost
         if waiter.resumed:
             self.resumed.append(waiter)
             return
@@ -153,32 +166,26 @@
     def pop(self, fits: Fits | None) -> Waiter | None:
         if not self.count:
             return None
-        if self.resumed:
-            self.count -= 1
-            return self.resumed.popleft()
-        chosen = 0
-        if fits is not None:
-            window = heapq.nsmallest(BINDING_DEPTH, self.heads)
-            chosen = next(
-                (
-                    number
-                    for number, (_, _, name) in enumerate(window)
-                    if fits(self.waiters[name][0])
-                ),
-                0,
-            )
-            entry = window[chosen]
-            if chosen:
-                self.heads.remove(entry)
-                heapq.heapify(self.heads)
-            else:
-                heapq.heappop(self.heads)
-        else:
-            entry = heapq.heappop(self.heads)
+        for waiter in self.resumed:
+            if fits is None or fits(waiter):
+                self.resumed.remove(waiter)
+                return self._count_off(waiter)
+        if not self.heads:
+            return None
+        if fits is None:
+            return self._take(heapq.heappop(self.heads))
+        window = heapq.nsmallest(BINDING_DEPTH, self.heads)
+        ratings = [fits(self.waiters[name][0]) for _, _, name in window]
+        best = max(ratings)
+        if best == 0:
+            return None
+        entry = window[ratings.index(best)]
+        self.heads.remove(entry)
+        heapq.heapify(self.heads)
         return self._take(entry)
 
     def remove(self, waiter: Waiter) -> None:
-        self.count -= 1
+        self._count_off(waiter)
         if waiter.resumed:
             self.resumed.remove(waiter)
             return
@@ -197,6 +204,11 @@
         longest = max(self.waiters.values(), key=lambda line: (len(line), line[-1].req.arrived))
         return longest[-1]
 
+    def _count_off(self, waiter: Waiter) -> Waiter:
+        self.count -= 1
+        self.work = self.work - waiter.cost if self.count else 0.0
+        return waiter
+
     def _enter(self, workspace: str) -> None:
         start = max(self.virtual, self.finish.get(workspace, 0.0))
         self.seq += 1
@@ -205,8 +217,7 @@
     def _take(self, entry: tuple[float, int, str]) -> Waiter:
         start, _, workspace = entry
         line = self.waiters[workspace]
-        waiter = line.popleft()
-        self.count -= 1
+        waiter = self._count_off(line.popleft())
         self.virtual = max(self.virtual, start)
         self.finish[workspace] = start + waiter.cost / waiter.req.weight
         if line:
@@ -270,6 +281,10 @@
         """Return the number of waiters by tier, in tier order."""
         return {number: tier.count for number, tier in self._tiers.items() if tier.count}
 
+    def work(self, tier: int) -> float:
+        """Return the estimated tokens in this and all higher tiers."""
+        return sum(line.work for number, line in self._tiers.items() if number <= tier)
+
     def __iter__(self) -> Iterator[Waiter]:
         """Iterate over the waiters."""
         for tier in list(self._tiers.values()):
--- /dev/null
+++ b/lacewinghub/scenario.py
@@ -0,0 +1,289 @@
+"""Scenarios of the benchmark: deployments, request classes, traffic and faults."""
+
+import itertools
+import math
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass, field, replace
+
+import xxhash
+
+from .model import Rates
+from .tables import Endpoint, Pool, Route, Tables, Target, Workspace
+
+WARMUP_S = 5.0
+TRAFFIC_S = 45.0
+TAIL_S = 10.0  # Requests that arrive in the last seconds are load only and are not measured.
+WORKSPACES = 10
+WORKSPACE_SIZES = (0.3, 0.22, 0.12, 0.08, 0.07, 0.06, 0.05, 0.04, 0.03, 0.03)
+NODES_PER_ZONE = 3
+BLOCK_TOKENS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    """A class of requests.
+
+    Attributes:
+        name: Name of the class and of its route.
+        pool: Pool that serves it.
+        tier: Priority.
+        share: Share of the pool's capacity that it uses at load 1.
+        prompt: Mean prompt length in tokens.
+        output: Mean output length in tokens.
+        target: Latency targets.
+        patience_s: Longest useful wait in the queue.
+        repeatable: False for calls that run at most once.
+    """
+
+    name: str
+    pool: str
+    tier: int
+    share: float
+    prompt: int
+    output: int
+    target: Target
+    patience_s: float
+    repeatable: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """One of the first users' deployments."""
+
+    name: str
+    zones: tuple[str, ...]
+    near_s: float
+    far_s: float
+    runners: dict[str, int]
+    slots: dict[str, int]
+    classes: tuple[RequestClass, ...]
+
+    def tables(self, cache_blocks: int) -> Tables:
+        """Return the tables of the deployment."""
+        pools = []
+        number = itertools.count(1)
+        for pool, count in self.runners.items():
+            items = [
+                Endpoint(
+                    f"{pool}-{index}",
+                    f"127.0.0.1:{9000 + next(number)}",
+                    self.zones[index % len(self.zones)],
+                    self.slots[pool],
+                    cache_blocks,
+                )
+                for index in range(count)
+            ]
+            repeatable = all(item.repeatable for item in self.classes if item.pool == pool)
+            kind = "model" if repeatable else "service"
+            pools.append(Pool(pool, items, kind, repeatable))  # type: ignore[arg-type]
+        routes = [
+            Route(
+                item.name,
+                item.pool,
+                item.tier,
+                request_class=item.name,
+                patience_s=item.patience_s,
+                target=item.target,
+            )
+            for item in self.classes
+        ]
+        return Tables(routes, pools, [Workspace(name) for name in workspaces()])
+
+    def top_tiers(self) -> dict[str, int]:
+        """Return the highest tier of each pool."""
+        return {
+            pool: min(item.tier for item in self.classes if item.pool == pool)
+            for pool in self.runners
+        }
+
+
+TRUST = Deployment(
+    "trust",
+    ("north-a", "north-b", "north-c"),
+    0.00025,
+    0.0005,
+    {"assistant": 6, "booking": 3},
+    {"assistant": 8, "booking": 4},
+    (
+        RequestClass("quick", "assistant", 1, 0.2, 200, 60, Target(1.0, 0.061, 6.0), 2.0),
+        RequestClass("quote", "assistant", 2, 0.3, 400, 150, Target(2.0, 0.07, 15.0), 2.0),
+        RequestClass("draft", "assistant", 4, 0.3, 600, 300, Target(6.0, 0.09, 40.0), 5.0),
+        RequestClass("batch", "assistant", 6, 0.2, 800, 400, Target(15.0, 0.1, 60.0), 12.0),
+        RequestClass("booking", "booking", 1, 0.6, 20, 15, Target(None, None, 2.0), 1.5, False),
+        RequestClass("calendar", "booking", 3, 0.4, 20, 15, Target(None, None, 4.0), 3.0, False),
+    ),
+)
+
+CONSORTIUM = Deployment(
+    "consortium",
+    ("sohar", "barka", "rustaq"),
+    0.0005,
+    0.001,
+    {"shared": 9, "gate": 3},
+    {"shared": 8, "gate": 4},
+    (
+        RequestClass("verdict", "shared", 1, 0.15, 800, 20, Target(1.2, 0.08, 4.0), 2.0),
+        RequestClass("question", "shared", 2, 0.3, 150, 80, Target(1.6, 0.07, 8.0), 2.0),
+        RequestClass("history", "shared", 5, 0.35, 4000, 400, Target(8.0, 0.1, 60.0), 6.0),
+        RequestClass("digest", "shared", 7, 0.2, 1000, 300, Target(15.0, 0.1, 60.0), 12.0),
+        RequestClass("dispatch", "gate", 1, 0.6, 20, 15, Target(None, None, 2.0), 1.5, False),
+        RequestClass("inspect", "gate", 3, 0.4, 20, 15, Target(None, None, 4.0), 3.0, False),
+    ),
+)
+
+DEPLOYMENTS = {item.name: item for item in (TRUST, CONSORTIUM)}
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """Traffic and faults.
+
+    Attributes:
+        name: Name of the scenario.
+        load: Demand of all classes relative to capacity.
+        burst: Factor on one class from ``burst_from_s`` to ``burst_to_s``.
+        burst_class: Index of that class in the deployment; -1 for none.
+        tail: Shape of a Pareto distribution of output lengths; 0 for a log-normal one.
+        prefix_share: Share of each prompt that it has in common with others of its workspace.
+        report_lag_s: Age of load reports when they arrive.
+        stragglers: Number of runners of the first pool that are slower by ``straggle``.
+        crash_every_s: Interval of runner crashes in the first pool; 0 for none.
+        restart_s: Time until a crashed runner is back.
+        zone_lost_s: Time at which the last availability zone is lost; 0 for never.
+        log_away: True if the platform's log does not answer.
+        cache_blocks: Prefix cache of each runner, in blocks.
+    """
+
+    name: str
+    load: float
+    burst: float = 1.0
+    burst_class: int = -1
+    burst_from_s: float = 0.0
+    burst_to_s: float = math.inf
+    tail: float = 0.0
+    prefix_share: float = 0.0
+    report_lag_s: float = 0.2
+    stragglers: int = 0
+    straggle: float = 3.0
+    crash_every_s: float = 0.0
+    restart_s: float = 3.0
+    zone_lost_s: float = 0.0
+    log_away: bool = False
+    cache_blocks: int = 1024
+    traffic_s: float = TRAFFIC_S
+
+    @property
+    def measured(self) -> tuple[float, float]:
+        """Times between which arrivals and completions are measured."""
+        return WARMUP_S, self.traffic_s - TAIL_S
+
+
+SCENARIOS = (
+    Scenario("steady", 0.7),
+    Scenario("capacity", 1.0),
+    Scenario("burst", 0.5, burst=10.0, burst_class=2, burst_from_s=12.0, burst_to_s=27.0),
+    Scenario("overload", 1.5),
+    Scenario("stragglers", 0.5, stragglers=2),
+    Scenario("crashes", 0.6, crash_every_s=10.0),
+    Scenario("late-reports", 0.85, report_lag_s=2.0),
+    Scenario("heavy-tail", 0.8, tail=1.5),
+    Scenario("prefixes", 0.9, prefix_share=0.8),
+    Scenario("zone-lost", 0.5, zone_lost_s=15.0),
+    Scenario("log-away", 0.7, log_away=True),
+    Scenario("top-burst", 0.7, burst=15.0, burst_class=0, burst_from_s=3.0),
+)
+QUICK = ("overload", "crashes")
+
+
+@dataclass(slots=True)
+class Call:
+    """A request that a simulated caller makes.
+
+    Attributes:
+        time: When, in seconds from the start.
+        kind: Its class.
+        workspace: Name of the workspace.
+        prompt: Prompt tokens.
+        output: Tokens that the runner will generate.
+        prefix: Block hashes of the prompt.
+        placement: From 0 to 1; chooses the node.
+    """
+
+    time: float
+    kind: RequestClass
+    workspace: str
+    prompt: int
+    output: int
+    prefix: tuple[int, ...] = field(default_factory=tuple)
+    placement: float = 0.0
+
+
+def workspaces() -> list[str]:
+    """Return the names of the workspaces, largest first."""
+    return [f"workspace-{number}" for number in range(WORKSPACES)]
+
+
+def calls(scenario: Scenario, deployment: Deployment, seed: int, rates: Rates) -> list[Call]:
+    """Generate the traffic; the same for every version.
+
+    Args:
+        scenario: The scenario.
+        deployment: The deployment.
+        seed: Seed of the randomness.
+        rates: Speed of the runners, from which the capacity follows.
+
+    Returns:
+        Calls in order of time.
+    """
+    found: list[Call] = []
+    for number, kind in enumerate(deployment.classes):
+        rng = random.Random(f"{seed}|{scenario.name}|{deployment.name}|{kind.name}")
+        found.extend(_class_calls(scenario, deployment, number, rates, rng))
+    found.sort(key=lambda call: call.time)
+    return found
+
+
+def _class_calls(
+    scenario: Scenario, deployment: Deployment, number: int, rates: Rates, rng: random.Random
+) -> Iterator[Call]:
+    kind = deployment.classes[number]
+    cost = rates.cost_s(kind.prompt, kind.output, deployment.slots[kind.pool])
+    base = scenario.load * kind.share * deployment.runners[kind.pool] / cost
+    bursts = number == scenario.burst_class
+    peak = base * (scenario.burst if bursts else 1.0)
+    time = 0.0
+    while (time := time + rng.expovariate(peak)) < scenario.traffic_s:
+        inside = scenario.burst_from_s <= time < scenario.burst_to_s
+        if bursts and not inside and rng.random() * scenario.burst > 1.0:
+            continue
+        yield _call(scenario, kind, time, rng)
+
+
+def _call(scenario: Scenario, kind: RequestClass, time: float, rng: random.Random) -> Call:
+    workspace = rng.choices(workspaces(), WORKSPACE_SIZES)[0]
+    prompt = max(16, int(rng.gauss(kind.prompt, kind.prompt / 5)))
+    call = Call(time, kind, workspace, prompt, _length(scenario, kind, rng))
+    call.placement = rng.random()
+    if scenario.prefix_share:
+        blocks = int(scenario.prefix_share * kind.prompt / BLOCK_TOKENS)
+        call.prefix = tuple(
+            xxhash.xxh3_64_intdigest(f"{workspace}|{kind.name}|{block}".encode())
+            for block in range(blocks)
+        )
+    return call
+
+
+def _length(scenario: Scenario, kind: RequestClass, rng: random.Random) -> int:
+    if not kind.repeatable:
+        return kind.output
+    if scenario.tail:
+        scale = kind.output * (scenario.tail - 1) / scenario.tail
+        return max(1, min(int(scale * rng.paretovariate(scenario.tail)), 20 * kind.output))
+    sigma = 0.5
+    return max(1, int(rng.lognormvariate(math.log(kind.output) - sigma**2 / 2, sigma)))
+
+
+def shortened(scenario: Scenario) -> Scenario:
+    """Return a scenario with less traffic, for tests."""
+    return replace(scenario, traffic_s=25.0)
--- a/lacewinghub/scheduler.py
+++ b/lacewinghub/scheduler.py
@@ -1,10 +1,10 @@
 """Decides when a request gets a slot, and of which endpoint."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from .request import Grant, Observation, Request
-from .tables import Endpoint, Pool, Tables
+from .tables import Endpoint, Pool, Tables, Target
 
 
 class PoolView(ABC):
@@ -22,6 +22,10 @@
     def usable(self, name: str) -> list[Endpoint]:
         """Return the endpoints of a pool that are neither leaving nor ejected."""
 
+    def target(self, pool: str, tier: int) -> Target:
+        """Return the loosest latency targets of the routes to a pool at a tier."""
+        return Target()
+
 
 class TablesView(PoolView):
     """View of tables that may be replaced.
@@ -38,6 +42,8 @@
     ) -> None:
         self._tables = tables
         self._is_usable = is_usable
+        self._indexed: Tables | None = None
+        self._targets: dict[tuple[str, int], Target] = {}
 
     def pool(self, name: str) -> Pool:
         """Return a pool of the tables in force."""
@@ -47,6 +53,31 @@
         """Return the endpoints that pass ``is_usable``."""
         return [item for item in self.pool(name).endpoints if self._is_usable(item.name)]
 
+    def target(self, pool: str, tier: int) -> Target:
+        """Return the loosest latency targets of the routes to a pool at a tier."""
+        tables = self._tables()
+        if tables is not self._indexed:
+            self._indexed, self._targets = tables, _targets(tables)
+        return self._targets.get((pool, tier), Target())
+
+
+def _targets(tables: Tables) -> dict[tuple[str, int], Target]:
+    found: dict[tuple[str, int], list[Target]] = {}
+    for route in tables.routes.values():
+        found.setdefault((route.pool, route.tier), []).append(route.target)
+    return {
+        key: Target(
+            _loosest(item.first_token_s for item in items),
+            _loosest(item.between_tokens_s for item in items),
+        )
+        for key, items in found.items()
+    }
+
+
+def _loosest(values: Iterable[float | None]) -> float | None:
+    known = list(values)
+    return None if None in known else max(value for value in known if value is not None)
+
 
 class Scheduler(ABC):
     """Queues the requests of one node and hands out slots of endpoints."""
--- a/lacewinghub/selection.py
+++ b/lacewinghub/selection.py
@@ -5,9 +5,12 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
+from .prefix import PrefixMap
 from .request import Request
 from .tables import Endpoint
 
+AFFINITY_BOUND = 1.25  # Load of a preferred endpoint, relative to the mean, that is tolerated.
+
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
@@ -108,3 +111,32 @@
 
     def _load(self, item: Endpoint, in_flight: Mapping[str, int]) -> float:
         return (self._reports.load(item.name) + in_flight.get(item.name, 0)) / item.slots
+
+
+class Affinity(Selection):
+    """The endpoint with the longest cached prefix unless its load exceeds a bound.
+
+    Args:
+        prefixes: Which endpoints probably hold which prompt prefixes.
+        fallback: Chooses when there is no match or the matching endpoint is too loaded.
+        reports: Reported loads.
+    """
+
+    def __init__(self, prefixes: PrefixMap, fallback: Selection, reports: LoadReports) -> None:
+        self._prefixes = prefixes
+        self._fallback = fallback
+        self._reports = reports
+
+    def choose(
+        self, req: Request, candidates: Sequence[Endpoint], in_flight: Mapping[str, int]
+    ) -> Endpoint:
+        """Choose by prefix, then by load."""
+        loads = {
+            item.name: (self._reports.load(item.name) + in_flight.get(item.name, 0)) / item.slots
+            for item in candidates
+        }
+        bound = AFFINITY_BOUND * sum(loads.values()) / len(loads)
+        near = [item for item in candidates if loads[item.name] <= bound]
+        name = self._prefixes.best(req.prefix, [item.name for item in near])
+        found = next((item for item in near if item.name == name), None)
+        return found or self._fallback.choose(req, candidates, in_flight)
