--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -55,15 +55,29 @@
 
 @dataclass(slots=True)
 class Suspect:
-    """A fingerprint and the crashes (endpoint name and a counter) that it was in flight at."""
+    """A fingerprint and the crashes that it was in flight at.
+
+    Attributes:
+        fingerprint: Fingerprint of the request.
+        crashes: One ``endpoint@time`` per crash, with the wall time in milliseconds.
+        cleared: Those of the crashes that a finished run has cleared it of.
+        trial: Endpoint on which the sender runs it again, ``?`` and the planned endpoint if the
+            sender waits to do so, otherwise empty.
+    """
 
     fingerprint: int
     crashes: list[str]
+    cleared: list[str] = field(default_factory=list)
+    trial: str = ""
 
 
 @dataclass(slots=True)
 class Heartbeat:
-    """Periodic state of a node; complete, so that a lost one does no harm."""
+    """Periodic state of a node; complete, so that a lost one does no harm.
+
+    ``leaving_age_ms`` holds, for each endpoint in ``leaving``, the time since it was last seen to
+    be leaving.
+    """
 
     CODE: ClassVar[int] = 2
 
@@ -77,6 +91,7 @@
     leaving: list[str] = field(default_factory=list)
     suspects: list[Suspect] = field(default_factory=list)
     quarantined: list[int] = field(default_factory=list)
+    leaving_age_ms: list[int] = field(default_factory=list)
 
 
 @dataclass(slots=True)
