--- a/lacewinghub/history.py
+++ b/lacewinghub/history.py
@@ -2,6 +2,7 @@
 
 import json
 import time
+from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from enum import StrEnum
 from typing import TextIO
@@ -45,6 +46,10 @@
         request_class: Class of the request.
         workspace: Workspace of the caller.
         quota: True if admitted through the starvation quota.
+        first_token_s: Time from arrival to the first token, in seconds; -1 if unknown.
+        between_tokens_s: Mean time between tokens, in seconds; -1 if unknown.
+        completion_s: Time from arrival to the end, in seconds; -1 if unknown.
+        met: For ``finished``, whether all latency targets were met; None if there are none.
     """
 
     kind: EventKind
@@ -62,6 +67,10 @@
     request_class: str = ""
     workspace: str = ""
     quota: bool = False
+    first_token_s: float = -1.0
+    between_tokens_s: float = -1.0
+    completion_s: float = -1.0
+    met: bool | None = None
 
 
 class History:
@@ -78,6 +87,11 @@
         self.events: list[Event] = []
         self._out = out
         self._keep = keep
+        self._listeners: list[Callable[[Event], None]] = []
+
+    def listen(self, listener: Callable[[Event], None]) -> None:
+        """Call a function with every event from now on."""
+        self._listeners.append(listener)
 
     def record(self, kind: EventKind, **members: object) -> None:
         """Record an event with the current wall time.
@@ -86,11 +100,13 @@
             kind: What happened.
             members: Members of ``Event``.
         """
-        if not self._keep and self._out is None:
+        if not self._keep and self._out is None and not self._listeners:
             return
         event = Event(kind=kind, time=time.time(), node=self.node, **members)  # type: ignore[arg-type]
         if self._keep:
             self.events.append(event)
+        for listener in self._listeners:
+            listener(event)
         if self._out is not None:
             self._out.write(json.dumps(asdict(event)) + "\n")
             self._out.flush()
