--- a/lacewinghub/history.py
+++ b/lacewinghub/history.py
@@ -93,6 +93,10 @@
         """Call a function with every event from now on."""
         self._listeners.append(listener)
 
+    def now(self) -> float:
+        """Return the wall time in seconds since the epoch; simulations override it."""
+        return time.time()
+
     def record(self, kind: EventKind, **members: object) -> None:
         """Record an event with the current wall time.
 
@@ -102,7 +106,7 @@
         """
         if not self._keep and self._out is None and not self._listeners:
             return
-        event = Event(kind=kind, time=time.time(), node=self.node, **members)  # type: ignore[arg-type]
+        event = Event(kind=kind, time=self.now(), node=self.node, **members)  # type: ignore[arg-type]
         if self._keep:
             self.events.append(event)
         for listener in self._listeners:
--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -162,18 +162,38 @@
 
 @dataclass(slots=True)
 class ConfigReply:
-    """Full tables of a version."""
+    """Full tables of a version.
+
+    Attributes:
+        version: Version of the tables.
+        document: The tables as a JSON document.
+        through: Offset of the first record of stream ``config`` that they do not reflect.
+        refreshed: Wall time of the record from which on a reader of the stream can build the
+            tables, in seconds since the epoch.
+    """
 
     CODE: ClassVar[int] = 7
 
     version: int
     document: dict[str, Any]
+    through: int = 0
+    refreshed: float = 0.0
+
+
+@dataclass(slots=True)
+class Addresses:
+    """Peer addresses of the members that the sender knows to be alive."""
+
+    CODE: ClassVar[int] = 8
+
+    addresses: list[str]
 
 
-Message = Hello | Heartbeat | Demand | Grants | Release | ConfigRequest | ConfigReply
+Message = Hello | Heartbeat | Demand | Grants | Release | ConfigRequest | ConfigReply | Addresses
 
 _TYPES: dict[int, type] = {
-    cls.CODE: cls for cls in (Hello, Heartbeat, Demand, Grants, Release, ConfigRequest, ConfigReply)
+    cls.CODE: cls
+    for cls in (Hello, Heartbeat, Demand, Grants, Release, ConfigRequest, ConfigReply, Addresses)
 }
 _NESTED: dict[tuple[type, str], type] = {
     (Heartbeat, "pressure"): Pressure,
