Keep the pool open to higher tiers when low tiers fill a queue

Cause: the floor fell to tier 1 when a queue was full, whatever it held. A node whose queue was full of tier 8 then refused tier 2 arrivals, and told its peers to do so, instead of displacing tier 8. The lowest tier itself was never refused by a full queue, because its floor age was infinite from the start. Change: the floor is the first tier that fills 75% of the limit together with the higher ones; the lowest tier counts as refused since ever. Conclusion: only tiers that cannot be displaced may close a pool.

--- a/lacewinghub/admission.py
+++ b/lacewinghub/admission.py
@@ -16,7 +16,7 @@
 MIN_SHARE = 0.02  # Share of a tier below which it counts as starving.
 SHARE_WINDOW_S = 10.0
 RAISE_AFTER_S = 2.0  # Hysteresis: time without pressure before a floor rises by one tier.
-FILL_START = 0.5  # Fill of the queue at which the floor begins to fall.
+FILL_LIMIT = 0.75  # Fill of the queue by a tier and the higher ones at which it becomes the floor.
 DRAIN_WINDOW_S = 5.0
 MIN_BUSY_S = 0.25  # With less queueing than this, no wait is predicted.
 AGE_LIMIT_MS = 60_000
@@ -134,7 +134,7 @@
 
     tier: int = MAX_TIER
     pressed: float = -math.inf
-    since: list[float] = field(default_factory=lambda: [math.inf] * (MAX_TIER + 1))
+    since: list[float] = field(default_factory=lambda: [math.inf] * MAX_TIER + [-math.inf])
     patience: list[float] = field(default_factory=lambda: [math.inf] * (MAX_TIER + 1))
     admitted: deque[tuple[float, int]] = field(default_factory=deque)
     last: list[float] = field(default_factory=lambda: [-math.inf] * (MAX_TIER + 1))
@@ -304,11 +304,17 @@
         return Verdict(True, displaced=displaced, quota=quota)
 
     def _by_fill(self, pool: Pool, queue: WaitQueue) -> int:
-        fill = len(queue) / pool.queue_limit
-        if fill < FILL_START:
-            return MAX_TIER
-        worst = max(queue.counts())
-        return max(1, worst - math.floor((worst - 1) * (fill - FILL_START) / (1.0 - FILL_START)))
+        """Return the first tier that, with all higher ones, fills most of the queue.
+
+        Lower tiers do not count: they are displaced and must not close the pool to higher ones.
+        """
+        filled = 0
+        counts = queue.counts()
+        for tier in range(1, MAX_TIER):
+            filled += counts.get(tier, 0)
+            if filled >= FILL_LIMIT * pool.queue_limit:
+                return tier
+        return MAX_TIER
 
     def _by_wait(self, pool: str, queue: WaitQueue, own: _Floor) -> int:
         if not len(queue):
