Let the claimer serve the router's Claims interface

The router retries a call after a failed connection and calls the check again, and it proves with run=not_run that nothing was sent. The permit may therefore be used again, and every error with run=not_run releases the claim.

--- a/lacewinghub/claim.py
+++ b/lacewinghub/claim.py
@@ -5,7 +5,7 @@
 import random
 import time
 import uuid
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
@@ -27,7 +27,7 @@
     key_hash,
 )
 from .claim_index import unpack as unpack_answer
-from .endpoint import ConnectFailed, EndpointError, EndpointLeaving, Reply
+from .endpoint import ConnectFailed, EndpointLeaving, Reply
 from .errors import (
     InProgress,
     KeyMissing,
@@ -37,11 +37,13 @@
     NotReady,
     NotRun,
     OutcomeUnknown,
+    Run,
 )
 from .history import EventKind, History
 from .log import Log, Page
 from .membership import Members, MemberState
 from .request import Request
+from .router import Claims, Send
 
 READ_WAIT_S = 2.0
 BACKOFF_MIN_S = 0.05
@@ -74,31 +76,22 @@
         self._revoked = False
 
     def use(self) -> None:
-        """Declare that the request is about to be sent; call it directly before sending.
+        """Permit to send the request now; a second use states that nothing was sent before.
 
         Raises:
             NotRun: If the claim is too old or was given up. The request must not be sent.
         """
-        if self.used:
-            raise RuntimeError("a claim permits one dispatch")
         if self._revoked:
             raise NotRun("the claim was given up")
         if self._elapsed() >= self._limit():
             raise NotRun("the claim is too old to be sent")
         self.used = True
 
-    def give_back(self) -> None:
-        """Declare that nothing was sent after ``use``, because no connection was made."""
-        self.used = False
-
     def revoke(self) -> None:
         """Forbid any later use."""
         self._revoked = True
 
 
-Call = Callable[[Permit], Awaitable[Reply]]
-
-
 @dataclass(slots=True, eq=False)
 class _Attempt:
     """A claim of this node from its creation to its result."""
@@ -111,7 +104,7 @@
     claimed: float = 0.0
 
 
-class Claimer:
+class Claimer(Claims):
     """Executes requests under claims, on behalf of one node.
 
     Args:
@@ -172,16 +165,17 @@
             group.create_task(self._tail())
             group.create_task(self._outbox.run())
 
-    async def run_once(self, req: Request, call: Call) -> Reply:
+    async def execute(self, req: Request, send: Send) -> Reply:
         """Execute a request unless it was executed before, or return the stored answer.
 
         A cancelled caller does not stop a request that was sent; its result is still stored.
 
         Args:
             req: The request; ``req.key`` is its idempotency key.
-            call: Sends the request to a service once. It gets the permit and must call ``use`` on
-                it directly before sending. If it fails before that, or with ``ConnectFailed`` or
-                ``EndpointLeaving``, the claim is released.
+            send: Sends the request to a service. It must call its argument directly before sending.
+                If it fails before that, or with an error that proves that nothing was sent (``run``
+                equal to ``not_run``, ``ConnectFailed`` or ``EndpointLeaving``), the claim is
+                released.
 
         Returns:
             The answer of this or of the earlier execution.
@@ -193,7 +187,7 @@
             NotRun: If the claim could not be made or nothing was sent.
             InProgress: If another execution did not end within the request's patience.
             OutcomeUnknown: If the request may or may not have been executed.
-            LacewingError: Any error that ``call`` raised before it used the permit.
+            LacewingError: Any error of ``send`` that proves that nothing was sent.
         """
         if req.key is None:
             raise KeyMissing(f"pool {req.pool!r} requires an idempotency key")
@@ -216,7 +210,7 @@
                     raise KeyReused("the idempotency key is in use with another body")
                 await self._await_change(key, None, deadline)
                 continue
-            reply = await self._attempt(req, key, body, call)
+            reply = await self._attempt(req, key, body, send)
             if reply is not None:
                 return reply
 
@@ -237,12 +231,12 @@
             return False
         return True
 
-    async def _attempt(self, req: Request, key: bytes, body: bytes, call: Call) -> Reply | None:
+    async def _attempt(self, req: Request, key: bytes, body: bytes, send: Send) -> Reply | None:
         """Claim and execute; None if another claim owns the key."""
         self._count += 1
         attempt = _Attempt(key, body, f"{self._prefix}-{self._count}", self._permit())
         self._attempts[key] = attempt
-        task = asyncio.create_task(self._execute(attempt, req, call))
+        task = asyncio.create_task(self._execute(attempt, req, send))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         try:
@@ -264,7 +258,7 @@
 
         return Permit(elapsed, lambda: SEND_SHARE * self._retention_s)
 
-    async def _execute(self, attempt: _Attempt, req: Request, call: Call) -> Reply | None:
+    async def _execute(self, attempt: _Attempt, req: Request, send: Send) -> Reply | None:
         try:
             left = req.arrived + req.patience_s - asyncio.get_running_loop().time()
             if not await self._claim(attempt, min(self._claim_timeout_s, max(0.0, left))):
@@ -273,7 +267,7 @@
                 self._history.record(
                     EventKind.CLAIMED, request=req.id, key=req.key, workspace=req.workspace
                 )
-            return await self._dispatch(attempt, call)
+            return await self._dispatch(attempt, send)
         finally:
             self._attempts.pop(attempt.key, None)
             self._wake(attempt.key)
@@ -314,27 +308,20 @@
     async def _decision(self, attempt: _Attempt, _item: Item) -> bool:
         return await asyncio.shield(attempt.decided)
 
-    async def _dispatch(self, attempt: _Attempt, call: Call) -> Reply:
-        permit = attempt.permit
+    async def _dispatch(self, attempt: _Attempt, send: Send) -> Reply:
         try:
-            reply = await call(permit)
-        except (ConnectFailed, EndpointLeaving) as exc:
-            raise await self._not_sent(attempt, NotRun(f"nothing was sent: {exc.message}")) from exc
+            reply = await send(attempt.permit.use)
         except BaseException as exc:
-            if permit.used:
+            error = _as_not_sent(exc, attempt.permit.used)
+            attempt.permit.revoke()
+            if error is None:
                 await self._finish(attempt, None)
                 raise OutcomeUnknown(f"the outcome of the request is unknown: {exc!r}") from exc
-            if not isinstance(exc, LacewingError) or isinstance(exc, EndpointError):
-                raise await self._not_sent(attempt, NotRun(f"nothing was sent: {exc!r}")) from exc
-            raise await self._not_sent(attempt, exc) from exc.__cause__
+            await self._settled(self._release(attempt))
+            raise error from exc
         await self._finish(attempt, reply)
         return reply
 
-    async def _not_sent(self, attempt: _Attempt, error: LacewingError) -> LacewingError:
-        attempt.permit.revoke()
-        await self._settled(self._release(attempt))
-        return error
-
     async def _finish(self, attempt: _Attempt, reply: Reply | None) -> None:
         attempt.permit.revoke()
         size = len(json.dumps(reply.body)) if reply is not None else 0
@@ -466,6 +453,15 @@
     return Reply(entry.code, unpack_answer(entry.answer))
 
 
+def _as_not_sent(exc: BaseException, used: bool) -> LacewingError | None:
+    """Return the error for the caller if nothing was sent, otherwise None."""
+    if isinstance(exc, LacewingError) and exc.run is Run.NOT_RUN:
+        return exc
+    if not used or isinstance(exc, ConnectFailed | EndpointLeaving):
+        return NotRun(f"nothing was sent: {exc!r}")
+    return None
+
+
 def _unfinished(alive: bool) -> LacewingError:
     if alive:
         return InProgress("another request with this key is executing")
