Apply table changes incrementally and prove the replicated tables

Every change built a pydantic adapter and all look-ups anew. A draft now changes only the look-ups of the entries that a change names, undoes a change that fails, and copies each changed map once per page of records.

--- a/lacewinghub/config.py
+++ b/lacewinghub/config.py
@@ -15,7 +15,7 @@
 from .log import Log, Page, Record
 from .membership import Contributor
 from .message import ConfigReply, ConfigRequest, Heartbeat
-from .tables import Change, Tables
+from .tables import Change, Draft, Tables
 from .transport import Transport
 
 CONFIG_STREAM = "config"
@@ -103,6 +103,8 @@
         self.synced = True
         self.refreshed: float | None = None
         self.gaps = 0
+        self._draft = Draft(self.tables)
+        self._version = 0
         self._pending: list[tuple[int, ChangeRecord]] = []
         self._unbroken_from = 0
 
@@ -121,6 +123,7 @@
             if record.offset < self.next:
                 continue
             accepted += self._take(record)
+        self._build()
         return accepted
 
     def adopt(self, version: int, document: Any, through: int) -> list[Accepted] | None:
@@ -140,15 +143,18 @@
         """
         if through <= self.next and (self.synced or through < self._unbroken_from):
             return None
-        if version < self.tables.version:
+        if version < self._version:
             return None
         self.tables = Tables.parse(document, version)
+        self._draft, self._version = Draft(self.tables), version
         self.next = max(self.next, through)
         self.synced = True
         pending, self._pending = self._pending, []
-        return [
+        accepted = [
             done for at, change in pending if at >= through for done in self._apply_change(change)
         ]
+        self._build()
+        return accepted
 
     def _check_gap(self, page: Page) -> None:
         start = page.records[0].offset if page.records else page.first
@@ -183,20 +189,26 @@
         except TablesInvalid as exc:
             logger.error("snapshot of version {} is invalid: {}", snapshot.version, exc)
             return []
-        if accepted is not None or (self.synced and snapshot.version == self.tables.version):
+        if accepted is not None or (self.synced and snapshot.version == self._version):
             self.refreshed = record.time
         return accepted or []
 
     def _apply_change(self, change: ChangeRecord) -> list[Accepted]:
-        if change.base != self.tables.version or change.version != change.base + 1:
+        if change.base != self._version or change.version != change.base + 1:
             return []
         try:
-            self.tables = self.tables.apply(change.changes, change.version)
+            self._draft.apply(change.changes)
         except TablesInvalid as exc:
             logger.warning("change {} of {} is invalid: {}", change.id, change.author, exc)
             return []
+        self._version = change.version
         return [Accepted(change.id, change.author, change.version)]
 
+    def _build(self) -> None:
+        """Make the tables of all changes since the last call; one copy serves many changes."""
+        if self._version != self.tables.version:
+            self.tables = self._draft.build(self._version)
+
 
 def parse_record(record: Record) -> ChangeRecord | SnapshotRecord | None:
     """Check a record of the stream.
--- a/lacewinghub/tables.py
+++ b/lacewinghub/tables.py
@@ -160,12 +160,10 @@
         self.routes = _by_name("routes", routes)
         self.pools = _by_name("pools", pools)
         self.workspaces = _by_name("workspaces", workspaces)
-        self._matches: dict[tuple[str, str, str], Route] = {}
-        self._models: set[str] = set()
-        self._keys: dict[bytes, str] = {}
-        self._index_routes()
-        self._index_pools()
-        self._index_keys()
+        self._index = _Index()
+        draft = Draft(self)
+        draft.check_all()
+        self._index = draft.build(version)._index
 
     @classmethod
     def parse(cls, document: Any, version: int = 0) -> "Tables":
@@ -191,11 +189,10 @@
 
     def to_document(self) -> dict[str, list[dict[str, Any]]]:
         """Return the tables as a JSON document that ``parse`` accepts."""
-        return {
-            "routes": [asdict(item) for item in self.routes.values()],
-            "pools": [asdict(item) for item in self.pools.values()],
-            "workspaces": [asdict(item) for item in self.workspaces.values()],
-        }
+        doc = _Document(
+            [*self.routes.values()], [*self.pools.values()], [*self.workspaces.values()]
+        )
+        return _DOCUMENT.dump_python(doc)
 
     def diff(self, other: "Tables") -> list[Change]:
         """Return the operations that turn these tables into the other ones."""
@@ -223,19 +220,9 @@
         Raises:
             TablesInvalid: If an operation is malformed or the result is inconsistent.
         """
-        items = {table: dict(getattr(self, table)) for table in TABLE_NAMES}
-        kinds = {"routes": Route, "pools": Pool, "workspaces": Workspace}
-        for change in changes:
-            if change.table not in kinds:
-                raise TablesInvalid(f"table {change.table!r} does not exist", place=change.table)
-            if change.value is None:
-                items[change.table].pop(change.name, None)
-                continue
-            entry = _parse_entry(kinds[change.table], change)
-            items[change.table][change.name] = entry
-        return Tables(
-            items["routes"].values(), items["pools"].values(), items["workspaces"].values(), version
-        )
+        draft = Draft(self)
+        draft.apply(changes)
+        return draft.build(version)
 
     def route(self, workspace: str, request_class: str, model: str) -> Route:
         """Find the most specific route.
@@ -254,7 +241,7 @@
         for wanted_workspace in (workspace, ANY):
             for wanted_class in (request_class, ANY):
                 for wanted_model in (model, ANY):
-                    found = self._matches.get((wanted_workspace, wanted_class, wanted_model))
+                    found = self._index.matches.get((wanted_workspace, wanted_class, wanted_model))
                     if found and self._serves(found, model):
                         return found
         raise UnknownModel(f"no route serves model {model!r} in class {request_class!r}")
@@ -272,53 +259,196 @@
 
     def workspace_of(self, digest: bytes) -> Workspace | None:
         """Return the workspace that a SHA-256 key digest belongs to, or None."""
-        name = self._keys.get(digest)
+        name = self._index.keys.get(digest)
         return self.workspaces.get(name) if name is not None else None
 
     def _serves(self, route: Route, model: str) -> bool:
-        return route.model != ANY or model in self._models
+        return route.model != ANY or model in self._index.models
 
-    def _index_routes(self) -> None:
-        for route in self.routes.values():
-            match = (route.workspace, route.request_class, route.model)
-            if match in self._matches:
-                other = self._matches[match].name
-                raise TablesInvalid(
-                    f"routes {other!r} and {route.name!r} match the same requests",
-                    place=f"routes.{route.name}",
-                )
-            if route.pool not in self.pools:
+
+@dataclass(slots=True)
+class _Index:
+    """Look-ups that are derived from the entries.
+
+    Attributes:
+        matches: Routes by workspace, class and model.
+        models: Number of routes by the model that they serve.
+        users: Number of routes by pool.
+        addresses: Address of each endpoint and the number of pools that list it.
+        keys: Workspace names by key digest.
+    """
+
+    matches: dict[tuple[str, str, str], Route] = field(default_factory=dict)
+    models: dict[str, int] = field(default_factory=dict)
+    users: dict[str, int] = field(default_factory=dict)
+    addresses: dict[str, tuple[str, int]] = field(default_factory=dict)
+    keys: dict[bytes, str] = field(default_factory=dict)
+
+
+class Draft:
+    """Tables under change.
+
+    A change costs as much as the entries that it names, and ``build`` as much as the tables that
+    were changed since the last one, without looking at their entries.
+
+    Args:
+        tables: Tables to start from; they stay unchanged.
+    """
+
+    def __init__(self, tables: Tables) -> None:
+        self._tables = tables
+        self._maps: dict[str, dict[Any, Any]] = {
+            name: getattr(tables, name) for name in TABLE_NAMES
+        } | {name: getattr(tables._index, name) for name in _Index.__slots__}
+        self._owned: set[str] = set()
+        self._journal: list[tuple[str, Any, Any]] = []
+
+    def apply(self, changes: Iterable[Change]) -> None:
+        """Apply operations; if they fail, the draft is as before.
+
+        Args:
+            changes: Operations, in order. Only the result of all must be consistent.
+
+        Raises:
+            TablesInvalid: If an operation is malformed or the result is inconsistent.
+        """
+        self._journal.clear()
+        try:
+            touched: dict[tuple[str, str], Any] = {}
+            for change in changes:
+                entry = _parse_change(change)
+                old = self._maps[change.table].get(change.name)
+                touched.setdefault((change.table, change.name), old)
+                self._set(change.table, change.name, entry)
+            for (table, _), old in touched.items():
+                if old is not None:
+                    self._remove(table, old)
+            for table, name in touched:
+                entry = self._maps[table].get(name)
+                if entry is not None:
+                    self._add(table, entry)
+            for table, name in touched:
+                if table == "pools" and name not in self._maps["pools"]:
+                    self._check_unused(name)
+        except TablesInvalid:
+            for table, key, value in reversed(self._journal):
+                self._put(table, key, value)
+            raise
+
+    def build(self, version: int) -> Tables:
+        """Return the tables as they are now.
+
+        Args:
+            version: Version of the tables.
+        """
+        tables = Tables.__new__(Tables)
+        tables.version = version
+        for name in TABLE_NAMES:
+            setattr(tables, name, self._maps[name])
+        tables._index = _Index(**{name: self._maps[name] for name in _Index.__slots__})
+        self._owned.clear()
+        return tables
+
+    def check_all(self) -> None:
+        """Check all entries and build the look-ups."""
+        for table in TABLE_NAMES:
+            for entry in self._maps[table].values():
+                self._add(table, entry)
+
+    def _set(self, table: str, key: Any, value: Any) -> None:
+        self._journal.append((table, key, self._maps[table].get(key)))
+        self._put(table, key, value)
+
+    def _put(self, table: str, key: Any, value: Any) -> None:
+        if table not in self._owned:
+            self._maps[table] = dict(self._maps[table])
+            self._owned.add(table)
+        if value is None:
+            self._maps[table].pop(key, None)
+        else:
+            self._maps[table][key] = value
+
+    def _count(self, table: str, key: str, by: int) -> None:
+        self._set(table, key, (self._maps[table].get(key, 0) + by) or None)
+
+    def _add(self, table: str, entry: Any) -> None:
+        if table == "routes":
+            self._add_route(entry)
+        elif table == "pools":
+            self._add_pool(entry)
+        else:
+            self._add_workspace(entry)
+
+    def _remove(self, table: str, entry: Any) -> None:
+        if table == "routes":
+            self._set("matches", _match(entry), None)
+            self._count("models", _model(entry), -1)
+            self._count("users", entry.pool, -1)
+        elif table == "pools":
+            for item in entry.endpoints:
+                address, pools = self._maps["addresses"][item.name]
+                self._set("addresses", item.name, (address, pools - 1) if pools > 1 else None)
+        else:
+            for key in entry.keys:
+                self._set("keys", bytes.fromhex(key), None)
+
+    def _add_route(self, route: Route) -> None:
+        other = self._maps["matches"].get(_match(route))
+        if other is not None:
+            raise TablesInvalid(
+                f"routes {other.name!r} and {route.name!r} match the same requests",
+                place=f"routes.{route.name}",
+            )
+        if route.pool not in self._maps["pools"]:
+            raise _dangling(route)
+        self._set("matches", _match(route), route)
+        self._count("models", _model(route), 1)
+        self._count("users", route.pool, 1)
+
+    def _add_pool(self, pool: Pool) -> None:
+        names = {item.name for item in pool.endpoints}
+        if len(names) != len(pool.endpoints):
+            raise TablesInvalid(
+                f"pool {pool.name!r} lists an endpoint twice", place=f"pools.{pool.name}"
+            )
+        for item in pool.endpoints:
+            address, pools = self._maps["addresses"].get(item.name, (item.address, 0))
+            if address != item.address:
                 raise TablesInvalid(
-                    f"route {route.name!r} names pool {route.pool!r}, which does not exist",
-                    place=f"routes.{route.name}.pool",
+                    f"endpoint {item.name!r} has two addresses", place=f"pools.{pool.name}"
                 )
-            self._matches[match] = route
-            self._models.add(route.model if route.model != ANY else route.pool)
-
-    def _index_pools(self) -> None:
-        addresses: dict[str, str] = {}
-        for pool in self.pools.values():
-            names = [item.name for item in pool.endpoints]
-            if len(set(names)) != len(names):
+            self._set("addresses", item.name, (address, pools + 1))
+
+    def _add_workspace(self, workspace: Workspace) -> None:
+        for key in workspace.keys:
+            digest = bytes.fromhex(key)
+            if self._maps["keys"].get(digest, workspace.name) != workspace.name:
                 raise TablesInvalid(
-                    f"pool {pool.name!r} lists an endpoint twice", place=f"pools.{pool.name}"
+                    f"workspace {workspace.name!r} shares a key with another workspace",
+                    place=f"workspaces.{workspace.name}.keys",
                 )
-            for item in pool.endpoints:
-                known = addresses.setdefault(item.name, item.address)
-                if known != item.address:
-                    raise TablesInvalid(
-                        f"endpoint {item.name!r} has two addresses", place=f"pools.{pool.name}"
-                    )
-
-    def _index_keys(self) -> None:
-        for workspace in self.workspaces.values():
-            for key in workspace.keys:
-                digest = bytes.fromhex(key)
-                if self._keys.setdefault(digest, workspace.name) != workspace.name:
-                    raise TablesInvalid(
-                        f"workspace {workspace.name!r} shares a key with another workspace",
-                        place=f"workspaces.{workspace.name}.keys",
-                    )
+            self._set("keys", digest, workspace.name)
+
+    def _check_unused(self, pool: str) -> None:
+        if pool in self._maps["users"]:
+            raise _dangling(
+                next(item for item in self._maps["routes"].values() if item.pool == pool)
+            )
+
+
+def _match(route: Route) -> tuple[str, str, str]:
+    return (route.workspace, route.request_class, route.model)
+
+
+def _model(route: Route) -> str:
+    return route.model if route.model != ANY else route.pool
+
+
+def _dangling(route: Route) -> TablesInvalid:
+    return TablesInvalid(
+        f"route {route.name!r} names pool {route.pool!r}, which does not exist",
+        place=f"routes.{route.name}.pool",
+    )
 
 
 def _by_name(table: str, items: Iterable[Any]) -> dict[str, Any]:
@@ -330,9 +460,22 @@
     return found
 
 
-def _parse_entry(kind: type, change: Change) -> Any:
+_ENTRIES: dict[str, TypeAdapter[Any]] = {
+    "routes": TypeAdapter(Route),
+    "pools": TypeAdapter(Pool),
+    "workspaces": TypeAdapter(Workspace),
+}
+
+
+def _parse_change(change: Change) -> Any:
+    """Return the new entry of a change, or None if it deletes one."""
+    adapter = _ENTRIES.get(change.table)
+    if adapter is None:
+        raise TablesInvalid(f"table {change.table!r} does not exist", place=change.table)
+    if change.value is None:
+        return None
     try:
-        entry: Any = TypeAdapter(kind).validate_python(change.value)
+        entry: Any = adapter.validate_python(change.value)
     except ValidationError as exc:
         first = exc.errors(include_url=False)[0]
         place = ".".join([change.table, change.name, *(str(part) for part in first["loc"])])
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -1,10 +1,11 @@
 """Tests of the published tables."""
 
+import random
 import unittest
 from typing import Any
 
 from lacewinghub.errors import TablesInvalid, UnknownModel
-from lacewinghub.tables import Tables
+from lacewinghub.tables import Change, Draft, Tables
 
 
 def _document(**members: Any) -> dict[str, Any]:
@@ -75,3 +76,66 @@
         document["pools"][0]["queue_limit"] = 9
         new = Tables.parse(document, 5)
         self.assertEqual(old.apply(old.diff(new), 5).to_document(), new.to_document())
+
+    def test_incremental_change_equals_a_rebuild(self) -> None:
+        """Guards against look-ups that differ from those of freshly parsed tables."""
+        rng = random.Random(5)
+        tables = Tables.parse(_document(), 1)
+        draft = Draft(tables)
+        accepted = refused = 0
+        for version in range(2, 2000):
+            changes = [_random_change(rng) for _ in range(rng.randint(1, 3))]
+            document = _changed(tables.to_document(), changes)
+            try:
+                expected = Tables.parse(document, version)
+            except TablesInvalid:
+                refused += 1
+                with self.assertRaises(TablesInvalid):
+                    draft.apply(changes)
+                self.assertEqual(
+                    _sorted(draft.build(version).to_document()), _sorted(tables.to_document())
+                )
+                self.assertEqual(draft.build(version)._index, tables._index)
+                continue
+            accepted += 1
+            before = tables.to_document()
+            draft.apply(changes)
+            built = draft.build(version)
+            self.assertEqual(_sorted(built.to_document()), _sorted(expected.to_document()))
+            self.assertEqual(built._index, expected._index)
+            self.assertEqual(tables.to_document(), before)
+            tables = built
+        self.assertGreater(min(accepted, refused), 300)
+
+
+def _random_change(rng: random.Random) -> Change:
+    table = rng.choice(["routes", "pools", "workspaces"])
+    name = rng.choice("abcd")
+    if rng.random() < 0.25:
+        return Change(table, name)
+    if table == "routes":
+        members = {"pool": rng.choice("abcd"), "tier": 1, "model": rng.choice("xyz*")}
+        return Change(table, name, {"name": name, **members})
+    if table == "pools":
+        endpoints = [
+            {"name": item, "address": f"127.0.0.1:{rng.randint(1, 2)}", "availability_zone": "z"}
+            for item in rng.sample("efgh", rng.randint(0, 2))
+        ]
+        return Change(table, name, {"name": name, "endpoints": endpoints})
+    keys = [rng.choice("0123") * 64 for _ in range(rng.randint(0, 2))]
+    return Change(table, name, {"name": name, "keys": keys})
+
+
+def _changed(document: dict[str, Any], changes: list[Change]) -> dict[str, Any]:
+    tables = {table: {item["name"]: item for item in items} for table, items in document.items()}
+    for change in changes:
+        tables[change.table].pop(change.name, None)
+        if change.value is not None:
+            tables[change.table][change.name] = change.value
+    return {table: list(items.values()) for table, items in tables.items()}
+
+
+def _sorted(document: dict[str, Any]) -> dict[str, Any]:
+    return {
+        table: sorted(items, key=lambda item: item["name"]) for table, items in document.items()
+    }
