Predict waits from the broker's view of all nodes

Cause: each node predicted waits from its own few grants minus its own few arrivals. The difference was noise, floors fell to 1 at a load of 0.7, and the start of a broker counted as a standstill.

Change: the broker counts waiting requests and grants of all nodes in busy time only (DrainRate) and sends the expected waits by tier with every answer; a node's own estimate is used only without recent news. Floors rise to the next tier that is in use. The scenarios use 90 s of traffic instead of 45 s and a patience below the first-token target.

--- a/lacewinghub/admission.py
+++ b/lacewinghub/admission.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from .drain import DrainRate
 from .membership import Contributor, Members, MemberState
 from .message import Heartbeat, Pressure
 from .queue import Waiter, WaitQueue
@@ -17,8 +18,7 @@
 SHARE_WINDOW_S = 10.0
 RAISE_AFTER_S = 2.0  # Hysteresis: time without pressure before a floor rises by one tier.
 FILL_START = 0.5  # Fill of the queue at which the floor begins to fall.
-DRAIN_WINDOW_S = 5.0
-MIN_BUSY_S = 0.25  # With less queueing than this, no wait is predicted.
+FORECAST_S = 1.0  # How long the forecast of a broker is used.
 AGE_LIMIT_MS = 60_000
 
 
@@ -93,39 +93,12 @@
         return True
 
 
-class _Drain:
-    """Rate at which a queue is emptied while it holds something, and the work that arrives."""
-
-    def __init__(self) -> None:
-        self._busy_s = 0.0
-        self._work = 0.0
-        self._time: float | None = None
-        self._arrived = [0.0] * (MAX_TIER + 1)
-
-    def advance(self, now: float, busy: bool) -> None:
-        elapsed = now - self._time if self._time is not None else 0.0
-        self._time = now
-        if elapsed <= 0.0:
-            return
-        fade = math.exp(-elapsed / DRAIN_WINDOW_S)
-        self._arrived = [work * fade for work in self._arrived]
-        if busy:
-            self._busy_s = self._busy_s * fade + elapsed
-            self._work *= fade
-
-    def served(self, work: float) -> None:
-        self._work += work
-
-    def arrived(self, tier: int, work: float) -> None:
-        self._arrived[tier] += work
+@dataclass(frozen=True, slots=True)
+class _Forecast:
+    """Expected waits of a group by tier, in seconds, as its broker sees them."""
 
-    def rate(self, tier: int) -> float | None:
-        """Return the tokens per second left to a tier, or None without queueing."""
-        if self._busy_s < MIN_BUSY_S:
-            return None
-        total = self._work / self._busy_s
-        higher = sum(self._arrived[:tier]) / DRAIN_WINDOW_S
-        return max(total - higher, MIN_SHARE * total, 1e-9)
+    time: float
+    waits: list[float]
 
 
 @dataclass(slots=True)
@@ -138,7 +111,8 @@
     patience: list[float] = field(default_factory=lambda: [math.inf] * (MAX_TIER + 1))
     admitted: deque[tuple[float, int]] = field(default_factory=deque)
     last: list[float] = field(default_factory=lambda: [-math.inf] * (MAX_TIER + 1))
-    drain: _Drain = field(default_factory=_Drain)
+    drain: DrainRate = field(default_factory=lambda: DrainRate(MIN_SHARE))
+    forecasts: dict[str, _Forecast] = field(default_factory=dict)
 
     def lower(self, tier: int, now: float) -> None:
         for number in range(tier, self.tier):
@@ -146,8 +120,12 @@
         self.tier = tier
 
     def rise(self, now: float) -> None:
-        self.since[self.tier] = math.inf
-        self.tier += 1
+        """Admit the next lower tier that has been seen."""
+        while True:
+            self.since[self.tier] = math.inf
+            self.tier += 1
+            if self.tier == MAX_TIER or self.patience[self.tier] < math.inf:
+                break
         self.pressed = now
 
     def strict_for(self, tier: int, now: float) -> float:
@@ -243,13 +221,35 @@
         return max(known, default=-math.inf) < now - interval
 
     def predicted_wait(self, pool: str, queue: WaitQueue, tier: int) -> float:
-        """Return the expected wait of a new request of a tier, in seconds."""
-        rate = self._own(pool).drain.rate(tier)
+        """Return the expected wait of a new request of a tier, in seconds.
+
+        The brokers' forecasts count the waiting requests of all nodes. Without a recent one, this
+        node's own queue and drain rate are used.
+        """
+        own, now = self._own(pool), self._clock()
+        known = [item.waits for item in own.forecasts.values() if now - item.time <= FORECAST_S]
+        if known:
+            return min(waits[tier] for waits in known)
+        rate = own.drain.rate(tier)
         return 0.0 if rate is None else queue.work(tier) / rate
 
+    def forecast(self, pool: str, group: str, wait_ms: list[int], now: float) -> None:
+        """Take over the expected waits of a group from its broker.
+
+        Args:
+            pool: Name of the pool.
+            group: Name of the group.
+            wait_ms: Waits by tier, from tier 1, in milliseconds.
+            now: Loop time, in seconds.
+        """
+        waits = [0.0] * (MAX_TIER + 1)
+        for tier, wait in enumerate(wait_ms[:MAX_TIER], start=1):
+            waits[tier] = wait / 1000
+        self._own(pool).forecasts[group] = _Forecast(now, waits)
+
     def served(self, waiter: Waiter, now: float) -> None:
         """Count the work that left the queue."""
-        self._own(waiter.req.pool).drain.served(waiter.cost)
+        self._own(waiter.req.pool).drain.served(waiter.req.tier, waiter.cost)
 
     def update(self, pool: Pool, queue: WaitQueue, now: float) -> None:
         """Move the floor; lower at once, raise step by step."""
@@ -300,7 +300,6 @@
         own, tier = self._own(pool.name), waiter.req.tier
         own.last[tier] = now
         own.admitted.append((now, tier))
-        own.drain.arrived(tier, waiter.cost)
         return Verdict(True, displaced=displaced, quota=quota)
 
     def _by_fill(self, pool: Pool, queue: WaitQueue) -> int:
@@ -311,8 +310,6 @@
         return max(1, worst - math.floor((worst - 1) * (fill - FILL_START) / (1.0 - FILL_START)))
 
     def _by_wait(self, pool: str, queue: WaitQueue, own: _Floor) -> int:
-        if not len(queue):
-            return MAX_TIER
         for tier in range(1, MAX_TIER + 1):
             if self.predicted_wait(pool, queue, tier) > own.patience[tier]:
                 return tier
--- a/lacewinghub/broker.py
+++ b/lacewinghub/broker.py
@@ -5,12 +5,13 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
+from .drain import DrainRate
 from .group import Group, Groups
 from .limit import ConcurrencyLimit
 from .message import REFUSED, Demand, GrantItem, Grants, GroupFree, Release, ReleaseItem
 from .scheduler import PoolView
 from .selection import AFFINITY_BOUND
-from .tables import Endpoint
+from .tables import MAX_TIER, Endpoint
 from .transport import Transport
 
 LEASE_S = 2.0
@@ -70,6 +71,8 @@
     nodes: dict[str, _Node] = field(default_factory=dict)
     leases: dict[tuple[str, int], _Lease] = field(default_factory=dict)
     runners: dict[str, _Runner] = field(default_factory=dict)
+    drain: DrainRate = field(default_factory=lambda: DrainRate(MIN_SHARE))
+    waits: list[int] = field(default_factory=list)
     credit: defaultdict[int, float] = field(default_factory=lambda: defaultdict(float))
 
 
@@ -221,6 +224,7 @@
     def _grant(self, state: _State, now: float) -> None:
         if now - state.started < START_S:
             return
+        state.drain.advance(now, state.drain.busy)
         made: dict[str, list[GrantItem]] = {}
         endpoints = self._usable(state)
         slow = self._slow(state, endpoints)
@@ -241,6 +245,9 @@
             item.only = only
             made.setdefault(name, []).append(item)
             _pay(state, waiting, tier)
+            state.drain.served(tier, 1.0)
+        state.drain.advance(now, bool(waiting))
+        state.waits = _forecast(state, waiting)
         for name, items in made.items():
             self._answer(state, name, items, now)
 
@@ -252,7 +259,7 @@
 
     def _answer(self, state: _State, node: str, items: list[GrantItem], now: float) -> None:
         state.nodes[node].answered = now
-        self._transport.send(node, Grants(state.group.name, items))
+        self._transport.send(node, Grants(state.group.name, items, state.waits))
 
     def _next_tier(self, state: _State, waiting: Counter[int]) -> tuple[int, bool]:
         starving = [tier for tier in waiting if state.credit[tier] >= MAX_CREDIT]
@@ -363,6 +370,17 @@
     state.credit[served] = max(0.0, state.credit[served] - 1.0)
 
 
+def _forecast(state: _State, waiting: Counter[int]) -> list[int]:
+    """Return the expected wait of a new request by tier, in milliseconds."""
+    waits: list[int] = []
+    ahead = 1
+    for tier in range(1, MAX_TIER + 1) if waiting else ():
+        ahead += waiting.get(tier, 0)
+        rate = state.drain.rate(tier)
+        waits.append(int(1000 * ahead / rate) if rate else 0)
+    return waits
+
+
 def _subtract(waiting: Counter[tuple[int, str]], tier: int, preferred: str | None = None) -> None:
     """Count one waiting request of a tier off; without a preference, any of them."""
     for key in waiting:
--- a/lacewinghub/brokered.py
+++ b/lacewinghub/brokered.py
@@ -69,7 +69,12 @@
         self._members = members
         self._groups = Groups(view)
         self._client = GrantClient(
-            transport, members, self._groups.find, self._waiters, self._on_grant
+            transport,
+            members,
+            self._groups.find,
+            self._waiters,
+            self._on_grant,
+            self._on_forecast,
         )
         self._selection = Affinity(self.prefixes, TwoChoices(reports, rng), reports)
         self._uses: dict[int, _Use] = {}
@@ -175,6 +180,9 @@
             self._client.changed(name)
             self._client.changed(waiter.group)
 
+    def _on_forecast(self, group: str, wait_ms: list[int]) -> None:
+        self.floors.forecast(pool_of(group), group, wait_ms, _now())
+
     def _dispatch(self, group: Group) -> None:
         state = self.state(group.pool)
         live = max(1, len(self._members.live()))
--- a/lacewinghub/grant.py
+++ b/lacewinghub/grant.py
@@ -19,6 +19,7 @@
 SILENCE_S = 0.3  # Without an answer for this long, the node dispatches directly.
 
 OnGrant = Callable[[str, GrantItem], None]
+OnForecast = Callable[[str, list[int]], None]
 Waiters = Callable[[str], Iterable[Waiter]]
 
 
@@ -43,6 +44,7 @@
         find: Returns a group by name, or None.
         waiters: Returns the waiters assigned to a group.
         on_grant: Receives each granted slot with the name of its group.
+        on_forecast: Receives the expected waits by tier with the name of the group.
     """
 
     def __init__(
@@ -52,12 +54,14 @@
         find: Callable[[str], Group | None],
         waiters: Waiters,
         on_grant: OnGrant,
+        on_forecast: OnForecast,
     ) -> None:
         self._transport = transport
         self._members = members
         self._find = find
         self._waiters = waiters
         self._on_grant = on_grant
+        self._on_forecast = on_forecast
         self._asked: dict[str, _Asked] = {}
         self._last_direct = 0
         transport.subscribe(Grants, self._on_grants)
@@ -156,6 +160,7 @@
         if state is None:
             return
         state.asked = None
+        self._on_forecast(grants.group, grants.wait_ms)
         for item in grants.items:
             self._on_grant(grants.group, item)
 
--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -130,12 +130,19 @@
 
 @dataclass(slots=True)
 class Grants:
-    """Slots handed out by the broker of a runner group."""
+    """Slots handed out by the broker of a runner group.
+
+    Attributes:
+        group: Name of the group.
+        items: The slots; may be empty, as an answer to a demand.
+        wait_ms: Expected wait of a new request by tier, from tier 1; empty without queueing.
+    """
 
     CODE: ClassVar[int] = 4
 
     group: str
     items: list[GrantItem]
+    wait_ms: list[int] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/lacewinghub/scenario.py
+++ b/lacewinghub/scenario.py
@@ -12,7 +12,7 @@
 from .tables import Endpoint, Pool, Route, Tables, Target, Workspace
 
 WARMUP_S = 5.0
-TRAFFIC_S = 45.0
+TRAFFIC_S = 90.0
 TAIL_S = 10.0  # Requests that arrive in the last seconds are load only and are not measured.
 WORKSPACES = 10
 WORKSPACE_SIZES = (0.3, 0.22, 0.12, 0.08, 0.07, 0.06, 0.05, 0.04, 0.03, 0.03)
@@ -106,12 +106,12 @@
     {"assistant": 6, "booking": 3},
     {"assistant": 8, "booking": 4},
     (
-        RequestClass("quick", "assistant", 1, 0.2, 200, 60, Target(1.0, 0.061, 6.0), 2.0),
-        RequestClass("quote", "assistant", 2, 0.3, 400, 150, Target(2.0, 0.07, 15.0), 2.0),
-        RequestClass("draft", "assistant", 4, 0.3, 600, 300, Target(6.0, 0.09, 40.0), 5.0),
-        RequestClass("batch", "assistant", 6, 0.2, 800, 400, Target(15.0, 0.1, 60.0), 12.0),
-        RequestClass("booking", "booking", 1, 0.6, 20, 15, Target(None, None, 2.0), 1.5, False),
-        RequestClass("calendar", "booking", 3, 0.4, 20, 15, Target(None, None, 4.0), 3.0, False),
+        RequestClass("quick", "assistant", 1, 0.2, 200, 60, Target(1.0, 0.061, 6.0), 0.7),
+        RequestClass("quote", "assistant", 2, 0.3, 400, 150, Target(2.0, 0.07, 15.0), 1.4),
+        RequestClass("draft", "assistant", 4, 0.3, 600, 300, Target(6.0, 0.09, 40.0), 4.0),
+        RequestClass("batch", "assistant", 6, 0.2, 800, 400, Target(15.0, 0.1, 60.0), 10.0),
+        RequestClass("booking", "booking", 1, 0.6, 20, 15, Target(None, None, 2.0), 1.0, False),
+        RequestClass("calendar", "booking", 3, 0.4, 20, 15, Target(None, None, 4.0), 2.5, False),
     ),
 )
 
@@ -123,12 +123,12 @@
     {"shared": 9, "gate": 3},
     {"shared": 8, "gate": 4},
     (
-        RequestClass("verdict", "shared", 1, 0.15, 800, 20, Target(1.2, 0.08, 4.0), 2.0),
-        RequestClass("question", "shared", 2, 0.3, 150, 80, Target(1.6, 0.07, 8.0), 2.0),
-        RequestClass("history", "shared", 5, 0.35, 4000, 400, Target(8.0, 0.1, 60.0), 6.0),
-        RequestClass("digest", "shared", 7, 0.2, 1000, 300, Target(15.0, 0.1, 60.0), 12.0),
-        RequestClass("dispatch", "gate", 1, 0.6, 20, 15, Target(None, None, 2.0), 1.5, False),
-        RequestClass("inspect", "gate", 3, 0.4, 20, 15, Target(None, None, 4.0), 3.0, False),
+        RequestClass("verdict", "shared", 1, 0.15, 800, 20, Target(1.2, 0.08, 4.0), 0.8),
+        RequestClass("question", "shared", 2, 0.3, 150, 80, Target(1.6, 0.07, 8.0), 1.1),
+        RequestClass("history", "shared", 5, 0.35, 4000, 400, Target(8.0, 0.1, 60.0), 5.0),
+        RequestClass("digest", "shared", 7, 0.2, 1000, 300, Target(15.0, 0.1, 60.0), 10.0),
+        RequestClass("dispatch", "gate", 1, 0.6, 20, 15, Target(None, None, 2.0), 1.0, False),
+        RequestClass("inspect", "gate", 3, 0.4, 20, 15, Target(None, None, 4.0), 2.5, False),
     ),
 )
 
