--- a/lacewinghub/errors.py
+++ b/lacewinghub/errors.py
@@ -192,6 +192,12 @@
     code, status, run = "log_uncertain", 503, Run.UNKNOWN
 
 
+class HistoryInvalid(LacewingError):
+    """A recorded history cannot be read; details give file and line."""
+
+    code, status = "history_invalid", 400
+
+
 class PeerRejected(LacewingError):
     """A peer sent an invalid message or failed authentication."""
 
--- a/lacewinghub/history.py
+++ b/lacewinghub/history.py
@@ -8,7 +8,12 @@
 
 
 class EventKind(StrEnum):
-    """What happened."""
+    """What happened.
+
+    Nodes record ``started``, ``stopping`` (a planned stop begins) and ``stopped``. The test harness
+    adds what nodes cannot know: ``killed``, ``frozen`` and ``woken`` of nodes, ``leaving`` and
+    ``returned`` of endpoints, and ``published`` with the version of an accepted change.
+    """
 
     ARRIVED = "arrived"
     ADMITTED = "admitted"
@@ -23,6 +28,13 @@
     CONFIG = "config"
     CLAIMED = "claimed"
     STOPPED = "stopped"
+    STARTED = "started"
+    STOPPING = "stopping"
+    KILLED = "killed"
+    FROZEN = "frozen"
+    WOKEN = "woken"
+    RETURNED = "returned"
+    PUBLISHED = "published"
 
 
 @dataclass(frozen=True, slots=True)
