Test two more cases of the history checker

Two changed rules passed all tests: one that counts admissions of the same tier, and one that takes the version of an earlier life of a node for that of the later one.

--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -76,6 +76,7 @@
     "tier_order: admission within the propagation delay": [admitted(1.9, 6), shed(1, 9)],
     "tier_order: admission after the shedding": [shed(1, 3), admitted(3.5, 6)],
     "tier_order: admission of a higher tier": [admitted(5, 2), shed(1, 9, tier=3)],
+    "tier_order: admission of the same tier": [admitted(5, 3), shed(1, 9, tier=3)],
     "tier_order: admission through the quota": [admitted(5, 6, quota=True), shed(1, 9)],
     "tier_order: another pool": [replace(admitted(5, 6), pool="other"), shed(1, 9)],
     "full_queue: the waiting request was dispatched": [
@@ -220,6 +221,13 @@
         event(K.STARTED, 3),
         event(K.ARRIVED, 9),
     ],
+    "configuration: a restarted node loses it": [
+        config(0, 2),
+        event(K.PUBLISHED, 0, "", version=2),
+        event(K.KILLED, 2),
+        event(K.STARTED, 3),
+        event(K.ARRIVED, 9),
+    ],
     "configuration: a woken node does not learn it": [
         config(0, 1),
         event(K.FROZEN, 0.5),
