Let suspects wait in the router and name the truth in refusals

The router could check a suspect but not wait with it, so that copies at several nodes were resumed at the same moment. It also kept a request that was queued while identical ones crashed endpoints, and answered "not run" to requests that had crashed a runner themselves.

Guard gains hold, awaited before a request is queued, and the check is repeated after the grant. QuarantinedAfterRun has the same code and run "unknown". HealthMonitor and HealthyPools connect EndpointHealth to the router and the schedulers.

--- a/lacewinghub/errors.py
+++ b/lacewinghub/errors.py
@@ -162,6 +162,12 @@
     code, status, run = "quarantined", 422, Run.NOT_RUN
 
 
+class QuarantinedAfterRun(Quarantined):
+    """The request itself was at an endpoint that crashed."""
+
+    run = Run.UNKNOWN
+
+
 class EndpointFailed(LacewingError):
     """No endpoint completed a repeatable request."""
 
--- a/lacewinghub/health.py
+++ b/lacewinghub/health.py
@@ -15,7 +15,9 @@
 from .membership import Contributor
 from .message import Heartbeat
 from .request import Observation
-from .tables import Endpoint, Pool
+from .router import Monitor
+from .scheduler import TablesView
+from .tables import Endpoint, Pool, Tables
 
 FAILURE_LIMIT = 3
 OUTLIER_FACTOR = 3.0
@@ -311,5 +313,41 @@
             self._health.heard(name, age_ms / 1000)
 
 
+class HealthMonitor(Monitor):
+    """Passes on what the router learns of endpoints.
+
+    Args:
+        health: Receives the measurements and refusals.
+    """
+
+    def __init__(self, health: EndpointHealth) -> None:
+        self._health = health
+
+    def observe(self, pool: str, endpoint: str, seen: Observation) -> None:
+        """Note what was measured during one attempt."""
+        self._health.observe(endpoint, seen)
+
+    def leaving(self, endpoint: str) -> None:
+        """Note that the endpoint announced that it is leaving."""
+        self._health.leaving(endpoint)
+
+
+class HealthyPools(TablesView):
+    """Pools of the tables in force without leaving and ejected endpoints.
+
+    Args:
+        tables: Returns the tables in force.
+        health: State of the endpoints.
+    """
+
+    def __init__(self, tables: Callable[[], Tables], health: EndpointHealth) -> None:
+        super().__init__(tables)
+        self._health = health
+
+    def usable(self, name: str) -> list[Endpoint]:
+        """Return the usable endpoints of a pool."""
+        return self._health.usable(self.pool(name))
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/lacewinghub/quarantine.py
+++ b/lacewinghub/quarantine.py
@@ -19,10 +19,11 @@
 
 from loguru import logger
 
-from .errors import Quarantined
+from .errors import Quarantined, QuarantinedAfterRun
 from .membership import Contributor, Members, MemberState, rendezvous
 from .message import Heartbeat, Suspect
 from .request import Observation, Request
+from .router import Guard
 
 CRASH_LIMIT = 2
 # Nodes notice the same crash at slightly different times; a runner takes longer to start again.
@@ -76,7 +77,7 @@
         return self.plan if self.running else WAITING + self.plan
 
 
-class Quarantine(Contributor):
+class Quarantine(Guard, Contributor):
     """Suspects and refused requests, shared with the other nodes through heartbeats.
 
     Args:
@@ -98,6 +99,7 @@
         self._announce = announce
         self._wall = wall
         self._cases: dict[int, _Case] = {}
+        self._ran: dict[str, float] = {}
         self._trials: dict[int, _Trial] = {}
         self._peer_trials: dict[str, dict[int, str]] = {}
         self._incarnations: dict[str, int] = {}
@@ -116,7 +118,8 @@
         """
         count = self.count(req.fingerprint)
         if count >= CRASH_LIMIT:
-            raise Quarantined(
+            error = QuarantinedAfterRun if req.id in self._ran else Quarantined
+            raise error(
                 f"identical requests crashed {count} endpoints", fingerprint=f"{req.fingerprint:x}"
             )
 
@@ -166,6 +169,7 @@
     def ended(self, req: Request, endpoint: str, seen: Observation) -> None:
         """Note that a request no longer is at an endpoint, with what was measured there."""
         if seen.crashed:
+            self._ran[req.id] = _now()
             self.crashed(endpoint, [req.fingerprint])
         elif seen.ok:
             self.finished(req.fingerprint)
@@ -335,6 +339,9 @@
         for fingerprint, case in list(self._cases.items()):
             if not self._is_recent(case.crashes | case.cleared):
                 del self._cases[fingerprint]
+        limit = _now() - SUSPECT_MS / 1000
+        for request in [item for item, crashed in self._ran.items() if crashed < limit]:
+            del self._ran[request]
         for fingerprint, trial in list(self._trials.items()):
             if self._is_stale(trial):
                 del self._trials[fingerprint]
--- a/lacewinghub/router.py
+++ b/lacewinghub/router.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import AsyncGenerator, Awaitable, Callable
+from collections.abc import AsyncGenerator, Awaitable, Callable, Iterable
 from contextlib import aclosing
 from dataclasses import dataclass, field
 
@@ -62,6 +62,18 @@
             Quarantined: If identical requests crashed several endpoints.
         """
 
+    async def hold(self, req: Request, endpoints: Iterable[str]) -> None:
+        """Wait until a request may be queued, and add endpoints to ``req.avoid``.
+
+        Args:
+            req: The request.
+            endpoints: Names of the endpoints of its pool.
+
+        Raises:
+            Quarantined: If identical requests crashed several endpoints.
+        """
+        return None
+
     @abstractmethod
     def started(self, req: Request, endpoint: str) -> None:
         """Note that the request is being sent to an endpoint."""
@@ -318,9 +330,16 @@
     async def _acquire(self, req: Request) -> tuple[Grant, Endpoint]:
         """Wait for a slot of an endpoint that the tables in force still name."""
         while True:
+            await self._hold(req)
             grant = await self._parts.scheduler.acquire(req)
             pool = self._parts.tables().pools.get(req.pool)
             endpoint = pool.endpoint(grant.endpoint) if pool else None
+            try:
+                # Identical requests may have crashed endpoints while this one was queued.
+                self._check(req)
+            except LacewingError:
+                self._parts.scheduler.release(grant, Observation(ok=True))
+                raise
             if endpoint is not None:
                 return grant, endpoint
             self._parts.scheduler.release(grant, Observation(ok=False))
@@ -370,6 +389,11 @@
         if self._parts.guard is not None:
             self._parts.guard.check(req)
 
+    async def _hold(self, req: Request) -> None:
+        pool = self._parts.tables().pools.get(req.pool)
+        if self._parts.guard is not None and pool is not None:
+            await self._parts.guard.hold(req, [item.name for item in pool.endpoints])
+
     def _arrive(self, req: Request) -> None:
         self._record(EventKind.ARRIVED, req)
         if self._parts.budget is not None:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -8,7 +8,7 @@
 
 import looptime
 
-from lacewinghub.errors import Quarantined
+from lacewinghub.errors import Quarantined, Run
 from lacewinghub.membership import Membership
 from lacewinghub.memory_transport import MemoryNetwork
 from lacewinghub.quarantine import CRASH_LIMIT, MAX_CASES, Quarantine
@@ -243,6 +243,21 @@
 
         self.run_simulated(test)
 
+    def test_refusal_says_whether_the_request_ran(self) -> None:
+        """Guards against "not run" for a request that has crashed a runner itself."""
+
+        async def test(cluster: Cluster) -> None:
+            guard, ran, copy = cluster.nodes[0], request(POISON, 1), request(POISON, 2)
+            for runner in ("r1", "r2"):
+                guard.started(ran, runner)
+                guard.ended(ran, runner, CRASHED)
+            for req, expected in ((ran, Run.UNKNOWN), (copy, Run.NOT_RUN)):
+                with self.assertRaises(Quarantined) as caught:
+                    guard.check(req)
+                self.assertEqual(caught.exception.run, expected)
+
+        self.run_simulated(test, size=1)
+
     def test_cases_expire_and_are_bounded(self) -> None:
         """Guards against suspicion that lasts for ever and memory without bound."""
 
