--- a/lacewinghub/errors.py
+++ b/lacewinghub/errors.py
@@ -162,6 +162,12 @@
     code, status, run = "quarantined", 422, Run.NOT_RUN
 
 
+class QuarantinedAfterRun(Quarantined):
+    """The request itself was at an endpoint that crashed."""
+
+    run = Run.UNKNOWN
+
+
 class EndpointFailed(LacewingError):
     """No endpoint completed a repeatable request."""
 
@@ -204,6 +210,12 @@
     code, status, run = "log_uncertain", 503, Run.UNKNOWN
 
 
+class HistoryInvalid(LacewingError):
+    """A recorded history cannot be read; details give file and line."""
+
+    code, status = "history_invalid", 400
+
+
 class PeerRejected(LacewingError):
     """A peer sent an invalid message or failed authentication."""
 
