--- /dev/null
+++ b/lacewinghub/demo.py
@@ -0,0 +1,227 @@
+"""Demonstration: a whole deployment in one process, with a burst and a runner crash.
+
+The tables are those of the Te Awa Kitchen Renewal Trust in ``examples/trust-tables.json``, with
+stand-ins as endpoints. The run ends by itself within a minute.
+"""
+
+import asyncio
+import json
+import sys
+from importlib import resources
+from pathlib import Path
+from typing import Any
+
+import pyjson5
+
+from . import logs
+from .caller import OK
+from .embedded import Embedded, EmbeddedSettings, key_of
+from .errors import BadRequest, LacewingError
+from .load import Burst, Caller, LoadClass, LoadRun, LoadScenario
+from .tables import Tables
+
+TABLES_FILE = "trust-tables.json"
+# Bounds: 15 s of arrivals, then at most 20 s for the rest; the whole run stays under a minute.
+DURATION_S = 15.0
+DRAIN_S = 20.0
+TOTAL_S = 55.0
+BURST_AT_S = 5.0
+BURST_LENGTH_S = 4.0
+BURST_FACTOR = 6.0
+CRASH_AT_S = 7.0
+CRASH_FOR_S = 2.0
+CHANGE_AT_S = 11.0
+CRASHED_RUNNER = "assistant-2"
+RATES = {
+    "painter-question": (3.0, [15, 60], [8, 24]),
+    "quote": (2.0, [60, 200], [30, 80]),
+    "draft": (2.0, [100, 300], [60, 120]),
+}
+BOOKINGS_S = 2.0
+BOOKING_REPEAT = 0.3
+MAX_DOUBLE_RUNS = 0
+
+
+def example_tables() -> dict[str, Any]:
+    """Return the tables of the Trust as a JSON document.
+
+    Raises:
+        BadRequest: If the file is missing.
+    """
+    try:
+        text = resources.files("lacewinghub").joinpath("examples", TABLES_FILE).read_text()
+    except (FileNotFoundError, NotADirectoryError):
+        path = Path(__file__).resolve().parent.parent / "examples" / TABLES_FILE
+        try:
+            text = path.read_text(encoding="utf-8")
+        except OSError as exc:
+            raise BadRequest(f"example tables cannot be read: {exc}") from exc
+    document = pyjson5.decode(text)
+    assert isinstance(document, dict)
+    return document
+
+
+def scenario(document: dict[str, Any]) -> LoadScenario:
+    """Return the traffic of the demonstration."""
+    tables = Tables.parse(document)
+    routes = {route.request_class: route for route in tables.routes.values()}
+    classes = [
+        LoadClass(
+            name=name,
+            rate_s=rate_s,
+            model=routes[name].model,
+            prompt_words=words,
+            prefix_words=128,
+            output_tokens=tokens,
+            target=routes[name].target,
+        )
+        for name, (rate_s, words, tokens) in RATES.items()
+    ]
+    classes[-1].bursts = [Burst(BURST_AT_S, BURST_LENGTH_S, BURST_FACTOR)]
+    booking = tables.routes["booking"]
+    classes.append(
+        LoadClass(
+            name="booking",
+            rate_s=BOOKINGS_S,
+            service=booking.pool,
+            repeat=BOOKING_REPEAT,
+            target=booking.target,
+        )
+    )
+    callers = [
+        Caller(item.name, key_of(item.name), item.weight) for item in tables.workspaces.values()
+    ]
+    return LoadScenario("demo", DURATION_S, classes, callers, check_answers=True)
+
+
+async def run() -> dict[str, Any]:
+    """Run the demonstration and print its progress.
+
+    Returns:
+        The result: ``requests``, ``answered``, ``not_run``, ``unknown``, ``double_runs``,
+        ``attainment`` by class and further totals.
+
+    Raises:
+        LacewingError: If a part does not start or a guarantee was broken.
+    """
+    async with asyncio.timeout(TOTAL_S):
+        document = example_tables()
+        deployment = Embedded(EmbeddedSettings(document))
+        _say("start 3 nodes, an append-only log, 6 model runners and 3 booking services")
+        try:
+            await deployment.start()
+            result = await _serve(deployment, scenario(document))
+        finally:
+            await deployment.stop()
+    _say("all parts stopped")
+    return result
+
+
+async def _serve(deployment: Embedded, traffic: LoadScenario) -> dict[str, Any]:
+    published = await deployment.publish("demo")
+    _say(
+        f"published tables version {published.version}: 5 routes join request classes to 2 pools; "
+        "in force at all nodes"
+    )
+    _say(
+        f"send {DURATION_S:.0f} s of traffic to all nodes: painters' questions (tier 1), quotes "
+        "(tier 2), drafts (tier 5), bookings that must not run twice"
+    )
+    load = LoadRun(traffic, deployment.addresses)
+    events = asyncio.get_running_loop().create_task(_disturb(deployment))
+    progress = asyncio.get_running_loop().create_task(_progress(load))
+    try:
+        totals = await load.run(DRAIN_S)
+    finally:
+        progress.cancel()
+        events.cancel()
+    if events.done() and not events.cancelled():
+        events.result()
+    return _result(deployment, totals)
+
+
+async def _disturb(deployment: Embedded) -> None:
+    await asyncio.sleep(BURST_AT_S)
+    _say(f"burst: {BURST_FACTOR:.0f} times as many drafts for {BURST_LENGTH_S:.0f} s")
+    await asyncio.sleep(CRASH_AT_S - BURST_AT_S)
+    _say(
+        f"runner {CRASHED_RUNNER} crashes for {CRASH_FOR_S:.0f} s; its answers continue at other "
+        "runners"
+    )
+    deployment.runners[CRASHED_RUNNER].crash(CRASH_FOR_S)
+    await asyncio.sleep(CHANGE_AT_S - CRASH_AT_S)
+    document = json.loads(json.dumps(deployment.document))
+    quote = next(item for item in document["routes"] if item["name"] == "quote")
+    quote["patience_s"] = 20
+    published = await deployment.publish("operator", document)
+    _say(f"published tables version {published.version} while serving; in force at all nodes")
+
+
+async def _progress(load: LoadRun) -> None:
+    while True:
+        await asyncio.sleep(2.5)
+        parts = [
+            f"{name} {totals.outcomes[OK]}/{totals.requests}"
+            for name, totals in load.totals.items()
+        ]
+        _say("answered of finished: " + ", ".join(parts))
+
+
+def _result(deployment: Embedded, totals: dict[str, Any]) -> dict[str, Any]:
+    double_runs = deployment.double_runs()
+    _say(
+        f"{totals['answered']} of {totals['requests']} requests answered; every answer compared "
+        f"with what the runner generated: {totals['wrong']} differ"
+    )
+    runs = sum(len(service.ledger) for service in deployment.services.values())
+    _say(f"the booking services ran {runs} bookings, {double_runs} of them twice")
+    return {
+        "requests": totals["requests"],
+        "answered": totals["answered"],
+        "not_run": totals["not_run"],
+        "unknown": totals["unknown"],
+        "double_runs": double_runs,
+        "wrong": totals["wrong"],
+        "attainment": totals["attainment"],
+        "errors": {
+            name: item["errors"] for name, item in totals["classes"].items() if item["errors"]
+        },
+        "seconds": totals["seconds"],
+    }
+
+
+def check(result: dict[str, Any]) -> None:
+    """Check the guarantees that the demonstration shows.
+
+    Raises:
+        LacewingError: If an answer was wrong or a booking ran twice.
+    """
+    if result["wrong"] or result["double_runs"] > MAX_DOUBLE_RUNS:
+        raise LacewingError(
+            f"{result['wrong']} wrong answers, {result['double_runs']} bookings ran twice"
+        )
+
+
+def main() -> None:
+    """Run the demonstration; the last line of output is the result as one JSON object.
+
+    Raises:
+        LacewingError: If a part does not start or a guarantee was broken.
+    """
+    import uvloop
+
+    # Expected disturbances are explained on standard output.
+    logs.setup("ERROR")
+    result = uvloop.run(run())
+    print(json.dumps(result), flush=True)
+    check(result)
+
+
+_began: list[float] = []
+
+
+def _say(text: str) -> None:
+    now = asyncio.get_running_loop().time()
+    if not _began:
+        _began.append(now)
+    print(f"[{now - _began[0]:5.1f} s] {text}", flush=True, file=sys.stdout)
--- /dev/null
+++ b/lacewinghub/embedded.py
@@ -0,0 +1,186 @@
+"""A small deployment in one process: nodes, log, runners and a service that may not be repeated."""
+
+import asyncio
+import copy
+import hashlib
+import secrets
+import socket
+from dataclasses import dataclass, field
+from typing import Any
+
+from .caller import NodeClient
+from .errors import LacewingError
+from .fake_log import LogServer, MemoryLog
+from .fake_runner import EngineConfig, FakeRunner
+from .fake_service import FakeService, ServiceFaults
+from .node import Node
+from .publish import PublishResult, publish
+from .settings import Limits, Settings
+
+NODES = 3
+STOP_S = 10.0
+IN_FORCE_S = 10.0
+# Slow enough that one process can carry all runners, nodes and callers at once.
+RUNNER = EngineConfig(slots=4, step_s=0.03, step_per_sequence_s=0.001)
+RUN_S = 0.02
+
+
+def key_of(workspace: str) -> str:
+    """Return the key of a workspace of the embedded deployment."""
+    return f"example-key-{workspace}"
+
+
+def digest(key: str) -> str:
+    """Return the SHA-256 digest of a key in hex."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def free_ports(count: int) -> list[int]:
+    """Return loopback ports that are free now."""
+    socks = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+@dataclass(slots=True)
+class EmbeddedSettings:
+    """Size and speed of an embedded deployment.
+
+    Attributes:
+        document: Tables; the addresses of endpoints are replaced.
+        nodes: Number of nodes.
+        engine: Speed and size of each runner.
+        faults: Faults of the services.
+        scheduler: Version of the scheduler.
+    """
+
+    document: dict[str, Any]
+    nodes: int = NODES
+    engine: EngineConfig = field(default_factory=lambda: copy.copy(RUNNER))
+    faults: ServiceFaults = field(default_factory=lambda: ServiceFaults(delay_s=RUN_S))
+    scheduler: str = "brokered"
+
+
+class Embedded:
+    """Runs all parts in the running event loop, on loopback ports chosen by the system.
+
+    Args:
+        cfg: Size and speed.
+
+    Attributes:
+        document: The tables with the addresses of the stand-ins.
+        nodes: The nodes.
+        runners: Runners by endpoint name.
+        services: Services by endpoint name.
+        operator_key: Key that reads ``/status``.
+    """
+
+    def __init__(self, cfg: EmbeddedSettings) -> None:
+        self.cfg = cfg
+        self.document = copy.deepcopy(cfg.document)
+        self.log = MemoryLog()
+        self.log_server = LogServer(self.log)
+        self.nodes: list[Node] = []
+        self.runners: dict[str, FakeRunner] = {}
+        self.services: dict[str, FakeService] = {}
+        self.operator_key = secrets.token_hex(16)
+
+    @property
+    def addresses(self) -> list[str]:
+        """Addresses of the nodes for callers."""
+        return [f"127.0.0.1:{node.port}" for node in self.nodes]
+
+    async def start(self) -> None:
+        """Start all parts; no tables are published yet."""
+        await self.log_server.start()
+        for pool in self.document["pools"]:
+            for item in pool["endpoints"]:
+                await self._start_endpoint(pool, item)
+        await self._start_nodes()
+
+    async def stop(self) -> None:
+        """Stop all parts, the nodes first."""
+        for node in self.nodes:
+            try:
+                await asyncio.wait_for(node.stop(), STOP_S)
+            except TimeoutError:
+                await node.kill()
+        for server in [*self.runners.values(), *self.services.values()]:
+            await server.stop()
+        await self.log_server.stop()
+
+    async def publish(self, author: str, document: dict[str, Any] | None = None) -> PublishResult:
+        """Publish tables and wait until every node has them in force.
+
+        Args:
+            author: Name of the operator.
+            document: The tables; those of the settings if None.
+
+        Returns:
+            The accepted change.
+
+        Raises:
+            LacewingError: If a node does not take the version in time, or the errors of
+                ``publish.publish``.
+        """
+        result = await publish(self.log, document or self.document, author)
+        deadline = asyncio.get_running_loop().time() + IN_FORCE_S
+        async with NodeClient() as client:
+            for address in self.addresses:
+                while await self._version(client, address) < result.version:
+                    if asyncio.get_running_loop().time() > deadline:
+                        raise LacewingError(f"version {result.version} is not in force everywhere")
+                    await asyncio.sleep(0.02)
+        return result
+
+    def double_runs(self) -> int:
+        """Return the number of runs beyond the first one of their key, over all services."""
+        counts: dict[str, int] = {}
+        for service in self.services.values():
+            for run in service.ledger:
+                counts[run.key] = counts.get(run.key, 0) + 1
+        return sum(count - 1 for key, count in counts.items() if key)
+
+    async def _version(self, client: NodeClient, address: str) -> int:
+        status = await client.status(address, self.operator_key)
+        return int(status["config_version"])
+
+    async def _start_endpoint(self, pool: dict[str, Any], item: dict[str, Any]) -> None:
+        name = item["name"]
+        server: FakeRunner | FakeService
+        if pool.get("kind", "model") == "model":
+            engine = copy.copy(self.cfg.engine)
+            server = self.runners[name] = FakeRunner(name, engine, load_lag_s=0.2)
+            item["slots"], item["cache_blocks"] = engine.slots, engine.cache_blocks
+        else:
+            server = self.services[name] = FakeService(name, faults=self.cfg.faults)
+        await server.start()
+        item["address"] = server.address
+
+    async def _start_nodes(self) -> None:
+        zones = sorted(
+            {e["availability_zone"] for pool in self.document["pools"] for e in pool["endpoints"]}
+        )
+        ports = free_ports(2 * self.cfg.nodes)
+        peers = [f"127.0.0.1:{port}" for port in ports[: self.cfg.nodes]]
+        peer_key = secrets.token_hex(16)
+        for number in range(self.cfg.nodes):
+            settings = Settings.model_validate(
+                {
+                    "node": f"node-{number + 1}",
+                    "availability_zone": zones[number % len(zones)] if zones else "local",
+                    "listen": f"127.0.0.1:{ports[self.cfg.nodes + number]}",
+                    "peer_listen": peers[number],
+                    "peers": [peer for peer in peers if peer != peers[number]],
+                    "log": self.log_server.address,
+                    "peer_key": peer_key,
+                    "operator_keys": [digest(self.operator_key)],
+                    "scheduler": self.cfg.scheduler,
+                    "limits": Limits(grace_s=0.2),
+                }
+            )
+            node = Node(settings)
+            self.nodes.append(node)
+            await node.start()
--- a/lacewinghub/errors.py
+++ b/lacewinghub/errors.py
@@ -216,6 +216,12 @@
     code, status = "unreachable", 503
 
 
+class BadArguments(LacewingError):
+    """The command line is wrong."""
+
+    code, status = "bad_arguments", 400
+
+
 def all_errors() -> dict[str, type[LacewingError]]:
     """Return the error classes by code."""
     classes: list[type[LacewingError]] = [LacewingError, *LacewingError.__subclasses__()]
