--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -12,6 +12,7 @@
 
 from .errors import PeerRejected
 
+REFUSED = -1
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 
 
@@ -55,15 +56,29 @@
 
 @dataclass(slots=True)
 class Suspect:
-    """A fingerprint and the crashes (endpoint name and a counter) that it was in flight at."""
+    """A fingerprint and the crashes that it was in flight at.
+
+    Attributes:
+        fingerprint: Fingerprint of the request.
+        crashes: One ``endpoint@time`` per crash, with the wall time in milliseconds.
+        cleared: Those of the crashes that a finished run has cleared it of.
+        trial: Endpoint on which the sender runs it again, ``?`` and the planned endpoint if the
+            sender waits to do so, otherwise empty.
+    """
 
     fingerprint: int
     crashes: list[str]
+    cleared: list[str] = field(default_factory=list)
+    trial: str = ""
 
 
 @dataclass(slots=True)
 class Heartbeat:
-    """Periodic state of a node; complete, so that a lost one does no harm."""
+    """Periodic state of a node; complete, so that a lost one does no harm.
+
+    ``leaving_age_ms`` holds, for each endpoint in ``leaving``, the time since it was last seen to
+    be leaving.
+    """
 
     CODE: ClassVar[int] = 2
 
@@ -77,6 +92,7 @@
     leaving: list[str] = field(default_factory=list)
     suspects: list[Suspect] = field(default_factory=list)
     quarantined: list[int] = field(default_factory=list)
+    leaving_age_ms: list[int] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -112,11 +128,19 @@
 
 @dataclass(slots=True)
 class GrantItem:
-    """One slot handed out by a broker for a request of at least this tier."""
+    """One slot handed out by a broker for a request of at least this tier.
+
+    Attributes:
+        id: Unique within the broker.
+        endpoint: Name of the endpoint.
+        tier: Tier whose turn it is.
+        only: True if the slot is for this tier only, to keep its minimum share.
+    """
 
     id: int
     endpoint: str
     tier: int
+    only: bool = False
 
 
 @dataclass(slots=True)
@@ -131,7 +155,17 @@
 
 @dataclass(slots=True)
 class ReleaseItem:
-    """End of a grant with its measurements; times in milliseconds, -1 if unknown."""
+    """End of a grant with its measurements.
+
+    Attributes:
+        id: Identifier of the grant.
+        endpoint: Name of the endpoint.
+        ok: True if the endpoint served the request to its end.
+        first_token_ms: Time to the first token in milliseconds, or -1.
+        between_tokens_us: Mean time between tokens in microseconds, or -1.
+        tokens: Tokens received; ``REFUSED`` if the node did not want this endpoint.
+        crashed: True if the connection to the endpoint broke.
+    """
 
     id: int
     endpoint: str
@@ -139,6 +173,7 @@
     first_token_ms: int
     between_tokens_us: int
     tokens: int
+    crashed: bool = False
 
 
 @dataclass(slots=True)
