--- a/lacewinghub/cli.py
+++ b/lacewinghub/cli.py
@@ -13,12 +13,19 @@
 from typing import Any
 
 import fire
+import fire.decorators
 import pyjson5
 from fire.core import FireExit
-from fire.decorators import SetParseFn
 
 from . import __version__
-from .errors import BadArguments, BadRequest, LacewingError, SettingsInvalid, TablesInvalid
+from .errors import (
+    BadArguments,
+    BadRequest,
+    LacewingError,
+    SettingsInvalid,
+    SystemRefused,
+    TablesInvalid,
+)
 from .tables import TABLE_NAMES, Tables
 
 EXIT_OK = 0
@@ -27,6 +34,12 @@
 EXIT_INTERRUPTED = 130
 KEY_VARIABLE = "LACEWINGHUB_KEY"
 
+# Fire keeps the parse functions of a command in an attribute with this name; a public name would
+# show in the help as if it were a group of commands.
+fire.decorators.FIRE_METADATA = "_fire_metadata"
+# All values stay text: Fire would turn an author named 1e3 into a number.
+_text_arguments = fire.decorators.SetParseFn(str)
+
 
 class _Job:
     """Work that starts after the whole command line was accepted."""
@@ -42,7 +55,7 @@
     error with a code (docs/errors.md), 2 on a wrong command line.
     """
 
-    @SetParseFn(str)
+    @_text_arguments
     def node(self, settings: str) -> _Job:
         """Run a node until SIGTERM, which stops it without interrupting a request.
 
@@ -59,8 +72,8 @@
 
         return _Job(work)
 
-    @SetParseFn(str)
-    def check(self, file: str, json: str = "False") -> _Job:
+    @_text_arguments
+    def check(self, file: str, *, json: bool = False) -> _Job:
         """Check a settings file or a tables file without using it.
 
         Example: lacewinghub check examples/trust-tables.json
@@ -72,9 +85,9 @@
         as_json = _flag("json", json)
         return _Job(lambda: _check(file, as_json))
 
-    @SetParseFn(str)
+    @_text_arguments
     def publish(
-        self, file: str, log: str, author: str, base: str = "", json: str = "False"
+        self, file: str, *, log: str, author: str, base: str = "", json: bool = False
     ) -> _Job:
         """Publish tables; succeeds only if the change was accepted.
 
@@ -96,8 +109,8 @@
             raise BadArguments("--author must not be empty")
         return _Job(lambda: _publish(file, address, author, version, as_json))
 
-    @SetParseFn(str)
-    def status(self, address: str, key: str = "") -> _Job:
+    @_text_arguments
+    def status(self, address: str, *, key: str = "") -> _Job:
         """Print the status of a node as JSON.
 
         Example: LACEWINGHUB_KEY=... lacewinghub status 192.0.2.1:8080
@@ -110,7 +123,7 @@
         node = _address("address", address)
         return _Job(lambda: _status(node, _key(key)))
 
-    @SetParseFn(str)
+    @_text_arguments
     def report(
         self,
         *files: str,
@@ -120,7 +133,7 @@
         windows: str = "5m,30m,1h,6h,1d,3d",
         period: str = "30d",
         html: str = "",
-        json: str = "False",
+        json: bool = False,
     ) -> _Job:
         """Show how fast each class spends its error budget.
 
@@ -143,9 +156,9 @@
         nodes = [_address("status", item.strip()) for item in status.split(",") if item.strip()]
         return _Job(lambda: _report(list(files), nodes, _key(key), options))
 
-    @SetParseFn(str)
+    @_text_arguments
     def load(
-        self, scenario: str, node: str = "", embedded: str = "False", remote: str = "False"
+        self, scenario: str, *, node: str = "", embedded: bool = False, remote: bool = False
     ) -> _Job:
         """Send the traffic of a scenario and print one JSON object with the results.
 
@@ -162,7 +175,7 @@
             raise BadArguments("name either --node with addresses or --embedded")
         return _Job(lambda: _load(scenario, node, use_remote))
 
-    @SetParseFn(str)
+    @_text_arguments
     def bench(self, *names: str, seed: str = "1") -> _Job:
         """Compare versions of the scheduler on simulated endpoints, one JSON object per line.
 
@@ -175,7 +188,7 @@
         number = _number("seed", seed)
         return _Job(lambda: _bench(list(names), number))
 
-    @SetParseFn(str)
+    @_text_arguments
     def demo(self) -> _Job:
         """Run a whole deployment in this process for less than a minute.
 
@@ -189,7 +202,7 @@
 
         return _Job(work)
 
-    @SetParseFn(str)
+    @_text_arguments
     def version(self) -> _Job:
         """Print the version.
 
@@ -208,19 +221,18 @@
         The exit status.
     """
     # Fire would show its help through a pager on a terminal.
-    os.environ.setdefault("PAGER", "cat")
+    os.environ["PAGER"] = "cat"
     try:
-        job = fire.Fire(Commands, command=argv, name="lacewinghub", serialize=lambda _: None)
+        job = fire.Fire(
+            Commands(), command=argv or ["--help"], name="lacewinghub", serialize=lambda _: None
+        )
         if not isinstance(job, _Job):
-            if argv and argv[0] not in ("-h", "--help", "--"):
-                raise BadArguments(f"command {argv[0]!r} does not exist")
-            fire.Fire(Commands, command=["--help"], name="lacewinghub")
-            return EXIT_OK if argv else EXIT_USAGE
+            raise BadArguments("no command is given")
         job._work()
     except FireExit as exc:
         if exc.code:
             _print_error(BadArguments("the command line is wrong; see the usage above"))
-        return EXIT_USAGE if exc.code else EXIT_OK
+        return EXIT_OK if argv and not exc.code else EXIT_USAGE
     except BadArguments as exc:
         _print_error(exc)
         return EXIT_USAGE
@@ -228,7 +240,7 @@
         _print_error(exc)
         return EXIT_FAILED
     except OSError as exc:
-        _print_error(LacewingError(str(exc)))
+        _print_error(SystemRefused(str(exc)))
         return EXIT_FAILED
     except KeyboardInterrupt:
         return EXIT_INTERRUPTED
@@ -245,10 +257,10 @@
     return uvloop.run(main)
 
 
-def _flag(name: str, value: str) -> bool:
-    if value not in ("True", "False"):
+def _flag(name: str, value: object) -> bool:
+    if str(value) not in ("True", "False"):
         raise BadArguments(f"--{name} takes no value")
-    return value == "True"
+    return str(value) == "True"
 
 
 def _number(name: str, value: str) -> int:
--- a/lacewinghub/errors.py
+++ b/lacewinghub/errors.py
@@ -222,6 +222,12 @@
     code, status = "bad_arguments", 400
 
 
+class SystemRefused(LacewingError):
+    """The operating system refused an operation, such as binding an address."""
+
+    code, status = "system_refused", 500
+
+
 def all_errors() -> dict[str, type[LacewingError]]:
     """Return the error classes by code."""
     classes: list[type[LacewingError]] = [LacewingError, *LacewingError.__subclasses__()]
