--- a/lacewinghub/errors.py
+++ b/lacewinghub/errors.py
@@ -162,6 +162,12 @@
     code, status, run = "quarantined", 422, Run.NOT_RUN
 
 
+class QuarantinedAfterRun(Quarantined):
+    """The request itself was at an endpoint that crashed."""
+
+    run = Run.UNKNOWN
+
+
 class EndpointFailed(LacewingError):
     """No endpoint completed a repeatable request."""
 
@@ -204,6 +210,12 @@
     code, status, run = "log_uncertain", 503, Run.UNKNOWN
 
 
+class HistoryInvalid(LacewingError):
+    """A recorded history cannot be read; details give file and line."""
+
+    code, status = "history_invalid", 400
+
+
 class PeerRejected(LacewingError):
     """A peer sent an invalid message or failed authentication."""
 
@@ -216,6 +228,18 @@
     code, status = "unreachable", 503
 
 
+class BadArguments(LacewingError):
+    """The command line is wrong."""
+
+    code, status = "bad_arguments", 400
+
+
+class SystemRefused(LacewingError):
+    """The operating system refused an operation, such as binding an address."""
+
+    code, status = "system_refused", 500
+
+
 def all_errors() -> dict[str, type[LacewingError]]:
     """Return the error classes by code."""
     classes: list[type[LacewingError]] = [LacewingError, *LacewingError.__subclasses__()]
