--- a/lacewinghub/broker.py
+++ b/lacewinghub/broker.py
@@ -102,6 +102,11 @@
         transport.subscribe(Demand, self._on_demand)
         transport.subscribe(Release, self._on_release)
 
+    def endpoints(self) -> set[str]:
+        """Return the names of the endpoints whose slots this node hands out."""
+        groups = (self._groups.find(name) for name in self._states)
+        return {item.name for group in groups if group for item in group.endpoints}
+
     def free(self) -> list[GroupFree]:
         """Return the free slots of each group that this node is broker of."""
         now = _now()
--- a/lacewinghub/node.py
+++ b/lacewinghub/node.py
@@ -4,23 +4,37 @@
 import os
 import signal
 import sys
+import time
 from typing import TextIO
 
 from loguru import logger
 
 from . import logs
+from .brokered import BrokeredScheduler
+from .claim import Claimer
 from .config import ConfigReplica
 from .endpoint import HttpEndpoint
 from .gateway import Gateway, GatewayParts, Phase
+from .health import EndpointHealth, HealthMonitor, HealthyPools, LeavingMarks
 from .history import History
+from .hosts import HostList
 from .local import LocalScheduler
 from .log import HttpLog
+from .membership import Membership
 from .naive import NaiveScheduler
-from .router import Parts, Router
-from .scheduler import Scheduler, TablesView
+from .peer import PeerServer
+from .poll import EndpointPoller
+from .quarantine import Quarantine
+from .router import Parts, PoolBudgets, Router
+from .scheduler import Scheduler
 from .selection import LoadReports
 from .settings import Settings, load
 from .supervisor import Supervisor
+from .tables import Tables
+from .transport import Peer
+
+# The log may be down during a stop; results that it never gets stay "outcome unknown".
+FLUSH_S = 10.0
 
 
 class Node:
@@ -52,8 +66,17 @@
         sup.on_stop(self._close_history)
         sup.on_stop(self._log.close)
         sup.on_stop(self._client.close)
+        await self._peers.start()
+        sup.start("peers", self._peers.run)
+        sup.start("membership", self._membership.run)
+        if self._hosts is not None:
+            sup.on_stop(self._hosts.close)
+            sup.start("hosts", self._hosts.run)
         sup.start("config", self._config.run)
+        sup.start("claims", self._claimer.run)
         sup.start("scheduler", self._scheduler.run)
+        sup.start("poll", self._poller.run)
+        sup.on_stop(self._flush_claims)
         sup.on_stop(self._router.close)
         host, _, port = self.cfg.listen.rpartition(":")
         self.port = await self._gateway.start(host.strip("[]"), int(port))
@@ -77,6 +100,7 @@
         self._stopped = True
         logger.info("node {} is leaving", self.cfg.node)
         self._gateway.phase = Phase.LEAVING
+        self._membership.leave()
         await asyncio.sleep(self.cfg.limits.grace_s)
         self._gateway.phase = Phase.DRAINING
         logger.info("node {} drains {} requests", self.cfg.node, self._gateway.in_flight)
@@ -95,33 +119,100 @@
             self._history_out = open(cfg.history_file, "a", encoding="utf-8")  # noqa: SIM115
         self._history = History(cfg.node, self._history_out)
         self._log = HttpLog(cfg.log)
-        self._config = ConfigReplica(cfg.node, self._log, None, self._history)
+        identity = Peer(cfg.node, int(time.time() * 1000), cfg.availability_zone, cfg.peer_listen)
+        self._peers = PeerServer(identity, cfg.peer_key.encode())
+        self._membership = Membership(identity, self._peers, cfg.peers)
+        self._hosts = HostList(cfg.hosts, self._membership.discovered) if cfg.hosts else None
+        self._config = ConfigReplica(cfg.node, self._log, self._peers, self._history)
+        self._config.subscribe(self._on_tables)
         self._client = HttpEndpoint(cfg.limits.connect_s, cfg.limits.endpoint_idle_s)
+        self._health = EndpointHealth()
+        self._quarantine = Quarantine(cfg.node, self._membership, self._membership.beat)
+        self._claimer = Claimer(
+            cfg.node,
+            self._log,
+            self._membership,
+            incarnation=identity.incarnation,
+            history=self._history,
+        )
         self._scheduler = self._build_scheduler()
+        for part in (self._config, LeavingMarks(self._health), self._quarantine):
+            self._membership.add(part)
+        self._build_path()
+
+    def _build_path(self) -> None:
+        cfg = self.cfg
         self._router = Router(
             Parts(
                 scheduler=self._scheduler,
                 client=self._client,
-                tables=lambda: self._config.tables,
+                tables=self._tables,
                 history=self._history,
+                budget=PoolBudgets(),
+                guard=self._quarantine,
+                monitors=[HealthMonitor(self._health)],
+                claims=self._claimer,
             )
         )
         self._gateway = Gateway(
             GatewayParts(
                 node=cfg.node,
                 router=self._router,
-                tables=lambda: self._config.tables,
+                tables=self._tables,
                 operator_keys=cfg.operator_keys,
+                status={
+                    "members": self._member_states,
+                    "endpoints": self._endpoint_states,
+                    "quarantine": self._quarantine.status,
+                    "claims_ready": lambda: self._claimer.ready,
+                    "task_restarts": lambda: self._supervisor.restarts,
+                },
                 body_bytes=cfg.limits.body_bytes,
             )
         )
 
     def _build_scheduler(self) -> Scheduler:
-        view = TablesView(lambda: self._config.tables)
+        view = HealthyPools(self._tables, self._health)
         reports = LoadReports()
+        self._poller = EndpointPoller(self._tables, reports, self._health)
         if self.cfg.scheduler == "naive":
             return NaiveScheduler(view, reports, history=self._history)
-        return LocalScheduler(view, reports, lambda: 1, self._history)
+        if self.cfg.scheduler == "local":
+            return LocalScheduler(view, reports, self._live_count, self._history)
+        scheduler = BrokeredScheduler(view, reports, self._peers, self._membership, self._history)
+        self._membership.add(scheduler)
+        self._poller = EndpointPoller(
+            self._tables, reports, self._health, scheduler.prefixes, scheduler.broker.endpoints
+        )
+        return scheduler
+
+    def _tables(self) -> Tables:
+        return self._config.tables
+
+    def _on_tables(self, tables: Tables) -> None:
+        names = {item.name for pool in tables.pools.values() for item in pool.endpoints}
+        self._health.retain(names)
+
+    def _live_count(self) -> int:
+        return len(self._membership.live())
+
+    def _member_states(self) -> dict[str, str]:
+        return {item.node: str(item.state) for item in self._membership.members()}
+
+    def _endpoint_states(self) -> dict[str, dict[str, int]]:
+        found = {}
+        for pool in self._tables().pools.values():
+            names = [item.name for item in pool.endpoints]
+            found[pool.name] = {
+                "usable": len(self._health.usable(pool)),
+                "leaving": sum(self._health.is_leaving(name) for name in names),
+                "ejected": sum(self._health.is_ejected(name) for name in names),
+            }
+        return found
+
+    async def _flush_claims(self) -> None:
+        if not await self._claimer.flush(FLUSH_S):
+            logger.warning("results of calls could not be written to the log before the stop")
 
     async def _close_history(self) -> None:
         if self._history_out is not None:
--- a/lacewinghub/router.py
+++ b/lacewinghub/router.py
@@ -27,6 +27,7 @@
     Overloaded,
 )
 from .history import EventKind, History
+from .limit import RetryBudget
 from .request import Grant, Observation, Request
 from .scheduler import Scheduler
 from .tables import Endpoint, Tables
@@ -51,6 +52,24 @@
         """Take one retry; False if none is left."""
 
 
+class PoolBudgets(Budget):
+    """A retry budget for each pool."""
+
+    def __init__(self) -> None:
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def earn(self, pool: str) -> None:
+        """Count a request of a pool."""
+        self._of(pool).note_request()
+
+    def spend(self, pool: str) -> bool:
+        """Take one retry; False if none is left."""
+        return self._of(pool).take(asyncio.get_running_loop().time())
+
+    def _of(self, pool: str) -> RetryBudget:
+        return self._budgets.setdefault(pool, RetryBudget())
+
+
 class Guard(ABC):
     """Learns which requests were in flight when endpoints crashed, and refuses poison requests."""
 
@@ -82,6 +101,9 @@
     def ended(self, req: Request, endpoint: str, seen: Observation) -> None:
         """Note that the request no longer is at the endpoint."""
 
+    def dropped(self, req: Request) -> None:  # noqa: B027
+        """Note that the request is given up, possibly while it was waiting."""
+
 
 class Monitor(ABC):
     """Learns how endpoints behave."""
@@ -201,6 +223,7 @@
             raise
         except (asyncio.CancelledError, GeneratorExit):
             self._record(EventKind.CANCELLED, req, tokens=answer.received)
+            self._drop(req)
             raise
         self._record(EventKind.FINISHED, req, tokens=answer.received)
 
@@ -229,6 +252,8 @@
             raise
         except asyncio.CancelledError:
             self._record(EventKind.CANCELLED, req)
+            if req.key is None:
+                self._drop(req)
             raise
         self._record(EventKind.FINISHED, req)
         return reply
@@ -435,7 +460,12 @@
         self._cancels.add(task)
         task.add_done_callback(self._cancels.discard)
 
+    def _drop(self, req: Request) -> None:
+        if self._parts.guard is not None:
+            self._parts.guard.dropped(req)
+
     def _fail(self, req: Request, exc: LacewingError, tokens: int) -> None:
+        self._drop(req)
         # The scheduler records the requests that it sheds.
         if not isinstance(exc, Overloaded):
             self._record(EventKind.FAILED, req, code=exc.code, tokens=tokens)
