--- a/lacewinghub/cli.py
+++ b/lacewinghub/cli.py
@@ -176,7 +176,7 @@
         return _Job(lambda: _load(scenario, node, use_remote))
 
     @_text_arguments
-    def bench(self, *names: str, seed: str = "1") -> _Job:
+    def bench(self, *names: str, seed: str = "1", quick: bool = False) -> _Job:
         """Compare versions of the scheduler on simulated endpoints, one JSON object per line.
 
         Example: lacewinghub bench burst --seed 2
@@ -184,9 +184,10 @@
         Args:
             names: Scenarios; all of them by default.
             seed: Seed of arrivals and lengths.
+            quick: Run two short scenarios only.
         """
-        number = _number("seed", seed)
-        return _Job(lambda: _bench(list(names), number))
+        number, is_quick = _number("seed", seed), _flag("quick", quick)
+        return _Job(lambda: _bench(list(names), number, is_quick))
 
     @_text_arguments
     def demo(self) -> _Job:
@@ -409,5 +410,15 @@
     print(json.dumps(_run(work())))
 
 
-def _bench(names: list[str], seed: int) -> None:
-    raise LacewingError("the comparison of versions is not part of this build")
+def _bench(names: list[str], seed: int, quick: bool) -> None:
+    try:
+        from . import bench
+        from .scenario import SCENARIOS
+    except ImportError as exc:
+        raise BadRequest(f"bench needs the development requirements: {exc}") from exc
+    known = [item.name for item in SCENARIOS]
+    for name in names:
+        if name not in known:
+            raise BadArguments(f"scenario {name!r} is not one of {', '.join(known)}")
+    options = [part for name in names for part in ("--scenario", name)]
+    bench.main(["--seed", str(seed), *(["--quick"] if quick else []), *options])
--- a/lacewinghub/logs.py
+++ b/lacewinghub/logs.py
@@ -12,9 +12,9 @@
 from loguru import logger
 
 if TYPE_CHECKING:
-    from loguru import Logger, Message
+    from loguru import Message
 
-    from .request import Request
+    from .history import Event
 
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
@@ -57,31 +57,23 @@
     logger.add(write, level=level.upper(), format="{message}", backtrace=False, diagnose=False)
 
 
-def for_request(req: "Request", **members: object) -> "Logger":
-    """Return a logger whose lines name a request.
-
-    Args:
-        req: The request.
-        members: Further members, such as ``endpoint`` and ``outcome``.
-    """
-    return logger.bind(
-        **{
-            "request_id": req.id,
-            "class": req.request_class,
-            "tier": req.tier,
-            "pool": req.pool,
-            **members,
-        }
-    )
-
-
-def request_done(req: "Request", outcome: str, endpoint: str = "", **members: object) -> None:
+def log_outcome(event: "Event", outcome: str, endpoint: str = "") -> None:
     """Write the closing line of a request.
 
     Args:
-        req: The request.
-        outcome: ``ok`` or an error code.
-        endpoint: Name of the last endpoint used.
-        members: Further members, such as ``tokens`` and ``seconds``.
+        event: The event that ended it.
+        outcome: ``ok``, ``cancelled`` or an error code.
+        endpoint: Name of the last endpoint used, or empty.
     """
-    for_request(req, endpoint=endpoint, outcome=outcome, **members).info("request done")
+    members: dict[str, Any] = {
+        "request_id": event.request,
+        "class": event.request_class,
+        "tier": event.tier,
+        "pool": event.pool,
+        "endpoint": endpoint,
+        "outcome": outcome,
+        "tokens": event.tokens,
+    }
+    if event.completion_s >= 0:
+        members["seconds"] = event.completion_s
+    logger.bind(**members).info("request done")
--- a/lacewinghub/metrics.py
+++ b/lacewinghub/metrics.py
@@ -12,36 +12,24 @@
 _UNSAFE = re.compile(r"[^A-Za-z0-9_-]")
 
 COUNTERS = {
-    "requests.CLASS.OUTCOME": "finished requests; OUTCOME is `ok` or an error code",
-    "shed.POOL.TIER": "requests refused or displaced for lack of capacity",
+    "requests.CLASS.OUTCOME": "ended requests; OUTCOME is `ok`, `cancelled` or an error code",
     "admitted.POOL.TIER": "requests accepted into the queue",
-    "tokens.POOL": "tokens delivered to callers",
-    "wasted_tokens.POOL.CAUSE": (
-        "generated tokens that nobody used; CAUSE is `cancelled`, `crashed`, `shed` or `repeated`"
-    ),
-    "retries.POOL": "requests sent to a second endpoint before the first token",
-    "resumes.POOL": "answers continued at another runner",
-    "ejections.POOL": "endpoints taken out of use after failures or slowness",
-    "quarantined": "requests refused because identical ones crashed endpoints",
-    "claims.RESULT": "claims for calls that run at most once; RESULT is `won`, `lost` or `failed`",
-    "log_errors": "failed operations on the log",
-    "peer_rejected": "peer messages or handshakes that were refused",
-    "restarts.TASK": "restarts of a background task after a failure",
+    "shed.POOL.TIER": "requests refused or displaced for lack of capacity",
+    "tokens.POOL": "tokens passed on to callers",
+    "retries.POOL": "requests sent to another endpoint before the first token",
+    "resumes.POOL": "answers continued at another runner after a part of them was received",
+    "crashed.POOL": "requests whose endpoint broke the connection",
 }
 TIMERS = {
     "first_token.CLASS": "time from arrival to the first token",
-    "between_tokens.CLASS": "mean time between tokens of an answer",
+    "between_tokens.CLASS": "mean time between the tokens of an answer",
     "completion.CLASS": "time from arrival to the end of the answer",
-    "queue_wait.POOL": "time in the queue",
-    "loop_delay": "how much later than planned the event loop ran a timer",
+    "loop_delay": "longest delay of the event loop in the last 10 s",
 }
 GAUGES = {
-    "queued.POOL": "requests waiting at this node",
-    "in_flight.POOL": "requests at endpoints",
-    "floor.POOL": "lowest tier (largest number) that this node admits",
-    "config_version": "version of the tables in force",
-    "live_nodes": "nodes in state live, this one included",
-    "memory_bytes": "resident memory of the process",
+    "config_version": "version of the tables, sent when it changes",
+    "in_flight": "requests that the node is serving, every 10 s",
+    "memory_bytes": "resident memory of the process, every 10 s",
 }
 
 
--- a/lacewinghub/node.py
+++ b/lacewinghub/node.py
@@ -13,9 +13,12 @@
 from .endpoint import HttpEndpoint
 from .gateway import Gateway, GatewayParts, Phase
 from .history import History
+from .level import Levels
 from .local import LocalScheduler
 from .log import HttpLog
+from .metrics import Metrics
 from .naive import NaiveScheduler
+from .observe import Observer
 from .router import Parts, Router
 from .scheduler import Scheduler, TablesView
 from .selection import LoadReports
@@ -54,6 +57,7 @@
         sup.on_stop(self._client.close)
         sup.start("config", self._config.run)
         sup.start("scheduler", self._scheduler.run)
+        sup.start("observer", self._observer.run)
         sup.on_stop(self._router.close)
         host, _, port = self.cfg.listen.rpartition(":")
         self.port = await self._gateway.start(host.strip("[]"), int(port))
@@ -94,6 +98,9 @@
         if cfg.history_file is not None:
             self._history_out = open(cfg.history_file, "a", encoding="utf-8")  # noqa: SIM115
         self._history = History(cfg.node, self._history_out)
+        self._metrics = Metrics(cfg.statsd or "", cfg.node)
+        self._observer = Observer(self._metrics, Levels(), {"in_flight": self._in_flight})
+        self._history.listen(self._observer.take)
         self._log = HttpLog(cfg.log)
         self._config = ConfigReplica(cfg.node, self._log, None, self._history)
         self._client = HttpEndpoint(cfg.limits.connect_s, cfg.limits.endpoint_idle_s)
@@ -112,6 +119,7 @@
                 router=self._router,
                 tables=lambda: self._config.tables,
                 operator_keys=cfg.operator_keys,
+                status={"levels": self._observer.levels.to_json},
                 body_bytes=cfg.limits.body_bytes,
             )
         )
@@ -123,7 +131,11 @@
             return NaiveScheduler(view, reports, history=self._history)
         return LocalScheduler(view, reports, lambda: 1, self._history)
 
+    def _in_flight(self) -> float:
+        return self._gateway.in_flight
+
     async def _close_history(self) -> None:
+        self._metrics.close()
         if self._history_out is not None:
             self._history_out.close()
 
--- /dev/null
+++ b/lacewinghub/observe.py
@@ -0,0 +1,154 @@
+"""Turns the events of a node into metrics, log lines and service-level counts."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Any
+
+from .caller import OK
+from .history import Event, EventKind
+from .level import Levels
+from .logs import log_outcome
+from .metrics import Metrics
+from .tables import Target
+
+GAUGE_INTERVAL_S = 10.0
+DELAY_PROBE_S = 0.1
+_PAGE_BYTES = 4096
+_ENDS = {EventKind.FINISHED, EventKind.SHED, EventKind.FAILED, EventKind.CANCELLED}
+
+
+class Stopwatch:
+    """Measures the latencies of one answer.
+
+    Args:
+        arrived: Loop time at which the request arrived, in seconds.
+        target: Latency targets of its route.
+    """
+
+    def __init__(self, arrived: float, target: Target) -> None:
+        self._arrived = arrived
+        self._target = target
+        self._first: float | None = None
+        self._last = 0.0
+        self._tokens = 0
+
+    def take(self, tokens: int) -> None:
+        """Note that tokens were passed to the caller."""
+        if tokens == 0:
+            return
+        self._last = asyncio.get_running_loop().time()
+        if self._first is None:
+            self._first = self._last
+        self._tokens += tokens
+
+    def finish(self) -> dict[str, Any]:
+        """Return the members of a ``finished`` event: latencies and whether they met the targets.
+
+        An answer that passes several tokens at once counts their mean time, as it does for callers.
+        """
+        target = self._target
+        completion_s = asyncio.get_running_loop().time() - self._arrived
+        first_s = None if self._first is None else self._first - self._arrived
+        between_s = None
+        if self._first is not None and self._tokens > 1:
+            between_s = (self._last - self._first) / (self._tokens - 1)
+        pairs = (
+            (target.first_token_s, first_s),
+            (target.between_tokens_s, between_s),
+            (target.completion_s, completion_s),
+        )
+        limits = [(limit, seen) for limit, seen in pairs if limit is not None and seen is not None]
+        return {
+            "first_token_s": -1.0 if first_s is None else round(first_s, 6),
+            "between_tokens_s": -1.0 if between_s is None else round(between_s, 6),
+            "completion_s": round(completion_s, 6),
+            "met": all(seen <= limit for limit, seen in limits) if limits else None,
+        }
+
+
+class Observer:
+    """Listens to the history of a node.
+
+    Args:
+        metrics: Receives counters, timers and gauges.
+        levels: Receives the service-level counts.
+        gauges: Functions that return the present value of a gauge, by its name.
+    """
+
+    def __init__(
+        self,
+        metrics: Metrics,
+        levels: Levels,
+        gauges: Mapping[str, Callable[[], float]] | None = None,
+    ) -> None:
+        self.levels = levels
+        self._metrics = metrics
+        self._gauges = dict(gauges or {})
+        self._endpoints: dict[str, str] = {}
+
+    def take(self, event: Event) -> None:
+        """Count and log one event."""
+        self.levels.observe(event)
+        if event.kind in (EventKind.DISPATCHED, EventKind.RESUMED):
+            self._sent(event)
+        elif event.kind is EventKind.ADMITTED:
+            self._metrics.count("admitted", event.pool, event.tier)
+        elif event.kind is EventKind.CRASHED:
+            self._metrics.count("crashed", event.pool)
+        elif event.kind is EventKind.CONFIG:
+            self._metrics.gauge("config_version", value=event.version)
+        elif event.kind in _ENDS:
+            self._end(event)
+
+    async def run(self) -> None:
+        """Report gauges and the delay of the event loop until cancelled."""
+        loop = asyncio.get_running_loop()
+        reported = loop.time()
+        longest_s = 0.0
+        while True:
+            begin = loop.time()
+            await asyncio.sleep(DELAY_PROBE_S)
+            longest_s = max(longest_s, loop.time() - begin - DELAY_PROBE_S)
+            if loop.time() - reported < GAUGE_INTERVAL_S:
+                continue
+            reported = loop.time()
+            self._metrics.time("loop_delay", seconds=longest_s)
+            longest_s = 0.0
+            self._metrics.gauge("memory_bytes", value=resident_bytes())
+            for name, read in self._gauges.items():
+                self._metrics.gauge(name, value=read())
+
+    def _sent(self, event: Event) -> None:
+        if event.kind is EventKind.RESUMED:
+            self._metrics.count("resumes", event.pool)
+        elif event.request in self._endpoints:
+            self._metrics.count("retries", event.pool)
+        self._endpoints[event.request] = event.endpoint
+
+    def _end(self, event: Event) -> None:
+        outcome = OK
+        if event.kind is EventKind.CANCELLED:
+            outcome = "cancelled"
+        elif event.kind is not EventKind.FINISHED:
+            outcome = event.code or "overloaded"
+        name = event.request_class or "default"
+        self._metrics.count("requests", name, outcome)
+        if event.kind is EventKind.SHED:
+            self._metrics.count("shed", event.pool, event.tier)
+        if event.tokens:
+            self._metrics.count("tokens", event.pool, n=event.tokens)
+        for timer in ("first_token", "between_tokens", "completion"):
+            seconds = getattr(event, f"{timer}_s")
+            if seconds >= 0:
+                self._metrics.time(timer, name, seconds=seconds)
+        endpoint = self._endpoints.pop(event.request, "")
+        log_outcome(event, outcome, endpoint)
+
+
+def resident_bytes() -> int:
+    """Return the resident memory of this process, or 0 where the system does not tell it."""
+    try:
+        return int(Path("/proc/self/statm").read_text().split()[1]) * _PAGE_BYTES
+    except (OSError, ValueError, IndexError):
+        return 0
--- a/lacewinghub/router.py
+++ b/lacewinghub/router.py
@@ -27,6 +27,7 @@
     Overloaded,
 )
 from .history import EventKind, History
+from .observe import Stopwatch
 from .request import Grant, Observation, Request
 from .scheduler import Scheduler
 from .tables import Endpoint, Tables
@@ -172,6 +173,7 @@
                 the first chunk.
         """
         answer = Answer()
+        watch = Stopwatch(req.arrived, req.target)
         self._arrive(req)
         try:
             for attempt in range(1, MAX_ATTEMPTS + 1):
@@ -180,6 +182,7 @@
                 try:
                     async with aclosing(self._stream(req, answer, grant, endpoint)) as chunks:
                         async for chunk in chunks:
+                            watch.take(len(chunk.tokens))
                             yield chunk
                     break
                 except EndpointError as exc:
@@ -190,7 +193,7 @@
         except (asyncio.CancelledError, GeneratorExit):
             self._record(EventKind.CANCELLED, req, tokens=answer.received)
             raise
-        self._record(EventKind.FINISHED, req, tokens=answer.received)
+        self._record(EventKind.FINISHED, req, tokens=answer.received, **watch.finish())
 
     async def call(self, req: Request) -> Reply:
         """Execute a plain call.
@@ -218,7 +221,7 @@
         except asyncio.CancelledError:
             self._record(EventKind.CANCELLED, req)
             raise
-        self._record(EventKind.FINISHED, req)
+        self._record(EventKind.FINISHED, req, **Stopwatch(req.arrived, req.target).finish())
         return reply
 
     async def close(self) -> None:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -4,7 +4,6 @@
 import contextlib
 import io
 import json
-import os
 import signal
 import subprocess
 import sys
@@ -18,7 +17,7 @@
 from lacewinghub.cli import Commands, run_command
 from lacewinghub.fake_log import LogServer, MemoryLog
 from lacewinghub.history import Event, EventKind
-from tests.processes import free_port
+from tests.processes import descriptors, free_port
 
 ROOT = Path(__file__).resolve().parent.parent
 TABLES = str(ROOT / "examples" / "trust-tables.json")
@@ -197,17 +196,19 @@
                 stderr=subprocess.PIPE,
                 text=True,
             )
+            self.addCleanup(process.wait)
+            self.addCleanup(process.kill)
             assert process.stderr is not None
+            self.addCleanup(process.stderr.close)
             lines = []
             for line in process.stderr:
                 lines.append(json.loads(line)["message"])
                 if "serves callers" in lines[-1]:
                     break
-            names = [os.readlink(fd) for fd in Path(f"/proc/{process.pid}/fd").iterdir()]
+            names = descriptors(process.pid)
             process.send_signal(signal.SIGTERM)
-            process.stderr.read()
-            status = process.wait(15)
-            process.stderr.close()
+            process.communicate(timeout=15)
+            status = process.returncode
         self.assertEqual(status, 0)
         self.assertTrue(any("serves callers" in line for line in lines), lines)
         self.assertNotIn("anon_inode:[io_uring]", names)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -10,15 +10,22 @@
 
 from lacewinghub import logs, metrics
 from lacewinghub.errors import SettingsInvalid
+from lacewinghub.history import Event, EventKind
 from lacewinghub.metrics import Metrics
-from lacewinghub.request import Request
-from lacewinghub.tables import Target
 
 DOC = Path(__file__).resolve().parent.parent / "docs" / "metrics.md"
 
 
-def _request() -> Request:
-    return Request("r1", "trust", "quote", 1, "assistant", {}, 0.0, 5.0, Target())
+def _event() -> Event:
+    return Event(
+        EventKind.SHED,
+        1.0,
+        request="r1",
+        request_class="quote",
+        tier=1,
+        pool="assistant",
+        completion_s=0.5,
+    )
 
 
 class MetricsTest(unittest.TestCase):
@@ -80,7 +87,7 @@
         out = io.StringIO()
         logs.setup("INFO", "n1", out)
         logger.debug("hidden")
-        logs.request_done(_request(), "overloaded", "a1", seconds=0.5)
+        logs.log_outcome(_event(), "overloaded", "a1")
         try:
             raise RuntimeError("broken {pipe}")
         except RuntimeError:
@@ -100,6 +107,7 @@
                 "pool": "assistant",
                 "endpoint": "a1",
                 "outcome": "overloaded",
+                "tokens": 0,
                 "seconds": 0.5,
             },
         )
