--- a/lacewinghub/config.py
+++ b/lacewinghub/config.py
@@ -9,12 +9,13 @@
 from loguru import logger
 from pydantic import TypeAdapter, ValidationError
 
+from ._refresh import RefreshTimer
 from .errors import LogUnavailable, LogUncertain, TablesInvalid
 from .history import EventKind, History
 from .log import Log, Page, Record
 from .membership import Contributor
 from .message import ConfigReply, ConfigRequest, Heartbeat
-from .tables import Change, Tables
+from .tables import Change, Draft, Tables
 from .transport import Transport
 
 CONFIG_STREAM = "config"
@@ -25,13 +26,6 @@
 # lags for a shorter time gets the change from the log soon.
 LAG_BEFORE_REQUEST_S = 0.5
 REQUEST_INTERVAL_S = 1.0
-# The newest snapshot may be this old, as a share of the retention.
-SNAPSHOT_AGE_SHARE = 1 / 3
-# Nodes spread their snapshots over this share of the retention, so that mostly one appends.
-SNAPSHOT_SPREAD_SHARE = 1 / 12
-# After an outage of the log no time is left: operators cannot publish without a kept snapshot.
-SNAPSHOT_URGENT_SHARE = 2 / 3
-SNAPSHOT_URGENT_SPREAD_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +103,8 @@
         self.synced = True
         self.refreshed: float | None = None
         self.gaps = 0
+        self._draft = Draft(self.tables)
+        self._version = 0
         self._pending: list[tuple[int, ChangeRecord]] = []
         self._unbroken_from = 0
 
@@ -127,6 +123,7 @@
             if record.offset < self.next:
                 continue
             accepted += self._take(record)
+        self._build()
         return accepted
 
     def adopt(self, version: int, document: Any, through: int) -> list[Accepted] | None:
@@ -146,15 +143,18 @@
         """
         if through <= self.next and (self.synced or through < self._unbroken_from):
             return None
-        if version < self.tables.version:
+        if version < self._version:
             return None
         self.tables = Tables.parse(document, version)
+        self._draft, self._version = Draft(self.tables), version
         self.next = max(self.next, through)
         self.synced = True
         pending, self._pending = self._pending, []
-        return [
+        accepted = [
             done for at, change in pending if at >= through for done in self._apply_change(change)
         ]
+        self._build()
+        return accepted
 
     def _check_gap(self, page: Page) -> None:
         start = page.records[0].offset if page.records else page.first
@@ -189,20 +189,26 @@
         except TablesInvalid as exc:
             logger.error("snapshot of version {} is invalid: {}", snapshot.version, exc)
             return []
-        if accepted is not None or (self.synced and snapshot.version == self.tables.version):
+        if accepted is not None or (self.synced and snapshot.version == self._version):
             self.refreshed = record.time
         return accepted or []
 
     def _apply_change(self, change: ChangeRecord) -> list[Accepted]:
-        if change.base != self.tables.version or change.version != change.base + 1:
+        if change.base != self._version or change.version != change.base + 1:
             return []
         try:
-            self.tables = self.tables.apply(change.changes, change.version)
+            self._draft.apply(change.changes)
         except TablesInvalid as exc:
             logger.warning("change {} of {} is invalid: {}", change.id, change.author, exc)
             return []
+        self._version = change.version
         return [Accepted(change.id, change.author, change.version)]
 
+    def _build(self) -> None:
+        """Make the tables of all changes since the last call; one copy serves many changes."""
+        if self._version != self.tables.version:
+            self.tables = self._draft.build(self._version)
+
 
 def parse_record(record: Record) -> ChangeRecord | SnapshotRecord | None:
     """Check a record of the stream.
@@ -255,7 +261,7 @@
         self._in_force = False
         self._behind_since: float | None = None
         self._requested_at = float("-inf")
-        self._snapshot_due: float | None = None
+        self._refresh_timer = RefreshTimer(self._random)
         self._document: tuple[int, dict[str, Any]] | None = None
         if transport is not None:
             transport.subscribe(ConfigRequest, self._on_request)
@@ -362,18 +368,8 @@
         """Append a snapshot if the newest one gets old and no other node does so first."""
         if not self._state.synced or self._state.tables.version == 0:
             return
-        age = page.time - (self._state.refreshed or 0.0)
-        if age < SNAPSHOT_AGE_SHARE * page.retention_s:
-            self._snapshot_due = None
-            return
-        if self._snapshot_due is None:
-            spread = SNAPSHOT_SPREAD_SHARE * page.retention_s
-            if age > SNAPSHOT_URGENT_SHARE * page.retention_s:
-                spread = min(spread, SNAPSHOT_URGENT_SPREAD_S)
-            self._snapshot_due = page.time + self._random.uniform(0.0, spread)
-        if page.time < self._snapshot_due:
+        if not self._refresh_timer.due(page, self._state.refreshed):
             return
-        self._snapshot_due = None
         snapshot = SnapshotRecord(
             self.tables.version, self._state.next, self._node, self._full_document()
         )
