--- a/Makefile
+++ b/Makefile
@@ -18,20 +18,19 @@
 	$(PY) -m tests
 
 check: $(STAMP)
-	$(PY) -m black --check --quiet lacewinghub tests
-	$(PY) -m ruff check --quiet lacewinghub tests
+	$(PY) -m black --check --quiet lacewinghub tests tools
+	$(PY) -m ruff check --quiet lacewinghub tests tools
 	$(PY) -m mypy
 
 format: $(STAMP)
-	$(PY) -m black --quiet lacewinghub tests
-	$(PY) -m ruff check --quiet --fix lacewinghub tests
+	$(PY) -m black --quiet lacewinghub tests tools
+	$(PY) -m ruff check --quiet --fix lacewinghub tests tools
 
 bench: $(STAMP)
 	$(PY) -m lacewinghub bench
 
 binary: $(STAMP)
-	mkdir -p dist
-	$(VENV)/bin/shiv --quiet --compressed --console-script lacewinghub --output-file dist/lacewinghub .
+	$(PY) tools/build_binary.py
 
 clean:
 	rm -rf build dist *.egg-info
--- a/lacewinghub/plot.py
+++ b/lacewinghub/plot.py
@@ -90,7 +90,10 @@
 
 def _figure(draw: Draw, reports: list[ClassReport], levels: Levels) -> str:
     # The figure is used without pyplot, which would keep it alive and choose a display.
-    from matplotlib.figure import Figure
+    try:
+        from matplotlib.figure import Figure
+    except ImportError as exc:
+        raise BadRequest("plots need matplotlib, which the single file leaves out") from exc
 
     figure = Figure(figsize=FIGURE_INCHES, layout="constrained")
     axes = figure.subplots()
--- a/lacewinghub/report.py
+++ b/lacewinghub/report.py
@@ -20,6 +20,7 @@
 PERIOD_S = 30 * DAY_S
 DEFAULT_OBJECTIVE = 0.99
 WINDOWS_S = (300.0, 1_800.0, 3_600.0, 21_600.0, DAY_S, 3 * DAY_S)
+MIN_TABLE_COLUMNS = 110
 # Counts of a history file are kept in buckets of one second.
 FILE_RESOLUTIONS = ((1.0, 3 * DAY_S),)
 
@@ -251,10 +252,15 @@
         reports: The classes.
         out: Text stream; standard output if None.
     """
+    from rich import box
     from rich.console import Console
     from rich.table import Table
 
-    table = Table(title="Service-level burn by class (1.0 spends the budget in one period)")
+    table = Table(
+        box=box.SIMPLE_HEAD,
+        pad_edge=False,
+        title="Service-level burn by class (1.0 spends the budget in one period)",
+    )
     table.add_column("class")
     for title in ("objective", "requests", "attained"):
         table.add_column(title, justify="right")
@@ -274,8 +280,10 @@
             runs_out(item),
             item.alert or "-",
         )
-    width = None if out is None else 160
-    Console(file=out, width=width).print(table)
+    console = Console(file=out)
+    # Narrower columns would cut the figures; a narrow terminal wraps the lines instead.
+    console.width = max(console.width, MIN_TABLE_COLUMNS)
+    console.print(table)
 
 
 def runs_out(item: ClassReport) -> str:
--- /dev/null
+++ b/tools/build_binary.py
@@ -0,0 +1,88 @@
+"""Builds the single file ``dist/lacewinghub`` with shiv, from the installed locked packages.
+
+The packages are copied from the environment that runs this script, after a check that their
+versions are those of requirements.txt; nothing is downloaded.
+"""
+
+import re
+import shutil
+import subprocess
+import sys
+from importlib.metadata import Distribution, PackageNotFoundError, distribution
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+SITE = ROOT / "build" / "site"
+OUTPUT = ROOT / "dist" / "lacewinghub"
+ENTRY_POINT = "lacewinghub.__main__:main"
+# Compiled packages fit one minor version of Python only.
+INTERPRETER = f"/usr/bin/env python{sys.version_info.major}.{sys.version_info.minor}"
+# Only ``report --html`` draws plots. Its packages would make up 124 of 177 MB of unpacked files,
+# which entry hosts without disks keep in memory.
+PLOT_PACKAGES = {
+    "contourpy",
+    "cycler",
+    "fonttools",
+    "kiwisolver",
+    "matplotlib",
+    "numpy",
+    "pillow",
+    "pyparsing",
+    "python-dateutil",
+}
+IGNORED = shutil.ignore_patterns("__pycache__", "tests", "test")
+
+
+def locked(text: str) -> list[tuple[str, str]]:
+    """Return names and versions of a requirements file."""
+    lines = [line.split("#")[0].strip() for line in text.splitlines()]
+    return [
+        (name, version) for name, _, version in (line.partition("==") for line in lines if line)
+    ]
+
+
+def installed(name: str, version: str) -> Distribution:
+    """Return an installed package.
+
+    Raises:
+        SystemExit: If it is missing or has another version.
+    """
+    try:
+        found = distribution(name)
+    except PackageNotFoundError:
+        sys.exit(f"error: {name}=={version} is not installed; run make setup")
+    if found.version != version:
+        sys.exit(f"error: {name} {found.version} is installed, but {version} is locked")
+    return found
+
+
+def copy(package: Distribution) -> None:
+    """Copy the files of a package, without its scripts, byte code and tests."""
+    for file in package.files or []:
+        parts = file.parts
+        if parts[0] == ".." or re.search(r"(^|/)(__pycache__|tests?)/", file.as_posix()):
+            continue
+        target = SITE / file
+        target.parent.mkdir(parents=True, exist_ok=True)
+        shutil.copyfile(str(file.locate()), target)
+
+
+def main() -> None:
+    """Build the file; an argument names another place for it."""
+    output = Path(sys.argv[1]) if len(sys.argv) > 1 else OUTPUT
+    shutil.rmtree(SITE, ignore_errors=True)
+    SITE.mkdir(parents=True)
+    output.parent.mkdir(exist_ok=True)
+    for name, version in locked((ROOT / "requirements.txt").read_text()):
+        if name not in PLOT_PACKAGES:
+            copy(installed(name, version))
+    shutil.copytree(ROOT / "lacewinghub", SITE / "lacewinghub", ignore=IGNORED)
+    shutil.copytree(ROOT / "examples", SITE / "lacewinghub" / "examples")
+    command = [sys.executable, "-m", "shiv", "--compressed", "--site-packages", str(SITE)]
+    command += ["--python", INTERPRETER, "--entry-point", ENTRY_POINT]
+    subprocess.run([*command, "--output-file", str(output)], check=True)
+    print(f"{output}: {output.stat().st_size / 1e6:.1f} MB")
+
+
+if __name__ == "__main__":
+    main()
