--- a/lacewinghub/report.py
+++ b/lacewinghub/report.py
@@ -20,7 +20,7 @@
 PERIOD_S = 30 * DAY_S
 DEFAULT_OBJECTIVE = 0.99
 WINDOWS_S = (300.0, 1_800.0, 3_600.0, 21_600.0, DAY_S, 3 * DAY_S)
-MIN_TABLE_COLUMNS = 110
+MIN_TABLE_COLUMNS = 124
 # Counts of a history file are kept in buckets of one second.
 FILE_RESOLUTIONS = ((1.0, 3 * DAY_S),)
 
