--- a/lacewinghub/router.py
+++ b/lacewinghub/router.py
@@ -28,6 +28,7 @@
 )
 from .history import EventKind, History
 from .limit import RetryBudget
+from .observe import Stopwatch
 from .request import Grant, Observation, Request
 from .scheduler import Scheduler
 from .tables import Endpoint, Tables
@@ -206,6 +207,7 @@
                 the first chunk.
         """
         answer = Answer()
+        watch = Stopwatch(req.arrived, req.target)
         self._arrive(req)
         try:
             for attempt in range(1, MAX_ATTEMPTS + 1):
@@ -214,6 +216,7 @@
                 try:
                     async with aclosing(self._stream(req, answer, grant, endpoint)) as chunks:
                         async for chunk in chunks:
+                            watch.take(len(chunk.tokens))
                             yield chunk
                     break
                 except EndpointError as exc:
@@ -225,7 +228,7 @@
             self._record(EventKind.CANCELLED, req, tokens=answer.received)
             self._drop(req)
             raise
-        self._record(EventKind.FINISHED, req, tokens=answer.received)
+        self._record(EventKind.FINISHED, req, tokens=answer.received, **watch.finish())
 
     async def call(self, req: Request) -> Reply:
         """Execute a plain call.
@@ -255,7 +258,7 @@
             if req.key is None:
                 self._drop(req)
             raise
-        self._record(EventKind.FINISHED, req)
+        self._record(EventKind.FINISHED, req, **Stopwatch(req.arrived, req.target).finish())
         return reply
 
     async def close(self) -> None:
