--- a/lacewinghub/claim.py
+++ b/lacewinghub/claim.py
@@ -52,6 +52,8 @@
 # An answer waits this long for its result record; after that a crash of the node can lose it.
 SETTLE_WAIT_S = 1.0
 ALIVE_POLL_S = 0.25
+# A shorter pause can be below the resolution of the clock and would not end.
+MIN_PAUSE_S = 0.001
 # The last records of a claimant can arrive after the news of its end.
 DEAD_GRACE_S = 0.5
 # A claim may be sent only in this share of the retention after its append began.
@@ -359,8 +361,8 @@
                     deadline = min(deadline, loop.time() + DEAD_GRACE_S)
                 if loop.time() >= deadline:
                     raise _unfinished(alive)
-                pause = min(ALIVE_POLL_S, deadline - loop.time())
-                await asyncio.wait([fut], timeout=max(0.0, pause))
+                pause = max(MIN_PAUSE_S, min(ALIVE_POLL_S, deadline - loop.time()))
+                await asyncio.wait([fut], timeout=pause)
         finally:
             waiting = self._waiters.get(key)
             if waiting is not None and fut in waiting:
--- a/tests/claim_cluster.py
+++ b/tests/claim_cluster.py
@@ -144,6 +144,7 @@
         self.service = Service()
         self.nodes: list[Node] = []
         self.asked: list[tuple[Request, asyncio.Future[str]]] = []
+        self.tasks: list[asyncio.Future[str]] = []
         self._kind = kind
         self._requests = 0
 
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -193,7 +193,9 @@
         self.assertNotEqual(codes[1], ["no", "ok"])
 
 
-def _die_at(point: str, node: Node) -> None:
+def die_at(point: str, node: Node) -> None:
+    """Kill a node at a step of its next execution."""
+
     async def die() -> None:
         await node.die()
 
@@ -229,7 +231,7 @@
         async def main(point: str, pause: float, restart: bool) -> Cluster:
             cluster = Cluster()
             nodes = await cluster.add_ready(3)
-            _die_at(point, nodes[0])
+            die_at(point, nodes[0])
             task = asyncio.ensure_future(nodes[0].ask(cluster.request("k")))
             await asyncio.sleep(pause)
             if restart:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -30,7 +30,8 @@
 IN_FORCE_S = 4.0
 
 
-def _document(weights: dict[str, float]) -> dict[str, Any]:
+def tables_document(weights: dict[str, float]) -> dict[str, Any]:
+    """Build tables with one workspace per weight."""
     return {
         "pools": [{"name": "assistant", "endpoints": []}],
         "routes": [{"name": "all", "pool": "assistant", "tier": 1}],
@@ -38,7 +39,8 @@
     }
 
 
-def _weights(tables: Tables) -> dict[str, float]:
+def weights_of(tables: Tables) -> dict[str, float]:
+    """Return the weights by workspace."""
     return {name: item.weight for name, item in tables.workspaces.items()}
 
 
@@ -131,7 +133,7 @@
     async def _race(self, blind: bool) -> list[str]:
         log = MemoryLog(clock=wall, seed=3)
         nodes = [Node(f"n{n}", log) for n in range(3)]
-        await publish(log, _document({"op0": 0.5}), "setup")
+        await publish(log, tables_document({"op0": 0.5}), "setup")
         await asyncio.sleep(1.0)
         log.set_faults(lose_share=0.2)
         won: dict[int, str] = {}
@@ -145,14 +147,14 @@
 
         async def attempt(name: str, weight: float) -> bool:
             seen = nodes[0].tables
-            weights = _weights(seen) | {name: weight}
+            weights = weights_of(seen) | {name: weight}
             await asyncio.sleep(rng.uniform(0.0, 0.05))
             try:
                 if blind:
                     await _publish_blindly(log, {name: weight}, seen.version, name)
                     version = seen.version + 1
                 else:
-                    done = await publish(log, _document(weights), name, base=seen.version)
+                    done = await publish(log, tables_document(weights), name, base=seen.version)
                     version = done.version
             except (PublishLost, LogUncertain):
                 return False
@@ -166,7 +168,7 @@
                     break
                 await asyncio.sleep(0.01)
             for node in nodes:
-                if _weights(node.tables).get(name) != weight:
+                if weights_of(node.tables).get(name) != weight:
                     faults.append(f"{name} published {weight}, which is not in force")
             return True
 
@@ -174,8 +176,8 @@
             await asyncio.gather(*(operate(f"op{n}") for n in range(self.OPERATORS)))
         expected = {f"op{n}": self.CHANGES / self.OPERATORS for n in range(self.OPERATORS)}
         for node in nodes:
-            if _weights(node.tables) != expected:
-                faults.append(f"final tables are {_weights(node.tables)}")
+            if weights_of(node.tables) != expected:
+                faults.append(f"final tables are {weights_of(node.tables)}")
             if node.versions != sorted(set(node.versions)):
                 faults.append("a version went back")
         return faults
@@ -184,8 +186,8 @@
         async def main(state: type[ConfigState]) -> float:
             log = MemoryLog(clock=wall)
             node = Node("n1", log, state=state)
-            await publish(log, _document({"trust": 1.0}), "ana")
-            await publish(log, _document({"trust": 2.0}), "ben")
+            await publish(log, tables_document({"trust": 1.0}), "ana")
+            await publish(log, tables_document({"trust": 2.0}), "ben")
             await _publish_blindly(log, {"trust": 3.0}, 1, "cy")
             await asyncio.sleep(1.0)
             return node.tables.workspaces["trust"].weight
@@ -201,13 +203,13 @@
         async def main(blind: bool) -> bool:
             log = MemoryLog(clock=wall)
             node = Node("n1", log)
-            await publish(log, _document({"trust": 1.0}), "ana")
+            await publish(log, tables_document({"trust": 1.0}), "ana")
             log.set_faults(lose_replies=1)
             try:
                 if blind:
                     await _publish_blindly(log, {"trust": 2.0}, 1, "ben")
                 else:
-                    await publish(log, _document({"trust": 2.0}), "ben")
+                    await publish(log, tables_document({"trust": 2.0}), "ben")
                 reported = True
             except LogUncertain:
                 reported = False
@@ -225,7 +227,7 @@
         async def main(kind: type[ConfigReplica]) -> bool:
             log = MemoryLog(clock=wall, retention_s=600.0)
             Node("n1", log, kind=kind)
-            await publish(log, _document({"trust": 1.0}), "ana")
+            await publish(log, tables_document({"trust": 1.0}), "ana")
             await asyncio.sleep(3000.0)
             fresh = Node("n2", log, kind=kind)
             await asyncio.sleep(IN_FORCE_S)
@@ -238,11 +240,11 @@
         async def main(state: type[ConfigState]) -> bool:
             log = MemoryLog(clock=wall, retention_s=600.0)
             old = Node("n1", log)
-            await publish(log, _document({"trust": 1.0}), "ana")
+            await publish(log, tables_document({"trust": 1.0}), "ana")
             await asyncio.sleep(1.0)
 
             async def race() -> None:
-                await publish(log, _document({"trust": 2.0}), "ben")
+                await publish(log, tables_document({"trust": 2.0}), "ben")
 
             old.log.before_append["snapshot"] = race
             await asyncio.sleep(590.0)
@@ -263,11 +265,11 @@
         async def main(state: type[ConfigState]) -> bool:
             log = MemoryLog(clock=wall, retention_s=600.0)
             awake, frozen = Node("n1", log), Node("n2", log, state=state)
-            await publish(log, _document({"trust": 1.0}), "ana")
+            await publish(log, tables_document({"trust": 1.0}), "ana")
             await asyncio.sleep(1.0)
             frozen.log.running.clear()
             for weight in range(2, 10):
-                await publish(log, _document({"trust": float(weight)}), "ben")
+                await publish(log, tables_document({"trust": float(weight)}), "ben")
                 await asyncio.sleep(0.1)
             await asyncio.sleep(3000.0)
             # Losers of the races for versions 2 and 3 that take effect very late.
@@ -276,7 +278,7 @@
             frozen.log.running.set()
             await asyncio.sleep(IN_FORCE_S)
             ok = frozen.tables.to_document() == awake.tables.to_document()
-            return ok and 77.0 not in _weights(frozen.tables).values()
+            return ok and 77.0 not in weights_of(frozen.tables).values()
 
         self.assertTrue(simulate(lambda: main(ConfigState)))
         self.assertFalse(simulate(lambda: main(NoGapCheck)))
@@ -285,15 +287,15 @@
         async def main() -> None:
             log = MemoryLog(clock=wall, retention_s=600.0)
             nodes = [Node(f"n{n}", log) for n in range(3)]
-            await publish(log, _document({"trust": 1.0}), "ana")
+            await publish(log, tables_document({"trust": 1.0}), "ana")
             await asyncio.sleep(1.0)
             log.set_faults(unavailable=True)
             await asyncio.sleep(1800.0)
             with self.assertRaises(LogUnavailable):
-                await publish(log, _document({"trust": 2.0}), "ana")
+                await publish(log, tables_document({"trust": 2.0}), "ana")
             self.assertEqual([node.tables.version for node in nodes], [1, 1, 1])
             log.set_faults()
-            done = await publish(log, _document({"trust": 2.0}), "ana")
+            done = await publish(log, tables_document({"trust": 2.0}), "ana")
             self.assertEqual(done.version, 2)
             await asyncio.sleep(IN_FORCE_S)
             self.assertEqual([node.tables.version for node in nodes], [2, 2, 2])
@@ -302,7 +304,7 @@
                 nodes.append(Node(f"m{turn}", log))
                 await asyncio.sleep(IN_FORCE_S)
                 self.assertEqual(nodes[-1].tables.version, 2 + turn)
-                done = await publish(log, _document({"trust": 3.0 + turn}), "ben")
+                done = await publish(log, tables_document({"trust": 3.0 + turn}), "ben")
                 await asyncio.sleep(250.0)
 
         simulate(main)
@@ -311,7 +313,7 @@
         async def main() -> int:
             log = MemoryLog(clock=wall, retention_s=600.0)
             nodes = [Node(f"n{n}", log) for n in range(9)]
-            await publish(log, _document({"trust": 1.0}), "ana")
+            await publish(log, tables_document({"trust": 1.0}), "ana")
             await asyncio.sleep(6000.0)
             self.assertTrue(all(node.replica.ready for node in nodes))
             return log.appends - 1
@@ -330,12 +332,12 @@
             first = Node("n1", log, network.transport("n1"))
             cut = Node("n2", log, network.transport("n2"))
             cut.log.running.clear()
-            await publish(log, _document({"trust": 1.0}), "ana")
+            await publish(log, tables_document({"trust": 1.0}), "ana")
             done = asyncio.ensure_future(_beat(first, cut)) if share else None
             await asyncio.sleep(IN_FORCE_S)
             seen = [cut.tables.version]
             cut.log.running.set()
-            await publish(log, _document({"trust": 2.0}), "ben")
+            await publish(log, tables_document({"trust": 2.0}), "ben")
             await asyncio.sleep(IN_FORCE_S)
             seen.append(cut.tables.version)
             self.assertEqual(done is None or not done.done(), True)
@@ -348,9 +350,9 @@
         async def main() -> None:
             log = MemoryLog(clock=wall)
             node = Node("n1", log)
-            await publish(log, _document({"trust": 1.0}), "ana")
+            await publish(log, tables_document({"trust": 1.0}), "ana")
             old = node.replica._full_document()
-            await publish(log, _document({"trust": 2.0}), "ben")
+            await publish(log, tables_document({"trust": 2.0}), "ben")
             await asyncio.sleep(1.0)
             self.assertIsNone(node.replica._state.adopt(1, old, 99))
             self.assertEqual(node.tables.version, 2)
