--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -233,6 +233,11 @@
                 continue
             answer, ran = task.result(), self.cluster.service.by_request[req.id]
             assert not (ran and answer in ("not_run", "not_ready")), f"{req.id}: {answer} but ran"
+            if answer == "not_run":
+                # A run counts until its key may be free again; the refusal takes up to 20 s.
+                start = req.arrived + 20.0 - self.WINDOW_S + self.RETENTION_S / 4
+                earlier = [t for key, t in self.cluster.runs if key == req.key and t > start]
+                assert not any(t < req.arrived for t in earlier), f"{req.id}: {req.key} had run"
             if answer.startswith("ok"):
                 slot = answer.split("/")
                 assert slot[0] == f"ok {req.key}"
