Share refusals fairly between workspaces

Change: the predicted wait is scaled by what the workspace was admitted lately relative to the others, from 0.5 to 2.

The quota of a starving tier uses half the mean interval.

--- a/lacewinghub/admission.py
+++ b/lacewinghub/admission.py
@@ -11,6 +11,7 @@
 from .message import Heartbeat, Pressure
 from .queue import Waiter, WaitQueue
 from .request import Request
+from .share import ServedShares
 from .tables import MAX_TIER, Pool
 
 NEWS_BOUND_S = 1.0  # Propagation delay between nodes that guarantee 1 excludes.
@@ -113,6 +114,7 @@
     last: list[float] = field(default_factory=lambda: [-math.inf] * (MAX_TIER + 1))
     drain: DrainRate = field(default_factory=lambda: DrainRate(MIN_SHARE))
     forecasts: dict[str, _Forecast] = field(default_factory=dict)
+    shares: dict[int, ServedShares] = field(default_factory=dict)
 
     def lower(self, tier: int, now: float) -> None:
         for number in range(tier, self.tier):
@@ -169,6 +171,7 @@
         """Apply rules 1 to 3 of the design, section 2.2."""
         req, own = waiter.req, self._own(pool.name)
         own.patience[req.tier] = req.patience_s
+        own.shares.setdefault(req.tier, ServedShares()).add(req.workspace, 0.0, now)
         self.update(pool, queue, now)
         floor = self.effective_floor(pool.name)
         if req.tier > floor:
@@ -184,11 +187,14 @@
             if may_refuse:
                 return Verdict(False, reason=f"the queue of pool {pool.name!r} is full")
         wait = self.predicted_wait(pool.name, queue, req.tier)
-        if wait > req.patience_s and may_refuse:
+        excess = own.shares[req.tier].excess(req.workspace, now)
+        if wait * excess > req.patience_s and may_refuse:
             if self.starving(pool.name, req.tier, now):
                 return self._admit(pool, waiter, now, quota=True)
-            reason = f"the predicted wait of {wait:.1f} s exceeds {req.patience_s:g} s"
-            return Verdict(False, reason=reason, retry_after_s=wait - req.patience_s)
+            reason = f"the predicted wait of {wait:.1f} s exceeds the share of the workspace"
+            if wait > req.patience_s:
+                reason = f"the predicted wait of {wait:.1f} s exceeds {req.patience_s:g} s"
+            return Verdict(False, reason=reason, retry_after_s=max(0.5, wait - req.patience_s))
         return self._admit(pool, waiter, now)
 
     def may_shed(self, req: Request, now: float) -> bool:
@@ -207,7 +213,8 @@
         """Tell whether the tier's share of the pool's admissions is below the minimum.
 
         The node's own share is counted. What the peers admitted is inferred from their evidence:
-        a tier that any node admitted within one mean interval of its minimum share is not starving.
+        a tier that any node admitted within half the mean interval of its minimum share is not
+        starving; with the whole interval, random arrivals would get half their minimum share.
         """
         own = self._own(pool)
         while own.admitted and own.admitted[0][0] < now - SHARE_WINDOW_S:
@@ -216,7 +223,7 @@
         if count and count >= MIN_SHARE * len(own.admitted):
             return False
         rate = len(own.admitted) / SHARE_WINDOW_S * max(1, len(self._members.live()))
-        interval = min(SHARE_WINDOW_S, 1.0 / (MIN_SHARE * rate)) if rate else SHARE_WINDOW_S
+        interval = min(SHARE_WINDOW_S, 0.5 / (MIN_SHARE * rate)) if rate else SHARE_WINDOW_S
         known = [pressure[pool].last[tier] for pressure in self._peers.values() if pool in pressure]
         return max(known, default=-math.inf) < now - interval
 
@@ -300,6 +307,7 @@
         own, tier = self._own(pool.name), waiter.req.tier
         own.last[tier] = now
         own.admitted.append((now, tier))
+        own.shares[tier].add(waiter.req.workspace, waiter.cost / waiter.req.weight, now)
         return Verdict(True, displaced=displaced, quota=quota)
 
     def _by_fill(self, pool: Pool, queue: WaitQueue) -> int:
