--- a/lacewinghub/errors.py
+++ b/lacewinghub/errors.py
@@ -19,15 +19,25 @@
     Args:
         message: What went wrong, for a person.
         retry_after_s: When a retry makes sense, in seconds.
+        run: What is known about the execution, if it differs from the class's statement.
         details: Further JSON values, such as the key and line of a wrong setting.
     """
 
     code: ClassVar[str] = "internal"
     status: ClassVar[int] = 500
-    run: ClassVar[Run] = Run.NONE
-
-    def __init__(self, message: str, *, retry_after_s: float | None = None, **details: Any) -> None:
+    run: Run = Run.NONE
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        retry_after_s: float | None = None,
+        run: Run | None = None,
+        **details: Any,
+    ) -> None:
         super().__init__(message)
+        if run is not None:
+            self.run = run
         self.message = message
         self.retry_after_s = retry_after_s
         self.details = details
@@ -72,6 +82,18 @@
     code, status, run = "too_large", 413, Run.NOT_RUN
 
 
+class NotFound(LacewingError):
+    """The path does not exist."""
+
+    code, status, run = "not_found", 404, Run.NOT_RUN
+
+
+class MethodNotAllowed(LacewingError):
+    """The path does not serve the method."""
+
+    code, status, run = "method_not_allowed", 405, Run.NOT_RUN
+
+
 class Unauthorized(LacewingError):
     """The key is missing or unknown."""
 
@@ -126,6 +148,12 @@
     code, status, run = "not_ready", 503, Run.NOT_RUN
 
 
+class KeyUnverified(LacewingError):
+    """The log cannot be read, so an earlier request with this key may have been executed."""
+
+    code, status, run = "key_unverified", 503, Run.UNKNOWN
+
+
 class Draining(LacewingError):
     """The node is stopping and takes no new requests."""
 
@@ -150,6 +178,12 @@
     code, status, run = "quarantined", 422, Run.NOT_RUN
 
 
+class QuarantinedAfterRun(Quarantined):
+    """The request itself was at an endpoint that crashed."""
+
+    run = Run.UNKNOWN
+
+
 class EndpointFailed(LacewingError):
     """No endpoint completed a repeatable request."""
 
@@ -192,6 +226,12 @@
     code, status, run = "log_uncertain", 503, Run.UNKNOWN
 
 
+class HistoryInvalid(LacewingError):
+    """A recorded history cannot be read; details give file and line."""
+
+    code, status = "history_invalid", 400
+
+
 class PeerRejected(LacewingError):
     """A peer sent an invalid message or failed authentication."""
 
@@ -204,6 +244,18 @@
     code, status = "unreachable", 503
 
 
+class BadArguments(LacewingError):
+    """The command line is wrong."""
+
+    code, status = "bad_arguments", 400
+
+
+class SystemRefused(LacewingError):
+    """The operating system refused an operation, such as binding an address."""
+
+    code, status = "system_refused", 500
+
+
 def all_errors() -> dict[str, type[LacewingError]]:
     """Return the error classes by code."""
     classes: list[type[LacewingError]] = [LacewingError, *LacewingError.__subclasses__()]
--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -56,15 +56,29 @@
 
 @dataclass(slots=True)
 class Suspect:
-    """A fingerprint and the crashes (endpoint name and a counter) that it was in flight at."""
+    """A fingerprint and the crashes that it was in flight at.
+
+    Attributes:
+        fingerprint: Fingerprint of the request.
+        crashes: One ``endpoint@time`` per crash, with the wall time in milliseconds.
+        cleared: Those of the crashes that a finished run has cleared it of.
+        trial: Endpoint on which the sender runs it again, ``?`` and the planned endpoint if the
+            sender waits to do so, otherwise empty.
+    """
 
     fingerprint: int
     crashes: list[str]
+    cleared: list[str] = field(default_factory=list)
+    trial: str = ""
 
 
 @dataclass(slots=True)
 class Heartbeat:
-    """Periodic state of a node; complete, so that a lost one does no harm."""
+    """Periodic state of a node; complete, so that a lost one does no harm.
+
+    ``leaving_age_ms`` holds, for each endpoint in ``leaving``, the time since it was last seen to
+    be leaving.
+    """
 
     CODE: ClassVar[int] = 2
 
@@ -78,6 +92,7 @@
     leaving: list[str] = field(default_factory=list)
     suspects: list[Suspect] = field(default_factory=list)
     quarantined: list[int] = field(default_factory=list)
+    leaving_age_ms: list[int] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -189,18 +204,38 @@
 
 @dataclass(slots=True)
 class ConfigReply:
-    """Full tables of a version."""
+    """Full tables of a version.
+
+    Attributes:
+        version: Version of the tables.
+        document: The tables as a JSON document.
+        through: Offset of the first record of stream ``config`` that they do not reflect.
+        refreshed: Wall time of the record from which on a reader of the stream can build the
+            tables, in seconds since the epoch.
+    """
 
     CODE: ClassVar[int] = 7
 
     version: int
     document: dict[str, Any]
+    through: int = 0
+    refreshed: float = 0.0
+
+
+@dataclass(slots=True)
+class Addresses:
+    """Peer addresses of the members that the sender knows to be alive."""
+
+    CODE: ClassVar[int] = 8
+
+    addresses: list[str]
 
 
-Message = Hello | Heartbeat | Demand | Grants | Release | ConfigRequest | ConfigReply
+Message = Hello | Heartbeat | Demand | Grants | Release | ConfigRequest | ConfigReply | Addresses
 
 _TYPES: dict[int, type] = {
-    cls.CODE: cls for cls in (Hello, Heartbeat, Demand, Grants, Release, ConfigRequest, ConfigReply)
+    cls.CODE: cls
+    for cls in (Hello, Heartbeat, Demand, Grants, Release, ConfigRequest, ConfigReply, Addresses)
 }
 _NESTED: dict[tuple[type, str], type] = {
     (Heartbeat, "pressure"): Pressure,
