--- a/lacewinghub/broker.py
+++ b/lacewinghub/broker.py
@@ -1,13 +1,15 @@
 """Hands out the slots of runner groups to the nodes."""
 
 import asyncio
+import math
 import random
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
 from .drain import DrainRate
-from .group import Group, Groups
+from .group import Group, Groups, broker_of
 from .limit import ConcurrencyLimit
+from .membership import Members
 from .message import REFUSED, Demand, GrantItem, Grants, GroupFree, Release, ReleaseItem
 from .scheduler import PoolView
 from .selection import AFFINITY_BOUND
@@ -18,6 +20,7 @@
 START_S = 0.5  # A new broker waits this long for the demands of all nodes.
 SWEEP_S = 0.1
 IDLE_S = 10.0  # A group without demands for this long is dropped.
+OPEN_EVERY_S = 0.5
 ANSWER_EVERY_S = 0.1  # Smallest interval between empty answers to a node.
 MIN_SHARE = 0.02
 MAX_CREDIT = 1.0
@@ -90,6 +93,7 @@
 
     Args:
         transport: Connects the nodes.
+        members: View of the live nodes.
         view: Pools and usable endpoints.
         rng: Source of randomness.
     """
@@ -97,10 +101,12 @@
     def __init__(
         self,
         transport: Transport,
+        members: Members,
         view: PoolView,
         rng: random.Random | None = None,
     ) -> None:
         self._transport = transport
+        self._members = members
         self._view = view
         self._rng = rng or random.Random()
         self._last_id = self._rng.getrandbits(24) << 8
@@ -119,15 +125,28 @@
 
     async def run(self) -> None:
         """Free expired leases and drop idle groups until cancelled."""
+        opened = -math.inf
         while True:
-            await asyncio.sleep(SWEEP_S)
             now = _now()
+            if now - opened >= OPEN_EVERY_S:
+                opened = now
+                self._open_own(now)
             for state in list(self._states.values()):
                 self._expire(state, now)
                 if now - state.seen > IDLE_S:
                     del self._states[state.group.name]
                 else:
                     self._grant(state, now)
+            await asyncio.sleep(SWEEP_S)
+
+    def _open_own(self, now: float) -> None:
+        """Open this node's groups ahead of demand; the first request would wait START_S."""
+        for name in self._view.names():
+            for group in self._groups.of(name):
+                if broker_of(group, self._members) == self._transport.node:
+                    state = self._open(group.name, now)
+                    if state is not None:
+                        state.seen = now
 
     def _on_demand(self, sender: str, demand: Demand) -> None:
         now = _now()
--- a/lacewinghub/brokered.py
+++ b/lacewinghub/brokered.py
@@ -64,7 +64,7 @@
         super().__init__(view, TierQueue, admission or self.floors, history)
         self.lengths = LengthEstimator()
         self.prefixes = PrefixMap()
-        self.broker = Broker(transport, view, rng)
+        self.broker = Broker(transport, members, view, rng)
         self._rng = rng or random.Random()
         self._members = members
         self._groups = Groups(view)
--- a/lacewinghub/scheduler.py
+++ b/lacewinghub/scheduler.py
@@ -22,6 +22,10 @@
     def usable(self, name: str) -> list[Endpoint]:
         """Return the endpoints of a pool that are neither leaving nor ejected."""
 
+    def names(self) -> list[str]:
+        """Return the names of all pools."""
+        return []
+
     def target(self, pool: str, tier: int) -> Target:
         """Return the loosest latency targets of the routes to a pool at a tier."""
         return Target()
@@ -53,6 +57,10 @@
         """Return the endpoints that pass ``is_usable``."""
         return [item for item in self.pool(name).endpoints if self._is_usable(item.name)]
 
+    def names(self) -> list[str]:
+        """Return the names of all pools."""
+        return list(self._tables().pools)
+
     def target(self, pool: str, tier: int) -> Target:
         """Return the loosest latency targets of the routes to a pool at a tier."""
         tables = self._tables()
--- a/lacewinghub/simulation.py
+++ b/lacewinghub/simulation.py
@@ -11,7 +11,7 @@
 
 from .brokered import BrokeredScheduler
 from .errors import Overloaded
-from .history import History
+from .history import EventKind, History
 from .local import LocalScheduler, QueueScheduler
 from .model import Job, JobEnd, Rates, SimHealth, SimMembers, SimNetwork, SimRunner, SimTransport
 from .naive import NaiveScheduler
@@ -130,6 +130,18 @@
         sim.meter.wrap(self.transport, "deliver")
         sim.meter.wrap(self.transport, "send")
 
+    def record(self, kind: EventKind, req: Request, **members: object) -> None:
+        """Record an event of a request."""
+        self.history.record(
+            kind,
+            request=req.id,
+            tier=req.tier,
+            pool=req.pool,
+            request_class=req.request_class,
+            workspace=req.workspace,
+            **members,
+        )
+
     def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """Start a task that ends with the node."""
         task = asyncio.get_running_loop().create_task(work)
@@ -338,6 +350,7 @@
         )
 
     async def _serve(self, node: SimNode, req: Request, result: Result) -> None:
+        node.record(EventKind.ARRIVED, req)
         for _ in range(MAX_ATTEMPTS):
             try:
                 grant = await node.scheduler.acquire(req)
@@ -347,6 +360,7 @@
                 return
             end = await self._use(node, req, result, grant)
             if end is JobEnd.DONE:
+                node.record(EventKind.FINISHED, req, tokens=result.tokens)
                 result.end = "finished"
                 return
             if not result.call.kind.repeatable:
@@ -360,6 +374,7 @@
         loop = asyncio.get_running_loop()
         runner = self.runners[grant.endpoint]
         call = result.call
+        node.record(EventKind.DISPATCHED, req, endpoint=grant.endpoint)
         job = Job(
             req.tier,
             call.output - result.tokens,
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,212 @@
+"""Tests of the admission rules of the design page, section 2.2."""
+
+import asyncio
+import unittest
+from typing import Any
+
+from lacewinghub.admission import NEWS_BOUND_S, RAISE_AFTER_S, FloorAdmission, NaiveAdmission
+from lacewinghub.membership import Member, Members, MemberState
+from lacewinghub.message import Heartbeat, Pressure
+from lacewinghub.queue import FifoQueue, TierQueue, Waiter
+from lacewinghub.request import Request
+from lacewinghub.tables import MAX_TIER, Pool, Target
+
+GROUP = "p/0"
+
+
+class _Peers(Members):
+    def __init__(self) -> None:
+        self.states = {"peer": MemberState.LIVE}
+
+    def live(self) -> list[Member]:
+        return [
+            Member(node, node, "z", 1, MemberState.LIVE)
+            for node in ("self", *self.states)
+            if self.state(node) is MemberState.LIVE
+        ]
+
+    def state(self, node: str) -> MemberState:
+        return self.states.get(node, MemberState.DEAD if node != "self" else MemberState.LIVE)
+
+
+class FloorAdmissionTest(unittest.TestCase):
+    """Guards against refusals that the rules forbid, and against missing ones."""
+
+    def setUp(self) -> None:
+        self.now = 1000.0
+        self.members = _Peers()
+        self.pool = Pool("p", [], queue_limit=4)
+        self.queue = TierQueue()
+        self.admission = FloorAdmission(self.members, lambda: self.now)
+        self.loop = asyncio.new_event_loop()
+        self.addCleanup(self.loop.close)
+        self.number = 0
+
+    def _waiter(self, tier: int, **members: Any) -> Waiter:
+        self.number += 1
+        values = {"arrived": self.now, "patience_s": 5.0, "target": Target()} | members
+        req = Request(str(self.number), "w", "c", tier, "p", {}, **values)
+        return Waiter(req, self.loop.create_future())
+
+    def _arrive(self, tier: int, **members: Any) -> Any:
+        item = self._waiter(tier, **members)
+        verdict = self.admission.decide(self.pool, self.queue, item, self.now)
+        if verdict.displaced is not None:
+            self.queue.remove(verdict.displaced)
+        if verdict.admitted:
+            self.queue.push(item)
+        return verdict
+
+    def _hear(self, floor: int = MAX_TIER, ages: list[int] | None = None) -> None:
+        beat = Heartbeat("peer", 1, 1, "live", pressure=[Pressure("p", floor, ages or [])])
+        self.admission.observe(beat)
+
+    def _forecast(self, *waits_s: float) -> None:
+        waits = [int(wait * 1000) for wait in waits_s]
+        self.admission.forecast("p", GROUP, waits, self.now)
+
+    def test_rule_1_floor_of_a_live_peer_counts(self) -> None:
+        cases = [
+            (MemberState.LIVE, 3, 4, False),
+            (MemberState.LIVE, 3, 3, True),
+            (MemberState.SUSPECT, 3, 4, True),
+            (MemberState.DEAD, 3, 4, True),
+        ]
+        for state, floor, tier, admitted in cases:
+            with self.subTest(state=state, tier=tier):
+                self.setUp()
+                self._hear(floor, [0] * MAX_TIER)
+                self.members.states["peer"] = state
+                self.assertEqual(self._arrive(tier).admitted, admitted)
+
+    def test_rule_1_starving_tier_gets_one_request(self) -> None:
+        self._hear(floor=3)
+        first, second = self._arrive(5), self._arrive(5)
+        self.assertEqual((first.admitted, first.quota), (True, True))
+        self.assertFalse(second.admitted)
+
+    def test_rule_1_tier_admitted_at_a_peer_is_not_starving(self) -> None:
+        self._hear(floor=3, ages=[-1, -1, -1, -1, 1000])
+        self.assertFalse(self._arrive(5).admitted)
+
+    def test_rule_2_full_queue_displaces_its_lowest_tier(self) -> None:
+        for tier in (6, 6, 6, 6):
+            self._arrive(tier)
+        verdict = self._arrive(2)
+        self.assertTrue(verdict.admitted)
+        self.assertEqual(verdict.displaced.req.tier, 6)
+        self.assertEqual(len(self.queue), 4)
+
+    def test_rule_2_without_permission_to_displace_the_queue_exceeds_its_limit(self) -> None:
+        for tier in (6, 6, 6, 6):
+            self._arrive(tier)
+        self.now += 2 * NEWS_BOUND_S
+        self._hear(ages=[-1, -1, -1, -1, -1, -1, 100])
+        verdict = self._arrive(2)
+        self.assertEqual((verdict.admitted, verdict.displaced), (True, None))
+        self.assertEqual(len(self.queue), 5)
+
+    def test_rule_2_full_queue_of_the_same_tier_refuses_after_the_news_bound(self) -> None:
+        for _ in range(4):
+            self._arrive(2)
+        self.assertTrue(self._arrive(2).admitted)
+        self.now += NEWS_BOUND_S + 0.1
+        self.assertFalse(self._arrive(2).admitted)
+
+    def test_rule_3_predicted_wait(self) -> None:
+        for _ in range(20):
+            self._arrive(2)
+            self.queue.pop()
+        self._forecast(0.0, 9.0)
+        self.assertTrue(self._arrive(2).admitted)
+        self.now += NEWS_BOUND_S
+        self._forecast(0.0, 9.0)
+        self.assertEqual(self.admission.floor("p"), 2)
+        self.assertFalse(self._arrive(2).admitted)
+        self.assertTrue(self._arrive(1).admitted)
+        self.assertTrue(self._arrive(2, patience_s=30.0).admitted)
+
+    def test_rule_4_evidence(self) -> None:
+        cases = [
+            ("nothing known", None, True),
+            ("peer admitted a lower tier just now", [-1, -1, 0], False),
+            ("peer admitted a lower tier before the news bound", [-1, -1, 4500], True),
+            ("peer admitted the same tier", [-1, 0], True),
+            ("peer admitted a higher tier", [0], True),
+        ]
+        for name, ages, expected in cases:
+            with self.subTest(name):
+                self.setUp()
+                req = self._waiter(2).req
+                self.now += 5.0
+                if ages is not None:
+                    self._hear(ages=ages)
+                self.assertEqual(self.admission.may_shed(req, self.now), expected)
+
+    def test_rule_4_own_admission_of_a_lower_tier_counts(self) -> None:
+        req = self._waiter(2).req
+        self.now += 5.0
+        self._arrive(3)
+        self.assertFalse(self.admission.may_shed(req, self.now))
+
+    def test_floor_falls_at_once_and_rises_step_by_step_over_tiers_in_use(self) -> None:
+        for tier in (1, 2, 5):
+            self._arrive(tier)
+        self._forecast(9.0, 9.0, 9.0, 9.0, 9.0)
+        self.admission.update(self.pool, self.queue, self.now)
+        floors = [self.admission.floor("p")]
+        for _ in range(40):
+            self.now += RAISE_AFTER_S / 10
+            self._forecast()
+            self.admission.update(self.pool, self.queue, self.now)
+            floors.append(self.admission.floor("p"))
+        self.assertEqual(sorted(set(floors)), [1, 2, 5])
+        self.assertEqual(floors, sorted(floors))
+
+    def test_heartbeat_round_trip(self) -> None:
+        self._arrive(3)
+        self.now += 0.5
+        beat = Heartbeat("self", 1, 1, "live")
+        self.admission.fill(beat)
+        self.assertEqual(beat.pressure, [Pressure("p", MAX_TIER, [-1, -1, 500])])
+        other = FloorAdmission(self.members, lambda: self.now)
+        beat.node = "peer"
+        other.observe(beat)
+        early = self._waiter(2, arrived=self.now - 3.0).req
+        self.assertFalse(other.may_shed(early, self.now))
+
+    def test_larger_workspace_is_refused_first(self) -> None:
+        for _ in range(20):
+            self._arrive(2)
+            self.queue.pop()
+        small = self._waiter(2)
+        small.req.workspace = "small"
+        self.admission.decide(self.pool, self.queue, small, self.now)
+        self._forecast(0.0, 6.0)
+        self.admission.update(self.pool, self.queue, self.now)
+        self.now += NEWS_BOUND_S
+        self._forecast(0.0, 6.0)
+        self.assertFalse(self._arrive(2).admitted)
+        self.assertTrue(self.admission.decide(self.pool, self.queue, small, self.now).admitted)
+
+
+class NaiveAdmissionTest(unittest.TestCase):
+    """Guards against a baseline that differs from its description."""
+
+    def test_full_queue(self) -> None:
+        loop = asyncio.new_event_loop()
+        self.addCleanup(loop.close)
+        pool = Pool("p", [], queue_limit=1)
+        for displace, admitted in [(False, False), (True, True)]:
+            with self.subTest(displace=displace):
+                queue = TierQueue() if displace else FifoQueue()
+                low, high = (
+                    Waiter(
+                        Request("r", "w", "c", tier, "p", {}, 0.0, 1.0, Target()),
+                        loop.create_future(),
+                    )
+                    for tier in (5, 1)
+                )
+                queue.push(low)
+                verdict = NaiveAdmission(displace).decide(pool, queue, high, 0.0)
+                self.assertEqual(verdict.admitted, admitted)
