--- a/lacewinghub/admission.py
+++ b/lacewinghub/admission.py
@@ -188,7 +188,7 @@
                 return Verdict(False, reason=f"the queue of pool {pool.name!r} is full")
         wait = self.predicted_wait(pool.name, queue, req.tier)
         excess = own.shares[req.tier].excess(req.workspace, now)
-        if wait * excess > req.patience_s and may_refuse:
+        if wait * excess > req.patience_s and may_refuse and not _holds_lower(queue, req.tier):
             if self.starving(pool.name, req.tier, now):
                 return self._admit(pool, waiter, now, quota=True)
             reason = f"the predicted wait of {wait:.1f} s exceeds the share of the workspace"
@@ -212,20 +212,20 @@
     def starving(self, pool: str, tier: int, now: float) -> bool:
         """Tell whether the tier's share of the pool's admissions is below the minimum.
 
-        The node's own share is counted. What the peers admitted is inferred from their evidence:
-        a tier that any node admitted within half the mean interval of its minimum share is not
-        starving; with the whole interval, random arrivals would get half their minimum share.
+        A node with enough admissions counts its own share. Otherwise the pool's admissions are
+        taken as the node's own times the live nodes, and those of the tier as its own and one for
+        each peer with evidence of one in the window.
         """
-        own = self._own(pool)
-        while own.admitted and own.admitted[0][0] < now - SHARE_WINDOW_S:
+        own, start = self._own(pool), now - SHARE_WINDOW_S
+        while own.admitted and own.admitted[0][0] < start:
             own.admitted.popleft()
         count = sum(1 for _, number in own.admitted if number == tier)
-        if count and count >= MIN_SHARE * len(own.admitted):
-            return False
-        rate = len(own.admitted) / SHARE_WINDOW_S * max(1, len(self._members.live()))
-        interval = min(SHARE_WINDOW_S, 0.5 / (MIN_SHARE * rate)) if rate else SHARE_WINDOW_S
+        total = len(own.admitted)
+        if MIN_SHARE * total >= 1.0:
+            return count < MIN_SHARE * total
         known = [pressure[pool].last[tier] for pressure in self._peers.values() if pool in pressure]
-        return max(known, default=-math.inf) < now - interval
+        count += sum(1 for last in known if last >= start)
+        return count == 0 or count < MIN_SHARE * total * len(self._members.live())
 
     def predicted_wait(self, pool: str, queue: WaitQueue, tier: int) -> float:
         """Return the expected wait of a new request of a tier, in seconds.
@@ -336,6 +336,12 @@
         return found
 
 
+def _holds_lower(queue: WaitQueue, tier: int) -> bool:
+    """Tell whether a lower tier waits that could be shed instead."""
+    lowest = queue.lowest()
+    return lowest is not None and lowest.req.tier > tier
+
+
 def _age_ms(now: float, time: float) -> int:
     age = (now - time) * 1000
     return int(age) if age < AGE_LIMIT_MS else -1
--- a/lacewinghub/broker.py
+++ b/lacewinghub/broker.py
@@ -23,6 +23,7 @@
 OPEN_EVERY_S = 0.5
 ANSWER_EVERY_S = 0.1  # Smallest interval between empty answers to a node.
 MIN_SHARE = 0.02
+EARNED_SHARE = 0.03  # Of every grant; above the minimum, since a tier earns only while it waits.
 MAX_CREDIT = 1.0
 CRASH_REST_S = 1.0  # First pause after a crash; doubles up to MAX_REST_S.
 MAX_REST_S = 8.0
@@ -400,7 +401,7 @@
 def _pay(state: _State, waiting: Counter[int], served: int) -> None:
     """Every waiting tier earns its minimum share of a slot; the served one pays for it."""
     for tier in waiting:
-        state.credit[tier] = min(MAX_CREDIT, state.credit[tier] + MIN_SHARE)
+        state.credit[tier] = min(MAX_CREDIT, state.credit[tier] + EARNED_SHARE)
     state.credit[served] = max(0.0, state.credit[served] - 1.0)
 
 
--- a/lacewinghub/limit.py
+++ b/lacewinghub/limit.py
@@ -4,6 +4,7 @@
 
 DECREASE = 0.8
 DECREASE_EVERY_S = 1.0  # Several answers report the same overload; only the first one counts.
+ROUNDING = 1e-9
 
 
 class ConcurrencyLimit:
@@ -88,7 +89,7 @@
             refill = (now - self._time) * self._min_per_s
             self._tokens = min(self._burst, self._tokens + refill)
         self._time = now
-        if self._tokens < 1.0:
+        if self._tokens < 1.0 - ROUNDING:
             return False
         self._tokens -= 1.0
         return True
--- a/lacewinghub/local.py
+++ b/lacewinghub/local.py
@@ -120,10 +120,11 @@
             raise Overloaded(verdict.reason, retry_after_s=verdict.retry_after_s)
         if verdict.displaced is not None:
             self._shed(verdict.displaced, "displaced by a request of a higher tier")
+        waiter.quota = verdict.quota
         self._record(EventKind.ADMITTED, req, quota=verdict.quota)
 
     def _expire(self, waiter: Waiter) -> None:
-        if not waiter.queued or waiter.resumed:
+        if not waiter.queued or waiter.protected:
             return
         loop = asyncio.get_running_loop()
         if not self.admission.may_shed(waiter.req, loop.time()):
--- a/lacewinghub/model.py
+++ b/lacewinghub/model.py
@@ -154,7 +154,7 @@
         now = _now()
         self._advance(now)
         self._frozen_until = now + seconds
-        self._interrupt()
+        self._plan()
 
     def _plan(self) -> None:
         """Fill the batch and set the timer for the next event."""
--- a/lacewinghub/queue.py
+++ b/lacewinghub/queue.py
@@ -22,6 +22,8 @@
         cost: Estimated work, in tokens.
         preferred: Name of the endpoint with the longest cached prefix, or empty.
         resumed: True for a request that was already dispatched once; it is never shed.
+        quota: True for a request that was admitted to keep the minimum share of its tier; it is
+            never shed, since the tier would starve if its few requests expired or were displaced.
         queued: True while the queue holds it.
         group: Runner group whose broker is asked for a slot, or empty.
     """
@@ -31,9 +33,15 @@
     cost: float = 1.0
     preferred: str = ""
     resumed: bool = False
+    quota: bool = False
     queued: bool = False
     group: str = ""
 
+    @property
+    def protected(self) -> bool:
+        """Tell whether it is served first in its tier and never shed."""
+        return self.resumed or self.quota
+
 
 Fits = Callable[[Waiter], int]
 
@@ -141,7 +149,7 @@
     waiters. The virtual time is the start tag of the last served request.
     """
 
-    resumed: deque[Waiter] = field(default_factory=deque)
+    protected: deque[Waiter] = field(default_factory=deque)
     waiters: dict[str, deque[Waiter]] = field(default_factory=dict)
     heads: list[tuple[float, int, str]] = field(default_factory=list)
     finish: dict[str, float] = field(default_factory=dict)
@@ -153,8 +161,8 @@
     def push(self, waiter: Waiter) -> None:
         self.count += 1
         self.work += waiter.cost
-        if waiter.resumed:
-            self.resumed.append(waiter)
+        if waiter.protected:
+            self.protected.append(waiter)
             return
         workspace = waiter.req.workspace
         line = self.waiters.get(workspace)
@@ -166,9 +174,9 @@
     def pop(self, fits: Fits | None) -> Waiter | None:
         if not self.count:
             return None
-        for waiter in self.resumed:
+        for waiter in self.protected:
             if fits is None or fits(waiter):
-                self.resumed.remove(waiter)
+                self.protected.remove(waiter)
                 return self._count_off(waiter)
         if not self.heads:
             return None
@@ -186,8 +194,8 @@
 
     def remove(self, waiter: Waiter) -> None:
         self._count_off(waiter)
-        if waiter.resumed:
-            self.resumed.remove(waiter)
+        if waiter.protected:
+            self.protected.remove(waiter)
             return
         workspace = waiter.req.workspace
         line = self.waiters[workspace]
@@ -288,7 +296,7 @@
     def __iter__(self) -> Iterator[Waiter]:
         """Iterate over the waiters."""
         for tier in list(self._tiers.values()):
-            yield from list(tier.resumed)
+            yield from list(tier.protected)
             for line in list(tier.waiters.values()):
                 yield from list(line)
 
--- /dev/null
+++ b/tests/test_limit.py
@@ -0,0 +1,201 @@
+"""Tests of the adaptive limits and the estimators of the decisions."""
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lacewinghub.drain import DrainRate
+from lacewinghub.length import DEFAULT_TOKENS, MIN_SAMPLES, WINDOW, LengthEstimator
+from lacewinghub.limit import ConcurrencyLimit, RetryBudget
+from lacewinghub.prefix import BLOCK_WORDS, PrefixMap, prefix_hashes
+from lacewinghub.request import Request
+from lacewinghub.selection import Affinity, LeastReported, LoadReports, Selection, TwoChoices
+from lacewinghub.share import LEAST, MOST, ServedShares
+from lacewinghub.tables import Endpoint, Target
+
+TARGET = Target(first_token_s=1.0, between_tokens_s=0.06)
+
+
+class ConcurrencyLimitTest(unittest.TestCase):
+    """Guards against a limit that ignores missed targets or never recovers."""
+
+    def test_direction(self) -> None:
+        cases = [
+            ("targets met", 0.5, 0.03, 8, 8),
+            ("first token late", 1.5, 0.03, 8, 6),
+            ("tokens late", 0.5, 0.09, 8, 6),
+            ("late with little in use", 1.5, 0.03, 2, 1),
+            ("nothing measured", None, None, 8, 8),
+        ]
+        for name, first, between, in_use, expected in cases:
+            with self.subTest(name):
+                limit = ConcurrencyLimit(8)
+                limit.observe(first, between, TARGET, in_use, 0.0)
+                self.assertEqual(limit.value, expected)
+
+    def test_several_late_answers_of_one_overload_count_once(self) -> None:
+        limit = ConcurrencyLimit(8)
+        for number in range(6):
+            limit.observe(2.0, 0.03, TARGET, 8, number * 0.1)
+        self.assertEqual(limit.value, 6)
+
+    def test_limit_stays_above_zero_and_recovers(self) -> None:
+        limit = ConcurrencyLimit(8)
+        for number in range(50):
+            limit.observe(9.0, 0.5, TARGET, limit.value, 2.0 * number)
+        self.assertEqual(limit.value, 1)
+        for number in range(60):
+            limit.observe(0.1, 0.02, TARGET, limit.value, 200.0 + number)
+        self.assertEqual(limit.value, 8)
+
+
+class RetryBudgetTest(unittest.TestCase):
+    """Guards against a storm of retries, and against no retry at all when traffic is low."""
+
+    def test_share_of_requests(self) -> None:
+        budget = RetryBudget(share=0.1, min_per_s=0.0, burst=10.0)
+        while budget.take(0.0):
+            pass
+        for _ in range(50):
+            budget.note_request()
+        self.assertEqual(sum(budget.take(0.0) for _ in range(50)), 5)
+
+    def test_minimum_rate(self) -> None:
+        budget = RetryBudget(min_per_s=1.0, burst=2.0)
+        self.assertEqual([budget.take(0.0) for _ in range(3)], [True, True, False])
+        self.assertEqual([budget.take(1.0), budget.take(1.0)], [True, False])
+
+
+class LengthTest(unittest.TestCase):
+    """Guards against estimates of the wrong class or from answers long past."""
+
+    def test_sources(self) -> None:
+        lengths = LengthEstimator()
+        self.assertEqual(lengths.quantile("c", "w", 0.5), DEFAULT_TOKENS)
+        for number in range(MIN_SAMPLES):
+            lengths.observe("c", "w", 100)
+            lengths.observe("c", f"other-{number}", 900)
+        self.assertEqual(lengths.quantile("c", "w", 0.5), 100)
+        self.assertEqual(lengths.quantile("c", "new", 0.9), 900)
+
+    @settings(derandomize=True, max_examples=50, deadline=None)
+    @given(st.lists(st.integers(1, 5000), min_size=MIN_SAMPLES, max_size=2 * WINDOW))
+    def test_quantiles_equal_those_of_the_latest_window(self, tokens: list[int]) -> None:
+        lengths = LengthEstimator()
+        for value in tokens:
+            lengths.observe("c", "w", value)
+        window = sorted(tokens[-WINDOW:])
+        for fraction in (0.5, 0.9):
+            expected = window[min(len(window) - 1, int(fraction * len(window)))]
+            self.assertEqual(lengths.quantile("c", "w", fraction), expected)
+
+
+class PrefixTest(unittest.TestCase):
+    """Guards against a preference for a runner that cannot have the prefix."""
+
+    def test_hashes_cover_the_prompt_up_to_each_block(self) -> None:
+        words = [f"w{number}" for number in range(3 * BLOCK_WORDS)]
+        whole = prefix_hashes(" ".join(words))
+        self.assertEqual(len(whole), 3)
+        self.assertEqual(prefix_hashes(" ".join(words[: 2 * BLOCK_WORDS + 5])), whole[:2])
+        changed = ["x", *words[1:]]
+        self.assertFalse(set(prefix_hashes(" ".join(changed))) & set(whole))
+        self.assertEqual(prefix_hashes("short"), ())
+
+    def test_best(self) -> None:
+        prefixes = PrefixMap()
+        prefixes.record("a", (1, 2), 10)
+        prefixes.record("b", (1, 2, 3), 10)
+        cases = [
+            ((1, 2, 3, 4), ["a", "b"], "b"),
+            ((1, 2, 3, 4), ["a"], "a"),
+            ((2, 3), ["a", "c"], "a"),
+            ((9, 1), ["a", "b"], ""),
+            ((), ["a"], ""),
+        ]
+        for prefix, endpoints, expected in cases:
+            with self.subTest(prefix=prefix):
+                self.assertEqual(prefixes.best(prefix, endpoints), expected)
+
+    def test_limited_by_the_cache_and_corrected_by_events(self) -> None:
+        prefixes = PrefixMap()
+        prefixes.record("a", range(10), 4)
+        self.assertEqual(prefixes.matched("a", range(10)), 0)
+        self.assertEqual(prefixes.matched("a", (6, 7, 8, 9)), 4)
+        prefixes.evict("a", [8])
+        self.assertEqual(prefixes.matched("a", (6, 7, 8, 9)), 2)
+        prefixes.forget("a")
+        self.assertEqual(prefixes.matched("a", (6, 7)), 0)
+
+
+class DrainRateTest(unittest.TestCase):
+    """Guards against forecasts from idle time."""
+
+    def test_rate(self) -> None:
+        drain = DrainRate(0.02)
+        self.assertIsNone(drain.rate(1))
+        self.assertEqual(drain.rate(1, prior=5.0), 5.0)
+        now = 0.0
+        for number in range(400):
+            drain.advance(now, True)
+            drain.served(1 if number % 2 else 2, 1.0)
+            now += 0.1
+        drain.advance(now, False)
+        top, low = drain.rate(1) or 0.0, drain.rate(3) or 0.0
+        self.assertAlmostEqual(top, 10.0, delta=1.0)
+        self.assertLess(low, 1.0)
+        drain.advance(now + 3600, False)
+        self.assertAlmostEqual(drain.rate(1) or 0.0, top, delta=0.1)
+
+
+class ServedSharesTest(unittest.TestCase):
+    """Guards against a wrong order of workspaces and against unlimited memory."""
+
+    def test_excess(self) -> None:
+        shares = ServedShares()
+        self.assertEqual(shares.excess("a", 0.0), 1.0)
+        shares.add("a", 900.0, 0.0)
+        shares.add("b", 90.0, 0.0)
+        shares.add("c", 10.0, 0.0)
+        self.assertEqual(shares.excess("a", 0.0), MOST)
+        self.assertEqual(shares.excess("c", 0.0), LEAST)
+        shares.add("b", 0.0, 1000.0)
+        self.assertEqual(shares.excess("new", 1000.0), 1.0)
+
+
+class SelectionTest(unittest.TestCase):
+    """Guards against herding and against an affinity without bound."""
+
+    def setUp(self) -> None:
+        self.items = [Endpoint(f"r{n}", f"127.0.0.1:{9000 + n}", "z", 4) for n in range(3)]
+        self.reports = LoadReports()
+        self.prefixes = PrefixMap()
+        self.req = Request("q", "w", "c", 1, "p", {}, 0.0, 1.0, Target(), prefix=(1, 2))
+
+    def _choose(self, selection: Selection, **in_flight: int) -> str:
+        return selection.choose(self.req, self.items, in_flight).name
+
+    def test_least_reported_ignores_own_requests(self) -> None:
+        self.reports.update("r0", 1, 0, 1.0)
+        self.assertEqual(self._choose(LeastReported(self.reports), r1=9), "r1")
+
+    def test_older_report_does_not_replace_a_newer_one(self) -> None:
+        self.reports.update("r0", 3, 1, 2.0)
+        self.reports.update("r0", 0, 0, 1.0)
+        self.assertEqual(self.reports.load("r0"), 4)
+
+    def test_two_choices_never_takes_the_most_loaded_of_three(self) -> None:
+        self.reports.update("r0", 4, 4, 1.0)
+        selection = TwoChoices(self.reports, random.Random(1))
+        self.assertNotIn("r0", {self._choose(selection, r1=1) for _ in range(50)})
+
+    def test_affinity_within_its_bound(self) -> None:
+        self.prefixes.record("r2", (1, 2), 10)
+        fallback = LeastReported(self.reports)
+        selection = Affinity(self.prefixes, fallback, self.reports)
+        cases = [("equal load", {"r0": 2, "r1": 2, "r2": 2}, "r2"), ("too loaded", {"r2": 4}, "r0")]
+        for name, in_flight, expected in cases:
+            with self.subTest(name):
+                self.assertEqual(self._choose(selection, **in_flight), expected)
