--- a/lacewinghub/admission.py
+++ b/lacewinghub/admission.py
@@ -16,6 +16,7 @@
 
 NEWS_BOUND_S = 1.0  # Propagation delay between nodes that guarantee 1 excludes.
 MIN_SHARE = 0.02  # Share of a tier below which it counts as starving.
+QUOTA_SHARE = 0.03  # Admitted by the quota; above the minimum, so that the share completes.
 SHARE_WINDOW_S = 10.0
 RAISE_AFTER_S = 2.0  # Hysteresis: time without pressure before a floor rises by one tier.
 FILL_LIMIT = 0.75  # Fill of the queue by a tier and the higher ones at which it becomes the floor.
@@ -173,35 +174,53 @@
         own.patience[req.tier] = req.patience_s
         own.shares.setdefault(req.tier, ServedShares()).add(req.workspace, 0.0, now)
         self.update(pool, queue, now)
-        floor = self.effective_floor(pool.name)
-        if req.tier > floor:
-            if not self.starving(pool.name, req.tier, now):
-                return Verdict(False, reason=f"pool {pool.name!r} admits tiers 1 to {floor}")
+        refusal = self._refusal(pool, queue, req, now)
+        if refusal is None:
+            return self._admit(pool, waiter, now)
+        lowest = queue.lowest()
+        if lowest is not None and lowest.req.tier > req.tier:
+            displaced = lowest if self.may_shed(lowest.req, now) else None
+            return self._admit(pool, waiter, now, displaced=displaced)
+        full = len(queue) >= pool.queue_limit and req.tier <= self.effective_floor(pool.name)
+        if not full and self.starving(pool.name, req.tier, now):
             return self._admit(pool, waiter, now, quota=True)
-        may_refuse = own.strict_for(req.tier, now) >= NEWS_BOUND_S
-        if len(queue) >= pool.queue_limit:
+        return refusal
+
+    def _refusal(self, pool: Pool, queue: WaitQueue, req: Request, now: float) -> Verdict | None:
+        """Return the refusal that the state of the pool calls for, or None."""
+        own, floor = self._own(pool.name), self.effective_floor(pool.name)
+        if req.tier > floor:
+            return Verdict(False, reason=f"pool {pool.name!r} admits tiers 1 to {floor}")
+        full = len(queue) >= pool.queue_limit
+        if own.strict_for(req.tier, now) < NEWS_BOUND_S:
             lowest = queue.lowest()
-            if lowest is not None and lowest.req.tier > req.tier:
-                displaced = lowest if self.may_shed(lowest.req, now) else None
-                return self._admit(pool, waiter, now, displaced=displaced)
-            if may_refuse:
+            if full and lowest is not None and lowest.req.tier > req.tier:
                 return Verdict(False, reason=f"the queue of pool {pool.name!r} is full")
+            return None
+        if full:
+            return Verdict(False, reason=f"the queue of pool {pool.name!r} is full")
         wait = self.predicted_wait(pool.name, queue, req.tier)
-        excess = own.shares[req.tier].excess(req.workspace, now)
-        if wait * excess > req.patience_s and may_refuse and not _holds_lower(queue, req.tier):
-            if self.starving(pool.name, req.tier, now):
-                return self._admit(pool, waiter, now, quota=True)
-            reason = f"the predicted wait of {wait:.1f} s exceeds the share of the workspace"
-            if wait > req.patience_s:
-                reason = f"the predicted wait of {wait:.1f} s exceeds {req.patience_s:g} s"
-            return Verdict(False, reason=reason, retry_after_s=max(0.5, wait - req.patience_s))
-        return self._admit(pool, waiter, now)
+        if wait > req.patience_s:
+            reason = f"the predicted wait of {wait:.1f} s exceeds {req.patience_s:g} s"
+            return Verdict(False, reason=reason, retry_after_s=wait - req.patience_s)
+        if wait * own.shares[req.tier].excess(req.workspace, now) > req.patience_s:
+            return Verdict(False, reason="the workspace used more than its share of the pool")
+        return None
 
     def may_shed(self, req: Request, now: float) -> bool:
-        """Apply rule 4: no node admitted a lower tier after the news bound."""
-        limit = req.arrived + NEWS_BOUND_S
-        own = self._own(req.pool).last
-        if max(own[req.tier + 1 :], default=-math.inf) > limit:
+        """Apply rule 4: no node admitted a lower tier after the news bound.
+
+        The evidence of the peers is up to a heartbeat old. What they admitted since is known only
+        if this node's floor has kept them from it for the news bound; otherwise it does from now.
+        """
+        limit, own = req.arrived + NEWS_BOUND_S, self._own(req.pool)
+        if now <= limit:
+            return True
+        if own.strict_for(req.tier, now) < NEWS_BOUND_S:
+            own.lower(min(own.tier, req.tier), now)
+            own.pressed = now
+            return False
+        if max(own.last[req.tier + 1 :], default=-math.inf) > limit:
             return False
         return all(
             max(pressure[req.pool].last[req.tier + 1 :], default=-math.inf) <= limit
@@ -221,11 +240,11 @@
             own.admitted.popleft()
         count = sum(1 for _, number in own.admitted if number == tier)
         total = len(own.admitted)
-        if MIN_SHARE * total >= 1.0:
-            return count < MIN_SHARE * total
+        if QUOTA_SHARE * total >= 1.0:
+            return count < QUOTA_SHARE * total
         known = [pressure[pool].last[tier] for pressure in self._peers.values() if pool in pressure]
         count += sum(1 for last in known if last >= start)
-        return count == 0 or count < MIN_SHARE * total * len(self._members.live())
+        return count == 0 or count < QUOTA_SHARE * total * len(self._members.live())
 
     def predicted_wait(self, pool: str, queue: WaitQueue, tier: int) -> float:
         """Return the expected wait of a new request of a tier, in seconds.
@@ -336,12 +355,6 @@
         return found
 
 
-def _holds_lower(queue: WaitQueue, tier: int) -> bool:
-    """Tell whether a lower tier waits that could be shed instead."""
-    lowest = queue.lowest()
-    return lowest is not None and lowest.req.tier > tier
-
-
 def _age_ms(now: float, time: float) -> int:
     age = (now - time) * 1000
     return int(age) if age < AGE_LIMIT_MS else -1
--- a/lacewinghub/share.py
+++ b/lacewinghub/share.py
@@ -6,7 +6,7 @@
 WINDOW_S = 20.0
 MAX_WORKSPACES = 1024  # Entries that have faded are dropped beyond this number.
 FADED = 1e-3  # Work below which an entry counts as faded, in tokens.
-LEAST, MOST = 0.5, 2.0
+LEAST, MOST = 1.0, 2.0
 
 
 @dataclass(slots=True)
