--- a/lacewinghub/admission.py
+++ b/lacewinghub/admission.py
@@ -11,10 +11,12 @@
 from .message import Heartbeat, Pressure
 from .queue import Waiter, WaitQueue
 from .request import Request
+from .share import ServedShares
 from .tables import MAX_TIER, Pool
 
 NEWS_BOUND_S = 1.0  # Propagation delay between nodes that guarantee 1 excludes.
 MIN_SHARE = 0.02  # Share of a tier below which it counts as starving.
+QUOTA_SHARE = 0.03  # Admitted by the quota; above the minimum, so that the share completes.
 SHARE_WINDOW_S = 10.0
 RAISE_AFTER_S = 2.0  # Hysteresis: time without pressure before a floor rises by one tier.
 FILL_LIMIT = 0.75  # Fill of the queue by a tier and the higher ones at which it becomes the floor.
@@ -113,6 +115,7 @@
     last: list[float] = field(default_factory=lambda: [-math.inf] * (MAX_TIER + 1))
     drain: DrainRate = field(default_factory=lambda: DrainRate(MIN_SHARE))
     forecasts: dict[str, _Forecast] = field(default_factory=dict)
+    shares: dict[int, ServedShares] = field(default_factory=dict)
 
     def lower(self, tier: int, now: float) -> None:
         for number in range(tier, self.tier):
@@ -169,33 +172,55 @@
         """Apply rules 1 to 3 of the design, section 2.2."""
         req, own = waiter.req, self._own(pool.name)
         own.patience[req.tier] = req.patience_s
+        own.shares.setdefault(req.tier, ServedShares()).add(req.workspace, 0.0, now)
         self.update(pool, queue, now)
-        floor = self.effective_floor(pool.name)
-        if req.tier > floor:
-            if not self.starving(pool.name, req.tier, now):
-                return Verdict(False, reason=f"pool {pool.name!r} admits tiers 1 to {floor}")
+        refusal = self._refusal(pool, queue, req, now)
+        if refusal is None:
+            return self._admit(pool, waiter, now)
+        lowest = queue.lowest()
+        if lowest is not None and lowest.req.tier > req.tier:
+            displaced = lowest if self.may_shed(lowest.req, now) else None
+            return self._admit(pool, waiter, now, displaced=displaced)
+        full = len(queue) >= pool.queue_limit and req.tier <= self.effective_floor(pool.name)
+        if not full and self.starving(pool.name, req.tier, now):
             return self._admit(pool, waiter, now, quota=True)
-        may_refuse = own.strict_for(req.tier, now) >= NEWS_BOUND_S
-        if len(queue) >= pool.queue_limit:
+        return refusal
+
+    def _refusal(self, pool: Pool, queue: WaitQueue, req: Request, now: float) -> Verdict | None:
+        """Return the refusal that the state of the pool calls for, or None."""
+        own, floor = self._own(pool.name), self.effective_floor(pool.name)
+        if req.tier > floor:
+            return Verdict(False, reason=f"pool {pool.name!r} admits tiers 1 to {floor}")
+        full = len(queue) >= pool.queue_limit
+        if own.strict_for(req.tier, now) < NEWS_BOUND_S:
             lowest = queue.lowest()
-            if lowest is not None and lowest.req.tier > req.tier:
-                displaced = lowest if self.may_shed(lowest.req, now) else None
-                return self._admit(pool, waiter, now, displaced=displaced)
-            if may_refuse:
+            if full and lowest is not None and lowest.req.tier > req.tier:
                 return Verdict(False, reason=f"the queue of pool {pool.name!r} is full")
+            return None
+        if full:
+            return Verdict(False, reason=f"the queue of pool {pool.name!r} is full")
         wait = self.predicted_wait(pool.name, queue, req.tier)
-        if wait > req.patience_s and may_refuse:
-            if self.starving(pool.name, req.tier, now):
-                return self._admit(pool, waiter, now, quota=True)
+        if wait > req.patience_s:
             reason = f"the predicted wait of {wait:.1f} s exceeds {req.patience_s:g} s"
             return Verdict(False, reason=reason, retry_after_s=wait - req.patience_s)
-        return self._admit(pool, waiter, now)
+        if wait * own.shares[req.tier].excess(req.workspace, now) > req.patience_s:
+            return Verdict(False, reason="the workspace used more than its share of the pool")
+        return None
 
     def may_shed(self, req: Request, now: float) -> bool:
-        """Apply rule 4: no node admitted a lower tier after the news bound."""
-        limit = req.arrived + NEWS_BOUND_S
-        own = self._own(req.pool).last
-        if max(own[req.tier + 1 :], default=-math.inf) > limit:
+        """Apply rule 4: no node admitted a lower tier after the news bound.
+
+        The evidence of the peers is up to a heartbeat old. What they admitted since is known only
+        if this node's floor has kept them from it for the news bound; otherwise it does from now.
+        """
+        limit, own = req.arrived + NEWS_BOUND_S, self._own(req.pool)
+        if now <= limit:
+            return True
+        if own.strict_for(req.tier, now) < NEWS_BOUND_S:
+            own.lower(min(own.tier, req.tier), now)
+            own.pressed = now
+            return False
+        if max(own.last[req.tier + 1 :], default=-math.inf) > limit:
             return False
         return all(
             max(pressure[req.pool].last[req.tier + 1 :], default=-math.inf) <= limit
@@ -206,19 +231,20 @@
     def starving(self, pool: str, tier: int, now: float) -> bool:
         """Tell whether the tier's share of the pool's admissions is below the minimum.
 
-        The node's own share is counted. What the peers admitted is inferred from their evidence:
-        a tier that any node admitted within one mean interval of its minimum share is not starving.
+        A node with enough admissions counts its own share. Otherwise the pool's admissions are
+        taken as the node's own times the live nodes, and those of the tier as its own and one for
+        each peer with evidence of one in the window.
         """
-        own = self._own(pool)
-        while own.admitted and own.admitted[0][0] < now - SHARE_WINDOW_S:
+        own, start = self._own(pool), now - SHARE_WINDOW_S
+        while own.admitted and own.admitted[0][0] < start:
             own.admitted.popleft()
         count = sum(1 for _, number in own.admitted if number == tier)
-        if count and count >= MIN_SHARE * len(own.admitted):
-            return False
-        rate = len(own.admitted) / SHARE_WINDOW_S * max(1, len(self._members.live()))
-        interval = min(SHARE_WINDOW_S, 1.0 / (MIN_SHARE * rate)) if rate else SHARE_WINDOW_S
+        total = len(own.admitted)
+        if QUOTA_SHARE * total >= 1.0:
+            return count < QUOTA_SHARE * total
         known = [pressure[pool].last[tier] for pressure in self._peers.values() if pool in pressure]
-        return max(known, default=-math.inf) < now - interval
+        count += sum(1 for last in known if last >= start)
+        return count == 0 or count < QUOTA_SHARE * total * len(self._members.live())
 
     def predicted_wait(self, pool: str, queue: WaitQueue, tier: int) -> float:
         """Return the expected wait of a new request of a tier, in seconds.
@@ -300,6 +326,7 @@
         own, tier = self._own(pool.name), waiter.req.tier
         own.last[tier] = now
         own.admitted.append((now, tier))
+        own.shares[tier].add(waiter.req.workspace, waiter.cost / waiter.req.weight, now)
         return Verdict(True, displaced=displaced, quota=quota)
 
     def _by_fill(self, pool: Pool, queue: WaitQueue) -> int:
