Join chunks that arrive together and pass them through fewer generators

Each chunk passed through five asynchronous generators. Reading, joining and parsing now happen in one step per read, and the router streams in one generator.

--- a/lacewinghub/endpoint.py
+++ b/lacewinghub/endpoint.py
@@ -153,8 +153,14 @@
         resp = await self._post(endpoint, "/v1/chat/completions", body, {})
         try:
             await _check_status(endpoint, resp, accept_below=300)
-            async for chunk in _chunks(endpoint, resp):
-                yield chunk
+            reader = _ChunkReader(endpoint)
+            async for data in resp.content.iter_any():
+                for chunk in reader.feed(data):
+                    yield chunk
+                if reader.failure is not None:
+                    raise reader.failure
+                if reader.ended:
+                    return
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             raise _crashed(endpoint, exc) from exc
         finally:
@@ -244,44 +250,68 @@
     )
 
 
-async def _chunks(endpoint: Endpoint, resp: aiohttp.ClientResponse) -> AsyncGenerator[Chunk, None]:
-    rest = b""
-    async for data in resp.content.iter_any():
-        *lines, rest = (rest + data).split(b"\n")
-        if len(rest) > MAX_EVENT_BYTES:
-            raise EndpointRejected(
-                f"endpoint {endpoint.name!r} sent an event of more than {MAX_EVENT_BYTES} bytes",
-                endpoint=endpoint.name,
-                status=resp.status,
-            )
-        for line in lines:
-            if not line.startswith(b"data:"):
-                continue
-            payload = line[5:].strip()
-            if payload == _DONE:
-                return
-            yield _parse_chunk(endpoint, payload)
+class _ChunkReader:
+    """Parses the events of one stream, however its bytes are split.
 
+    Attributes:
+        ended: True after the closing event.
+        failure: What is wrong with the stream, or None.
+    """
 
-def _parse_chunk(endpoint: Endpoint, payload: bytes) -> Chunk:
-    try:
-        event = from_json(payload)
-        if "error" in event:
-            raise EndpointRejected(
-                f"endpoint {endpoint.name!r} ended the answer: {event['error']}",
-                endpoint=endpoint.name,
-                status=500,
-            )
-        choice = event["choices"][0]
-        tokens = event.get("tokens")
-        if tokens is None:
-            text = choice.get("delta", {}).get("content")
-            tokens = (text,) if text else ()
-        return Chunk(event["index"], tuple(tokens), choice.get("finish_reason"), event.get("total"))
-    except (ValueError, KeyError, IndexError, TypeError, AttributeError) as exc:
-        raise EndpointRejected(
-            f"endpoint {endpoint.name!r} sent a malformed chunk", endpoint=endpoint.name, status=500
-        ) from exc
+    def __init__(self, endpoint: Endpoint) -> None:
+        self.ended = False
+        self.failure: EndpointRejected | None = None
+        self._endpoint = endpoint
+        self._rest = b""
+
+    def feed(self, data: bytes) -> list[Chunk]:
+        """Take bytes and return the chunks that they complete.
+
+        Chunks that follow each other are joined: on a busy node a read brings several, and the
+        cost of passing on a chunk does not depend on its size.
+        """
+        *lines, self._rest = (self._rest + data).split(b"\n")
+        chunks: list[Chunk] = []
+        try:
+            for line in lines:
+                if line.startswith(b"data:"):
+                    self._take(line[5:].strip(), chunks)
+            if len(self._rest) > MAX_EVENT_BYTES:
+                raise self._rejected(f"sent an event of more than {MAX_EVENT_BYTES} bytes")
+        except EndpointRejected as exc:
+            self.failure = exc
+        return chunks
+
+    def _take(self, payload: bytes, chunks: list[Chunk]) -> None:
+        if payload == _DONE or self.ended:
+            self.ended = True
+            return
+        chunk = self._parse(payload)
+        last = chunks[-1] if chunks else None
+        if last is None or last.finish is not None or last.index + len(last.tokens) != chunk.index:
+            chunks.append(chunk)
+        else:
+            tokens = last.tokens + chunk.tokens
+            chunks[-1] = Chunk(last.index, tokens, chunk.finish, chunk.total)
+
+    def _parse(self, payload: bytes) -> Chunk:
+        try:
+            event = from_json(payload)
+            if "error" in event:
+                raise self._rejected(f"ended the answer: {event['error']}")
+            choice = event["choices"][0]
+            tokens = event.get("tokens")
+            if tokens is None:
+                text = choice.get("delta", {}).get("content")
+                tokens = (text,) if text else ()
+            finish, total = choice.get("finish_reason"), event.get("total")
+            return Chunk(event["index"], tuple(tokens), finish, total)
+        except (ValueError, KeyError, IndexError, TypeError, AttributeError) as exc:
+            raise self._rejected("sent a malformed chunk") from exc
+
+    def _rejected(self, what: str) -> EndpointRejected:
+        name = self._endpoint.name
+        return EndpointRejected(f"endpoint {name!r} {what}", endpoint=name, status=500)
 
 
 def _decode(data: bytes) -> Any:
--- a/lacewinghub/router.py
+++ b/lacewinghub/router.py
@@ -206,6 +206,7 @@
             LacewingError: One coded error; ``AnswerIncomplete`` or ``Overloaded`` may come after
                 the first chunk.
         """
+        loop = asyncio.get_running_loop()
         answer = Answer()
         watch = Stopwatch(req.arrived, req.target)
         self._arrive(req)
@@ -213,14 +214,36 @@
             for attempt in range(1, MAX_ATTEMPTS + 1):
                 self._check(req)
                 grant, endpoint = await self._acquire(req)
+                use = _Attempt(endpoint, loop.time())
+                self._start(req, endpoint, resumed=answer.received > 0)
+                answer.restart()
+                failure: BaseException | None = None
                 try:
-                    async with aclosing(self._stream(req, answer, grant, endpoint)) as chunks:
+                    async with aclosing(self._parts.client.stream(endpoint, req)) as chunks:
                         async for chunk in chunks:
-                            watch.take(len(chunk.tokens))
-                            yield chunk
+                            index, tokens = answer.received, answer.add(chunk)
+                            now = loop.time()
+                            use.take(now, len(chunk.tokens))
+                            watch.take(len(tokens))
+                            if answer.complete:
+                                yield Chunk(index, tokens, answer.finish, answer.received)
+                                break
+                            if tokens:
+                                yield Chunk(index, tokens)
+                    if not answer.complete:
+                        raise _ended_early(endpoint)
+                except BaseException as exc:
+                    failure = exc
+                    if not isinstance(exc, EndpointError):
+                        raise
+                finally:
+                    if _caller_left(failure) and not answer.complete:
+                        self._cancel_at(endpoint, req)
+                    self._end(req, grant, use, answer.complete, failure)
+                if failure is None:
                     break
-                except EndpointError as exc:
-                    await self._prepare_retry(req, endpoint, exc, attempt, answer)
+                assert isinstance(failure, EndpointError)
+                await self._prepare_retry(req, endpoint, failure, attempt, answer)
         except LacewingError as exc:
             self._fail(req, exc, answer.received)
             raise
@@ -266,35 +289,6 @@
         while self._keyed or self._cancels:
             await asyncio.wait([*self._keyed, *self._cancels])
 
-    async def _stream(
-        self, req: Request, answer: Answer, grant: Grant, endpoint: Endpoint
-    ) -> AsyncGenerator[Chunk, None]:
-        loop = asyncio.get_running_loop()
-        attempt = _Attempt(endpoint, loop.time())
-        self._start(req, endpoint, resumed=answer.received > 0)
-        answer.restart()
-        failure: BaseException | None = None
-        try:
-            async with aclosing(self._parts.client.stream(endpoint, req)) as chunks:
-                async for chunk in chunks:
-                    attempt.take(loop.time(), len(chunk.tokens))
-                    index, tokens = answer.received, answer.add(chunk)
-                    if answer.complete:
-                        yield Chunk(index, tokens, answer.finish, answer.received)
-                        return
-                    if tokens:
-                        yield Chunk(index, tokens)
-            raise EndpointCrashed(
-                f"endpoint {endpoint.name!r} ended the answer early", endpoint=endpoint.name
-            )
-        except BaseException as exc:
-            failure = exc
-            raise
-        finally:
-            if _caller_left(failure) and not answer.complete:
-                self._cancel_at(endpoint, req)
-            self._end(req, grant, attempt, answer.complete, failure)
-
     async def _call_repeatable(self, req: Request) -> Reply:
         for attempt in range(1, MAX_ATTEMPTS + 1):
             self._check(req)
@@ -486,6 +480,12 @@
         )
 
 
+def _ended_early(endpoint: Endpoint) -> EndpointCrashed:
+    return EndpointCrashed(
+        f"endpoint {endpoint.name!r} ended the answer early", endpoint=endpoint.name
+    )
+
+
 def _caller_left(failure: BaseException | None) -> bool:
     return isinstance(failure, asyncio.CancelledError | GeneratorExit)
 
