End a test module together with the processes it left behind

Cause: a failed test of the node command left its node running; the node held the pipes of the test run open and the run waited for ten minutes. Change: each module runs in its own session with output in files, and the group is killed at the end.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -5,9 +5,13 @@
 run.
 """
 
+import contextlib
 import json
+import os
+import signal
 import subprocess
 import sys
+import tempfile
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
@@ -15,7 +19,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 WORKERS = 4
-MODULE_TIMEOUT_S = 900
+MODULE_TIMEOUT_S = 300
 SERIAL = ("tests.test_path",)
 
 
@@ -51,21 +55,41 @@
 
 
 def _run_in_process(name: str) -> ModuleResult:
-    try:
-        done = subprocess.run(
+    """Run a module in a process group that ends with it.
+
+    Output goes to files: a process that a failed test left behind would keep pipes open.
+    """
+    with tempfile.TemporaryFile("w+") as out, tempfile.TemporaryFile("w+") as err:
+        process = subprocess.Popen(
             [sys.executable, "-m", "tests", name],
             cwd=ROOT,
-            capture_output=True,
-            text=True,
-            timeout=MODULE_TIMEOUT_S,
+            stdout=out,
+            stderr=err,
+            start_new_session=True,
         )
-    except subprocess.TimeoutExpired:
-        return ModuleResult([], [f"{name} (timeout after {MODULE_TIMEOUT_S} s)"])
-    lines = [line for line in done.stdout.splitlines() if line.startswith("RESULT ")]
+        try:
+            status = process.wait(MODULE_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            return ModuleResult([], [f"{name} (timeout after {MODULE_TIMEOUT_S} s)"])
+        finally:
+            _kill_group(process)
+        out.seek(0)
+        err.seek(0)
+        return _parse(name, status, out.read(), err.read())
+
+
+def _kill_group(process: subprocess.Popen[bytes]) -> None:
+    with contextlib.suppress(ProcessLookupError):
+        os.killpg(process.pid, signal.SIGKILL)
+    process.wait()
+
+
+def _parse(name: str, status: int, out: str, err: str) -> ModuleResult:
+    lines = [line for line in out.splitlines() if line.startswith("RESULT ")]
     if not lines:
-        return ModuleResult([], [f"{name} (exit {done.returncode})"], done.stderr)
+        return ModuleResult([], [f"{name} (exit {status})"], err)
     found = json.loads(lines[-1].removeprefix("RESULT "))
-    return ModuleResult(found["passed"], found["failed"], done.stderr)
+    return ModuleResult(found["passed"], found["failed"], err)
 
 
 def _known_red() -> set[str]:
