Measure the cost of a full mesh and decode messages faster

The size at which a full mesh exceeds the budget of a node was not known, and a third of the processor time went into looking up field names.

overhead runs a mesh over real sockets in one process and fits lines through 3, 5, 9, 17 and 33 nodes.

--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -4,7 +4,8 @@
 several times smaller than a map with member names.
 """
 
-from dataclasses import dataclass, field, fields, is_dataclass
+from dataclasses import dataclass, field, fields
+from functools import cache
 from typing import Any, ClassVar
 
 import cbor2
@@ -251,7 +252,7 @@
     Returns:
         The encoded bytes.
     """
-    return cbor2.dumps([message.CODE, *_values(message)])
+    return cbor2.dumps([message.CODE, *_values(_TYPES[message.CODE], message)])
 
 
 def decode(data: bytes) -> Message:
@@ -276,23 +277,33 @@
         raise PeerRejected(f"invalid message: {exc}") from exc
 
 
-def _values(item: Any) -> list[Any]:
-    return [_value(getattr(item, member.name)) for member in fields(item)]
+def _values(cls: type, item: Any) -> list[Any]:
+    values = [getattr(item, name) for name in _names(cls)]
+    for index, nested in _nested_indexes(cls):
+        values[index] = [_values(nested, part) for part in values[index]]
+    return values
 
 
-def _value(value: Any) -> Any:
-    if isinstance(value, list):
-        return [_values(part) if is_dataclass(part) else part for part in value]
-    return value
+@cache
+def _names(cls: type) -> tuple[str, ...]:
+    return tuple(member.name for member in fields(cls))
+
+
+@cache
+def _nested(cls: type) -> tuple[tuple[str, type], ...]:
+    return tuple((name, _NESTED[cls, name]) for name in _names(cls) if (cls, name) in _NESTED)
+
+
+@cache
+def _nested_indexes(cls: type) -> tuple[tuple[int, type], ...]:
+    return tuple((_names(cls).index(name), nested) for name, nested in _nested(cls))
 
 
 def _members(cls: type, values: list[Any]) -> dict[str, Any]:
-    names = [member.name for member in fields(cls)]
+    names = _names(cls)
     if len(values) != len(names):
         raise ValueError(f"{cls.__name__} has {len(names)} fields, not {len(values)}")
     members = dict(zip(names, values, strict=True))
-    for name in names:
-        nested = _NESTED.get((cls, name))
-        if nested is not None:
-            members[name] = [_members(nested, part) for part in members[name]]
+    for name, nested in _nested(cls):
+        members[name] = [_members(nested, part) for part in members[name]]
     return members
--- /dev/null
+++ b/lacewinghub/overhead.py
@@ -0,0 +1,173 @@
+"""Measures what the connections between nodes cost, for the capacity page.
+
+All nodes of a measurement run in one process, over real loopback sockets, so that its processor
+time divided by the number of nodes is the cost of one node.
+"""
+
+import asyncio
+import statistics
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from .membership import HEARTBEAT_S, Contributor, Membership
+from .message import GroupFree, Heartbeat, Pressure
+from .peer import PeerServer
+from .transport import Peer
+
+MESH_SIZES = (3, 5, 9, 17, 33)
+FORM_TIMEOUT_S = 20.0
+# Header of a websocket frame with mask, of TCP with time stamps and of IPv4 (RFC 6455, 9293, 791).
+FRAME_BYTES = 8 + 32 + 20
+
+
+@dataclass(frozen=True, slots=True)
+class MeshCost:
+    """Cost of the peer links of one node.
+
+    Attributes:
+        nodes: Number of nodes.
+        messages_per_s: Messages that a node sends per second; it receives as many.
+        bytes_per_s: Payload bytes that it sends per second.
+        wire_bytes_per_s: The same with the headers of websocket, TCP and IP, without
+            acknowledgements.
+        core: Share of one core, 1.0 for a whole one.
+        heartbeat_bytes: Payload of one heartbeat.
+    """
+
+    nodes: int
+    messages_per_s: float
+    bytes_per_s: float
+    wire_bytes_per_s: float
+    core: float
+    heartbeat_bytes: float
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """Least-squares line.
+
+    Attributes:
+        intercept: Value at 0.
+        slope: Growth per unit.
+        error: Largest distance of a point from the line, relative to the largest value.
+    """
+
+    intercept: float
+    slope: float
+    error: float
+
+    def at(self, x: float) -> float:
+        """Return the value at a point."""
+        return self.intercept + self.slope * x
+
+    def reaches(self, limit: float) -> float:
+        """Return where the line reaches a limit; infinity if it does not grow."""
+        return (limit - self.intercept) / self.slope if self.slope > 0 else float("inf")
+
+
+class SampleState(Contributor):
+    """Fills heartbeats with the state of a node at the target size.
+
+    Args:
+        pools: Number of pools.
+        tiers: Number of tiers.
+        groups: Number of runner groups that the node is broker for.
+    """
+
+    def __init__(self, pools: int = 4, tiers: int = 8, groups: int = 1) -> None:
+        self._pools = pools
+        self._tiers = tiers
+        self._groups = groups
+        self._seen = 0
+
+    def fill(self, heartbeat: Heartbeat) -> None:
+        """Write floors, ages of admissions and free slots."""
+        heartbeat.config_version = 10_000
+        ages = [int(17 * 3**tier) % 60_000 for tier in range(self._tiers)]
+        heartbeat.pressure = [Pressure(f"model-{i}", 8, ages) for i in range(self._pools)]
+        heartbeat.free = [GroupFree(f"model-0/{i}", 17) for i in range(self._groups)]
+
+    def observe(self, heartbeat: Heartbeat) -> None:
+        """Count a heartbeat."""
+        self._seen += 1
+
+
+async def measure_mesh(
+    nodes: int, seconds: float = 4.0, state: SampleState | None = None
+) -> MeshCost:
+    """Run a full mesh of nodes that only exchange heartbeats.
+
+    Args:
+        nodes: Number of nodes, at least 2.
+        seconds: Length of the measurement after the mesh has formed.
+        state: What the heartbeats carry; by default that of a node at the target size.
+
+    Returns:
+        The cost of one node, averaged over all.
+
+    Raises:
+        TimeoutError: If the mesh does not form within ``FORM_TIMEOUT_S``.
+    """
+    servers = [
+        PeerServer(Peer(f"node-{i:03}", 1, "zone", "127.0.0.1:0"), b"overhead")
+        for i in range(nodes)
+    ]
+    for server in servers:
+        await server.start()
+    seeds = [server.identity.address for server in servers]
+    members = [Membership(server.identity, server, seeds) for server in servers]
+    for member in members:
+        member.add(state or SampleState())
+    tasks = [asyncio.create_task(server.run()) for server in servers]
+    tasks += [asyncio.create_task(member.run()) for member in members]
+    try:
+        async with asyncio.timeout(FORM_TIMEOUT_S):
+            while any(len(member.live()) < nodes for member in members):
+                await asyncio.sleep(0.05)
+        # Late duplicates of connections are closed by now.
+        await asyncio.sleep(2 * HEARTBEAT_S)
+        return await _measure(servers, seconds)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def _measure(servers: Sequence[PeerServer], seconds: float) -> MeshCost:
+    before = [server.traffic.total() for server in servers]
+    beats = [server.traffic.of("Heartbeat").sent_bytes for server in servers]
+    counts = [server.traffic.of("Heartbeat").sent for server in servers]
+    start, busy = time.monotonic(), time.process_time()
+    await asyncio.sleep(seconds)
+    busy, passed = time.process_time() - busy, time.monotonic() - start
+    after = [server.traffic.total() for server in servers]
+    share = 1 / passed / len(servers)
+    messages = sum(b.sent - a.sent for a, b in zip(before, after, strict=True)) * share
+    payload = sum(b.sent_bytes - a.sent_bytes for a, b in zip(before, after, strict=True)) * share
+    sent = sum(s.traffic.of("Heartbeat").sent for s in servers) - sum(counts)
+    sent_bytes = sum(s.traffic.of("Heartbeat").sent_bytes for s in servers) - sum(beats)
+    return MeshCost(
+        nodes=len(servers),
+        messages_per_s=messages,
+        bytes_per_s=payload,
+        wire_bytes_per_s=payload + messages * FRAME_BYTES,
+        core=busy * share,
+        heartbeat_bytes=sent_bytes / sent if sent else 0.0,
+    )
+
+
+def fit(points: Sequence[tuple[float, float]]) -> Line:
+    """Fit a line to points.
+
+    Args:
+        points: At least two pairs of x and y.
+
+    Returns:
+        The line with its largest relative error.
+    """
+    xs, ys = zip(*points, strict=True)
+    slope, intercept = statistics.linear_regression(xs, ys)
+    top = max(abs(y) for _, y in points) or 1.0
+    error = max(abs(intercept + slope * x - y) for x, y in points) / top
+    return Line(intercept, slope, error)
--- /dev/null
+++ b/tests/test_message.py
@@ -0,0 +1,49 @@
+"""Tests of the encoding of peer messages."""
+
+import unittest
+
+import cbor2
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lacewinghub import message
+from lacewinghub.errors import PeerRejected
+from lacewinghub.message import Heartbeat, decode, encode
+
+CLASSES = sorted(message._TYPES.values(), key=lambda cls: cls.__name__)
+
+
+class TestMessage(unittest.TestCase):
+    @given(st.one_of([st.from_type(cls) for cls in CLASSES if cls is not message.ConfigReply]))
+    def test_round_trip(self, sent: message.Message) -> None:
+        """Guards against members, also nested ones, that are lost or exchanged on the way."""
+        try:
+            data = encode(sent)
+        except (OverflowError, UnicodeEncodeError):
+            return
+        self.assertEqual(decode(data), sent)
+
+    def test_invalid_bytes_are_rejected(self) -> None:
+        """Guards against a peer that can raise other errors in the receive loop."""
+        good = cbor2.loads(encode(Heartbeat("n1", 1, 1, "live")))
+        cases = {
+            "empty": b"",
+            "not CBOR": b"\xff\xff",
+            "no array": cbor2.dumps(5),
+            "empty array": cbor2.dumps([]),
+            "unknown class": cbor2.dumps([99, 1]),
+            "unhashable class": cbor2.dumps([[1], 1]),
+            "member missing": cbor2.dumps(good[:-1]),
+            "member too many": cbor2.dumps([*good, 1]),
+            "wrong type": cbor2.dumps([good[0], 5, *good[2:]]),
+            "no list": cbor2.dumps([*good[:6], 5, *good[7:]]),
+            "wrong nested size": cbor2.dumps([*good[:6], [["p"]], *good[7:]]),
+            "nested is a number": cbor2.dumps([*good[:6], [7], *good[7:]]),
+        }
+        for label, data in cases.items():
+            with self.subTest(label), self.assertRaises(PeerRejected):
+                decode(data)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_overhead.py
@@ -0,0 +1,31 @@
+"""Tests of the measurement of peer links."""
+
+import unittest
+
+from lacewinghub.overhead import fit, measure_mesh
+
+
+class TestOverhead(unittest.IsolatedAsyncioTestCase):
+    async def test_full_mesh_sends_four_heartbeats_per_second_to_each_peer(self) -> None:
+        """Guards against a measurement of a mesh that has not formed or of doubled links."""
+        cost = await measure_mesh(4, 1.5)
+        self.assertAlmostEqual(cost.messages_per_s, 12, delta=2)
+        self.assertAlmostEqual(cost.bytes_per_s, 12 * cost.heartbeat_bytes, delta=600)
+        self.assertGreater(cost.wire_bytes_per_s, cost.bytes_per_s)
+        self.assertGreater(cost.core, 0)
+
+
+class TestFit(unittest.TestCase):
+    def test_line_and_error(self) -> None:
+        """Guards against a slope or a limit computed with x and y exchanged."""
+        line = fit([(1, 12), (2, 14), (4, 18)])
+        self.assertAlmostEqual(line.slope, 2)
+        self.assertAlmostEqual(line.at(330), 670)
+        self.assertAlmostEqual(line.reaches(30), 10)
+        self.assertAlmostEqual(line.error, 0)
+        self.assertAlmostEqual(fit([(0, 0), (1, 10), (2, 14)]).error, 2 / 14)
+        self.assertEqual(fit([(0, 5), (1, 5)]).reaches(9), float("inf"))
+
+
+if __name__ == "__main__":
+    unittest.main()
