--- a/lacewinghub/errors.py
+++ b/lacewinghub/errors.py
@@ -228,6 +228,18 @@
     code, status = "unreachable", 503
 
 
+class BadArguments(LacewingError):
+    """The command line is wrong."""
+
+    code, status = "bad_arguments", 400
+
+
+class SystemRefused(LacewingError):
+    """The operating system refused an operation, such as binding an address."""
+
+    code, status = "system_refused", 500
+
+
 def all_errors() -> dict[str, type[LacewingError]]:
     """Return the error classes by code."""
     classes: list[type[LacewingError]] = [LacewingError, *LacewingError.__subclasses__()]
