Add membership with a bounded number of connections

A full mesh exceeds the budget of 8000 B/s per node at 13 nodes, and the target is 330.

Overlay keeps about 8 connections per node: successors on two rings, which keep the graph connected, and rendezvous choices within and outside the zone. States of nodes travel as rumours that the suspected node can contradict, and floors and admission ages of all other nodes are merged into one entry per pool. Up to 12 nodes it is the same full mesh as before. In simulation a floor reaches 80 nodes in 4 zones within 1 s, and a killed node is out of use at all 40 nodes within 3 s.

Transport gains opened and hang_up; Heartbeat gains relayed; Rumours and Parting are new messages.

--- a/lacewinghub/memory_transport.py
+++ b/lacewinghub/memory_transport.py
@@ -8,6 +8,8 @@
 from .peer import Traffic
 from .transport import Peer, Transport
 
+DIAL_S = 0.005
+REDIAL_S = 0.5
 Delay = Callable[[str, str], float]
 
 
@@ -20,12 +22,20 @@
         delay_s: One-way delay in seconds, or a function of sender and receiver.
         loss: Probability that a message is dropped, from 0 to 1.
         seed: Seed of the losses.
+        mesh: True if all nodes are connected; otherwise only those that were dialled.
         coded: True to encode and decode each message, which gives byte counts and separate copies.
     """
 
     def __init__(
-        self, delay_s: float | Delay = 0.0, loss: float = 0.0, seed: int = 1, coded: bool = True
+        self,
+        delay_s: float | Delay = 0.0,
+        loss: float = 0.0,
+        seed: int = 1,
+        coded: bool = True,
+        mesh: bool = True,
     ) -> None:
+        self.mesh = mesh
+        self._links: dict[frozenset[str], str] = {}
         self.delay_s = delay_s
         self.loss = loss
         self.coded = coded
@@ -52,6 +62,8 @@
     def detach(self, node: str) -> None:
         """Remove a node, as if its process had been killed."""
         self._transports.pop(node, None)
+        for link in [item for item in self._links if node in item]:
+            del self._links[link]
 
     def partition(self, left: Iterable[str], right: Iterable[str]) -> None:
         """Drop all messages between two sets of nodes, in both directions, until ``heal``."""
@@ -70,11 +82,34 @@
 
     def others(self, node: str) -> list[Peer]:
         """Return the attached nodes except one."""
-        return [item.identity for name, item in self._transports.items() if name != node]
+        if self.mesh:
+            return [item.identity for name, item in self._transports.items() if name != node]
+        names = (next(iter(link - {node})) for link in self._links if node in link)
+        return [self._transports[name].identity for name in names]
+
+    def opened(self, node: str) -> list[str]:
+        """Return the peers whose connection a node opened."""
+        return [
+            next(iter(link - {node})) for link, dialler in self._links.items() if dialler == node
+        ]
+
+    def hang_up(self, node: str, other: str) -> None:
+        """Close the connection between two nodes."""
+        self._links.pop(frozenset((node, other)), None)
+
+    def connect(self, node: str, addresses: set[str]) -> None:
+        """Connect a node to those addresses that exist and can be reached."""
+        if node not in self._transports:
+            return
+        for name, item in self._transports.items():
+            reachable = name != node and (node, name) not in self._cut
+            if reachable and item.identity.address in addresses:
+                self._links.setdefault(frozenset((node, name)), node)
 
     def carry(self, sender: "MemoryTransport", node: str, message: Message) -> bool:
         """Pass a message on after the delay, unless it is lost."""
-        if node not in self._transports:
+        linked = self.mesh or frozenset((sender.node, node)) in self._links
+        if node not in self._transports or not linked:
             return False
         lost = self.loss and self._random.random() < self.loss
         data = encode(message) if self.coded else b""
@@ -111,6 +146,8 @@
         self.identity = identity
         self.traffic = Traffic()
         self._network = network
+        self._wanted: set[str] = set()
+        self._dialling: asyncio.TimerHandle | None = None
 
     def send(self, node: str, message: Message) -> bool:
         """Queue a message; a lost one is reported as sent, as on a network."""
@@ -120,5 +157,23 @@
         return self._network.carry(self, node, message)
 
     def peers(self) -> list[Peer]:
-        """Return the other attached nodes."""
+        """Return the connected nodes."""
         return self._network.others(self.node)
+
+    def dial(self, addresses: Iterable[str]) -> None:
+        """Keep connections to these addresses."""
+        self._wanted = set(addresses)
+        if not self._network.mesh and self._dialling is None:
+            self._dialling = asyncio.get_running_loop().call_later(DIAL_S, self._dial)
+
+    def opened(self) -> list[str]:
+        """Return the peers whose connection this node opened."""
+        return self._network.opened(self.node)
+
+    def hang_up(self, node: str) -> None:
+        """Close the connection to a node; messages on their way still arrive."""
+        self._network.hang_up(self.node, node)
+
+    def _dial(self) -> None:
+        self._network.connect(self.node, self._wanted)
+        self._dialling = asyncio.get_running_loop().call_later(REDIAL_S, self._dial)
--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass, field, fields
 from functools import cache
-from typing import Any, ClassVar
+from typing import Any, ClassVar, get_args
 
 import cbor2
 from pydantic import TypeAdapter, ValidationError
@@ -73,6 +73,25 @@
     trial: str = ""
 
 
+@dataclass(slots=True)
+class Relayed:
+    """State of one pool at nodes beyond the sender.
+
+    Attributes:
+        pool: Name of the pool.
+        floor: Smallest floor.
+        origin: Node that has this floor.
+        age_ms: Time since the origin sent it, in milliseconds.
+        admit_age_ms: Per tier, from tier 1, the age of the last admission at any node, -1 if none.
+    """
+
+    pool: str
+    floor: int
+    origin: str
+    age_ms: int
+    admit_age_ms: list[int] = field(default_factory=list)
+
+
 @dataclass(slots=True)
 class Heartbeat:
     """Periodic state of a node; complete, so that a lost one does no harm.
@@ -94,6 +113,7 @@
     suspects: list[Suspect] = field(default_factory=list)
     quarantined: list[int] = field(default_factory=list)
     leaving_age_ms: list[int] = field(default_factory=list)
+    relayed: list[Relayed] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -232,16 +252,65 @@
     addresses: list[str]
 
 
-Message = Hello | Heartbeat | Demand | Grants | Release | ConfigRequest | ConfigReply | Addresses
+@dataclass(slots=True)
+class Rumour:
+    """State of a node that is passed on from peer to peer.
 
-_TYPES: dict[int, type] = {
-    cls.CODE: cls
-    for cls in (Hello, Heartbeat, Demand, Grants, Release, ConfigRequest, ConfigReply, Addresses)
-}
+    Attributes:
+        node: Identifier of the node.
+        incarnation: Its incarnation.
+        seq: Raised by the node itself when it contradicts a suspicion.
+        state: A ``MemberState``.
+        availability_zone: Its availability zone.
+        address: Its peer address.
+    """
+
+    node: str
+    incarnation: int
+    seq: int
+    state: str
+    availability_zone: str
+    address: str
+
+
+@dataclass(slots=True)
+class Rumours:
+    """Changed states of nodes; all known ones on a new connection."""
+
+    CODE: ClassVar[int] = 9
+
+    items: list[Rumour]
+
+
+@dataclass(slots=True)
+class Parting:
+    """The sender closes this connection because it needs it no more; it stays alive."""
+
+    CODE: ClassVar[int] = 10
+
+    node: str
+
+
+Message = (
+    Hello
+    | Heartbeat
+    | Demand
+    | Grants
+    | Release
+    | ConfigRequest
+    | ConfigReply
+    | Addresses
+    | Rumours
+    | Parting
+)
+
+_TYPES: dict[int, type] = {cls.CODE: cls for cls in get_args(Message)}
 _NESTED: dict[tuple[type, str], type] = {
     (Heartbeat, "pressure"): Pressure,
     (Heartbeat, "free"): GroupFree,
     (Heartbeat, "suspects"): Suspect,
+    (Heartbeat, "relayed"): Relayed,
+    (Rumours, "items"): Rumour,
     (Demand, "waiting"): Waiting,
     (Demand, "held"): Held,
     (Grants, "items"): GrantItem,
--- /dev/null
+++ b/lacewinghub/overlay.py
@@ -0,0 +1,446 @@
+"""Membership with a bounded number of connections per node, for deployments beyond a full mesh.
+
+Each node keeps about ``DEGREE`` connections, within its availability zone and across zones, and
+exchanges heartbeats only over these. Changed states of nodes travel as rumours from peer to peer,
+as in SWIM (Das, Gupta, Motivala, 2002): silence makes a peer suspect, the suspected node
+contradicts with a higher sequence number, and a suspicion that nobody contradicts becomes death.
+The floors and admission ages of all other nodes are merged into one entry per pool.
+"""
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import xxhash
+from loguru import logger
+
+from .membership import (
+    DEAD_S,
+    HEARTBEAT_S,
+    SUSPECT_S,
+    Member,
+    Membership,
+    MemberState,
+    _Seen,
+    rendezvous,
+)
+from .message import Heartbeat, Parting, Pressure, Relayed, Rumour, Rumours
+from .transport import Peer, Transport
+
+# Heartbeats of the target size in a full mesh of 13 nodes reach 8000 bytes/s per node.
+MESH_LIMIT = 12
+# Own choices; the connections that others open double it.
+DEGREE = 8
+OTHERS = "~others"
+SEED_EVERY = 20
+# A relayed floor is dropped when its origin has not renewed it for this long.
+RELAY_S = 1.5
+# An admission elsewhere is relayed if it is this much later than the last own one.
+ADMISSION_GAP_MS = 500
+# A connection is closed only after it was unneeded for this long, so that choices can settle.
+UNNEEDED_S = 3.0
+RANKS = {
+    state: rank
+    for rank, state in enumerate(
+        (MemberState.LIVE, MemberState.LEAVING, MemberState.SUSPECT, MemberState.DEAD)
+    )
+}
+
+
+@dataclass(slots=True)
+class _Known:
+    """What rumours say of a node."""
+
+    peer: Peer
+    seq: int
+    state: MemberState
+    since: float
+
+    def is_older(self, rumour: Rumour) -> bool:
+        mine = (self.peer.incarnation, self.seq, RANKS[self.state])
+        return mine < (rumour.incarnation, rumour.seq, RANKS[MemberState(rumour.state)])
+
+
+@dataclass(slots=True)
+class _Floor:
+    floor: int
+    sent: float
+
+
+def choose_peers(own: Member, members: Iterable[Member]) -> set[str]:
+    """Choose the nodes to which a node keeps connections.
+
+    The successors on a ring over all nodes and on one over the nodes of the zone keep the graph
+    connected; rendezvous choices within and outside the zone keep paths short.
+
+    Args:
+        own: The choosing node.
+        members: All live nodes in any order.
+
+    Returns:
+        Up to ``DEGREE / 2`` identifiers, the same for the same members; all others if there are at
+        most ``MESH_LIMIT``.
+    """
+    others = [item for item in members if item.node != own.node]
+    if len(others) < MESH_LIMIT:
+        return {item.node for item in others}
+    near = [item.node for item in others if item.availability_zone == own.availability_zone]
+    far = [item.node for item in others if item.availability_zone != own.availability_zone]
+    chosen = {_successor(own.node, [*near, *far])}
+    chosen.add(_successor(own.node, near) if near else "")
+    for candidates in (far or near, near or far):
+        free = [name for name in candidates if name not in chosen]
+        chosen.add(rendezvous(own.node, free) or "")
+    return chosen - {""}
+
+
+class Overlay(Membership):
+    """View built from the heartbeats of chosen peers and the rumours that they pass on.
+
+    Up to ``MESH_LIMIT`` nodes it is a full mesh.
+
+    Args:
+        identity: This node.
+        transport: Connections to the other nodes.
+        seeds: Addresses of nodes from the settings.
+        period_s: Time between heartbeats in seconds.
+        suspect_s: Silence after which a peer is suspect, in seconds.
+        dead_s: Silence after which a peer is dead, in seconds.
+    """
+
+    def __init__(
+        self,
+        identity: Peer,
+        transport: Transport,
+        seeds: Iterable[str] = (),
+        period_s: float = HEARTBEAT_S,
+        suspect_s: float = SUSPECT_S,
+        dead_s: float = DEAD_S,
+    ) -> None:
+        super().__init__(identity, transport, seeds, period_s, suspect_s, dead_s)
+        self._known: dict[str, _Known] = {}
+        self._own_seq = 0
+        self._news: dict[str, Rumour] = {}
+        self._linked: set[str] = set()
+        self._chosen: set[str] = set()
+        self._missing: dict[str, float] = {}
+        self._unneeded: dict[str, float] = {}
+        self._floors: dict[str, dict[str, _Floor]] = {}
+        self._admitted: dict[str, list[float]] = {}
+        self._spreading = False
+        self._changed = True
+        transport.subscribe(Rumours, self._on_rumours)
+        transport.subscribe(Parting, self._on_parting)
+
+    def members(self) -> list[Member]:
+        """Return all known nodes in any state, this one included, ordered by identifier."""
+        found = [self._own()]
+        for node, known in self._known.items():
+            peer = known.peer
+            found.append(
+                Member(
+                    node, peer.address, peer.availability_zone, peer.incarnation, self.state(node)
+                )
+            )
+        return sorted(found, key=lambda item: item.node)
+
+    def state(self, node: str) -> MemberState:
+        """Return the state of a node; an unknown one is dead."""
+        if node == OTHERS:
+            return MemberState.LIVE
+        direct = super().state(node)
+        if node == self.identity.node or direct in (MemberState.LIVE, MemberState.LEAVING):
+            return direct
+        known = self._known.get(node)
+        if known is None:
+            return MemberState.DEAD
+        overdue = _now() - known.since >= self._dead_s - self._suspect_s
+        if known.state is MemberState.SUSPECT and overdue:
+            return MemberState.DEAD
+        return known.state
+
+    def leave(self) -> None:
+        """Announce that this node takes no new work; peers hear it at once."""
+        self._own_seq += 1
+        super().leave()
+        self._tell(self._own_rumour())
+
+    def tick(self) -> None:
+        """Do the work of one heartbeat period."""
+        self._live = None
+        if self._seq % SEED_EVERY == 0:
+            self._forget()
+            self._forget_known()
+        self._greet()
+        self._accuse()
+        # Choosing takes a sort of all members, so it is not repeated without need.
+        if self._changed or self._seq % SEED_EVERY == 0:
+            self._changed = any(
+                known.state is MemberState.SUSPECT for known in self._known.values()
+            )
+            self._dial()
+        self._hang_up()
+        self._inject()
+        self.beat()
+
+    def _own(self) -> Member:
+        own = self.identity
+        state = super().state(own.node)
+        return Member(own.node, own.address, own.availability_zone, own.incarnation, state)
+
+    def _own_rumour(self) -> Rumour:
+        own = self.identity
+        state = MemberState.LEAVING if self._leaving else MemberState.LIVE
+        return Rumour(
+            own.node, own.incarnation, self._own_seq, state, own.availability_zone, own.address
+        )
+
+    def _rumour(self, known: _Known, state: MemberState) -> Rumour:
+        peer = known.peer
+        return Rumour(
+            peer.node,
+            peer.incarnation,
+            known.seq,
+            state,
+            peer.availability_zone,
+            peer.address,
+        )
+
+    def _join(self, heartbeat: Heartbeat, old: _Seen | None, new: _Seen) -> bool:
+        joined = super()._join(heartbeat, old, new)
+        if joined:
+            known = self._known.get(heartbeat.node)
+            if known is None or known.peer.incarnation != heartbeat.incarnation:
+                state = MemberState(heartbeat.state)
+                self._known[heartbeat.node] = _Known(new.peer, 0, state, _now())
+                self._tell(self._rumour(self._known[heartbeat.node], state))
+        return joined
+
+    def _share_addresses(self) -> None:
+        """Rumours carry the addresses."""
+
+    def _known_addresses(self) -> list[str]:
+        return []
+
+    def _greet(self) -> None:
+        """Send all that is known over a new connection."""
+        linked = {peer.node for peer in self._transport.peers()}
+        for node in linked - self._linked:
+            items = [self._own_rumour()]
+            items += [self._rumour(known, self.state(name)) for name, known in self._known.items()]
+            self._transport.send(node, Rumours(items))
+        self._linked = linked
+
+    def _accuse(self) -> None:
+        """Pass on the suspicion of silent peers and of chosen ones that cannot be reached."""
+        now = _now()
+        silent = [
+            node
+            for node in self._seen
+            if super(Overlay, self).state(node) not in (MemberState.LIVE, MemberState.LEAVING)
+        ]
+        missing = self._chosen - self._linked
+        self._missing = {node: self._missing.get(node, now) for node in missing}
+        silent += [node for node, since in self._missing.items() if now - since >= self._dead_s]
+        for node in silent:
+            known = self._known.get(node)
+            if known is not None and RANKS[known.state] < RANKS[MemberState.SUSPECT]:
+                known.state, known.since = MemberState.SUSPECT, now
+                self._changed = True
+                self._missing.pop(node, None)
+                self._tell(self._rumour(known, MemberState.SUSPECT))
+
+    def _on_rumours(self, sender: str, message: Rumours) -> None:
+        for rumour in message.items:
+            if rumour.state not in list(MemberState) or rumour.node == OTHERS:
+                continue
+            if rumour.node == self.identity.node:
+                self._contradict(rumour)
+                continue
+            known = self._known.get(rumour.node)
+            if known is None and rumour.state == MemberState.DEAD:
+                continue
+            if known is None or known.is_older(rumour):
+                self._believe(rumour)
+
+    def _contradict(self, rumour: Rumour) -> None:
+        suspected = rumour.state in (MemberState.SUSPECT, MemberState.DEAD)
+        if rumour.incarnation != self.identity.incarnation or rumour.seq < self._own_seq:
+            return
+        if suspected or rumour.seq > self._own_seq:
+            self._own_seq = rumour.seq + 1
+            self._tell(self._own_rumour())
+
+    def _believe(self, rumour: Rumour) -> None:
+        peer = Peer(rumour.node, rumour.incarnation, rumour.availability_zone, rumour.address)
+        state = MemberState(rumour.state)
+        if state in (MemberState.SUSPECT, MemberState.DEAD):
+            logger.debug("node {} is said to be {}", rumour.node, state)
+        self._known[rumour.node] = _Known(peer, rumour.seq, state, _now())
+        self._live = None
+        self._changed = True
+        self._tell(rumour)
+
+    def _tell(self, rumour: Rumour) -> None:
+        """Send a rumour to all peers at the end of this loop iteration."""
+        if not self._news:
+            asyncio.get_running_loop().call_soon(self._send_news)
+        self._news[rumour.node] = rumour
+
+    def _send_news(self) -> None:
+        items, self._news = list(self._news.values()), {}
+        if items:
+            peers = [peer.node for peer in self._transport.peers()]
+            self._transport.broadcast(peers, Rumours(items))
+
+    def _forget_known(self) -> None:
+        """Drop nodes that have been dead for longer than a partition lasts."""
+        limit = _now() - 3600
+        for node in [n for n, known in self._known.items() if known.since < limit]:
+            if self.state(node) is MemberState.DEAD:
+                del self._known[node]
+
+    def _dial(self) -> None:
+        """Dial the chosen peers and one of the addresses at which no live node is known.
+
+        The latter joins the parts of a network again after a partition.
+        """
+        live = [item for item in self.members() if item.state is not MemberState.DEAD]
+        self._chosen = choose_peers(self._own(), live)
+        addresses = {item.address for item in live if item.node in self._chosen}
+        known = {item.address for item in live} | {self.identity.address}
+        gone = {known.peer.address for known in self._known.values()}
+        unknown = sorted((self._seeds | self._listed | gone) - known)
+        if unknown:
+            # The same one for a few ticks: a connection takes longer than one tick.
+            turn = self._seq // SEED_EVERY + _place(self.identity.node)
+            addresses.add(unknown[turn % len(unknown)])
+        self._transport.dial(addresses)
+
+    def _hang_up(self) -> None:
+        """Close connections that this node opened and no longer chooses; see ``_on_parting``."""
+        now = _now()
+        extra = set(self._transport.opened()) - self._chosen
+        extra -= {node for node in extra if self.state(node) is MemberState.DEAD}
+        self._unneeded = {node: self._unneeded.get(node, now) for node in extra}
+        for node, since in self._unneeded.items():
+            if now - since >= UNNEEDED_S:
+                self._transport.send(node, Parting(self.identity.node))
+                self._transport.hang_up(node)
+                self._seen.pop(node, None)
+
+    def _on_parting(self, sender: str, message: Parting) -> None:
+        """Expect no more heartbeats; if this node has chosen the peer, it dials it itself."""
+        self._seen.pop(sender, None)
+        self._transport.hang_up(sender)
+
+    def beat(self) -> None:
+        """Send one heartbeat with the merged state of the other nodes to all peers."""
+        self._seq += 1
+        state = MemberState.LEAVING if self._leaving else MemberState.LIVE
+        own = self.identity
+        heartbeat = Heartbeat(own.node, own.incarnation, self._seq, str(state))
+        for contributor in self._contributors:
+            contributor.fill(heartbeat)
+        heartbeat.relayed = self._relayed(heartbeat.pressure)
+        self._transport.broadcast((peer.node for peer in self._transport.peers()), heartbeat)
+
+    def _on_heartbeat(self, sender: str, heartbeat: Heartbeat) -> None:
+        super()._on_heartbeat(sender, heartbeat)
+        now = _now()
+        lowered = False
+        for item in heartbeat.pressure:
+            lowered |= self._take_floor(item.pool, sender, item.floor, now)
+            self._take_ages(item.pool, item.admit_age_ms, now)
+        for relay in heartbeat.relayed:
+            sent = now - relay.age_ms / 1000
+            if relay.origin != self.identity.node:
+                lowered |= self._take_floor(relay.pool, relay.origin, relay.floor, sent)
+            self._take_ages(relay.pool, relay.admit_age_ms, now)
+        if lowered and not self._spreading:
+            # A stricter floor must reach all nodes within the propagation delay.
+            self._spreading = True
+            asyncio.get_running_loop().call_later(self._period_s / 5, self._spread)
+
+    def _spread(self) -> None:
+        self._spreading = False
+        self._inject()
+        self.beat()
+
+    def _take_floor(self, pool: str, origin: str, floor: int, sent: float) -> bool:
+        """Keep the latest floor of a node; True if it is stricter than all known ones."""
+        floors = self._floors.setdefault(pool, {})
+        known = floors.get(origin)
+        if known is not None and known.sent >= sent:
+            return False
+        lowest = min((item.floor for item in floors.values()), default=floor)
+        floors[origin] = _Floor(floor, sent)
+        return floor < lowest
+
+    def _take_ages(self, pool: str, ages_ms: list[int], now: float) -> None:
+        known = self._admitted.setdefault(pool, [])
+        known += [float("-inf")] * (len(ages_ms) - len(known))
+        for index, age_ms in enumerate(ages_ms):
+            if age_ms >= 0:
+                known[index] = max(known[index], now - age_ms / 1000)
+
+    def _merged(self, pool: str) -> Relayed | None:
+        """Return the strictest floor and the last admissions at all other nodes."""
+        now = _now()
+        floors = self._floors.get(pool, {})
+        for origin in [node for node, item in floors.items() if now - item.sent > RELAY_S]:
+            del floors[origin]
+        if not floors:
+            return None
+        origin = min(floors, key=lambda node: (floors[node].floor, -floors[node].sent))
+        ages = [min((now - last) * 1000, 1e9) for last in self._admitted.get(pool, [])]
+        return Relayed(
+            pool,
+            floors[origin].floor,
+            origin,
+            int((now - floors[origin].sent) * 1000),
+            [int(age) if age < 60_000 else -1 for age in ages],
+        )
+
+    def _relayed(self, pressure: list[Pressure]) -> list[Relayed]:
+        """Return the merged entries that say more than the own ones."""
+        own = {item.pool: item for item in pressure}
+        found = []
+        for pool in self._floors:
+            merged = self._merged(pool)
+            if merged is not None and _adds(merged, own.get(pool)):
+                found.append(merged)
+        return found
+
+    def _inject(self) -> None:
+        """Pass the merged state on to the parts of this node, as that of one further node."""
+        merged = [item for pool in list(self._floors) if (item := self._merged(pool))]
+        heartbeat = Heartbeat(OTHERS, 1, self._seq, str(MemberState.LIVE))
+        heartbeat.pressure = [Pressure(m.pool, m.floor, m.admit_age_ms) for m in merged]
+        for contributor in self._contributors:
+            contributor.observe(heartbeat)
+
+
+def _adds(merged: Relayed, own: Pressure | None) -> bool:
+    if own is None or merged.floor < own.floor:
+        return True
+    ages = own.admit_age_ms + [-1] * (len(merged.admit_age_ms) - len(own.admit_age_ms))
+    return any(
+        other >= 0 and (mine < 0 or mine - other > ADMISSION_GAP_MS)
+        for mine, other in zip(ages, merged.admit_age_ms, strict=False)
+    )
+
+
+def _successor(node: str, others: list[str]) -> str:
+    """Return the next node on a ring ordered by hash."""
+    place = _place(node)
+    ring = sorted(others, key=_place)
+    return next((name for name in ring if _place(name) > place), ring[0])
+
+
+def _place(node: str) -> int:
+    return xxhash.xxh3_64_intdigest(node.encode())
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/lacewinghub/peer.py
+++ b/lacewinghub/peer.py
@@ -121,6 +121,7 @@
         self._queue: deque[bytes] = deque()
         self._queued_bytes = 0
         self._wake = asyncio.Event()
+        self._finishing = False
 
     def push(self, data: bytes) -> bool:
         """Queue an encoded message.
@@ -157,6 +158,11 @@
             writer.cancel()
             self.abort()
 
+    def finish(self) -> None:
+        """Close the connection once the queue has been sent."""
+        self._finishing = True
+        self._wake.set()
+
     def abort(self) -> None:
         """Close the connection without waiting for the other end, which may be frozen."""
         self.closed.set()
@@ -171,6 +177,8 @@
                     data = self._queue.popleft()
                     self._queued_bytes -= len(data)
                     await self._conn.send(data)
+                if self._finishing:
+                    await self._conn.close()
         except ConnectionClosed:
             self.abort()
 
@@ -277,6 +285,16 @@
         """Return the connected nodes."""
         return [link.peer for link in self._links.values()]
 
+    def opened(self) -> list[str]:
+        """Return the peers whose connection this node opened."""
+        return [name for name, link in self._links.items() if link.dialler == self.node]
+
+    def hang_up(self, node: str) -> None:
+        """Close the connection to a node once its queue has been sent."""
+        link = self._links.get(node)
+        if link is not None:
+            link.finish()
+
     def dial(self, addresses: Iterable[str]) -> None:
         """Keep connections to these addresses."""
         self._wanted = set(addresses) - {self.identity.address}
--- a/lacewinghub/transport.py
+++ b/lacewinghub/transport.py
@@ -81,6 +81,14 @@
         """
         return None
 
+    def opened(self) -> list[str]:
+        """Return the identifiers of the peers whose connection this node opened."""
+        return []
+
+    def hang_up(self, node: str) -> None:
+        """Close the connection to a node once its queue has been sent."""
+        return None
+
     def subscribe(self, kind: type, handler: Handler) -> None:
         """Register a handler for a message class.
 
--- /dev/null
+++ b/tests/test_overlay.py
@@ -0,0 +1,270 @@
+"""Tests of membership without a full mesh, with many nodes on a simulated network."""
+
+import asyncio
+import statistics
+import unittest
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import looptime
+
+from lacewinghub.membership import Contributor, Member, MemberState
+from lacewinghub.memory_transport import MemoryNetwork
+from lacewinghub.message import Heartbeat, Pressure
+from lacewinghub.overlay import DEGREE, MESH_LIMIT, OTHERS, Overlay, choose_peers
+from lacewinghub.peer import PeerServer
+from lacewinghub.transport import Peer
+
+ZONES = 4
+ZONE_DELAY_S = {True: 0.0005, False: 0.02}
+
+
+class Floor(Contributor):
+    """Shares a floor of one pool and keeps those of the others."""
+
+    def __init__(self) -> None:
+        self.own = 8
+        self.seen: dict[str, int] = {}
+
+    def fill(self, heartbeat: Heartbeat) -> None:
+        heartbeat.pressure.append(Pressure("p", self.own, [100] * 8))
+
+    def observe(self, heartbeat: Heartbeat) -> None:
+        if heartbeat.node == OTHERS:
+            self.seen.pop(OTHERS, None)
+        for item in heartbeat.pressure:
+            self.seen[heartbeat.node] = item.floor
+
+    def lowest(self) -> int:
+        return min(self.seen.values(), default=8)
+
+
+class Cluster:
+    """Nodes of a few zones on a network in which only dialled nodes are connected."""
+
+    def __init__(self, size: int, loss: float = 0.0) -> None:
+        self.network = MemoryNetwork(self._delay, loss, coded=False, mesh=False)
+        self.members: dict[str, Overlay] = {}
+        self.floors: dict[str, Floor] = {}
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        for index in range(size):
+            self.start(f"n{index:03}", 1)
+
+    def _delay(self, sender: str, receiver: str) -> float:
+        return ZONE_DELAY_S[zone(sender) == zone(receiver)]
+
+    def start(self, name: str, incarnation: int) -> None:
+        identity = Peer(name, incarnation, zone(name), f"memory:{name}")
+        seeds = ["memory:n000", "memory:n001", "memory:n002"]
+        member = Overlay(identity, self.network.transport(identity), seeds)
+        self.floors[name] = Floor()
+        member.add(self.floors[name])
+        self.members[name] = member
+        self.tasks[name] = asyncio.create_task(member.run())
+
+    def kill(self, name: str) -> None:
+        self.tasks.pop(name).cancel()
+        self.members.pop(name)
+        self.floors.pop(name)
+        self.network.detach(name)
+
+    def agree(self, names: set[str], seen_by: set[str] | None = None) -> bool:
+        return all(
+            {item.node for item in member.live()} == names
+            for name, member in self.members.items()
+            if seen_by is None or name in seen_by
+        )
+
+    async def until(self, check: Callable[[], bool], timeout_s: float) -> float:
+        """Wait for a condition and return how long it took, in seconds."""
+        loop = asyncio.get_running_loop()
+        start = loop.time()
+        while not check():
+            if loop.time() - start > timeout_s:
+                raise AssertionError(f"not within {timeout_s} s")
+            await asyncio.sleep(0.05)
+        return loop.time() - start
+
+    async def stop(self) -> None:
+        tasks = list(self.tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def zone(name: str) -> str:
+    """Return the zone of a node."""
+    return f"zone-{int(name[1:]) % ZONES}"
+
+
+class TestOverlay(unittest.TestCase):
+    def run_simulated(
+        self, test: Callable[[Cluster], Coroutine[Any, Any, None]], size: int = 40, **options: Any
+    ) -> None:
+        async def main() -> None:
+            cluster = Cluster(size, **options)
+            try:
+                await cluster.until(lambda: cluster.agree(set(cluster.members)), 15)
+                await asyncio.sleep(8)
+                await test(cluster)
+            finally:
+                await cluster.stop()
+
+        loop = looptime.new_event_loop(end=10_000)
+        try:
+            loop.run_until_complete(main())
+        finally:
+            loop.close()
+
+    def test_number_of_connections_is_bounded(self) -> None:
+        """Guards against seeds, or all nodes, that end up connected to everybody."""
+
+        async def test(cluster: Cluster) -> None:
+            degrees = [len(cluster.network.others(name)) for name in cluster.members]
+            self.assertLessEqual(statistics.mean(degrees), DEGREE)
+            self.assertLessEqual(max(degrees), 2 * DEGREE)
+            self.assertTrue(cluster.agree(set(cluster.members)))
+
+        self.run_simulated(test, size=60)
+
+    def test_killed_node_is_dead_everywhere(self) -> None:
+        """Guards against a killed node that those without a connection to it keep as live."""
+
+        async def test(cluster: Cluster) -> None:
+            cluster.kill("n017")
+            names = set(cluster.members)
+            await cluster.until(lambda: cluster.agree(names), 3)
+            states = {member.state("n017") for member in cluster.members.values()}
+            self.assertEqual(states, {MemberState.SUSPECT})
+            await asyncio.sleep(6)
+            states = {member.state("n017") for member in cluster.members.values()}
+            self.assertEqual(states, {MemberState.DEAD})
+            cluster.start("n017", 2)
+            await cluster.until(lambda: cluster.agree(names | {"n017"}), 10)
+
+        self.run_simulated(test)
+
+    def test_killed_zone_is_dead_everywhere(self) -> None:
+        """Guards against dead nodes whose peers all died with them."""
+
+        async def test(cluster: Cluster) -> None:
+            for name in [name for name in cluster.members if zone(name) == "zone-1"]:
+                cluster.kill(name)
+            await cluster.until(lambda: cluster.agree(set(cluster.members)), 20)
+
+        self.run_simulated(test)
+
+    def test_live_nodes_are_not_suspected_when_messages_are_lost(self) -> None:
+        """Guards against rumours that remove live nodes."""
+
+        async def test(cluster: Cluster) -> None:
+            missing = 0
+            for _ in range(100):
+                await asyncio.sleep(0.2)
+                missing += sum(len(item.live()) < 40 for item in cluster.members.values())
+            self.assertLess(missing, 40)
+
+        self.run_simulated(test, loss=0.02)
+
+    def test_leaving_node_is_known_everywhere_at_once(self) -> None:
+        """Guards against a planned stop that distant nodes learn late."""
+
+        async def test(cluster: Cluster) -> None:
+            cluster.members["n005"].leave()
+            names = set(cluster.members) - {"n005"}
+            await cluster.until(lambda: cluster.agree(names), 0.5)
+            states = {member.state("n005") for member in cluster.members.values()}
+            self.assertEqual(states, {MemberState.LEAVING})
+
+        self.run_simulated(test)
+
+    def test_partition_heals(self) -> None:
+        """Guards against two parts that stay apart because all are dead for each other."""
+
+        async def test(cluster: Cluster) -> None:
+            left = {name for name in cluster.members if zone(name) in ("zone-0", "zone-1")}
+            right = set(cluster.members) - left
+            cluster.network.partition(left, right)
+            await cluster.until(lambda: cluster.agree(left, left), 30)
+            await cluster.until(lambda: cluster.agree(right, right), 30)
+            await asyncio.sleep(60)
+            cluster.network.heal()
+            await cluster.until(lambda: cluster.agree(left | right), 30)
+
+        self.run_simulated(test)
+
+    def test_floor_reaches_all_nodes_within_the_propagation_delay(self) -> None:
+        """Guards against nodes that admit low tiers while a distant node sheds high ones."""
+
+        async def test(cluster: Cluster) -> None:
+            floors = list(cluster.floors.values())
+            cluster.floors["n009"].own = 3
+            took = await cluster.until(
+                lambda: all(item.lowest() == 3 for item in floors if item.own == 8), 2
+            )
+            self.assertLessEqual(took, 1.0)
+            cluster.floors["n009"].own = 8
+            await cluster.until(lambda: all(item.lowest() == 8 for item in floors), 4)
+
+        self.run_simulated(test, size=80)
+
+
+class TestChoice(unittest.TestCase):
+    def test_small_deployment_is_a_full_mesh(self) -> None:
+        """Guards against fewer connections where all fit the budget."""
+        members = [member(index) for index in range(MESH_LIMIT)]
+        for own in members:
+            self.assertEqual(len(choose_peers(own, members)), MESH_LIMIT - 1)
+
+    def test_graph_is_connected(self) -> None:
+        """Guards against choices that split the nodes into parts."""
+        for size in (13, 14, 30, 330):
+            with self.subTest(size):
+                members = [member(index) for index in range(size)]
+                links: dict[str, set[str]] = {item.node: set() for item in members}
+                for own in members:
+                    for other in choose_peers(own, members[::-1]):
+                        links[own.node].add(other)
+                        links[other].add(own.node)
+                reached, rest = set(), {members[0].node}
+                while rest:
+                    reached |= rest
+                    rest = {other for node in rest for other in links[node]} - reached
+                self.assertEqual(len(reached), size)
+                self.assertLessEqual(max(map(len, links.values())), 3 * DEGREE)
+
+
+class TestSockets(unittest.IsolatedAsyncioTestCase):
+    async def test_nodes_agree_over_real_connections(self) -> None:
+        """Guards against connections that real transports keep or close otherwise."""
+        servers = [
+            PeerServer(Peer(f"n{i:03}", 1, f"zone-{i % 3}", "127.0.0.1:0"), b"key")
+            for i in range(16)
+        ]
+        for item in servers:
+            await item.start()
+        seeds = [item.identity.address for item in servers[:2]]
+        members = [Overlay(item.identity, item, seeds, period_s=0.1) for item in servers]
+        tasks = [asyncio.create_task(item.run()) for item in [*servers, *members]]
+        try:
+            async with asyncio.timeout(15):
+                while any(len(item.live()) < 16 for item in members):
+                    await asyncio.sleep(0.05)
+                while max(len(item.peers()) for item in servers) > 12:
+                    await asyncio.sleep(0.05)
+            await asyncio.sleep(2)
+            self.assertTrue(all(len(item.live()) == 16 for item in members))
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def member(index: int) -> Member:
+    """Build a live member."""
+    name = f"n{index:03}"
+    return Member(name, f"10.0.0.1:{index + 1}", zone(name), 1, MemberState.LIVE)
+
+
+if __name__ == "__main__":
+    unittest.main()
