--- a/tests/processes.py
+++ b/tests/processes.py
@@ -24,6 +24,8 @@
 WORKSPACE_KEY = "key-of-the-trust"
 OPERATOR_KEY = "key-of-the-operator"
 
+_reserved: list[socket.socket] = []
+
 
 def sha256(key: str) -> str:
     """Return the digest of a key in hex."""
@@ -31,10 +33,16 @@
 
 
 def free_port() -> int:
-    """Return a loopback port that was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a free loopback port and reserve it until this process ends.
+
+    The socket stays bound without listening: the system gives the port to nobody else, and a
+    server with ``SO_REUSEADDR`` can still bind it.
+    """
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(("127.0.0.1", 0))
+    _reserved.append(sock)
+    return sock.getsockname()[1]
 
 
 def child_pids(pid: int) -> list[int]:
