Name the address that a node cannot listen on, and test stops with calls in flight

A taken address ended a node with the text of the system error only. It is now address_unavailable with the key of the setting; test_cli expects this code and the key instead of system_refused. A node that fails to start stops the parts that it had started.

The planned stop is tested with a keyed call in flight and a repeated signal, and a node without log answers with codes and stops.

--- a/lacewinghub/errors.py
+++ b/lacewinghub/errors.py
@@ -238,6 +238,12 @@
     code, status = "peer_rejected", 403
 
 
+class AddressUnavailable(LacewingError):
+    """A node cannot listen on an address; details carry the key of the setting."""
+
+    code, status = "address_unavailable", 500
+
+
 class Unreachable(LacewingError):
     """A node or service that a command needs cannot be reached."""
 
--- a/lacewinghub/node.py
+++ b/lacewinghub/node.py
@@ -15,6 +15,7 @@
 from .claim import Claimer
 from .config import ConfigReplica
 from .endpoint import HttpEndpoint
+from .errors import AddressUnavailable
 from .gateway import Gateway, GatewayParts, Phase
 from .health import EndpointHealth, HealthMonitor, HealthyPools, LeavingMarks
 from .history import History
@@ -65,13 +66,16 @@
         """Start all parts.
 
         Raises:
-            OSError: If an address cannot be bound.
+            AddressUnavailable: If the node cannot listen on one of its addresses.
         """
         sup = self._supervisor
         sup.on_stop(self._close_history)
         sup.on_stop(self._log.close)
         sup.on_stop(self._client.close)
-        await self._peers.start()
+        try:
+            await self._peers.start()
+        except OSError as exc:
+            raise _unavailable("peer_listen", self.cfg.peer_listen, exc) from exc
         sup.start("peers", self._peers.run)
         sup.start("membership", self._membership.run)
         if self._hosts is not None:
@@ -85,13 +89,20 @@
         sup.on_stop(self._flush_claims)
         sup.on_stop(self._router.close)
         host, _, port = self.cfg.listen.rpartition(":")
-        self.port = await self._gateway.start(host.strip("[]"), int(port))
+        try:
+            self.port = await self._gateway.start(host.strip("[]"), int(port))
+        except OSError as exc:
+            raise _unavailable("listen", self.cfg.listen, exc) from exc
         sup.on_stop(self._gateway.close)
         logger.info("node {} serves callers on {}:{}", self.cfg.node, host, self.port)
 
     async def run(self) -> None:
         """Start, serve until ``request_stop`` is called, then stop."""
-        await self.start()
+        try:
+            await self.start()
+        except BaseException:
+            await self.kill()
+            raise
         await self._stop.wait()
         await self.stop()
 
@@ -233,6 +244,11 @@
             self._history_out.close()
 
 
+def _unavailable(key: str, address: str, exc: OSError) -> AddressUnavailable:
+    reason = exc.strerror or str(exc)
+    return AddressUnavailable(f"cannot listen on {key} {address}: {reason}", key=key)
+
+
 async def run_node(cfg: Settings) -> None:
     """Run a node until SIGTERM or SIGINT, then stop it as planned.
 
@@ -240,7 +256,7 @@
         cfg: Settings of the node.
 
     Raises:
-        OSError: If an address cannot be bound.
+        AddressUnavailable: If the node cannot listen on one of its addresses.
     """
     node = Node(cfg)
     loop = asyncio.get_running_loop()
@@ -257,7 +273,7 @@
 
     Raises:
         SettingsInvalid: If the settings are wrong.
-        OSError: If an address cannot be bound.
+        AddressUnavailable: If the node cannot listen on one of its addresses.
     """
     cfg = load(path)
     logs.setup(cfg.log_level, cfg.node)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -231,7 +231,7 @@
                 timeout=30,
             )
         self.assertEqual(done.returncode, 1)
-        self.assertIn("error system_refused: ", done.stderr)
+        self.assertIn("error address_unavailable: cannot listen on listen ", done.stderr)
 
 
 def _settings() -> dict[str, Any]:
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -16,6 +16,7 @@
     Deployment,
     child_pids,
     descriptors,
+    free_port,
 )
 
 _AUTH = {"Authorization": f"Bearer {WORKSPACE_KEY}"}
@@ -310,6 +311,7 @@
     members = {  # noqa: RUF012
         "nodes": 1,
         "runner_args": ["--step_ms", "20"],
+        "service_args": ["--delay_s", "3"],
         "limits": {"grace_s": 1.5},
     }
 
@@ -317,8 +319,10 @@
         await self.deployment.publish()
         await self.deployment.wait_ready()
         node = self.deployment.nodes["n0"]
+        await self.wait_claims()
         long = _chat("long", 250)
         stream = asyncio.create_task(self.chat("n0", long))
+        call = asyncio.create_task(self.call("n0", "booking", {"slot": 1}, "book-1"))
         await asyncio.sleep(0.5)
         began = time.monotonic()
         node.terminate()
@@ -331,10 +335,41 @@
         await asyncio.sleep(1.8 - (time.monotonic() - began))
         after = await self.chat("n0", _chat("after grace", 4))
         self.assertEqual((after.status, after.error), (503, "draining"))
+        node.terminate()  # A second signal changes nothing.
         self.assertIsNone(node.popen.poll())
-        self.assertFalse(stream.done())
+        self.assertFalse(stream.done() or call.done())
+        self.assertEqual((await call)[0], 200)
         answer = await stream
         self.assertEqual((answer.content, answer.done), (expected_text(long), True))
         self.assertEqual(await asyncio.to_thread(node.popen.wait, 10), 0)
+        host, port = node.address.split(":")
         with self.assertRaises(ConnectionRefusedError):
-            socket.create_connection(tuple(node.address.split(":")), 1)  # type: ignore[arg-type]
+            socket.create_connection((host, int(port)), 1)
+        kinds = [event["kind"] for event in self.deployment.history("n0")]
+        self.assertEqual(kinds.count("finished"), 3)
+
+
+class StartTest(PathCase):
+    """Guards against nodes that hang or end without a reason when something is missing."""
+
+    members = {"nodes": 0, "runners": 0, "limits": {"grace_s": 0.2}}  # noqa: RUF012
+
+    async def test_node_without_log_answers_with_codes_and_stops(self) -> None:
+        node = self.deployment.add_node("alone", log=f"127.0.0.1:{free_port()}")
+        await self.deployment.wait_up("alone")
+        self.assertEqual(await self.status_of("alone", "/readyz"), 503)
+        answer = await self.chat("alone", _chat())
+        self.assertEqual((answer.status, answer.error), (503, "not_ready"))
+        status, body = await self.call("alone", "booking", {}, "book-1")
+        self.assertEqual((status, body["error"]["code"]), (503, "not_ready"))
+        node.terminate()
+        self.assertEqual(await asyncio.to_thread(node.popen.wait, 5), 0)
+
+    async def test_taken_address_is_reported_with_its_key(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as sock:
+            address = f"127.0.0.1:{sock.getsockname()[1]}"
+            for key in ("listen", "peer_listen"):
+                with self.subTest(key):
+                    node = self.deployment.add_node(f"taken-{key[:4]}", **{key: address})
+                    self.assertNotEqual(await asyncio.to_thread(node.popen.wait, 10), 0)
+                    self.assertIn(f"cannot listen on {key} {address}", node.log.read_text())
