Set the address and the certificates for peers

A node told its peers the address that it binds, so it could not listen on all addresses or behind a relay, and TLS between nodes could not be configured.

peer_address is the address that other nodes use, and peer_tls names the certificate files. An address that no other node can reach and unreadable certificates are refused with settings_invalid.

--- a/lacewinghub/node.py
+++ b/lacewinghub/node.py
@@ -26,7 +26,7 @@
 from .metrics import Metrics
 from .naive import NaiveScheduler
 from .observe import Observer
-from .peer import PeerServer
+from .peer import PeerServer, PeerTls
 from .poll import EndpointPoller
 from .quarantine import Quarantine
 from .router import Parts, PoolBudgets, Router
@@ -128,8 +128,10 @@
         self._observer = Observer(self._metrics, Levels(), {"in_flight": self._in_flight})
         self._history.listen(self._observer.take)
         self._log = HttpLog(cfg.log)
-        identity = Peer(cfg.node, int(time.time() * 1000), cfg.availability_zone, cfg.peer_listen)
-        self._peers = PeerServer(identity, cfg.peer_key.encode())
+        address = cfg.peer_address or cfg.peer_listen
+        identity = Peer(cfg.node, int(time.time() * 1000), cfg.availability_zone, address)
+        tls = PeerTls(**cfg.peer_tls.model_dump()) if cfg.peer_tls else None
+        self._peers = PeerServer(identity, cfg.peer_key.encode(), tls, listen=cfg.peer_listen)
         self._membership = Membership(identity, self._peers, cfg.peers)
         self._hosts = HostList(cfg.hosts, self._membership.discovered) if cfg.hosts else None
         self._config = ConfigReplica(cfg.node, self._log, self._peers, self._history)
--- a/lacewinghub/peer.py
+++ b/lacewinghub/peer.py
@@ -21,7 +21,7 @@
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, InvalidHandshake, InvalidMessage
 
-from .errors import PeerRejected
+from .errors import PeerRejected, SettingsInvalid
 from .message import MAX_MESSAGE_BYTES, Hello, Message, decode, encode
 from .transport import Peer, Transport
 
@@ -61,14 +61,22 @@
             because nodes are addressed by IP address and the authority is private.
 
         Raises:
-            OSError: If a file cannot be read or is not a valid certificate or key.
+            SettingsInvalid: If a file cannot be read or is not a valid certificate or key.
         """
         ctx = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER if server else ssl.PROTOCOL_TLS_CLIENT)
         ctx.minimum_version = ssl.TLSVersion.TLSv1_3
         ctx.check_hostname = False
         ctx.verify_mode = ssl.CERT_REQUIRED
-        ctx.load_cert_chain(self.certificate, self.key)
-        ctx.load_verify_locations(self.ca)
+        try:
+            ctx.load_cert_chain(self.certificate, self.key)
+            ctx.load_verify_locations(self.ca)
+        except OSError as exc:
+            files = f"{self.certificate!r}, {self.key!r}, {self.ca!r}"
+            raise SettingsInvalid(
+                f"peer_tls: {exc}: one of {files}",
+                key="peer_tls",
+                allowed="a certificate, its key and the authority's certificate in PEM format",
+            ) from exc
         return ctx
 
 
@@ -192,6 +200,7 @@
         tls: Certificate files, or None for plain TCP.
         idle_s: A connection that delivers nothing for this long is closed, in seconds.
         seed: Seed of the backoff jitter, or None.
+        listen: Address to bind if it differs from the one that peers use.
     """
 
     def __init__(
@@ -201,8 +210,10 @@
         tls: PeerTls | None = None,
         idle_s: float = IDLE_S,
         seed: int | None = None,
+        listen: str | None = None,
     ) -> None:
         super().__init__(identity.node)
+        self._listen = listen
         self.identity = identity
         self.traffic = Traffic()
         self._key = key
@@ -223,7 +234,7 @@
         Raises:
             OSError: If the address cannot be bound.
         """
-        host, _, port = self.identity.address.rpartition(":")
+        host, _, port = (self._listen or self.identity.address).rpartition(":")
         self._server = await serve(
             self._accept,
             host.strip("[]"),
@@ -237,7 +248,8 @@
             server_header=None,
         )
         bound = next(iter(self._server.sockets)).getsockname()[1]
-        self.identity = replace(self.identity, address=f"{host}:{bound}")
+        if self._listen is None:
+            self.identity = replace(self.identity, address=f"{host}:{bound}")
 
     async def run(self) -> None:
         """Serve and keep the dialled connections until cancelled.
--- a/lacewinghub/settings.py
+++ b/lacewinghub/settings.py
@@ -1,5 +1,6 @@
 """Settings of a node: JSON with comments, checked with pydantic."""
 
+import ipaddress
 import re
 from collections.abc import Iterator
 from pathlib import Path
@@ -35,6 +36,22 @@
     endpoint_idle_s: Annotated[float, Field(gt=0, le=3600)] = 30.0
 
 
+class PeerTls(BaseModel):
+    """Certificate files in PEM format for the connections between nodes.
+
+    Attributes:
+        certificate: Certificate of this node, for both sides of a connection.
+        key: Its private key.
+        ca: Certificate of the authority that signed the certificates of all nodes.
+    """
+
+    model_config = ConfigDict(extra="forbid", strict=True, frozen=True)
+
+    certificate: str
+    key: str
+    ca: str
+
+
 class Settings(BaseModel):
     """Settings of one node.
 
@@ -43,6 +60,9 @@
         availability_zone: Name of the availability zone of its host.
         listen: Address for callers, ``IP:port``.
         peer_listen: Address for other nodes, ``IP:port``.
+        peer_address: Address under which other nodes reach ``peer_listen``; by default the same.
+            It is required when ``peer_listen`` names no single host, as ``0.0.0.0`` does.
+        peer_tls: Certificate files, or None for plain TCP between nodes.
         peers: Peer addresses of some other nodes, to find the rest.
         log: Address of the platform's log, ``IP:port``.
         hosts: Address of the platform's host list, ``IP:port``, or None.
@@ -63,6 +83,8 @@
     peer_listen: Address
     log: Address
     peer_key: Annotated[str, Field(min_length=16)]
+    peer_address: Address | None = None
+    peer_tls: PeerTls | None = None
     peers: list[Address] = []
     hosts: Address | None = None
     operator_keys: list[Sha256] = []
@@ -113,9 +135,23 @@
     if isinstance(document, dict):
         _check_repeated(lines)
     try:
-        return Settings.model_validate(document)
+        cfg = Settings.model_validate(document)
     except ValidationError as exc:
         raise _invalid(lines, exc.errors(include_url=False)[0]) from exc
+    _check_peer_address(cfg, dict(lines))
+    return cfg
+
+
+def _check_peer_address(cfg: Settings, lines: dict[str, int]) -> None:
+    key = "peer_address" if cfg.peer_address else "peer_listen"
+    address = cfg.peer_address or cfg.peer_listen
+    if ipaddress.ip_address(address.rpartition(":")[0].strip("[]")).is_unspecified:
+        raise SettingsInvalid(
+            f"line {lines.get(key, 1)}: key {key!r}: other nodes cannot connect to {address!r}",
+            line=lines.get(key, 1),
+            key="peer_address",
+            allowed="an address IP:port of one host",
+        )
 
 
 def _syntax_error(text: str, exc: Exception) -> SettingsInvalid:
@@ -176,7 +212,8 @@
 
 def _allowed(error: Any, place: list[str]) -> str:
     if error["type"] == "extra_forbidden":
-        model: type[BaseModel] = Limits if place[:1] == ["limits"] else Settings
+        sections: dict[str, type[BaseModel]] = {"limits": Limits, "peer_tls": PeerTls}
+        model = sections.get(place[0], Settings) if place[1:] else Settings
         return ", ".join(model.model_fields)
     if error["type"] == "value_error":
         return "an address IP:port"
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -9,7 +9,7 @@
 from websockets.asyncio.client import connect
 
 from lacewinghub import peer as peer_module
-from lacewinghub.errors import PeerRejected
+from lacewinghub.errors import PeerRejected, SettingsInvalid
 from lacewinghub.membership import Membership, MemberState
 from lacewinghub.message import ConfigReply, ConfigRequest, Demand, Heartbeat, encode
 from lacewinghub.peer import PeerServer, PeerTls
@@ -201,6 +201,12 @@
         await until(lambda: len(got) == 500)
         self.assertEqual(got, list(range(500)))
 
+    async def test_missing_certificate_is_a_coded_error(self) -> None:
+        """Guards against a traceback, or plain TCP, when a certificate file is wrong."""
+        for files in (PeerTls("absent", "absent", "absent"), PeerTls(__file__, __file__, __file__)):
+            with self.assertRaises(SettingsInvalid):
+                server("n1", tls=files)
+
     async def test_tls_needs_a_certificate_of_the_same_authority(self) -> None:
         """Guards against peers that connect without TLS or with a foreign certificate."""
         one = server("n1", tls=certificate("node"))
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -50,6 +50,20 @@
                 '"grace"',
                 "body_bytes, grace_s",
             ),
+            (
+                "unknown member of a section",
+                _text(peer_tls={"certificate": "a", "key": "b", "ca": "c", "pass": "d"}),
+                "peer_tls.pass",
+                '"pass"',
+                "certificate, key, ca",
+            ),
+            (
+                "missing member of a section",
+                _text(peer_tls={"certificate": "a.pem", "key": "a.key"}),
+                "peer_tls.ca",
+                '"peer_tls"',
+                "no default",
+            ),
             ("wrong type", _text(node=3), "node", '"node"', "string"),
             (
                 "wrong type of a limit",
@@ -87,6 +101,18 @@
             self.assertIn(allowed, details["allowed"])
             self.assertIn(f"line {details['line']}", caught.exception.message)
 
+    def test_address_that_peers_cannot_use_is_refused(self) -> None:
+        for members in (
+            {"peer_listen": "0.0.0.0:7080"},
+            {"peer_listen": "[::]:7080"},
+            {"peer_address": "0.0.0.0:7080"},
+        ):
+            with self.subTest(members), self.assertRaises(SettingsInvalid) as caught:
+                parse(_text(**members))
+            self.assertEqual(caught.exception.details["key"], "peer_address")
+        cfg = parse(_text(peer_listen="0.0.0.0:7080", peer_address="10.0.0.7:7080"))
+        self.assertEqual(cfg.peer_address, "10.0.0.7:7080")
+
     def test_missing_and_repeated_keys_are_refused(self) -> None:
         with self.assertRaises(SettingsInvalid) as caught:
             parse(_text(drop="log"))
