Bound the pause of innocent suspects

With fewer runners than suspects, answers paused for up to 5.6 s after a crash, because each suspect had a runner of its own until its end.

A suspect has its runner for itself for 1.5 s, which a poison request does not survive, and waits at most 3 s for it. The pause of 8 suspects with one usable runner falls from 5.6 s to 3.0 s in simulation.

--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -64,7 +64,7 @@
         crashes: One ``endpoint@time`` per crash, with the wall time in milliseconds.
         cleared: Those of the crashes that a finished run has cleared it of.
         trial: Endpoint on which the sender runs it again, ``?`` and the planned endpoint if the
-            sender waits to do so, otherwise empty.
+            sender waits to do so, ``!`` if it has run for some time, otherwise empty.
     """
 
     fingerprint: int
--- a/lacewinghub/quarantine.py
+++ b/lacewinghub/quarantine.py
@@ -31,6 +31,11 @@
 # Two heartbeats: by then the live nodes know of a crash or of a trial elsewhere.
 SETTLE_S = 0.6
 TRIAL_S = 5.0
+# A suspect that has run for this long no longer keeps others off its endpoint: longer waits would
+# cost the innocent ones more than another count.
+PROBATION_S = 1.5
+# Longest pause of an innocent answer when there are more suspects than endpoints.
+CROWDED_S = 2.4
 POLL_S = 0.05
 SUSPECT_MS = 600_000
 REFUSED_MS = 86_400_000
@@ -39,6 +44,7 @@
 NEW_S = 3.0
 FULL_EVERY = 20
 WAITING = "?"
+RUNNING = "!"
 
 
 @dataclass(slots=True)
@@ -71,10 +77,15 @@
     request: str
     announced: float
     plan: str = ""
-    running: bool = False
+    started: float | None = None
 
     def where(self) -> str:
-        return self.plan if self.running else WAITING + self.plan
+        if self.started is None:
+            return WAITING + self.plan
+        return RUNNING if self.is_probated() else self.plan
+
+    def is_probated(self) -> bool:
+        return self.started is not None and _now() - self.started > PROBATION_S
 
 
 class Quarantine(Guard, Contributor):
@@ -132,8 +143,8 @@
         """Wait until a request may be queued for an endpoint; only suspects wait.
 
         Of the copies of a suspect at all nodes one runs at a time, and of different suspects each
-        gets an endpoint of its own as long as there are enough: all others are added to
-        ``req.avoid``. A wait of ``TRIAL_S`` per copy that is ahead ends it.
+        gets an endpoint of its own for ``PROBATION_S``: all others are added to ``req.avoid``. The
+        wait ends after ``TRIAL_S`` per copy that is ahead, or ``CROWDED_S`` for a free endpoint.
 
         Args:
             req: The request.
@@ -150,7 +161,8 @@
                 return
             trial = self._announced(req, names)
             ahead = self._ahead(req)
-            waited = _now() - started >= SETTLE_S + TRIAL_S * (ahead or 1)
+            limit_s = SETTLE_S + (TRIAL_S * ahead or CROWDED_S)
+            waited = _now() - started >= limit_s
             placed = trial.plan in names or not names
             if self._is_settled(req, trial) and (waited or (not ahead and placed)):
                 break
@@ -164,7 +176,7 @@
         if self.count(req.fingerprint):
             trial = self._trials.setdefault(req.fingerprint, _Trial(req.id, _now()))
             if trial.request == req.id:
-                trial.plan, trial.running = endpoint, True
+                trial.plan, trial.started = endpoint, _now()
 
     def ended(self, req: Request, endpoint: str, seen: Observation) -> None:
         """Note that a request no longer is at an endpoint, with what was measured there."""
@@ -273,7 +285,7 @@
         return _now() - max(announced, self._cases[req.fingerprint].changed) >= SETTLE_S
 
     def _is_stale(self, trial: _Trial) -> bool:
-        return not trial.running and _now() - trial.announced > TRIAL_S
+        return trial.started is None and _now() - trial.announced > TRIAL_S
 
     def _ahead(self, req: Request) -> int:
         """Count the trials of the same fingerprint that come first."""
@@ -292,14 +304,17 @@
             fingerprint: The fingerprint that looks for an endpoint.
             rivals: False to leave out plans that give way to those of this node.
         """
-        own = self._trials.items()
-        found = {trial.plan for other, trial in own if other != fingerprint and rivals}
+        found = {
+            trial.plan
+            for other, trial in self._trials.items()
+            if other != fingerprint and rivals and not trial.is_probated()
+        }
         for node, trials in self._live_trials():
             for other, where in trials.items():
                 yields = where.startswith(WAITING) and node > self._node
                 if other != fingerprint and (rivals or not yields):
                     found.add(where.removeprefix(WAITING))
-        return found - {""}
+        return found - {"", RUNNING}
 
     def _live_trials(self) -> list[tuple[str, dict[int, str]]]:
         states = ((node, self._members.state(node)) for node in self._peer_trials)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -209,6 +209,24 @@
 
         self.run_simulated(test, size=3)
 
+    def test_wait_for_an_endpoint_of_its_own_is_bounded(self) -> None:
+        """Guards against answers that pause for long because few runners are left."""
+
+        async def test(cluster: Cluster) -> None:
+            cluster.nodes[0].crashed("r1", range(1, 9))
+
+            async def resume(number: int) -> float:
+                start = cluster.loop.time()
+                await cluster.nodes[0].hold(request(number), ["r1", "r2"])
+                cluster.nodes[0].started(request(number), "r2")
+                return cluster.loop.time() - start
+
+            waits = sorted(await asyncio.gather(*(resume(number) for number in range(1, 9))))
+            self.assertLess(waits[0], 0.8)
+            self.assertLess(waits[-1], 3.2)
+
+        self.run_simulated(test, size=1)
+
     def test_restarted_node_refuses(self) -> None:
         """Guards against a restarted node at which the poison starts again."""
 
