--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -185,14 +185,17 @@
 
 
 class FailureCase(unittest.IsolatedAsyncioTestCase):
-    async def open(self, nodes: int = 3, runners: int = 3, **options: object) -> Cluster:
+    async def open(
+        self, nodes: int = 3, runners: int = 3, ready: bool = True, **options: object
+    ) -> Cluster:
         """Start a deployment that ends with the test."""
         # The debug mode of the test case makes the callers slower than the nodes.
         asyncio.get_running_loop().set_debug(False)
         options = {"limits": FAST, "runner_args": RUNNER} | options
         cluster = Cluster(nodes, runners, **options)
         self.addAsyncCleanup(cluster.close)
-        await cluster.start()
+        if ready:
+            await cluster.start()
         return cluster
 
     async def assert_kept(self, cluster: Cluster) -> None:
--- /dev/null
+++ b/tests/relay.py
@@ -0,0 +1,62 @@
+"""TCP relay that can be cut, for partitions between processes on loopback."""
+
+import asyncio
+import contextlib
+
+
+class Relay:
+    """Passes connections on to one address until it is cut.
+
+    Args:
+        target: ``IP:port`` of the server behind it.
+    """
+
+    def __init__(self, target: str) -> None:
+        self.address = ""
+        self._target = target
+        self._open = True
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Listen on a port chosen by the system."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    def cut(self) -> None:
+        """Break all connections and refuse new ones."""
+        self._open = False
+        for writer in self._writers:
+            writer.transport.abort()
+
+    def heal(self) -> None:
+        """Accept connections again."""
+        self._open = True
+
+    def close(self) -> None:
+        """Stop listening."""
+        self.cut()
+        if self._server is not None:
+            self._server.close()
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        host, _, port = self._target.rpartition(":")
+        if not self._open:
+            writer.transport.abort()
+            return
+        try:
+            there, back = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, back}
+        await asyncio.gather(_copy(reader, back), _copy(there, writer))
+        self._writers -= {writer, back}
+
+
+async def _copy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    with contextlib.suppress(OSError):
+        while data := await reader.read(65536):
+            writer.write(data)
+            await writer.drain()
+    writer.transport.abort()
