--- a/lacewinghub/metrics.py
+++ b/lacewinghub/metrics.py
@@ -28,6 +28,7 @@
 }
 GAUGES = {
     "config_version": "version of the tables, sent when it changes",
+    "live_nodes": "nodes in state live, this one included, every 10 s",
     "in_flight": "requests that the node is serving, every 10 s",
     "memory_bytes": "resident memory of the process, every 10 s",
 }
