--- a/lacewinghub/errors.py
+++ b/lacewinghub/errors.py
@@ -257,6 +257,9 @@
 
 
 def all_errors() -> dict[str, type[LacewingError]]:
-    """Return the error classes by code."""
+    """Return the error classes by code.
+
+    Errors that other modules define for their own use do not count: they reach no caller.
+    """
     classes: list[type[LacewingError]] = [LacewingError, *LacewingError.__subclasses__()]
-    return {cls.code: cls for cls in classes}
+    return {cls.code: cls for cls in classes if cls.__module__ == __name__}
--- a/lacewinghub/report.py
+++ b/lacewinghub/report.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import Any, TextIO
 
-from .errors import BadRequest
+from .errors import BadRequest, HistoryInvalid
 from .history import Event, EventKind
 from .level import Count, Levels
 
@@ -134,9 +134,9 @@
         Number of events.
 
     Raises:
-        BadRequest: If another line is not an event.
+        HistoryInvalid: If another line is not an event.
     """
-    problem: BadRequest | None = None
+    problem: HistoryInvalid | None = None
     number = 0
     for number, line in enumerate(lines, 1):
         if problem is not None:
@@ -147,7 +147,7 @@
             data = json.loads(line)
             levels.observe(Event(**{**data, "kind": EventKind(data["kind"])}))
         except (ValueError, TypeError, KeyError) as exc:
-            problem = BadRequest(f"line {number} of {name} is not an event: {exc}")
+            problem = HistoryInvalid(f"line {number} of {name} is not an event: {exc}", line=number)
     return number
 
 
@@ -155,7 +155,7 @@
     """Count the events of several nodes' history files.
 
     Raises:
-        BadRequest: If a file cannot be read or holds something else.
+        HistoryInvalid: If a file cannot be read or holds something else.
     """
     levels = Levels(FILE_RESOLUTIONS)
     for path in paths:
@@ -163,7 +163,7 @@
             with Path(path).open(encoding="utf-8") as file:
                 read_history(file, levels, path)
         except (OSError, UnicodeDecodeError) as exc:
-            raise BadRequest(f"history file {path!r} cannot be read: {exc}") from exc
+            raise HistoryInvalid(f"history file {path!r} cannot be read: {exc}", file=path) from exc
     return levels
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -94,7 +94,7 @@
                 (["publish", "missing.json", "--log", address, "--author", "a"], "tables_invalid"),
                 (["publish", str(wrong), "--log", address, "--author", "a"], "tables_invalid"),
                 (["status", address], "unreachable"),
-                (["report", "missing.jsonl"], "bad_request"),
+                (["report", "missing.jsonl"], "history_invalid"),
                 (["report", "--status", address], "unreachable"),
                 (["load", "missing.json", "--node", address], "bad_request"),
             ]
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from lacewinghub import plot, report
-from lacewinghub.errors import BadRequest
+from lacewinghub.errors import BadRequest, HistoryInvalid
 from lacewinghub.history import Event, EventKind, History
 from lacewinghub.level import Levels, outcome
 
@@ -155,7 +155,7 @@
     def test_broken_file_is_refused(self) -> None:
         path = self._file("a", '{"kind": "other", "time": 1}', "{}")
         for name in (path, str(self.folder / "missing")):
-            with self.subTest(name), self.assertRaises(BadRequest):
+            with self.subTest(name), self.assertRaises(HistoryInvalid):
                 report.read_files([name])
 
     def test_table_and_page(self) -> None:
