--- a/lacewinghub/_fake_engine.py
+++ b/lacewinghub/_fake_engine.py
@@ -15,7 +15,15 @@
 MAX_PRIORITY = 8
 # Members of the body that steer the transport of an answer and do not change its text.
 TRANSPORT_MEMBERS = frozenset(
-    {"stream", "stream_options", "priority", "request_id", "resume_from", "max_tokens"}
+    {
+        "stream",
+        "stream_options",
+        "priority",
+        "request_id",
+        "resume_from",
+        "max_tokens",
+        "max_completion_tokens",
+    }
 )
 
 
@@ -40,12 +48,12 @@
     """Return the length of the answer to a body, in tokens.
 
     ``metadata.output_tokens`` sets it; otherwise it is from 1 to twice ``DEFAULT_MEAN_TOKENS`` and
-    follows from the body. ``max_tokens`` caps it.
+    follows from the body. ``max_tokens`` or ``max_completion_tokens`` caps it.
     """
     metadata = body.get("metadata")
     wanted = metadata.get("output_tokens") if isinstance(metadata, dict) else None
     total = int(wanted) if wanted else 1 + body_seed(body) % (2 * DEFAULT_MEAN_TOKENS)
-    limit = body.get("max_tokens")
+    limit = body.get("max_completion_tokens") or body.get("max_tokens")
     return min(total, int(limit)) if limit else total
 
 
--- a/lacewinghub/fake_runner.py
+++ b/lacewinghub/fake_runner.py
@@ -7,12 +7,13 @@
     data: {"id": "r1", "object": "chat.completion.chunk", "model": "m", "index": 0,
            "choices": [{"index": 0, "delta": {"content": "3fa0c1"}, "finish_reason": null}]}
     ...
-    data: {"id": "r1", ..., "index": 5, "usage": {"prompt_tokens": 9, "completion_tokens": 5},
+    data: {"id": "r1", ..., "index": 5, "total": 5,
+           "usage": {"prompt_tokens": 9, "completion_tokens": 5},
            "choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}]}
     data: [DONE]
 
 The top-level ``index`` is the token offset in the whole answer. The last chunk carries no token;
-its ``index`` and ``usage.completion_tokens`` are the number of tokens of the whole answer. Status
+its ``index`` and ``total`` are the number of tokens of the whole answer. Status
 503 with the header ``X-Endpoint-State: leaving`` means that the runner leaves and did not take the
 request; 429 means that its queue is full.
 
@@ -176,6 +177,7 @@
     def _on_crash(self) -> None:
         self.engine.reset()
         self._events.clear()
+        self._next_event = 0
         self._samples.clear()
         if self._sampler is not None:
             self._sampler.cancel()
@@ -273,7 +275,8 @@
         now = asyncio.get_running_loop().time()
         visible = [item for item in self._events if item.visible <= now and item.seq >= start]
         events = [{"seq": item.seq, "op": item.op, "block": item.block} for item in visible]
-        following = visible[-1].seq + 1 if visible else start
+        # A number below the one asked for tells that the runner has restarted.
+        following = visible[-1].seq + 1 if visible else min(start, self._next_event)
         return self._reply({"events": events, "next": following})
 
     def _collect_events(self) -> None:
@@ -318,6 +321,7 @@
         "choices": [{"index": 0, "delta": delta, "finish_reason": finish}],
     }
     if finish:
+        chunk["total"] = sequence.total
         chunk["usage"] = _usage(body, sequence)
     return f"data: {json.dumps(chunk)}\n\n"
 
--- a/lacewinghub/observe.py
+++ b/lacewinghub/observe.py
@@ -14,6 +14,8 @@
 
 GAUGE_INTERVAL_S = 10.0
 DELAY_PROBE_S = 0.1
+# A keyed call goes on after its caller left and has no further end event.
+MAX_ENDPOINTS = 10_000
 _PAGE_BYTES = 4096
 _ENDS = {EventKind.FINISHED, EventKind.SHED, EventKind.FAILED, EventKind.CANCELLED}
 
@@ -125,6 +127,8 @@
         elif event.request in self._endpoints:
             self._metrics.count("retries", event.pool)
         self._endpoints[event.request] = event.endpoint
+        if len(self._endpoints) > MAX_ENDPOINTS:
+            del self._endpoints[next(iter(self._endpoints))]
 
     def _end(self, event: Event) -> None:
         outcome = OK
--- a/tests/test_fakes.py
+++ b/tests/test_fakes.py
@@ -10,7 +10,7 @@
 import aiohttp
 import looptime
 
-from lacewinghub._fake_engine import Engine, prefix_blocks
+from lacewinghub._fake_engine import Engine, prefix_blocks, prompt_words
 from lacewinghub.fake_runner import (
     POISON,
     STATE_HEADER,
@@ -20,6 +20,7 @@
     expected_tokens,
 )
 from lacewinghub.fake_service import FakeService, ServiceFaults
+from lacewinghub.request import prefix_hashes
 
 FAST = EngineConfig(step_s=0.001, step_per_sequence_s=0.0)
 
@@ -176,8 +177,13 @@
             await asyncio.sleep(0.3)
             async with client.get("/cache_events?from=0") as reply:
                 late = await reply.json()
+            runner.crash()
+            await runner.restart()
+            async with client.get(f"/cache_events?from={late['next']}") as reply:
+                restarted = await reply.json()
         await runner.stop()
         self.assertEqual(early, {"events": [], "next": 0})
+        self.assertEqual(restarted, {"events": [], "next": 0})
         self.assertTrue(0 < len(late["events"]) < 20)
         blocks = prefix_blocks("colour", words.split())
         self.assertTrue(all(event["block"] in blocks for event in late["events"]))
@@ -229,6 +235,16 @@
         self.assertLess(self.elapsed_s, alone_s + 0.1)
         self.assertEqual(self.engine.stats.cached_tokens, 640)
 
+    def test_blocks_equal_those_of_the_nodes(self) -> None:
+        messages = [
+            {"role": "system", "content": " ".join(f"s{n}" for n in range(100))},
+            {"role": "user", "content": [{"type": "text", "text": "a b " * 60}]},
+        ]
+        words = prompt_words({"messages": messages})
+        found = prefix_blocks("colour", words)
+        self.assertEqual(len(found), 3)
+        self.assertEqual(found, list(prefix_hashes("colour", messages)))
+
     def test_small_cache_evicts(self) -> None:
         cfg = EngineConfig(slots=1, cache_blocks=5)
         texts = [" ".join(f"{name}{n}" for n in range(320)) for name in "aba"]
--- a/tests/test_observe.py
+++ b/tests/test_observe.py
@@ -12,7 +12,13 @@
 from lacewinghub.history import Event, EventKind, History
 from lacewinghub.level import Levels
 from lacewinghub.metrics import Metrics
-from lacewinghub.observe import DELAY_PROBE_S, GAUGE_INTERVAL_S, Observer, Stopwatch
+from lacewinghub.observe import (
+    DELAY_PROBE_S,
+    GAUGE_INTERVAL_S,
+    MAX_ENDPOINTS,
+    Observer,
+    Stopwatch,
+)
 from lacewinghub.tables import Target
 
 
@@ -98,6 +104,11 @@
         for sent in self.metrics.sent:
             self.assertIn((sent[1], len(sent) - 2), listed)
 
+    def test_calls_without_an_end_are_forgotten(self) -> None:
+        for number in range(MAX_ENDPOINTS + 5):
+            self._record(EventKind.DISPATCHED, request=f"r{number}", endpoint="a1")
+        self.assertEqual(len(self.observer._endpoints), MAX_ENDPOINTS)
+
     def test_gauges_and_loop_delay(self) -> None:
         observer = Observer(self.metrics, Levels(), {"live_nodes": lambda: 3.0})
         loop = looptime.new_event_loop(start=0)
