--- a/lacewinghub/node.py
+++ b/lacewinghub/node.py
@@ -136,7 +136,8 @@
             self._history_out = open(cfg.history_file, "a", encoding="utf-8")  # noqa: SIM115
         self._history = History(cfg.node, self._history_out)
         self._metrics = Metrics(cfg.statsd or "", cfg.node)
-        self._observer = Observer(self._metrics, Levels(), {"in_flight": self._in_flight})
+        gauges = {"in_flight": self._in_flight, "live_nodes": self._live_count}
+        self._observer = Observer(self._metrics, Levels(), gauges)
         self._history.listen(self._observer.take)
         self._log = HttpLog(cfg.log)
         address = cfg.peer_address or cfg.peer_listen
