--- a/lacewinghub/admission.py
+++ b/lacewinghub/admission.py
@@ -308,13 +308,15 @@
                 if age >= 0:
                     last[tier] = now - age / 1000
             known[item.pool] = _PeerPressure(item.floor, last)
-        self._peers = {
-            node: pressure
-            for node, pressure in self._peers.items()
-            if self._members.state(node) is not MemberState.DEAD
-        }
+        if heartbeat.node not in self._peers:
+            self._forget_dead()
         self._peers[heartbeat.node] = known
 
+    def _forget_dead(self) -> None:
+        for node in list(self._peers):
+            if self._members.state(node) is MemberState.DEAD:
+                del self._peers[node]
+
     def _admit(
         self,
         pool: Pool,
@@ -344,7 +346,8 @@
 
     def _by_wait(self, pool: str, queue: WaitQueue, own: _Floor) -> int:
         for tier in range(1, MAX_TIER + 1):
-            if self.predicted_wait(pool, queue, tier) > own.patience[tier]:
+            patience = own.patience[tier]
+            if patience < math.inf and self.predicted_wait(pool, queue, tier) > patience:
                 return tier
         return MAX_TIER
 
--- a/lacewinghub/broker.py
+++ b/lacewinghub/broker.py
@@ -21,6 +21,7 @@
 SWEEP_S = 0.1
 IDLE_S = 10.0  # A group without demands for this long is dropped.
 OPEN_EVERY_S = 0.5
+FORECAST_EVERY_S = 0.02
 ANSWER_EVERY_S = 0.1  # Smallest interval between empty answers to a node.
 MIN_SHARE = 0.02
 EARNED_SHARE = 0.03  # Of every grant; above the minimum, since a tier earns only while it waits.
@@ -83,6 +84,7 @@
     runners: dict[str, _Runner] = field(default_factory=dict)
     drain: DrainRate = field(default_factory=lambda: DrainRate(MIN_SHARE))
     waits: list[int] = field(default_factory=list)
+    forecast: float = -math.inf
     use_s: float = 0.0
     credit: defaultdict[int, float] = field(default_factory=lambda: defaultdict(float))
 
@@ -277,7 +279,9 @@
             _pay(state, waiting, tier)
             state.drain.served(tier, 1.0)
         state.drain.advance(now, bool(waiting))
-        state.waits = _forecast(state, waiting, now)
+        if now - state.forecast >= FORECAST_EVERY_S:
+            state.forecast = now
+            state.waits = _forecast(state, waiting, now)
         for name, items in made.items():
             self._answer(state, name, items, now)
 
@@ -407,26 +411,30 @@
 
 def _forecast(state: _State, waiting: Counter[int], now: float) -> list[int]:
     """Return the expected wait of a new request by tier, in milliseconds."""
+    if not waiting:
+        return []
     waits: list[int] = []
     ahead = 1
     slots = sum(runner.limit.value for runner in state.runners.values())
     prior = slots / state.use_s if state.use_s else None
-    for tier in range(1, MAX_TIER + 1) if waiting else ():
+    oldest = _oldest_ms(state, now)
+    for tier in range(1, MAX_TIER + 1):
         ahead += waiting.get(tier, 0)
         rate = state.drain.rate(tier, prior)
         expected = int(1000 * ahead / rate) if rate else 0
-        waits.append(max(expected, _oldest_ms(state, tier, now)))
+        waits.append(max(expected, oldest.get(tier, 0)))
     return waits
 
 
-def _oldest_ms(state: _State, tier: int, now: float) -> int:
-    """Return the age of the oldest waiting request of a tier, averaged over the nodes."""
-    ages = [
-        node.oldest_ms[tier - 1] + int(1000 * (now - node.seen))
-        for node in state.nodes.values()
-        if len(node.oldest_ms) >= tier and any(number == tier for number, _ in node.waiting)
-    ]
-    return sum(ages) // len(ages) if ages else 0
+def _oldest_ms(state: _State, now: float) -> dict[int, int]:
+    """Return the age of the oldest waiting request by tier, averaged over the nodes."""
+    ages: dict[int, list[int]] = {}
+    for node in state.nodes.values():
+        since = int(1000 * (now - node.seen))
+        for tier in {number for number, _ in node.waiting}:
+            if tier <= len(node.oldest_ms):
+                ages.setdefault(tier, []).append(node.oldest_ms[tier - 1] + since)
+    return {tier: sum(found) // len(found) for tier, found in ages.items()}
 
 
 def _subtract(waiting: Counter[tuple[int, str]], tier: int, preferred: str | None = None) -> None:
--- a/lacewinghub/brokered.py
+++ b/lacewinghub/brokered.py
@@ -23,7 +23,7 @@
 from .selection import Affinity, LoadReports, TwoChoices
 from .transport import Transport
 
-TICK_S = 0.05
+TICK_S = 0.1
 REGROUP_S = 0.5  # A request that waits longer asks the broker with the most free slots each tick.
 MEDIAN = 0.5
 
