Probe a crashed endpoint with one request and model refused connections

Cause: after its rest a crashed endpoint received as many requests as it has slots, and the model counted a call that could not connect as executed, unlike the router, which repeats calls that were not sent.

--- a/lacewinghub/broker.py
+++ b/lacewinghub/broker.py
@@ -356,7 +356,9 @@
         if runner.rests_until > now:
             return 0
         limit = runner.limit.value
-        if 0.0 < state.use_s < TURNOVER_S * limit:
+        if runner.rest_s > CRASH_REST_S:
+            limit = 1  # Probed with one request until it has served one.
+        elif 0.0 < state.use_s < TURNOVER_S * limit:
             limit += 1
         return max(0, limit - runner.granted)
 
--- a/lacewinghub/model.py
+++ b/lacewinghub/model.py
@@ -25,6 +25,7 @@
 
     DONE = "done"
     CRASHED = "crashed"
+    NOT_TAKEN = "not_taken"
     CANCELLED = "cancelled"
 
 
@@ -105,9 +106,9 @@
         return len(self._queue)
 
     def submit(self, job: Job) -> None:
-        """Queue a job; a runner that is down fails it at once."""
+        """Queue a job; a runner that is down does not take it."""
         if not self.up:
-            job.fut.set_result(JobEnd.CRASHED)
+            job.fut.set_result(JobEnd.NOT_TAKEN)
             return
         self._seq += 1
         heapq.heappush(self._queue, (job.tier, self._seq, job))
--- a/lacewinghub/simulation.py
+++ b/lacewinghub/simulation.py
@@ -25,6 +25,7 @@
 ABANDON_FACTOR = 2.0  # Callers leave after this multiple of the completion target.
 MAX_ATTEMPTS = 5
 DRAIN_S = 60.0
+FAILURES = (JobEnd.CRASHED, JobEnd.NOT_TAKEN)
 METERED = ("pump", "release", "make_waiter", "_tick_pool", "_on_grant")
 
 
@@ -363,7 +364,7 @@
                 node.record(EventKind.FINISHED, req, tokens=result.tokens)
                 result.end = "finished"
                 return
-            if not result.call.kind.repeatable:
+            if end is JobEnd.CRASHED and not result.call.kind.repeatable:
                 self.run_result.wasted["crashed"] += result.tokens
                 return
             req.avoid.add(grant.endpoint)
@@ -394,7 +395,7 @@
             if result.first is None:
                 result.first = job.first
             self.run_result.generated += job.sent
-            node.health.note(grant.endpoint, end is not JobEnd.CRASHED)
+            node.health.note(grant.endpoint, end not in FAILURES)
             if node.alive:
                 node.scheduler.release(grant, _observation(job, end, began, loop.time()))
         return end
@@ -406,4 +407,4 @@
     if job.first is not None and job.sent > 1:
         between = (now - job.first) / (job.sent - 1)
     ok = end is JobEnd.DONE
-    return Observation(ok, first, between, job.sent, crashed=end is JobEnd.CRASHED)
+    return Observation(ok, first, between, job.sent, crashed=end in FAILURES)
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -189,6 +189,24 @@
 
         self.assertEqual(_run(main), {"r2"})
 
+    def test_crashed_endpoint_rests_and_is_probed_with_one_request(self) -> None:
+        async def main() -> list[int]:
+            cluster = _Cluster(nodes=3, endpoints=1, slots=4)
+            await asyncio.sleep(START_S)
+            grant = await cluster.acquire("n1")
+            cluster.schedulers["n1"].release(grant, Observation(ok=False, crashed=True))
+            tasks = [asyncio.create_task(cluster.acquire("n2")) for _ in range(3)]
+            counts = []
+            for wait in (0.8, 0.6, 0.1):
+                await asyncio.sleep(wait)
+                done = [task.result() for task in tasks if task.done()]
+                counts.append(len(done))
+                if len(counts) == 2:
+                    cluster.schedulers["n2"].release(done[0], DONE)
+            return counts
+
+        self.assertEqual(_run(main), [0, 1, 3])
+
     def test_withdrawn_request_returns_its_slot(self) -> None:
         async def main() -> int:
             cluster = _Cluster()
