--- /dev/null
+++ b/lacewinghub/capacity.py
@@ -0,0 +1,375 @@
+"""Measures how the cost of state grows, as the basis of the capacity page.
+
+Every function returns a line through at least four measured points. Memory is what Python
+allocates, in bytes; time is processor time of this process, in seconds.
+"""
+
+import asyncio
+import gc
+import hashlib
+import json
+import math
+import time
+import tracemalloc
+from collections.abc import Callable, Sequence
+from dataclasses import asdict, dataclass
+from typing import Any
+
+from .claim import Claimer
+from .claim_index import ClaimIndex, ClaimRecord, ResultRecord
+from .config import ChangeRecord, ConfigState, SnapshotRecord
+from .endpoint import Reply
+from .fake_log import MemoryLog
+from .log import Page, Record
+from .request import Request
+from .router import Check
+from .tables import Change, Tables, Target
+
+WORKSPACES = (10, 1_000, 5_000, 9_000, 13_000)
+CLAIMS = (1_000, 5_000, 10_000, 20_000)
+CHANGES = (500, 1_000, 2_000, 4_000)
+NODES = (1, 3, 5, 7, 9)
+POOLS = 4
+ENDPOINTS = 5_700
+PAGE_RECORDS = 500
+RETENTION_S = 86_400.0
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """A line fitted to measured points by least squares.
+
+    Attributes:
+        name: What grows.
+        unit: Unit of the slope.
+        points: Measured pairs of size and cost.
+        slope: Cost per unit of size.
+        intercept: Cost at size 0.
+        error: Standard error of the slope.
+    """
+
+    name: str
+    unit: str
+    points: tuple[tuple[float, float], ...]
+    slope: float
+    intercept: float
+    error: float
+
+
+def fit(name: str, unit: str, points: Sequence[tuple[float, float]]) -> Slope:
+    """Fit a line.
+
+    Args:
+        name: What grows.
+        unit: Unit of the slope.
+        points: Pairs of size and cost, at least four of different size.
+
+    Returns:
+        The line and the standard error of its slope.
+
+    Raises:
+        ValueError: If there are fewer than four sizes.
+    """
+    if len({x for x, _ in points}) < 4:
+        raise ValueError("a slope needs points of at least four sizes")
+    n = len(points)
+    mean_x = sum(x for x, _ in points) / n
+    mean_y = sum(y for _, y in points) / n
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    intercept = mean_y - slope * mean_x
+    rest = sum((y - intercept - slope * x) ** 2 for x, y in points)
+    return Slope(name, unit, tuple(points), slope, intercept, math.sqrt(rest / (n - 2) / spread))
+
+
+def sample_document(workspaces: int, routes: int, endpoints: int = ENDPOINTS) -> dict[str, Any]:
+    """Build tables of a given size with one key per workspace."""
+    return {
+        "pools": [
+            {
+                "name": f"pool-{pool}",
+                "endpoints": [_endpoint(n) for n in range(pool, endpoints, POOLS)],
+            }
+            for pool in range(POOLS)
+        ],
+        "routes": [_route(n) for n in range(routes)],
+        "workspaces": [_workspace(n) for n in range(workspaces)],
+    }
+
+
+def workspace_memory(sizes: Sequence[int] = WORKSPACES) -> Slope:
+    """Measure the memory of tables by number of workspaces."""
+    points = [(float(n), _allocated(_tables, n, 0)) for n in sizes]
+    return fit("memory per workspace", "bytes", points)
+
+
+def route_memory(sizes: Sequence[int] = WORKSPACES) -> Slope:
+    """Measure the memory of tables by number of routes."""
+    points = [(float(n), _allocated(_tables, 0, n)) for n in sizes]
+    return fit("memory per route", "bytes", points)
+
+
+def claim_memory(sizes: Sequence[int] = CLAIMS, answered: bool = True) -> Slope:
+    """Measure the memory of the index by number of claims, with or without a small answer."""
+    points = [(float(n), _allocated(_index, n, answered)) for n in sizes]
+    return fit(f"memory per claim {'with' if answered else 'without'} answer", "bytes", points)
+
+
+def claim_replay(sizes: Sequence[int] = CLAIMS) -> Slope:
+    """Measure the time to replay claims with their results."""
+    points = []
+    for n in sizes:
+        pages = _claim_pages(n, answered=True)
+        points.append((float(n), _seconds(_fill_index, pages)))
+    return fit("replay per claim and result", "s", points)
+
+
+def change_time(sizes: Sequence[int] = WORKSPACES, repeats: int = 30) -> Slope:
+    """Measure the time to apply one change by number of workspaces and as many routes."""
+    points = []
+    for n in sizes:
+        state = _synced_state(n)
+        pages = _change_pages(state, repeats, 1)
+        spent = _seconds(_feed, state, pages)
+        points.append((float(n), spent / repeats))
+    return fit("time per change and workspace", "s", points)
+
+
+def change_replay(sizes: Sequence[int] = CHANGES, workspaces: int = 13_000) -> Slope:
+    """Measure the time to replay changes, in pages as a starting node reads them."""
+    points = []
+    for n in sizes:
+        state = _synced_state(workspaces)
+        pages = _change_pages(state, n, PAGE_RECORDS)
+        points.append((float(n), _seconds(_feed, state, pages)))
+    return fit("replay per change", "s", points)
+
+
+def snapshot_size(sizes: Sequence[int] = WORKSPACES) -> Slope:
+    """Measure the size of a snapshot as JSON, by number of workspaces and as many routes."""
+    points = [(float(n), float(len(json.dumps(asdict(_snapshot(_tables(n, n))))))) for n in sizes]
+    return fit("snapshot size per workspace with route", "bytes", points)
+
+
+def snapshot_write(sizes: Sequence[int] = WORKSPACES) -> Slope:
+    """Measure the time to make and encode a snapshot."""
+    points = []
+    for n in sizes:
+        tables = _tables(n, n)
+        points.append((float(n), _seconds(_encode, tables)))
+    return fit("snapshot write per workspace with route", "s", points)
+
+
+def snapshot_load(sizes: Sequence[int] = WORKSPACES) -> Slope:
+    """Measure the time to decode a snapshot and make its tables."""
+    points = []
+    for n in sizes:
+        text = json.dumps(_tables(n, n).to_document())
+        points.append((float(n), _seconds(_decode, text)))
+    return fit("snapshot load per workspace with route", "s", points)
+
+
+async def append_rates(
+    nodes: Sequence[int] = NODES,
+    claims_per_s: float = 20.0,
+    log_delay_s: float = 0.005,
+    duration_s: float = 2.0,
+) -> tuple[Slope, Slope]:
+    """Measure the load on the log by number of nodes.
+
+    Args:
+        nodes: Numbers of nodes.
+        claims_per_s: New keys per second and node.
+        log_delay_s: Delay of each operation of the log, in seconds.
+        duration_s: Length of each run in seconds.
+
+    Returns:
+        Appends per second, and records per append, by number of nodes.
+    """
+    rates, batches = [], []
+    for count in nodes:
+        appends, records, spent = await _load_log(count, claims_per_s, log_delay_s, duration_s)
+        rates.append((float(count), appends / spent))
+        batches.append((float(count), records / appends))
+    return (
+        fit("appends per second and node", "1/s", rates),
+        fit("records per append and node", "records", batches),
+    )
+
+
+async def measure() -> list[Slope]:
+    """Measure all slopes; takes about a minute."""
+    slopes = [
+        workspace_memory(),
+        route_memory(),
+        claim_memory(answered=False),
+        claim_memory(answered=True),
+        claim_replay(),
+        change_time(),
+        change_replay(),
+        snapshot_size(),
+        snapshot_write(),
+        snapshot_load(),
+    ]
+    return [*slopes, *await append_rates()]
+
+
+def _endpoint(n: int) -> dict[str, Any]:
+    address = f"10.{n // 62500}.{n // 250 % 250}.{n % 250 + 1}:8000"
+    return {"name": f"runner-{n}", "address": address, "availability_zone": "north-a"}
+
+
+def _workspace(n: int, weight: float = 1.0) -> dict[str, Any]:
+    key = hashlib.sha256(f"key-{n}".encode()).hexdigest()
+    return {"name": f"workspace-{n}", "keys": [key], "weight": weight}
+
+
+def _route(n: int) -> dict[str, Any]:
+    return {
+        "name": f"route-{n}",
+        "pool": f"pool-{n % POOLS}",
+        "tier": 1 + n % 8,
+        "workspace": f"workspace-{n}",
+    }
+
+
+def _tables(workspaces: int, routes: int) -> Tables:
+    return Tables.parse(sample_document(workspaces, routes), 1)
+
+
+def _encode(tables: Tables) -> str:
+    return json.dumps(tables.to_document())
+
+
+def _decode(text: str) -> Tables:
+    return Tables.parse(json.loads(text))
+
+
+def _snapshot(tables: Tables) -> SnapshotRecord:
+    return SnapshotRecord(tables.version, 0, "n1", tables.to_document())
+
+
+def _synced_state(workspaces: int) -> ConfigState:
+    state = ConfigState()
+    state.adopt(1, sample_document(workspaces, workspaces), 1)
+    return state
+
+
+def _change_pages(state: ConfigState, count: int, page_records: int) -> list[Page]:
+    records = []
+    size = len(state.tables.workspaces)
+    for n in range(count):
+        value = _workspace(n % size, weight=2.0 + n % 900)
+        version = state.tables.version + n
+        change = ChangeRecord(
+            version, version + 1, "ana", f"id-{n}", [Change("workspaces", value["name"], value)]
+        )
+        records.append(Record(state.next + n, 0.0, asdict(change)))
+    return _pages(records, page_records)
+
+
+def _pages(records: list[Record], size: int) -> list[Page]:
+    end = records[-1].offset + 1
+    return [
+        Page(records[at : at + size], 0, end, 0.0, RETENTION_S)
+        for at in range(0, len(records), size)
+    ]
+
+
+def _feed(state: ConfigState, pages: list[Page]) -> None:
+    accepted = sum(len(state.feed(page)) for page in pages)
+    if accepted != sum(len(page.records) for page in pages):
+        raise RuntimeError("a measured change was not accepted")
+
+
+def _claim_pages(count: int, answered: bool) -> list[Page]:
+    data: list[dict[str, Any]] = []
+    for n in range(count):
+        digest = hashlib.sha256(f"{n}".encode()).hexdigest()
+        key, body, claim_id = digest[:32], digest[32:], f"{digest[:16]}-{n}"
+        data.append(asdict(ClaimRecord(key, body, claim_id, "n1", 1, 0)))
+        if answered:
+            answer = {"booking": f"b-{n}", "slot": "2026-12-04T09:00", "kitchen": digest[:12]}
+            result = ResultRecord(key, claim_id, body, "n1", 1, 0.0, True, 200, True, answer)
+            data.append(asdict(result))
+    return _pages([Record(at, 0.0, item) for at, item in enumerate(data)], PAGE_RECORDS)
+
+
+def _fill_index(pages: list[Page]) -> ClaimIndex:
+    index = ClaimIndex()
+    for page in pages:
+        index.feed(page)
+    return index
+
+
+def _index(count: int, answered: bool) -> ClaimIndex:
+    return _fill_index(_claim_pages(count, answered))
+
+
+def _allocated(build: Callable[..., Any], *args: Any) -> float:
+    """Return the memory that the result of a function keeps, in bytes."""
+    build(*args)
+    gc.collect()
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        kept = build(*args)
+        gc.collect()
+        after, _ = tracemalloc.get_traced_memory()
+        del kept
+        return float(after - before)
+    finally:
+        tracemalloc.stop()
+
+
+def _seconds(run: Callable[..., Any], *args: Any) -> float:
+    gc.collect()
+    start = time.process_time()
+    run(*args)
+    return time.process_time() - start
+
+
+async def _load_log(
+    count: int, claims_per_s: float, log_delay_s: float, duration_s: float
+) -> tuple[int, int, float]:
+    """Return appends, records and the time of a run, in seconds."""
+    log = MemoryLog(append_limit=1e6)
+    log.set_faults(slow_s=log_delay_s)
+    nodes = [Claimer(f"n{n}", log) for n in range(count)]
+    tasks = [asyncio.create_task(node.run()) for node in nodes]
+    while not all(node.ready for node in nodes):
+        await asyncio.sleep(0.01)
+    loop = asyncio.get_running_loop()
+    start = loop.time()
+    calls: list[asyncio.Task[Reply]] = []
+    for turn in range(round(duration_s * claims_per_s)):
+        await asyncio.sleep(max(0.0, start + turn / claims_per_s - loop.time()))
+        for at, node in enumerate(nodes):
+            req = _request(f"{at}-{turn}", loop.time())
+            calls.append(asyncio.create_task(node.execute(req, _answer)))
+    await asyncio.gather(*calls)
+    spent = loop.time() - start
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    return log.appends, len(log.records("claims")), spent
+
+
+def _request(key: str, now: float) -> Request:
+    return Request(
+        id=key,
+        workspace="trust",
+        request_class="booking",
+        tier=1,
+        pool="booking",
+        body={"kitchen": key},
+        arrived=now,
+        patience_s=30.0,
+        target=Target(),
+        key=key,
+    )
+
+
+async def _answer(check: Check) -> Reply:
+    check()
+    return Reply(200, {"booked": True})
