--- a/lacewinghub/_outbox.py
+++ b/lacewinghub/_outbox.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -13,6 +14,8 @@
 
 BACKOFF_MIN_S = 0.05
 BACKOFF_MAX_S = 2.0
+# A shorter pause can be below the resolution of the clock.
+MIN_PAUSE_S = 0.001
 BATCH_RECORDS = 200
 BATCH_BYTES = 512 * 1024
 # After a failed append few records are put at risk of an unknown fate by the next one.
@@ -48,9 +51,19 @@
         log: The platform's log.
         stream: Name of the stream.
         rng: Source of the jitter.
+        interval: Returns the shortest time between the starts of two appends, in seconds. The
+            first record after a pause does not wait.
     """
 
-    def __init__(self, log: Log, stream: str, rng: random.Random) -> None:
+    def __init__(
+        self,
+        log: Log,
+        stream: str,
+        rng: random.Random,
+        interval: Callable[[], float] = lambda: 0.0,
+    ) -> None:
+        self._interval = interval
+        self._started = float("-inf")
         self._log = log
         self._stream = stream
         self._random = rng
@@ -82,6 +95,7 @@
         backoff = BACKOFF_MIN_S
         while True:
             await self._filled.wait()
+            await self._pace()
             batch = self._batch()
             if not batch:
                 self._filled.clear()
@@ -111,6 +125,13 @@
                 await asyncio.sleep(BACKOFF_MAX_S * self._random.uniform(0.2, 1.0))
         return False
 
+    async def _pace(self) -> None:
+        loop = asyncio.get_running_loop()
+        left = self._started + self._interval() - loop.time()
+        if left > 0:
+            await asyncio.sleep(max(MIN_PAUSE_S, left))
+        self._started = loop.time()
+
     def _batch(self) -> list[Item]:
         limit = BATCH_RECORDS if self._log_works else PROBE_RECORDS
         batch: list[Item] = []
--- a/lacewinghub/capacity.py
+++ b/lacewinghub/capacity.py
@@ -5,9 +5,9 @@
 """
 
 import asyncio
+import base64
 import gc
 import hashlib
-import json
 import math
 import time
 import tracemalloc
@@ -17,10 +17,11 @@
 
 from .claim import Claimer
 from .claim_index import ClaimIndex, ClaimRecord, ResultRecord
-from .config import ChangeRecord, ConfigState, SnapshotRecord
+from .config import ChangeRecord, ConfigState, pack_document, unpack_document
 from .endpoint import Reply
 from .fake_log import MemoryLog
 from .log import Page, Record
+from .membership import Member, Members, MemberState
 from .request import Request
 from .router import Check
 from .tables import Change, Tables, Target
@@ -146,8 +147,8 @@
 
 
 def snapshot_size(sizes: Sequence[int] = WORKSPACES) -> Slope:
-    """Measure the size of a snapshot as JSON, by number of workspaces and as many routes."""
-    points = [(float(n), float(len(json.dumps(asdict(_snapshot(_tables(n, n))))))) for n in sizes]
+    """Measure the size of a snapshot record, by number of workspaces and as many routes."""
+    points = [(float(n), float(len(base64.b64encode(_encode(_tables(n, n)))))) for n in sizes]
     return fit("snapshot size per workspace with route", "bytes", points)
 
 
@@ -164,8 +165,8 @@
     """Measure the time to decode a snapshot and make its tables."""
     points = []
     for n in sizes:
-        text = json.dumps(_tables(n, n).to_document())
-        points.append((float(n), _seconds(_decode, text)))
+        data = _encode(_tables(n, n))
+        points.append((float(n), _seconds(_decode, data)))
     return fit("snapshot load per workspace with route", "s", points)
 
 
@@ -237,21 +238,17 @@
     return Tables.parse(sample_document(workspaces, routes), 1)
 
 
-def _encode(tables: Tables) -> str:
-    return json.dumps(tables.to_document())
+def _encode(tables: Tables) -> bytes:
+    return pack_document(tables)
 
 
-def _decode(text: str) -> Tables:
-    return Tables.parse(json.loads(text))
-
-
-def _snapshot(tables: Tables) -> SnapshotRecord:
-    return SnapshotRecord(tables.version, 0, "n1", tables.to_document())
+def _decode(data: bytes) -> Tables:
+    return Tables.parse(unpack_document(data))
 
 
 def _synced_state(workspaces: int) -> ConfigState:
     state = ConfigState()
-    state.adopt(1, sample_document(workspaces, workspaces), 1)
+    state.adopt(1, _encode(_tables(workspaces, workspaces)), 1)
     return state
 
 
@@ -335,7 +332,8 @@
     """Return appends, records and the time of a run, in seconds."""
     log = MemoryLog(append_limit=1e6)
     log.set_faults(slow_s=log_delay_s)
-    nodes = [Claimer(f"n{n}", log) for n in range(count)]
+    members = _AllLive(count)
+    nodes = [Claimer(f"n{n}", log, members) for n in range(count)]
     tasks = [asyncio.create_task(node.run()) for node in nodes]
     while not all(node.ready for node in nodes):
         await asyncio.sleep(0.01)
@@ -355,6 +353,17 @@
     return log.appends, len(log.records("claims")), spent
 
 
+class _AllLive(Members):
+    def __init__(self, count: int) -> None:
+        self._members = [Member(f"n{n}", "", "", 0, MemberState.LIVE) for n in range(count)]
+
+    def live(self) -> list[Member]:
+        return self._members
+
+    def state(self, node: str) -> MemberState:
+        return MemberState.LIVE
+
+
 def _request(key: str, now: float) -> Request:
     return Request(
         id=key,
--- a/lacewinghub/claim.py
+++ b/lacewinghub/claim.py
@@ -54,6 +54,8 @@
 VERIFY_TIMEOUT_S = 1.0
 # An answer waits this long for its result record; after that a crash of the node can lose it.
 SETTLE_WAIT_S = 1.0
+# The log takes several hundred appends per second; claims of all nodes together use this many.
+APPENDS_PER_S = 200.0
 ALIVE_POLL_S = 0.25
 # A shorter pause can be below the resolution of the clock and would not end.
 MIN_PAUSE_S = 0.001
@@ -156,7 +158,7 @@
         self._attempts: dict[bytes, _Attempt] = {}
         self._undecided: dict[str, _Attempt] = {}
         self._waiters: dict[bytes, list[asyncio.Future[None]]] = {}
-        self._outbox = Outbox(log, CLAIM_STREAM, self._random)
+        self._outbox = Outbox(log, CLAIM_STREAM, self._random, self._append_interval)
         self._refresh_timer = RefreshTimer(self._random)
         self._copying: asyncio.Task[None] | None = None
         self._log_time = 0.0
@@ -428,6 +430,10 @@
     def _log_now(self) -> float:
         return self._log_time + asyncio.get_running_loop().time() - self._log_time_at
 
+    def _append_interval(self) -> float:
+        nodes = len(self._members.live()) if self._members is not None else 1
+        return nodes / APPENDS_PER_S
+
     def _enqueue(self, record: ClaimRecord | ReleaseRecord | ResultRecord, size: int = 256) -> Item:
         return self._outbox.add(asdict(record), size)
 
--- a/lacewinghub/config.py
+++ b/lacewinghub/config.py
@@ -1,7 +1,10 @@
 """The tables of a node, replicated through the stream ``config`` of the log."""
 
 import asyncio
+import base64
+import json
 import random
+import zlib
 from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from typing import Any, Literal
@@ -19,6 +22,8 @@
 from .transport import Transport
 
 CONFIG_STREAM = "config"
+# Tables of 13,000 workspaces with a route each have 5 MB.
+MAX_DOCUMENT_BYTES = 64 * 1024 * 1024
 READ_WAIT_S = 2.0
 BACKOFF_MIN_S = 0.05
 BACKOFF_MAX_S = 2.0
@@ -56,13 +61,14 @@
         version: Version of the tables.
         through: Offset of the first record that the tables do not reflect.
         node: Node that appended it.
-        document: The tables as a JSON document.
+        document: The tables as a JSON document, compressed with zlib and in base 64. Readers that
+            need no snapshot skip it without decoding megabytes.
     """
 
     version: int
     through: int
     node: str
-    document: Any
+    document: str
     kind: Literal["snapshot"] = "snapshot"
 
 
@@ -126,12 +132,12 @@
         self._build()
         return accepted
 
-    def adopt(self, version: int, document: Any, through: int) -> list[Accepted] | None:
+    def adopt(self, version: int, document: bytes, through: int) -> list[Accepted] | None:
         """Take over the tables at an offset.
 
         Args:
             version: Version of the tables.
-            document: The tables as a JSON document.
+            document: The tables as a JSON document, compressed with zlib.
             through: Offset of the first record that they do not reflect.
 
         Returns:
@@ -145,7 +151,7 @@
             return None
         if version < self._version:
             return None
-        self.tables = Tables.parse(document, version)
+        self.tables = Tables.parse(unpack_document(document), version)
         self._draft, self._version = Draft(self.tables), version
         self.next = max(self.next, through)
         self.synced = True
@@ -185,8 +191,9 @@
             logger.error("snapshot at offset {} claims to reflect later records", record.offset)
             return []
         try:
-            accepted = self.adopt(snapshot.version, snapshot.document, snapshot.through)
-        except TablesInvalid as exc:
+            document = base64.b64decode(snapshot.document)
+            accepted = self.adopt(snapshot.version, document, snapshot.through)
+        except (TablesInvalid, ValueError) as exc:
             logger.error("snapshot of version {} is invalid: {}", snapshot.version, exc)
             return []
         if accepted is not None or (self.synced and snapshot.version == self._version):
@@ -210,6 +217,27 @@
             self.tables = self._draft.build(self._version)
 
 
+def pack_document(tables: Tables) -> bytes:
+    """Return tables as a compressed JSON document."""
+    return zlib.compress(json.dumps(tables.to_document()).encode(), 1)
+
+
+def unpack_document(data: bytes) -> Any:
+    """Return the JSON document that ``pack_document`` compressed.
+
+    Raises:
+        TablesInvalid: If the data is damaged or too large.
+    """
+    try:
+        reader = zlib.decompressobj()
+        text = reader.decompress(data, MAX_DOCUMENT_BYTES)
+        if not reader.eof:
+            raise TablesInvalid("the document is incomplete or too large")
+        return json.loads(text)
+    except (zlib.error, ValueError) as exc:
+        raise TablesInvalid(f"the document is damaged: {exc}") from exc
+
+
 def parse_record(record: Record) -> ChangeRecord | SnapshotRecord | None:
     """Check a record of the stream.
 
@@ -262,7 +290,7 @@
         self._behind_since: float | None = None
         self._requested_at = float("-inf")
         self._refresh_timer = RefreshTimer(self._random)
-        self._document: tuple[int, dict[str, Any]] | None = None
+        self._document: tuple[int, bytes] | None = None
         if transport is not None:
             transport.subscribe(ConfigRequest, self._on_request)
             transport.subscribe(ConfigReply, self._on_reply)
@@ -358,10 +386,10 @@
         for listener in self._listeners:
             listener(tables)
 
-    def _full_document(self) -> dict[str, Any]:
+    def _full_document(self) -> bytes:
         tables = self.tables
         if self._document is None or self._document[0] != tables.version:
-            self._document = (tables.version, tables.to_document())
+            self._document = (tables.version, pack_document(tables))
         return self._document[1]
 
     async def _refresh(self, page: Page) -> None:
@@ -371,7 +399,10 @@
         if not self._refresh_timer.due(page, self._state.refreshed):
             return
         snapshot = SnapshotRecord(
-            self.tables.version, self._state.next, self._node, self._full_document()
+            self.tables.version,
+            self._state.next,
+            self._node,
+            base64.b64encode(self._full_document()).decode(),
         )
         self._document = None
         try:
--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -208,7 +208,7 @@
 
     Attributes:
         version: Version of the tables.
-        document: The tables as a JSON document.
+        document: The tables as a JSON document, compressed with zlib.
         through: Offset of the first record of stream ``config`` that they do not reflect.
         refreshed: Wall time of the record from which on a reader of the stream can build the
             tables, in seconds since the epoch.
@@ -217,7 +217,7 @@
     CODE: ClassVar[int] = 7
 
     version: int
-    document: dict[str, Any]
+    document: bytes
     through: int = 0
     refreshed: float = 0.0
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import base64
 import random
 import unittest
 from dataclasses import asdict
@@ -15,12 +16,14 @@
     ConfigReplica,
     ConfigState,
     SnapshotRecord,
+    pack_document,
+    unpack_document,
 )
-from lacewinghub.errors import LogUnavailable, LogUncertain, PublishLost
+from lacewinghub.errors import LogUnavailable, LogUncertain, PublishLost, TablesInvalid
 from lacewinghub.fake_log import MemoryLog
 from lacewinghub.log import Log, Page, Record
 from lacewinghub.memory_transport import MemoryNetwork
-from lacewinghub.message import Heartbeat
+from lacewinghub.message import ConfigReply, Heartbeat, decode, encode
 from lacewinghub.publish import publish
 from lacewinghub.tables import Change, Tables
 from lacewinghub.transport import Transport
@@ -97,12 +100,11 @@
     """Takes a snapshot for the tables at the offset where it stands."""
 
     def _take_snapshot(self, snapshot: SnapshotRecord, record: Record) -> list[Any]:
-        members = asdict(snapshot) | {"through": record.offset + 1}
         self._pending = []
-        self.adopt(members["version"], members["document"], members["through"])
+        self.adopt(snapshot.version, base64.b64decode(snapshot.document), record.offset + 1)
         return []
 
-    def adopt(self, version: int, document: Any, through: int) -> list[Any] | None:
+    def adopt(self, version: int, document: bytes, through: int) -> list[Any] | None:
         if self.synced:
             return None
         return super().adopt(version, document, through)
@@ -346,6 +348,29 @@
         self.assertEqual(simulate(lambda: main(True)), [1, 2, 1, 2])
         self.assertEqual(simulate(lambda: main(False))[0], 0)
 
+    def test_tables_of_the_target_size_fit_into_a_message(self) -> None:
+        workspaces = [{"name": f"w{n}", "keys": [f"{n:064x}"]} for n in range(13_000)]
+        keys = random.Random(1)
+        for item in workspaces:
+            item["keys"] = [keys.randbytes(32).hex()]
+        routes = [
+            {"name": f"r{n}", "pool": "assistant", "tier": 1, "workspace": f"w{n}"}
+            for n in range(13_000)
+        ]
+        document = tables_document({}) | {"workspaces": workspaces, "routes": routes}
+        tables = Tables.parse(document, 7)
+        reply = decode(encode(ConfigReply(7, pack_document(tables), 9)))
+        assert isinstance(reply, ConfigReply)
+        self.assertEqual(unpack_document(reply.document), tables.to_document())
+
+    def test_damaged_tables_of_a_peer_are_ignored(self) -> None:
+        state = ConfigState()
+        good = pack_document(Tables.parse(tables_document({"trust": 1.0}), 1))
+        for data in (b"", b"x", good[:-5], good[:20] + b"?" + good[21:]):
+            with self.subTest(data[:10]), self.assertRaises(TablesInvalid):
+                state.adopt(1, data, 1)
+        self.assertEqual((state.tables.version, state.next), (0, 0))
+
     def test_older_tables_of_a_peer_are_ignored(self) -> None:
         async def main() -> None:
             log = MemoryLog(clock=wall)
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -163,7 +163,7 @@
         one.dial([two.identity.address])
         await until(lambda: one.peers() and two.peers())
         two._links["n1"]._conn.transport.pause_reading()
-        reply = ConfigReply(1, {"text": "x" * 1_000_000})
+        reply = ConfigReply(1, b"x" * 1_000_000)
         sent = [one.send("n2", reply) for _ in range(40)]
         await asyncio.sleep(0.1)
         self.assertFalse(sent[-1])
