--- a/lacewinghub/claim.py
+++ b/lacewinghub/claim.py
@@ -270,7 +270,8 @@
     async def _execute(self, attempt: _Attempt, req: Request, send: Send) -> Reply | None:
         try:
             left = req.arrived + req.patience_s - asyncio.get_running_loop().time()
-            if not await self._claim(attempt, min(self._claim_timeout_s, max(0.0, left))):
+            timeout_s = self._claim_timeout_s + self._append_interval()
+            if not await self._claim(attempt, min(timeout_s, max(0.0, left))):
                 return None
             if self._history is not None:
                 self._history.record(
@@ -378,7 +379,8 @@
         return self._enqueue(ReleaseRecord(attempt.key.hex(), attempt.id))
 
     async def _settled(self, item: Item) -> None:
-        await asyncio.wait([item.confirmed], timeout=SETTLE_WAIT_S)
+        timeout_s = SETTLE_WAIT_S + self._append_interval()
+        await asyncio.wait([item.confirmed], timeout=timeout_s)
 
     async def _await_change(self, key: bytes, entry: Entry | None, deadline: float) -> None:
         """Wait until the state of a key changes."""
