--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from lacewinghub.claim import Claimer, Permit
-from lacewinghub.claim_index import ClaimIndex
+from lacewinghub.claim_index import ClaimIndex, Status
 from lacewinghub.endpoint import ConnectFailed, EndpointCrashed, Reply
 from lacewinghub.errors import NotRun, OutcomeUnknown, Overloaded
 from lacewinghub.log import Page
@@ -71,6 +71,27 @@
         self.index.get = lambda key, now: None  # type: ignore[method-assign]
 
 
+class HandsOver(Claimer):
+    """Takes over the claim of a dead node that has no result."""
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        get = self.index.get
+        self.index.get = lambda key, now: self._unless_dead(get(key, now))  # type: ignore
+
+    def _unless_dead(self, entry: Any) -> Any:
+        if entry is None or entry.status is not Status.PENDING or self._is_alive(entry):
+            return entry
+        return None
+
+
+class NoCopies(ReadyAtOnce):
+    """Neither carries the index nor waits for a complete one."""
+
+    def _start_copy(self, page: Page) -> None:
+        return None
+
+
 class ReleaseThenSend(Claimer):
     """Releases a claim that the log did not confirm in time and sends the request all the same."""
 
@@ -227,6 +248,20 @@
         ("before answer", 1, "ok"),
     )
 
+    def test_takeover_of_a_dead_claimant_runs_twice(self) -> None:
+        async def main(kind: type[Claimer]) -> list[str]:
+            cluster = Cluster(kind)
+            first, second = await cluster.add_ready(2)
+            die_at("after dispatch", first)
+            task = asyncio.ensure_future(first.ask(cluster.request("k")))
+            await asyncio.sleep(1.0)
+            await second.ask(cluster.request("k"))
+            self.assertFalse(task.done())
+            return cluster.faults()
+
+        self.assertEqual(simulate(lambda: main(Claimer)), [])
+        self.assertNotEqual(simulate(lambda: main(HandsOver)), [])
+
     def test_repeats_after_each_crash_point(self) -> None:
         async def main(point: str, pause: float, restart: bool) -> Cluster:
             cluster = Cluster()
@@ -273,35 +308,45 @@
     )
 
     def test_racing_repeats_under_each_log_fault(self) -> None:
-        async def main(faults: dict[str, Any], step: str) -> Cluster:
-            cluster = Cluster()
-            nodes = await cluster.add_ready(3)
-
-            async def break_log() -> None:
-                cluster.log.set_faults(**faults)
-
-            if step == "arrival":
-                await break_log()
-            nodes[0].before_use = break_log if step == "dispatch" else None
-            nodes[0].after_run = break_log if step == "result" else None
-            for pause in (0.0, 1.0, 8.0):
-                await asyncio.sleep(pause)
-                await asyncio.gather(*(node.ask(cluster.request("k")) for node in nodes))
-            cluster.log.set_faults()
-            await asyncio.sleep(20.0)
-            last.extend(await asyncio.gather(*(n.ask(cluster.request("k")) for n in nodes)))
-            return cluster
-
         for faults in self.FAULTS:
             for step in ("arrival", "dispatch", "result"):
                 with self.subTest(step=step, **faults):
-                    last: list[str] = []
-                    cluster = simulate(lambda f=faults, s=step: main(dict(f), s))
+                    cluster, last = simulate(lambda f=faults, s=step: self._race(Claimer, f, s))
                     self.assertEqual(cluster.faults(), [])
                     self.assertEqual(cluster.service.by_key["k"], 1)
                     self.assertEqual(len(set(last)), 1)
                     self.assertTrue(last[0].startswith("ok"), last)
 
+    def test_without_read_back_the_log_faults_cause_double_runs(self) -> None:
+        failed = [
+            faults
+            for faults in self.FAULTS
+            if simulate(lambda f=faults: self._race(NoReadBack, f, "arrival"))[0].faults()
+        ]
+        self.assertGreater(len(failed), len(self.FAULTS) // 2)
+
+    async def _race(
+        self, kind: type[Claimer], faults: dict[str, Any], step: str
+    ) -> tuple[Cluster, list[str]]:
+        """Repeat a request at three nodes while the log fails from a step on, then without."""
+        cluster = Cluster(kind)
+        nodes = await cluster.add_ready(3)
+
+        async def break_log() -> None:
+            cluster.log.set_faults(**faults)
+
+        if step == "arrival":
+            await break_log()
+        nodes[0].before_use = break_log if step == "dispatch" else None
+        nodes[0].after_run = break_log if step == "result" else None
+        for pause in (0.0, 1.0, 8.0):
+            await asyncio.sleep(pause)
+            await asyncio.gather(*(node.ask(cluster.request("k")) for node in nodes))
+        cluster.log.set_faults()
+        await asyncio.sleep(20.0)
+        last = await asyncio.gather(*(node.ask(cluster.request("k")) for node in nodes))
+        return cluster, last
+
     def test_log_down_is_refused_without_a_statement_about_the_key(self) -> None:
         async def main() -> Cluster:
             cluster = Cluster()
@@ -342,22 +387,25 @@
     """Guards against a key that is forgotten when its records expire."""
 
     def test_key_outlives_its_records_while_all_nodes_are_replaced(self) -> None:
-        async def main() -> Cluster:
-            cluster = Cluster(retention_s=600.0)
+        async def main(kind: type[Claimer]) -> tuple[Cluster, list[str]]:
+            cluster = Cluster(kind, retention_s=600.0)
             nodes = await cluster.add_ready(3)
             for n in range(30):
                 await nodes[n % 3].ask(cluster.request(f"k{n}"))
+            answers = []
             for turn in range(60):
                 await nodes.pop(0).kill()
                 nodes += await cluster.add_ready(1)
-                answer = await nodes[-1].ask(cluster.request(f"k{turn % 30}"))
-                self.assertTrue(answer.startswith("ok"))
+                answers.append(await nodes[-1].ask(cluster.request(f"k{turn % 30}")))
                 await asyncio.sleep(100.0)
-            return cluster
+            return cluster, answers
 
-        cluster = simulate(main)
+        cluster, answers = simulate(lambda: main(Claimer))
         self.assertEqual(cluster.faults(), [])
+        self.assertTrue(all(answer.startswith("ok") for answer in answers))
         self.assertEqual(set(cluster.service.by_key.values()), {1})
+        cluster, _ = simulate(lambda: main(NoCopies))
+        self.assertNotEqual(cluster.faults(), [])
 
     def test_all_replaced_in_an_outage_beyond_the_retention_refuses_for_the_window(self) -> None:
         async def main() -> Cluster:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -286,9 +286,9 @@
         self.assertFalse(simulate(lambda: main(NoGapCheck)))
 
     def test_tables_survive_an_outage_and_the_replacement_of_all_nodes(self) -> None:
-        async def main() -> None:
+        async def main(kind: type[ConfigReplica]) -> None:
             log = MemoryLog(clock=wall, retention_s=600.0)
-            nodes = [Node(f"n{n}", log) for n in range(3)]
+            nodes = [Node(f"n{n}", log, kind=kind) for n in range(3)]
             await publish(log, tables_document({"trust": 1.0}), "ana")
             await asyncio.sleep(1.0)
             log.set_faults(unavailable=True)
@@ -303,13 +303,15 @@
             self.assertEqual([node.tables.version for node in nodes], [2, 2, 2])
             for turn in range(12):
                 nodes.pop(0).kill()
-                nodes.append(Node(f"m{turn}", log))
+                nodes.append(Node(f"m{turn}", log, kind=kind))
                 await asyncio.sleep(IN_FORCE_S)
                 self.assertEqual(nodes[-1].tables.version, 2 + turn)
                 done = await publish(log, tables_document({"trust": 3.0 + turn}), "ben")
                 await asyncio.sleep(250.0)
 
-        simulate(main)
+        simulate(lambda: main(ConfigReplica))
+        with self.assertRaises(LogUnavailable):
+            simulate(lambda: main(NoSnapshots))
 
     def test_few_snapshots_are_appended(self) -> None:
         async def main() -> int:
