Skip malformed records of both streams

A record whose kind is not a string, a body that is not hex, a copy with an absurd number of parts or with damaged entries raised an error in the tail task, which would have met the same record again after each restart.

--- a/lacewinghub/claim_index.py
+++ b/lacewinghub/claim_index.py
@@ -18,6 +18,7 @@
 KEY_WINDOW_S = 24 * 3600.0
 MAX_ANSWER_BYTES = 16 * 1024
 CARRY_PART_BYTES = 256 * 1024
+MAX_CARRY_PARTS = 100_000
 # Size of an entry in a carry record without its answer.
 ROW_BYTES = 160
 # Expired entries are kept a little longer, in case that the log's clock steps back.
@@ -345,6 +346,8 @@
     def _take_carry(self, carry: CarryRecord, record: Record) -> bool:
         if carry.through > record.offset or carry.through < self._complete_from:
             return False
+        if not 0 < carry.parts <= MAX_CARRY_PARTS:
+            return False
         parts = self._copies.setdefault(carry.id, [None] * carry.parts)
         if len(parts) != carry.parts or not 0 <= carry.part < carry.parts:
             return False
@@ -354,19 +357,20 @@
         if len(found) < carry.parts:
             return False
         self._copies.clear()
-        self.refreshed = record.time
         if self.synced:
+            self.refreshed = record.time
             return False
-        self._load(found, carry.through)
-        return True
-
-    def _load(self, parts: list[CarryRecord], through: int) -> None:
-        self._reset(through)
-        for part in parts:
+        try:
+            entries = dict(_from_row(row) for part in found for row in part.entries)
+        except (ValueError, TypeError, AttributeError) as exc:
+            logger.error("copy of the claims at offset {} is malformed: {!r}", record.offset, exc)
+            return False
+        self._reset(carry.through)
+        self.refreshed = record.time
+        self.entries.update(entries)
+        for part in found:
             self._released.update(part.released)
-            for row in part.entries:
-                key, entry = _from_row(row)
-                self.entries[key] = entry
+        return True
 
     def _expire(self, now: float) -> None:
         limit = now - self.window_s - CLOCK_MARGIN_S
@@ -386,7 +390,7 @@
         A ``ClaimRecord``, ``ReleaseRecord``, ``ResultRecord`` or ``CarryRecord``, or None if it is
         malformed and every node ignores it.
     """
-    adapter = _RECORDS.get(record.data.get("kind"))
+    adapter = _RECORDS.get(str(record.data.get("kind")))
     if adapter is None:
         logger.warning("claim record at offset {} has an unknown kind", record.offset)
         return None
@@ -394,6 +398,8 @@
         parsed = adapter.validate_python(record.data)
         if not isinstance(parsed, CarryRecord):
             bytes.fromhex(parsed.key)
+        if isinstance(parsed, ClaimRecord | ResultRecord):
+            bytes.fromhex(parsed.body)
         return parsed
     except (ValidationError, ValueError) as exc:
         logger.warning("claim record at offset {} is malformed: {}", record.offset, exc)
--- a/lacewinghub/config.py
+++ b/lacewinghub/config.py
@@ -244,7 +244,7 @@
     Returns:
         The record, or None if it is malformed and every node ignores it.
     """
-    adapter = _RECORDS.get(record.data.get("kind"))
+    adapter = _RECORDS.get(str(record.data.get("kind")))
     if adapter is None:
         logger.warning("config record at offset {} has an unknown kind", record.offset)
         return None
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -326,6 +326,38 @@
         self.assertIn(simulate(main), range(24, 40))
 
 
+class MalformedRecordTest(unittest.TestCase):
+    """Guards against a record that stops every node from reading on."""
+
+    def test_malformed_records_are_skipped(self) -> None:
+        async def main(data: dict[str, Any]) -> None:
+            log = MemoryLog(clock=wall)
+            await publish(log, tables_document({"trust": 1.0}), "ana")
+            node = Node("n1", log)
+            await log.append(CONFIG_STREAM, [data])
+            await publish(log, tables_document({"trust": 2.0}), "ben")
+            await asyncio.sleep(1.0)
+            self.assertEqual(weights_of(node.tables), {"trust": 2.0})
+
+        change = asdict(ChangeRecord(1, 2, "cy", "id", [Change("workspaces", "new", None)]))
+        snapshot = asdict(SnapshotRecord(9, 0, "n9", "not base 64!"))
+        put = {"table": "workspaces", "name": "new", "value": {"name": "other"}}
+        cases: list[dict[str, Any]] = [
+            {},
+            {"kind": ["change"]},
+            change | {"base": "x"},
+            change | {"version": 7},
+            change | {"changes": [{"table": "other", "name": "x", "value": None}]},
+            change | {"changes": [put]},
+            change | {"changes": [{"table": "pools", "name": "assistant", "value": None}]},
+            snapshot,
+            snapshot | {"through": 99},
+        ]
+        for data in cases:
+            with self.subTest(data):
+                simulate(lambda data=data: main(data))
+
+
 class PeerTransferTest(unittest.TestCase):
     """Guards against a node that stays behind its peers while it cannot reach the log."""
 
