--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -286,9 +286,9 @@
         self.assertFalse(simulate(lambda: main(NoGapCheck)))
 
     def test_tables_survive_an_outage_and_the_replacement_of_all_nodes(self) -> None:
-        async def main() -> None:
+        async def main(kind: type[ConfigReplica]) -> None:
             log = MemoryLog(clock=wall, retention_s=600.0)
-            nodes = [Node(f"n{n}", log) for n in range(3)]
+            nodes = [Node(f"n{n}", log, kind=kind) for n in range(3)]
             await publish(log, tables_document({"trust": 1.0}), "ana")
             await asyncio.sleep(1.0)
             log.set_faults(unavailable=True)
@@ -303,13 +303,15 @@
             self.assertEqual([node.tables.version for node in nodes], [2, 2, 2])
             for turn in range(12):
                 nodes.pop(0).kill()
-                nodes.append(Node(f"m{turn}", log))
+                nodes.append(Node(f"m{turn}", log, kind=kind))
                 await asyncio.sleep(IN_FORCE_S)
                 self.assertEqual(nodes[-1].tables.version, 2 + turn)
                 done = await publish(log, tables_document({"trust": 3.0 + turn}), "ben")
                 await asyncio.sleep(250.0)
 
-        simulate(main)
+        simulate(lambda: main(ConfigReplica))
+        with self.assertRaises(LogUnavailable):
+            simulate(lambda: main(NoSnapshots))
 
     def test_few_snapshots_are_appended(self) -> None:
         async def main() -> int:
@@ -324,6 +326,38 @@
         self.assertIn(simulate(main), range(24, 40))
 
 
+class MalformedRecordTest(unittest.TestCase):
+    """Guards against a record that stops every node from reading on."""
+
+    def test_malformed_records_are_skipped(self) -> None:
+        async def main(data: dict[str, Any]) -> None:
+            log = MemoryLog(clock=wall)
+            await publish(log, tables_document({"trust": 1.0}), "ana")
+            node = Node("n1", log)
+            await log.append(CONFIG_STREAM, [data])
+            await publish(log, tables_document({"trust": 2.0}), "ben")
+            await asyncio.sleep(1.0)
+            self.assertEqual(weights_of(node.tables), {"trust": 2.0})
+
+        change = asdict(ChangeRecord(1, 2, "cy", "id", [Change("workspaces", "new", None)]))
+        snapshot = asdict(SnapshotRecord(9, 0, "n9", "not base 64!"))
+        put = {"table": "workspaces", "name": "new", "value": {"name": "other"}}
+        cases: list[dict[str, Any]] = [
+            {},
+            {"kind": ["change"]},
+            change | {"base": "x"},
+            change | {"version": 7},
+            change | {"changes": [{"table": "other", "name": "x", "value": None}]},
+            change | {"changes": [put]},
+            change | {"changes": [{"table": "pools", "name": "assistant", "value": None}]},
+            snapshot,
+            snapshot | {"through": 99},
+        ]
+        for data in cases:
+            with self.subTest(data):
+                simulate(lambda data=data: main(data))
+
+
 class PeerTransferTest(unittest.TestCase):
     """Guards against a node that stays behind its peers while it cannot reach the log."""
 
