--- a/tools/build_binary.py
+++ b/tools/build_binary.py
@@ -8,11 +8,11 @@
 import shutil
 import subprocess
 import sys
+import tempfile
 from importlib.metadata import Distribution, PackageNotFoundError, distribution
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
-SITE = ROOT / "build" / "site"
 OUTPUT = ROOT / "dist" / "lacewinghub"
 ENTRY_POINT = "lacewinghub.__main__:main"
 # Compiled packages fit one minor version of Python only.
@@ -56,13 +56,13 @@
     return found
 
 
-def copy(package: Distribution) -> None:
+def copy(package: Distribution, site: Path) -> None:
     """Copy the files of a package, without its scripts, byte code and tests."""
     for file in package.files or []:
         parts = file.parts
         if parts[0] == ".." or re.search(r"(^|/)(__pycache__|tests?)/", file.as_posix()):
             continue
-        target = SITE / file
+        target = site / file
         target.parent.mkdir(parents=True, exist_ok=True)
         shutil.copyfile(str(file.locate()), target)
 
@@ -70,18 +70,22 @@
 def main() -> None:
     """Build the file; an argument names another place for it."""
     output = Path(sys.argv[1]) if len(sys.argv) > 1 else OUTPUT
-    shutil.rmtree(SITE, ignore_errors=True)
-    SITE.mkdir(parents=True)
     output.parent.mkdir(exist_ok=True)
+    with tempfile.TemporaryDirectory() as folder:
+        build(Path(folder), output)
+    print(f"{output}: {output.stat().st_size / 1e6:.1f} MB")
+
+
+def build(site: Path, output: Path) -> None:
+    """Collect the packages in a directory and pack them."""
     for name, version in locked((ROOT / "requirements.txt").read_text()):
         if name not in PLOT_PACKAGES:
-            copy(installed(name, version))
-    shutil.copytree(ROOT / "lacewinghub", SITE / "lacewinghub", ignore=IGNORED)
-    shutil.copytree(ROOT / "examples", SITE / "lacewinghub" / "examples")
-    command = [sys.executable, "-m", "shiv", "--compressed", "--site-packages", str(SITE)]
+            copy(installed(name, version), site)
+    shutil.copytree(ROOT / "lacewinghub", site / "lacewinghub", ignore=IGNORED)
+    shutil.copytree(ROOT / "examples", site / "lacewinghub" / "examples")
+    command = [sys.executable, "-m", "shiv", "--compressed", "--site-packages", str(site)]
     command += ["--python", INTERPRETER, "--entry-point", ENTRY_POINT]
     subprocess.run([*command, "--output-file", str(output)], check=True)
-    print(f"{output}: {output.stat().st_size / 1e6:.1f} MB")
 
 
 if __name__ == "__main__":
