End stand-in processes after a failed test and thin out the plots

A failed request would have left the processes of the stand-ins running. Sixty points per class keep the attainment over time readable; at 240 a single bad request filled a whole point.

--- a/lacewinghub/plot.py
+++ b/lacewinghub/plot.py
@@ -11,7 +11,7 @@
 from .level import Levels
 from .report import ClassReport, duration, runs_out
 
-MAX_POINTS = 240
+MAX_POINTS = 60
 FIGURE_INCHES = (9.0, 3.2)
 
 _STYLE = """
--- a/tests/test_fakes.py
+++ b/tests/test_fakes.py
@@ -318,6 +318,8 @@
                     stdout=subprocess.PIPE,
                     text=True,
                 )
+                self.addCleanup(process.wait)
+                self.addCleanup(process.kill)
                 assert process.stdout is not None
                 address = json.loads(process.stdout.readline())["address"]
                 async with (
