--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -20,7 +20,13 @@
 ROOT = Path(__file__).resolve().parent.parent
 WORKERS = 4
 MODULE_TIMEOUT_S = 300
-SERIAL = ("tests.test_path",)
+SERIAL = (
+    "tests.test_failure",
+    "tests.test_overlay",
+    "tests.test_partition",
+    "tests.test_path",
+    "tests.test_runner_failure",
+)
 
 
 @dataclass(slots=True)
