Serve the longest waiting node of a tier first

Change: the node whose next request of the tier has waited longest goes first. Waiting counts from queueing, not from arrival: a resumed request made the broker forecast seconds for its whole tier. In the model a caller that repeats its request makes a new one.

--- a/lacewinghub/broker.py
+++ b/lacewinghub/broker.py
@@ -57,7 +57,7 @@
     waiting: Counter[tuple[int, str]] = field(default_factory=Counter)
     oldest_ms: list[int] = field(default_factory=list)
     refused: dict[str, float] = field(default_factory=dict)
-    turn: float = 0.0
+    listed: Counter[int] = field(default_factory=Counter)
 
 
 @dataclass(slots=True)
@@ -163,9 +163,10 @@
         node.seq, node.seen = demand.seq, now
         self._take_held(state, sender, demand, now)
         node.oldest_ms = demand.oldest_ms
-        node.waiting = Counter()
+        node.waiting, node.listed = Counter(), Counter()
         for item in demand.waiting:
             node.waiting[item.tier, item.preferred] += item.count
+            node.listed[item.tier] += item.count
         for (holder, _), lease in state.leases.items():
             if holder == sender and not lease.confirmed:
                 _subtract(node.waiting, lease.tier)
@@ -266,7 +267,7 @@
             free, tier = self._without_slow(state, free, slow, tier, waiting, now)
             if not free:
                 break
-            name = _next_node(state, tier)
+            name = _next_node(state, tier, now)
             node = state.nodes[name]
             free = [item for item in free if node.refused.get(item.name, 0.0) <= now]
             preferred = _take_waiting(node, tier)
@@ -382,18 +383,20 @@
     return found
 
 
-def _next_node(state: _State, tier: int) -> str:
-    """Take turns, weighted by waiting counts (smooth weighted round robin)."""
-    total, best, best_turn = 0, "", float("-inf")
+def _next_node(state: _State, tier: int, now: float) -> str:
+    """Choose the node whose next request of a tier has probably waited longest.
+
+    A demand tells the age of the oldest request only; those behind it are taken as evenly spaced.
+    """
+    best, best_age = "", -1.0
     for name, node in state.nodes.items():
         count = sum(count for (number, _), count in node.waiting.items() if number == tier)
         if not count:
             continue
-        total += count
-        node.turn += count
-        if node.turn > best_turn:
-            best, best_turn = name, node.turn
-    state.nodes[best].turn -= total
+        oldest = node.oldest_ms[tier - 1] if tier <= len(node.oldest_ms) else 0
+        age = (now - node.seen) + oldest / 1000 * count / max(count, node.listed[tier])
+        if age > best_age:
+            best, best_age = name, age
     return best
 
 
--- a/lacewinghub/grant.py
+++ b/lacewinghub/grant.py
@@ -143,7 +143,7 @@
         counts = Counter((item.req.tier, item.preferred) for item in waiters)
         oldest = [0] * MAX_TIER
         for item in waiters:
-            age = int((now - item.req.arrived) * 1000)
+            age = int((now - item.since) * 1000)
             oldest[item.req.tier - 1] = max(oldest[item.req.tier - 1], age)
         while oldest and not oldest[-1]:
             oldest.pop()
--- a/lacewinghub/local.py
+++ b/lacewinghub/local.py
@@ -62,6 +62,7 @@
         state = self.state(pool.name)
         loop = asyncio.get_running_loop()
         waiter = self.make_waiter(req, loop.create_future())
+        waiter.since = loop.time()
         if not waiter.resumed:
             self._admit(pool, state, waiter)
         state.queue.push(waiter)
--- a/lacewinghub/queue.py
+++ b/lacewinghub/queue.py
@@ -25,6 +25,7 @@
         quota: True for a request that was admitted to keep the minimum share of its tier; it is
             never shed, since the tier would starve if its few requests expired or were displaced.
         queued: True while the queue holds it.
+        since: Loop time at which it was queued; later than its arrival for a resumed request.
         group: Runner group whose broker is asked for a slot, or empty.
     """
 
@@ -36,6 +37,7 @@
     quota: bool = False
     queued: bool = False
     group: str = ""
+    since: float = 0.0
 
     @property
     def protected(self) -> bool:
--- a/lacewinghub/simulation.py
+++ b/lacewinghub/simulation.py
@@ -333,7 +333,7 @@
                 return
             self.run_result.wasted["repeated"] += result.tokens
             result.tokens = 0
-            req = self._request(call, req.arrived)
+            req = self._request(call, asyncio.get_running_loop().time())
 
     def _request(self, call: Call, now: float) -> Request:
         kind = call.kind
