--- a/lacewinghub/errors.py
+++ b/lacewinghub/errors.py
@@ -238,6 +238,12 @@
     code, status = "peer_rejected", 403
 
 
+class AddressUnavailable(LacewingError):
+    """A node cannot listen on an address; details carry the key of the setting."""
+
+    code, status = "address_unavailable", 500
+
+
 class Unreachable(LacewingError):
     """A node or service that a command needs cannot be reached."""
 
@@ -257,6 +263,9 @@
 
 
 def all_errors() -> dict[str, type[LacewingError]]:
-    """Return the error classes by code."""
+    """Return the error classes by code.
+
+    Errors that other modules define for their own use do not count: they reach no caller.
+    """
     classes: list[type[LacewingError]] = [LacewingError, *LacewingError.__subclasses__()]
-    return {cls.code: cls for cls in classes}
+    return {cls.code: cls for cls in classes if cls.__module__ == __name__}
--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -4,8 +4,9 @@
 several times smaller than a map with member names.
 """
 
-from dataclasses import dataclass, field, fields, is_dataclass
-from typing import Any, ClassVar
+from dataclasses import dataclass, field, fields
+from functools import cache
+from typing import Any, ClassVar, get_args
 
 import cbor2
 from pydantic import TypeAdapter, ValidationError
@@ -63,7 +64,7 @@
         crashes: One ``endpoint@time`` per crash, with the wall time in milliseconds.
         cleared: Those of the crashes that a finished run has cleared it of.
         trial: Endpoint on which the sender runs it again, ``?`` and the planned endpoint if the
-            sender waits to do so, otherwise empty.
+            sender waits to do so, ``!`` if it has run for some time, otherwise empty.
     """
 
     fingerprint: int
@@ -72,6 +73,25 @@
     trial: str = ""
 
 
+@dataclass(slots=True)
+class Relayed:
+    """State of one pool at nodes beyond the sender.
+
+    Attributes:
+        pool: Name of the pool.
+        floor: Smallest floor.
+        origin: Node that has this floor.
+        age_ms: Time since the origin sent it, in milliseconds.
+        admit_age_ms: Per tier, from tier 1, the age of the last admission at any node, -1 if none.
+    """
+
+    pool: str
+    floor: int
+    origin: str
+    age_ms: int
+    admit_age_ms: list[int] = field(default_factory=list)
+
+
 @dataclass(slots=True)
 class Heartbeat:
     """Periodic state of a node; complete, so that a lost one does no harm.
@@ -93,6 +113,7 @@
     suspects: list[Suspect] = field(default_factory=list)
     quarantined: list[int] = field(default_factory=list)
     leaving_age_ms: list[int] = field(default_factory=list)
+    relayed: list[Relayed] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -208,7 +229,7 @@
 
     Attributes:
         version: Version of the tables.
-        document: The tables as a JSON document.
+        document: The tables as a JSON document, compressed with zlib.
         through: Offset of the first record of stream ``config`` that they do not reflect.
         refreshed: Wall time of the record from which on a reader of the stream can build the
             tables, in seconds since the epoch.
@@ -217,7 +238,7 @@
     CODE: ClassVar[int] = 7
 
     version: int
-    document: dict[str, Any]
+    document: bytes
     through: int = 0
     refreshed: float = 0.0
 
@@ -231,16 +252,65 @@
     addresses: list[str]
 
 
-Message = Hello | Heartbeat | Demand | Grants | Release | ConfigRequest | ConfigReply | Addresses
+@dataclass(slots=True)
+class Rumour:
+    """State of a node that is passed on from peer to peer.
 
-_TYPES: dict[int, type] = {
-    cls.CODE: cls
-    for cls in (Hello, Heartbeat, Demand, Grants, Release, ConfigRequest, ConfigReply, Addresses)
-}
+    Attributes:
+        node: Identifier of the node.
+        incarnation: Its incarnation.
+        seq: Raised by the node itself when it contradicts a suspicion.
+        state: A ``MemberState``.
+        availability_zone: Its availability zone.
+        address: Its peer address.
+    """
+
+    node: str
+    incarnation: int
+    seq: int
+    state: str
+    availability_zone: str
+    address: str
+
+
+@dataclass(slots=True)
+class Rumours:
+    """Changed states of nodes; all known ones on a new connection."""
+
+    CODE: ClassVar[int] = 9
+
+    items: list[Rumour]
+
+
+@dataclass(slots=True)
+class Parting:
+    """The sender closes this connection because it needs it no more; it stays alive."""
+
+    CODE: ClassVar[int] = 10
+
+    node: str
+
+
+Message = (
+    Hello
+    | Heartbeat
+    | Demand
+    | Grants
+    | Release
+    | ConfigRequest
+    | ConfigReply
+    | Addresses
+    | Rumours
+    | Parting
+)
+
+_TYPES: dict[int, type] = {cls.CODE: cls for cls in get_args(Message)}
 _NESTED: dict[tuple[type, str], type] = {
     (Heartbeat, "pressure"): Pressure,
     (Heartbeat, "free"): GroupFree,
     (Heartbeat, "suspects"): Suspect,
+    (Heartbeat, "relayed"): Relayed,
+    (Rumours, "items"): Rumour,
     (Demand, "waiting"): Waiting,
     (Demand, "held"): Held,
     (Grants, "items"): GrantItem,
@@ -258,7 +328,7 @@
     Returns:
         The encoded bytes.
     """
-    return cbor2.dumps([message.CODE, *_values(message)])
+    return cbor2.dumps([message.CODE, *_values(_TYPES[message.CODE], message)])
 
 
 def decode(data: bytes) -> Message:
@@ -283,23 +353,33 @@
         raise PeerRejected(f"invalid message: {exc}") from exc
 
 
-def _values(item: Any) -> list[Any]:
-    return [_value(getattr(item, member.name)) for member in fields(item)]
+def _values(cls: type, item: Any) -> list[Any]:
+    values = [getattr(item, name) for name in _names(cls)]
+    for index, nested in _nested_indexes(cls):
+        values[index] = [_values(nested, part) for part in values[index]]
+    return values
+
+
+@cache
+def _names(cls: type) -> tuple[str, ...]:
+    return tuple(member.name for member in fields(cls))
+
+
+@cache
+def _nested(cls: type) -> tuple[tuple[str, type], ...]:
+    return tuple((name, _NESTED[cls, name]) for name in _names(cls) if (cls, name) in _NESTED)
 
 
-def _value(value: Any) -> Any:
-    if isinstance(value, list):
-        return [_values(part) if is_dataclass(part) else part for part in value]
-    return value
+@cache
+def _nested_indexes(cls: type) -> tuple[tuple[int, type], ...]:
+    return tuple((_names(cls).index(name), nested) for name, nested in _nested(cls))
 
 
 def _members(cls: type, values: list[Any]) -> dict[str, Any]:
-    names = [member.name for member in fields(cls)]
+    names = _names(cls)
     if len(values) != len(names):
         raise ValueError(f"{cls.__name__} has {len(names)} fields, not {len(values)}")
     members = dict(zip(names, values, strict=True))
-    for name in names:
-        nested = _NESTED.get((cls, name))
-        if nested is not None:
-            members[name] = [_members(nested, part) for part in members[name]]
+    for name, nested in _nested(cls):
+        members[name] = [_members(nested, part) for part in members[name]]
     return members
--- a/lacewinghub/plot.py
+++ b/lacewinghub/plot.py
@@ -11,7 +11,7 @@
 from .level import Levels
 from .report import ClassReport, duration, runs_out
 
-MAX_POINTS = 240
+MAX_POINTS = 60
 FIGURE_INCHES = (9.0, 3.2)
 
 _STYLE = """
@@ -90,7 +90,10 @@
 
 def _figure(draw: Draw, reports: list[ClassReport], levels: Levels) -> str:
     # The figure is used without pyplot, which would keep it alive and choose a display.
-    from matplotlib.figure import Figure
+    try:
+        from matplotlib.figure import Figure
+    except ImportError as exc:
+        raise BadRequest("plots need matplotlib, which the single file leaves out") from exc
 
     figure = Figure(figsize=FIGURE_INCHES, layout="constrained")
     axes = figure.subplots()
--- a/lacewinghub/report.py
+++ b/lacewinghub/report.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import Any, TextIO
 
-from .errors import BadRequest
+from .errors import BadRequest, HistoryInvalid
 from .history import Event, EventKind
 from .level import Count, Levels
 
@@ -20,6 +20,7 @@
 PERIOD_S = 30 * DAY_S
 DEFAULT_OBJECTIVE = 0.99
 WINDOWS_S = (300.0, 1_800.0, 3_600.0, 21_600.0, DAY_S, 3 * DAY_S)
+MIN_TABLE_COLUMNS = 124
 # Counts of a history file are kept in buckets of one second.
 FILE_RESOLUTIONS = ((1.0, 3 * DAY_S),)
 
@@ -133,9 +134,9 @@
         Number of events.
 
     Raises:
-        BadRequest: If another line is not an event.
+        HistoryInvalid: If another line is not an event.
     """
-    problem: BadRequest | None = None
+    problem: HistoryInvalid | None = None
     number = 0
     for number, line in enumerate(lines, 1):
         if problem is not None:
@@ -146,7 +147,7 @@
             data = json.loads(line)
             levels.observe(Event(**{**data, "kind": EventKind(data["kind"])}))
         except (ValueError, TypeError, KeyError) as exc:
-            problem = BadRequest(f"line {number} of {name} is not an event: {exc}")
+            problem = HistoryInvalid(f"line {number} of {name} is not an event: {exc}", line=number)
     return number
 
 
@@ -154,7 +155,7 @@
     """Count the events of several nodes' history files.
 
     Raises:
-        BadRequest: If a file cannot be read or holds something else.
+        HistoryInvalid: If a file cannot be read or holds something else.
     """
     levels = Levels(FILE_RESOLUTIONS)
     for path in paths:
@@ -162,7 +163,7 @@
             with Path(path).open(encoding="utf-8") as file:
                 read_history(file, levels, path)
         except (OSError, UnicodeDecodeError) as exc:
-            raise BadRequest(f"history file {path!r} cannot be read: {exc}") from exc
+            raise HistoryInvalid(f"history file {path!r} cannot be read: {exc}", file=path) from exc
     return levels
 
 
@@ -251,10 +252,15 @@
         reports: The classes.
         out: Text stream; standard output if None.
     """
+    from rich import box
     from rich.console import Console
     from rich.table import Table
 
-    table = Table(title="Service-level burn by class (1.0 spends the budget in one period)")
+    table = Table(
+        box=box.SIMPLE_HEAD,
+        pad_edge=False,
+        title="Service-level burn by class (1.0 spends the budget in one period)",
+    )
     table.add_column("class")
     for title in ("objective", "requests", "attained"):
         table.add_column(title, justify="right")
@@ -274,8 +280,10 @@
             runs_out(item),
             item.alert or "-",
         )
-    width = None if out is None else 160
-    Console(file=out, width=width).print(table)
+    console = Console(file=out)
+    # Narrower columns would cut the figures; a narrow terminal wraps the lines instead.
+    console.width = max(console.width, MIN_TABLE_COLUMNS)
+    console.print(table)
 
 
 def runs_out(item: ClassReport) -> str:
--- a/lacewinghub/router.py
+++ b/lacewinghub/router.py
@@ -27,6 +27,8 @@
     Overloaded,
 )
 from .history import EventKind, History
+from .limit import RetryBudget
+from .observe import Stopwatch
 from .request import Grant, Observation, Request
 from .scheduler import Scheduler
 from .tables import Endpoint, Tables
@@ -51,6 +53,24 @@
         """Take one retry; False if none is left."""
 
 
+class PoolBudgets(Budget):
+    """A retry budget for each pool."""
+
+    def __init__(self) -> None:
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def earn(self, pool: str) -> None:
+        """Count a request of a pool."""
+        self._of(pool).note_request()
+
+    def spend(self, pool: str) -> bool:
+        """Take one retry; False if none is left."""
+        return self._of(pool).take(asyncio.get_running_loop().time())
+
+    def _of(self, pool: str) -> RetryBudget:
+        return self._budgets.setdefault(pool, RetryBudget())
+
+
 class Guard(ABC):
     """Learns which requests were in flight when endpoints crashed, and refuses poison requests."""
 
@@ -82,6 +102,9 @@
     def ended(self, req: Request, endpoint: str, seen: Observation) -> None:
         """Note that the request no longer is at the endpoint."""
 
+    def dropped(self, req: Request) -> None:  # noqa: B027
+        """Note that the request is given up, possibly while it was waiting."""
+
 
 class Monitor(ABC):
     """Learns how endpoints behave."""
@@ -183,26 +206,52 @@
             LacewingError: One coded error; ``AnswerIncomplete`` or ``Overloaded`` may come after
                 the first chunk.
         """
+        loop = asyncio.get_running_loop()
         answer = Answer()
+        watch = Stopwatch(req.arrived, req.target)
         self._arrive(req)
         try:
             for attempt in range(1, MAX_ATTEMPTS + 1):
                 self._check(req)
                 grant, endpoint = await self._acquire(req)
+                use = _Attempt(endpoint, loop.time())
+                self._start(req, endpoint, resumed=answer.received > 0)
+                answer.restart()
+                failure: BaseException | None = None
                 try:
-                    async with aclosing(self._stream(req, answer, grant, endpoint)) as chunks:
+                    async with aclosing(self._parts.client.stream(endpoint, req)) as chunks:
                         async for chunk in chunks:
-                            yield chunk
+                            index, tokens = answer.received, answer.add(chunk)
+                            now = loop.time()
+                            use.take(now, len(chunk.tokens))
+                            watch.take(len(tokens))
+                            if answer.complete:
+                                yield Chunk(index, tokens, answer.finish, answer.received)
+                                break
+                            if tokens:
+                                yield Chunk(index, tokens)
+                    if not answer.complete:
+                        raise _ended_early(endpoint)
+                except BaseException as exc:
+                    failure = exc
+                    if not isinstance(exc, EndpointError):
+                        raise
+                finally:
+                    if _caller_left(failure) and not answer.complete:
+                        self._cancel_at(endpoint, req)
+                    self._end(req, grant, use, answer.complete, failure)
+                if failure is None:
                     break
-                except EndpointError as exc:
-                    await self._prepare_retry(req, endpoint, exc, attempt, answer)
+                assert isinstance(failure, EndpointError)
+                await self._prepare_retry(req, endpoint, failure, attempt, answer)
         except LacewingError as exc:
             self._fail(req, exc, answer.received)
             raise
         except (asyncio.CancelledError, GeneratorExit):
             self._record(EventKind.CANCELLED, req, tokens=answer.received)
+            self._drop(req)
             raise
-        self._record(EventKind.FINISHED, req, tokens=answer.received)
+        self._record(EventKind.FINISHED, req, tokens=answer.received, **watch.finish())
 
     async def call(self, req: Request) -> Reply:
         """Execute a plain call.
@@ -229,8 +278,10 @@
             raise
         except asyncio.CancelledError:
             self._record(EventKind.CANCELLED, req)
+            if req.key is None:
+                self._drop(req)
             raise
-        self._record(EventKind.FINISHED, req)
+        self._record(EventKind.FINISHED, req, **Stopwatch(req.arrived, req.target).finish())
         return reply
 
     async def close(self) -> None:
@@ -238,35 +289,6 @@
         while self._keyed or self._cancels:
             await asyncio.wait([*self._keyed, *self._cancels])
 
-    async def _stream(
-        self, req: Request, answer: Answer, grant: Grant, endpoint: Endpoint
-    ) -> AsyncGenerator[Chunk, None]:
-        loop = asyncio.get_running_loop()
-        attempt = _Attempt(endpoint, loop.time())
-        self._start(req, endpoint, resumed=answer.received > 0)
-        answer.restart()
-        failure: BaseException | None = None
-        try:
-            async with aclosing(self._parts.client.stream(endpoint, req)) as chunks:
-                async for chunk in chunks:
-                    attempt.take(loop.time(), len(chunk.tokens))
-                    index, tokens = answer.received, answer.add(chunk)
-                    if answer.complete:
-                        yield Chunk(index, tokens, answer.finish, answer.received)
-                        return
-                    if tokens:
-                        yield Chunk(index, tokens)
-            raise EndpointCrashed(
-                f"endpoint {endpoint.name!r} ended the answer early", endpoint=endpoint.name
-            )
-        except BaseException as exc:
-            failure = exc
-            raise
-        finally:
-            if _caller_left(failure) and not answer.complete:
-                self._cancel_at(endpoint, req)
-            self._end(req, grant, attempt, answer.complete, failure)
-
     async def _call_repeatable(self, req: Request) -> Reply:
         for attempt in range(1, MAX_ATTEMPTS + 1):
             self._check(req)
@@ -435,7 +457,12 @@
         self._cancels.add(task)
         task.add_done_callback(self._cancels.discard)
 
+    def _drop(self, req: Request) -> None:
+        if self._parts.guard is not None:
+            self._parts.guard.dropped(req)
+
     def _fail(self, req: Request, exc: LacewingError, tokens: int) -> None:
+        self._drop(req)
         # The scheduler records the requests that it sheds.
         if not isinstance(exc, Overloaded):
             self._record(EventKind.FAILED, req, code=exc.code, tokens=tokens)
@@ -453,6 +480,12 @@
         )
 
 
+def _ended_early(endpoint: Endpoint) -> EndpointCrashed:
+    return EndpointCrashed(
+        f"endpoint {endpoint.name!r} ended the answer early", endpoint=endpoint.name
+    )
+
+
 def _caller_left(failure: BaseException | None) -> bool:
     return isinstance(failure, asyncio.CancelledError | GeneratorExit)
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import base64
 import random
 import unittest
 from dataclasses import asdict
@@ -15,12 +16,14 @@
     ConfigReplica,
     ConfigState,
     SnapshotRecord,
+    pack_document,
+    unpack_document,
 )
-from lacewinghub.errors import LogUnavailable, LogUncertain, PublishLost
+from lacewinghub.errors import LogUnavailable, LogUncertain, PublishLost, TablesInvalid
 from lacewinghub.fake_log import MemoryLog
 from lacewinghub.log import Log, Page, Record
 from lacewinghub.memory_transport import MemoryNetwork
-from lacewinghub.message import Heartbeat
+from lacewinghub.message import ConfigReply, Heartbeat, decode, encode
 from lacewinghub.publish import publish
 from lacewinghub.tables import Change, Tables
 from lacewinghub.transport import Transport
@@ -30,7 +33,8 @@
 IN_FORCE_S = 4.0
 
 
-def _document(weights: dict[str, float]) -> dict[str, Any]:
+def tables_document(weights: dict[str, float]) -> dict[str, Any]:
+    """Build tables with one workspace per weight."""
     return {
         "pools": [{"name": "assistant", "endpoints": []}],
         "routes": [{"name": "all", "pool": "assistant", "tier": 1}],
@@ -38,7 +42,8 @@
     }
 
 
-def _weights(tables: Tables) -> dict[str, float]:
+def weights_of(tables: Tables) -> dict[str, float]:
+    """Return the weights by workspace."""
     return {name: item.weight for name, item in tables.workspaces.items()}
 
 
@@ -95,12 +100,11 @@
     """Takes a snapshot for the tables at the offset where it stands."""
 
     def _take_snapshot(self, snapshot: SnapshotRecord, record: Record) -> list[Any]:
-        members = asdict(snapshot) | {"through": record.offset + 1}
         self._pending = []
-        self.adopt(members["version"], members["document"], members["through"])
+        self.adopt(snapshot.version, base64.b64decode(snapshot.document), record.offset + 1)
         return []
 
-    def adopt(self, version: int, document: Any, through: int) -> list[Any] | None:
+    def adopt(self, version: int, document: bytes, through: int) -> list[Any] | None:
         if self.synced:
             return None
         return super().adopt(version, document, through)
@@ -131,7 +135,7 @@
     async def _race(self, blind: bool) -> list[str]:
         log = MemoryLog(clock=wall, seed=3)
         nodes = [Node(f"n{n}", log) for n in range(3)]
-        await publish(log, _document({"op0": 0.5}), "setup")
+        await publish(log, tables_document({"op0": 0.5}), "setup")
         await asyncio.sleep(1.0)
         log.set_faults(lose_share=0.2)
         won: dict[int, str] = {}
@@ -145,14 +149,14 @@
 
         async def attempt(name: str, weight: float) -> bool:
             seen = nodes[0].tables
-            weights = _weights(seen) | {name: weight}
+            weights = weights_of(seen) | {name: weight}
             await asyncio.sleep(rng.uniform(0.0, 0.05))
             try:
                 if blind:
                     await _publish_blindly(log, {name: weight}, seen.version, name)
                     version = seen.version + 1
                 else:
-                    done = await publish(log, _document(weights), name, base=seen.version)
+                    done = await publish(log, tables_document(weights), name, base=seen.version)
                     version = done.version
             except (PublishLost, LogUncertain):
                 return False
@@ -166,7 +170,7 @@
                     break
                 await asyncio.sleep(0.01)
             for node in nodes:
-                if _weights(node.tables).get(name) != weight:
+                if weights_of(node.tables).get(name) != weight:
                     faults.append(f"{name} published {weight}, which is not in force")
             return True
 
@@ -174,8 +178,8 @@
             await asyncio.gather(*(operate(f"op{n}") for n in range(self.OPERATORS)))
         expected = {f"op{n}": self.CHANGES / self.OPERATORS for n in range(self.OPERATORS)}
         for node in nodes:
-            if _weights(node.tables) != expected:
-                faults.append(f"final tables are {_weights(node.tables)}")
+            if weights_of(node.tables) != expected:
+                faults.append(f"final tables are {weights_of(node.tables)}")
             if node.versions != sorted(set(node.versions)):
                 faults.append("a version went back")
         return faults
@@ -184,8 +188,8 @@
         async def main(state: type[ConfigState]) -> float:
             log = MemoryLog(clock=wall)
             node = Node("n1", log, state=state)
-            await publish(log, _document({"trust": 1.0}), "ana")
-            await publish(log, _document({"trust": 2.0}), "ben")
+            await publish(log, tables_document({"trust": 1.0}), "ana")
+            await publish(log, tables_document({"trust": 2.0}), "ben")
             await _publish_blindly(log, {"trust": 3.0}, 1, "cy")
             await asyncio.sleep(1.0)
             return node.tables.workspaces["trust"].weight
@@ -201,13 +205,13 @@
         async def main(blind: bool) -> bool:
             log = MemoryLog(clock=wall)
             node = Node("n1", log)
-            await publish(log, _document({"trust": 1.0}), "ana")
+            await publish(log, tables_document({"trust": 1.0}), "ana")
             log.set_faults(lose_replies=1)
             try:
                 if blind:
                     await _publish_blindly(log, {"trust": 2.0}, 1, "ben")
                 else:
-                    await publish(log, _document({"trust": 2.0}), "ben")
+                    await publish(log, tables_document({"trust": 2.0}), "ben")
                 reported = True
             except LogUncertain:
                 reported = False
@@ -225,7 +229,7 @@
         async def main(kind: type[ConfigReplica]) -> bool:
             log = MemoryLog(clock=wall, retention_s=600.0)
             Node("n1", log, kind=kind)
-            await publish(log, _document({"trust": 1.0}), "ana")
+            await publish(log, tables_document({"trust": 1.0}), "ana")
             await asyncio.sleep(3000.0)
             fresh = Node("n2", log, kind=kind)
             await asyncio.sleep(IN_FORCE_S)
@@ -238,11 +242,11 @@
         async def main(state: type[ConfigState]) -> bool:
             log = MemoryLog(clock=wall, retention_s=600.0)
             old = Node("n1", log)
-            await publish(log, _document({"trust": 1.0}), "ana")
+            await publish(log, tables_document({"trust": 1.0}), "ana")
             await asyncio.sleep(1.0)
 
             async def race() -> None:
-                await publish(log, _document({"trust": 2.0}), "ben")
+                await publish(log, tables_document({"trust": 2.0}), "ben")
 
             old.log.before_append["snapshot"] = race
             await asyncio.sleep(590.0)
@@ -263,11 +267,11 @@
         async def main(state: type[ConfigState]) -> bool:
             log = MemoryLog(clock=wall, retention_s=600.0)
             awake, frozen = Node("n1", log), Node("n2", log, state=state)
-            await publish(log, _document({"trust": 1.0}), "ana")
+            await publish(log, tables_document({"trust": 1.0}), "ana")
             await asyncio.sleep(1.0)
             frozen.log.running.clear()
             for weight in range(2, 10):
-                await publish(log, _document({"trust": float(weight)}), "ben")
+                await publish(log, tables_document({"trust": float(weight)}), "ben")
                 await asyncio.sleep(0.1)
             await asyncio.sleep(3000.0)
             # Losers of the races for versions 2 and 3 that take effect very late.
@@ -276,42 +280,44 @@
             frozen.log.running.set()
             await asyncio.sleep(IN_FORCE_S)
             ok = frozen.tables.to_document() == awake.tables.to_document()
-            return ok and 77.0 not in _weights(frozen.tables).values()
+            return ok and 77.0 not in weights_of(frozen.tables).values()
 
         self.assertTrue(simulate(lambda: main(ConfigState)))
         self.assertFalse(simulate(lambda: main(NoGapCheck)))
 
     def test_tables_survive_an_outage_and_the_replacement_of_all_nodes(self) -> None:
-        async def main() -> None:
+        async def main(kind: type[ConfigReplica]) -> None:
             log = MemoryLog(clock=wall, retention_s=600.0)
-            nodes = [Node(f"n{n}", log) for n in range(3)]
-            await publish(log, _document({"trust": 1.0}), "ana")
+            nodes = [Node(f"n{n}", log, kind=kind) for n in range(3)]
+            await publish(log, tables_document({"trust": 1.0}), "ana")
             await asyncio.sleep(1.0)
             log.set_faults(unavailable=True)
             await asyncio.sleep(1800.0)
             with self.assertRaises(LogUnavailable):
-                await publish(log, _document({"trust": 2.0}), "ana")
+                await publish(log, tables_document({"trust": 2.0}), "ana")
             self.assertEqual([node.tables.version for node in nodes], [1, 1, 1])
             log.set_faults()
-            done = await publish(log, _document({"trust": 2.0}), "ana")
+            done = await publish(log, tables_document({"trust": 2.0}), "ana")
             self.assertEqual(done.version, 2)
             await asyncio.sleep(IN_FORCE_S)
             self.assertEqual([node.tables.version for node in nodes], [2, 2, 2])
             for turn in range(12):
                 nodes.pop(0).kill()
-                nodes.append(Node(f"m{turn}", log))
+                nodes.append(Node(f"m{turn}", log, kind=kind))
                 await asyncio.sleep(IN_FORCE_S)
                 self.assertEqual(nodes[-1].tables.version, 2 + turn)
-                done = await publish(log, _document({"trust": 3.0 + turn}), "ben")
+                done = await publish(log, tables_document({"trust": 3.0 + turn}), "ben")
                 await asyncio.sleep(250.0)
 
-        simulate(main)
+        simulate(lambda: main(ConfigReplica))
+        with self.assertRaises(LogUnavailable):
+            simulate(lambda: main(NoSnapshots))
 
     def test_few_snapshots_are_appended(self) -> None:
         async def main() -> int:
             log = MemoryLog(clock=wall, retention_s=600.0)
             nodes = [Node(f"n{n}", log) for n in range(9)]
-            await publish(log, _document({"trust": 1.0}), "ana")
+            await publish(log, tables_document({"trust": 1.0}), "ana")
             await asyncio.sleep(6000.0)
             self.assertTrue(all(node.replica.ready for node in nodes))
             return log.appends - 1
@@ -320,6 +326,38 @@
         self.assertIn(simulate(main), range(24, 40))
 
 
+class MalformedRecordTest(unittest.TestCase):
+    """Guards against a record that stops every node from reading on."""
+
+    def test_malformed_records_are_skipped(self) -> None:
+        async def main(data: dict[str, Any]) -> None:
+            log = MemoryLog(clock=wall)
+            await publish(log, tables_document({"trust": 1.0}), "ana")
+            node = Node("n1", log)
+            await log.append(CONFIG_STREAM, [data])
+            await publish(log, tables_document({"trust": 2.0}), "ben")
+            await asyncio.sleep(1.0)
+            self.assertEqual(weights_of(node.tables), {"trust": 2.0})
+
+        change = asdict(ChangeRecord(1, 2, "cy", "id", [Change("workspaces", "new", None)]))
+        snapshot = asdict(SnapshotRecord(9, 0, "n9", "not base 64!"))
+        put = {"table": "workspaces", "name": "new", "value": {"name": "other"}}
+        cases: list[dict[str, Any]] = [
+            {},
+            {"kind": ["change"]},
+            change | {"base": "x"},
+            change | {"version": 7},
+            change | {"changes": [{"table": "other", "name": "x", "value": None}]},
+            change | {"changes": [put]},
+            change | {"changes": [{"table": "pools", "name": "assistant", "value": None}]},
+            snapshot,
+            snapshot | {"through": 99},
+        ]
+        for data in cases:
+            with self.subTest(data):
+                simulate(lambda data=data: main(data))
+
+
 class PeerTransferTest(unittest.TestCase):
     """Guards against a node that stays behind its peers while it cannot reach the log."""
 
@@ -330,12 +368,12 @@
             first = Node("n1", log, network.transport("n1"))
             cut = Node("n2", log, network.transport("n2"))
             cut.log.running.clear()
-            await publish(log, _document({"trust": 1.0}), "ana")
+            await publish(log, tables_document({"trust": 1.0}), "ana")
             done = asyncio.ensure_future(_beat(first, cut)) if share else None
             await asyncio.sleep(IN_FORCE_S)
             seen = [cut.tables.version]
             cut.log.running.set()
-            await publish(log, _document({"trust": 2.0}), "ben")
+            await publish(log, tables_document({"trust": 2.0}), "ben")
             await asyncio.sleep(IN_FORCE_S)
             seen.append(cut.tables.version)
             self.assertEqual(done is None or not done.done(), True)
@@ -344,13 +382,36 @@
         self.assertEqual(simulate(lambda: main(True)), [1, 2, 1, 2])
         self.assertEqual(simulate(lambda: main(False))[0], 0)
 
+    def test_tables_of_the_target_size_fit_into_a_message(self) -> None:
+        workspaces = [{"name": f"w{n}", "keys": [f"{n:064x}"]} for n in range(13_000)]
+        keys = random.Random(1)
+        for item in workspaces:
+            item["keys"] = [keys.randbytes(32).hex()]
+        routes = [
+            {"name": f"r{n}", "pool": "assistant", "tier": 1, "workspace": f"w{n}"}
+            for n in range(13_000)
+        ]
+        document = tables_document({}) | {"workspaces": workspaces, "routes": routes}
+        tables = Tables.parse(document, 7)
+        reply = decode(encode(ConfigReply(7, pack_document(tables), 9)))
+        assert isinstance(reply, ConfigReply)
+        self.assertEqual(unpack_document(reply.document), tables.to_document())
+
+    def test_damaged_tables_of_a_peer_are_ignored(self) -> None:
+        state = ConfigState()
+        good = pack_document(Tables.parse(tables_document({"trust": 1.0}), 1))
+        for data in (b"", b"x", good[:-5], good[:20] + b"?" + good[21:]):
+            with self.subTest(data[:10]), self.assertRaises(TablesInvalid):
+                state.adopt(1, data, 1)
+        self.assertEqual((state.tables.version, state.next), (0, 0))
+
     def test_older_tables_of_a_peer_are_ignored(self) -> None:
         async def main() -> None:
             log = MemoryLog(clock=wall)
             node = Node("n1", log)
-            await publish(log, _document({"trust": 1.0}), "ana")
+            await publish(log, tables_document({"trust": 1.0}), "ana")
             old = node.replica._full_document()
-            await publish(log, _document({"trust": 2.0}), "ben")
+            await publish(log, tables_document({"trust": 2.0}), "ben")
             await asyncio.sleep(1.0)
             self.assertIsNone(node.replica._state.adopt(1, old, 99))
             self.assertEqual(node.tables.version, 2)
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -9,7 +9,7 @@
 from websockets.asyncio.client import connect
 
 from lacewinghub import peer as peer_module
-from lacewinghub.errors import PeerRejected
+from lacewinghub.errors import PeerRejected, SettingsInvalid
 from lacewinghub.membership import Membership, MemberState
 from lacewinghub.message import ConfigReply, ConfigRequest, Demand, Heartbeat, encode
 from lacewinghub.peer import PeerServer, PeerTls
@@ -163,7 +163,7 @@
         one.dial([two.identity.address])
         await until(lambda: one.peers() and two.peers())
         two._links["n1"]._conn.transport.pause_reading()
-        reply = ConfigReply(1, {"text": "x" * 1_000_000})
+        reply = ConfigReply(1, b"x" * 1_000_000)
         sent = [one.send("n2", reply) for _ in range(40)]
         await asyncio.sleep(0.1)
         self.assertFalse(sent[-1])
@@ -201,6 +201,12 @@
         await until(lambda: len(got) == 500)
         self.assertEqual(got, list(range(500)))
 
+    async def test_missing_certificate_is_a_coded_error(self) -> None:
+        """Guards against a traceback, or plain TCP, when a certificate file is wrong."""
+        for files in (PeerTls("absent", "absent", "absent"), PeerTls(__file__, __file__, __file__)):
+            with self.assertRaises(SettingsInvalid):
+                server("n1", tls=files)
+
     async def test_tls_needs_a_certificate_of_the_same_authority(self) -> None:
         """Guards against peers that connect without TLS or with a foreign certificate."""
         one = server("n1", tls=certificate("node"))
