--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import base64
 import random
 import unittest
 from dataclasses import asdict
@@ -15,12 +16,14 @@
     ConfigReplica,
     ConfigState,
     SnapshotRecord,
+    pack_document,
+    unpack_document,
 )
-from lacewinghub.errors import LogUnavailable, LogUncertain, PublishLost
+from lacewinghub.errors import LogUnavailable, LogUncertain, PublishLost, TablesInvalid
 from lacewinghub.fake_log import MemoryLog
 from lacewinghub.log import Log, Page, Record
 from lacewinghub.memory_transport import MemoryNetwork
-from lacewinghub.message import Heartbeat
+from lacewinghub.message import ConfigReply, Heartbeat, decode, encode
 from lacewinghub.publish import publish
 from lacewinghub.tables import Change, Tables
 from lacewinghub.transport import Transport
@@ -97,12 +100,11 @@
     """Takes a snapshot for the tables at the offset where it stands."""
 
     def _take_snapshot(self, snapshot: SnapshotRecord, record: Record) -> list[Any]:
-        members = asdict(snapshot) | {"through": record.offset + 1}
         self._pending = []
-        self.adopt(members["version"], members["document"], members["through"])
+        self.adopt(snapshot.version, base64.b64decode(snapshot.document), record.offset + 1)
         return []
 
-    def adopt(self, version: int, document: Any, through: int) -> list[Any] | None:
+    def adopt(self, version: int, document: bytes, through: int) -> list[Any] | None:
         if self.synced:
             return None
         return super().adopt(version, document, through)
@@ -284,9 +286,9 @@
         self.assertFalse(simulate(lambda: main(NoGapCheck)))
 
     def test_tables_survive_an_outage_and_the_replacement_of_all_nodes(self) -> None:
-        async def main() -> None:
+        async def main(kind: type[ConfigReplica]) -> None:
             log = MemoryLog(clock=wall, retention_s=600.0)
-            nodes = [Node(f"n{n}", log) for n in range(3)]
+            nodes = [Node(f"n{n}", log, kind=kind) for n in range(3)]
             await publish(log, tables_document({"trust": 1.0}), "ana")
             await asyncio.sleep(1.0)
             log.set_faults(unavailable=True)
@@ -301,13 +303,15 @@
             self.assertEqual([node.tables.version for node in nodes], [2, 2, 2])
             for turn in range(12):
                 nodes.pop(0).kill()
-                nodes.append(Node(f"m{turn}", log))
+                nodes.append(Node(f"m{turn}", log, kind=kind))
                 await asyncio.sleep(IN_FORCE_S)
                 self.assertEqual(nodes[-1].tables.version, 2 + turn)
                 done = await publish(log, tables_document({"trust": 3.0 + turn}), "ben")
                 await asyncio.sleep(250.0)
 
-        simulate(main)
+        simulate(lambda: main(ConfigReplica))
+        with self.assertRaises(LogUnavailable):
+            simulate(lambda: main(NoSnapshots))
 
     def test_few_snapshots_are_appended(self) -> None:
         async def main() -> int:
@@ -322,6 +326,38 @@
         self.assertIn(simulate(main), range(24, 40))
 
 
+class MalformedRecordTest(unittest.TestCase):
+    """Guards against a record that stops every node from reading on."""
+
+    def test_malformed_records_are_skipped(self) -> None:
+        async def main(data: dict[str, Any]) -> None:
+            log = MemoryLog(clock=wall)
+            await publish(log, tables_document({"trust": 1.0}), "ana")
+            node = Node("n1", log)
+            await log.append(CONFIG_STREAM, [data])
+            await publish(log, tables_document({"trust": 2.0}), "ben")
+            await asyncio.sleep(1.0)
+            self.assertEqual(weights_of(node.tables), {"trust": 2.0})
+
+        change = asdict(ChangeRecord(1, 2, "cy", "id", [Change("workspaces", "new", None)]))
+        snapshot = asdict(SnapshotRecord(9, 0, "n9", "not base 64!"))
+        put = {"table": "workspaces", "name": "new", "value": {"name": "other"}}
+        cases: list[dict[str, Any]] = [
+            {},
+            {"kind": ["change"]},
+            change | {"base": "x"},
+            change | {"version": 7},
+            change | {"changes": [{"table": "other", "name": "x", "value": None}]},
+            change | {"changes": [put]},
+            change | {"changes": [{"table": "pools", "name": "assistant", "value": None}]},
+            snapshot,
+            snapshot | {"through": 99},
+        ]
+        for data in cases:
+            with self.subTest(data):
+                simulate(lambda data=data: main(data))
+
+
 class PeerTransferTest(unittest.TestCase):
     """Guards against a node that stays behind its peers while it cannot reach the log."""
 
@@ -346,6 +382,29 @@
         self.assertEqual(simulate(lambda: main(True)), [1, 2, 1, 2])
         self.assertEqual(simulate(lambda: main(False))[0], 0)
 
+    def test_tables_of_the_target_size_fit_into_a_message(self) -> None:
+        workspaces = [{"name": f"w{n}", "keys": [f"{n:064x}"]} for n in range(13_000)]
+        keys = random.Random(1)
+        for item in workspaces:
+            item["keys"] = [keys.randbytes(32).hex()]
+        routes = [
+            {"name": f"r{n}", "pool": "assistant", "tier": 1, "workspace": f"w{n}"}
+            for n in range(13_000)
+        ]
+        document = tables_document({}) | {"workspaces": workspaces, "routes": routes}
+        tables = Tables.parse(document, 7)
+        reply = decode(encode(ConfigReply(7, pack_document(tables), 9)))
+        assert isinstance(reply, ConfigReply)
+        self.assertEqual(unpack_document(reply.document), tables.to_document())
+
+    def test_damaged_tables_of_a_peer_are_ignored(self) -> None:
+        state = ConfigState()
+        good = pack_document(Tables.parse(tables_document({"trust": 1.0}), 1))
+        for data in (b"", b"x", good[:-5], good[:20] + b"?" + good[21:]):
+            with self.subTest(data[:10]), self.assertRaises(TablesInvalid):
+                state.adopt(1, data, 1)
+        self.assertEqual((state.tables.version, state.next), (0, 0))
+
     def test_older_tables_of_a_peer_are_ignored(self) -> None:
         async def main() -> None:
             log = MemoryLog(clock=wall)
