Lengthen the heartbeat period of large deployments

With the floors of four pools relayed, a heartbeat grows from 174 to 346 bytes, and at 330 nodes with 7.7 peers on average (13 at most) a node would send 10.7 kB/s of payload, more than the 8 kB/s it may spend.

Beyond 64 nodes the period is 0.4 s, which makes 6.7 kB/s by calculation. Relayed floors live for 3 s, since renewals take one period per hop.

The traffic counts move to a module of their own.

--- a/lacewinghub/memory_transport.py
+++ b/lacewinghub/memory_transport.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 
 from .message import Message, decode, encode
-from .peer import Traffic
+from .traffic import Traffic
 from .transport import Peer, Transport
 
 DIAL_S = 0.005
--- a/lacewinghub/overlay.py
+++ b/lacewinghub/overlay.py
@@ -33,8 +33,14 @@
 DEGREE = 8
 OTHERS = "~others"
 SEED_EVERY = 20
-# A relayed floor is dropped when its origin has not renewed it for this long.
-RELAY_S = 1.5
+# With floors of all pools relayed, heartbeats grow to 350 bytes: 8 peers at the usual period would
+# exceed 8000 bytes/s. Stricter floors are passed on at once in any case.
+LARGE = 64
+LARGE_PERIOD_FACTOR = 1.6
+SPREAD_S = 0.05
+# A relayed floor is dropped when its origin has not renewed it for this long: renewals take one
+# period per hop, and 330 nodes are up to 5 hops apart.
+RELAY_S = 3.0
 # An admission elsewhere is relayed if it is this much later than the last own one.
 ADMISSION_GAP_MS = 500
 # Heartbeats that were on their way when a connection was closed do not make its end a silence.
@@ -120,6 +126,7 @@
         dead_s: float = DEAD_S,
     ) -> None:
         super().__init__(identity, transport, seeds, period_s, suspect_s, dead_s)
+        self._base_period_s = period_s
         self._known: dict[str, _Known] = {}
         self._own_seq = 0
         self._news: dict[str, Rumour] = {}
@@ -309,6 +316,8 @@
         The latter joins the parts of a network again after a partition.
         """
         live = [item for item in self.members() if item.state is not MemberState.DEAD]
+        factor = LARGE_PERIOD_FACTOR if len(live) > LARGE else 1.0
+        self._period_s = self._base_period_s * factor
         self._chosen = choose_peers(self._own(), live)
         addresses = {item.address for item in live if item.node in self._chosen}
         known = {item.address for item in live} | {self.identity.address}
@@ -371,7 +380,7 @@
         if lowered and not self._spreading:
             # A stricter floor must reach all nodes within the propagation delay.
             self._spreading = True
-            asyncio.get_running_loop().call_later(self._period_s / 5, self._spread)
+            asyncio.get_running_loop().call_later(SPREAD_S, self._spread)
 
     def _spread(self) -> None:
         self._spreading = False
--- a/lacewinghub/peer.py
+++ b/lacewinghub/peer.py
@@ -13,7 +13,7 @@
 import ssl
 from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import astuple, dataclass, field, replace
+from dataclasses import astuple, dataclass, replace
 
 from loguru import logger
 from websockets.asyncio.client import connect
@@ -23,6 +23,7 @@
 
 from .errors import PeerRejected, SettingsInvalid
 from .message import MAX_MESSAGE_BYTES, Hello, Message, decode, encode
+from .traffic import Traffic
 from .transport import Peer, Transport
 
 HANDSHAKE_S = 2.0
@@ -80,36 +81,6 @@
         return ctx
 
 
-@dataclass(slots=True)
-class Count:
-    """Messages and payload bytes of one message class."""
-
-    sent: int = 0
-    sent_bytes: int = 0
-    received: int = 0
-    received_bytes: int = 0
-    dropped: int = 0
-
-
-@dataclass(slots=True)
-class Traffic:
-    """Counts by message class name."""
-
-    by_class: dict[str, Count] = field(default_factory=dict)
-
-    def of(self, name: str) -> Count:
-        """Return the count of a message class, creating it when needed."""
-        count = self.by_class.get(name)
-        if count is None:
-            count = self.by_class[name] = Count()
-        return count
-
-    def total(self) -> Count:
-        """Return the sum over all classes."""
-        rows = [astuple(count) for count in self.by_class.values()]
-        return Count(*(sum(column) for column in zip(*rows, strict=True))) if rows else Count()
-
-
 class PeerLink:
     """An authenticated connection with a bounded send queue.
 
--- /dev/null
+++ b/lacewinghub/traffic.py
@@ -0,0 +1,33 @@
+"""Counts of messages between nodes."""
+
+from dataclasses import astuple, dataclass, field
+
+
+@dataclass(slots=True)
+class Count:
+    """Messages and payload bytes of one message class."""
+
+    sent: int = 0
+    sent_bytes: int = 0
+    received: int = 0
+    received_bytes: int = 0
+    dropped: int = 0
+
+
+@dataclass(slots=True)
+class Traffic:
+    """Counts by message class name."""
+
+    by_class: dict[str, Count] = field(default_factory=dict)
+
+    def of(self, name: str) -> Count:
+        """Return the count of a message class, creating it when needed."""
+        count = self.by_class.get(name)
+        if count is None:
+            count = self.by_class[name] = Count()
+        return count
+
+    def total(self) -> Count:
+        """Return the sum over all classes."""
+        rows = [astuple(count) for count in self.by_class.values()]
+        return Count(*(sum(column) for column in zip(*rows, strict=True))) if rows else Count()
