Use the host list's state of endpoints

The host list was read for addresses of nodes only: a runner that the platform was about to take kept receiving work until it refused, and nodes dialled the addresses of runners as peers.

The node passes the states of listed endpoints to EndpointHealth and only the other addresses to the membership. The failure test has a list that still shows a leaving runner as live and names another one as leaving.

--- a/lacewinghub/node.py
+++ b/lacewinghub/node.py
@@ -145,7 +145,7 @@
         tls = PeerTls(**cfg.peer_tls.model_dump()) if cfg.peer_tls else None
         self._peers = PeerServer(identity, cfg.peer_key.encode(), tls, listen=cfg.peer_listen)
         self._membership = Membership(identity, self._peers, cfg.peers)
-        self._hosts = HostList(cfg.hosts, self._membership.discovered) if cfg.hosts else None
+        self._hosts = HostList(cfg.hosts, self._on_hosts) if cfg.hosts else None
         self._config = ConfigReplica(cfg.node, self._log, self._peers, self._history)
         self._config.subscribe(self._on_tables)
         self._client = HttpEndpoint(cfg.limits.connect_s, cfg.limits.endpoint_idle_s)
@@ -217,6 +217,16 @@
         names = {item.name for pool in tables.pools.values() for item in pool.endpoints}
         self._health.retain(names)
 
+    def _on_hosts(self, live: list[str]) -> None:
+        """Divide the host list into endpoints, whose states count, and addresses of other nodes."""
+        pools = self._tables().pools.values()
+        names = {item.address: item.name for pool in pools for item in pool.endpoints}
+        hosts = self._hosts.hosts if self._hosts is not None else []
+        self._health.listed(
+            {names[host.address]: host.state for host in hosts if host.address in names}
+        )
+        self._membership.discovered(address for address in live if address not in names)
+
     def _live_count(self) -> int:
         return len(self._membership.live())
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -178,6 +178,10 @@
         self.nodes[name] = node
         return node
 
+    def add_hosts(self) -> Process:
+        """Start a host list, which is empty."""
+        return self._start("fake_hosts", [], "hosts")
+
     def document(self) -> dict[str, Any]:
         """Return the tables of the deployment."""
         zone = {"availability_zone": "north-a"}
--- a/tests/test_runner_failure.py
+++ b/tests/test_runner_failure.py
@@ -27,21 +27,34 @@
         self.assertTrue(resumed)
         await self.assert_kept(cluster)
 
-    async def test_leaving_runner_that_the_host_list_shows_as_live(self) -> None:
-        """Guards against new work for a runner whose own refusals are ignored."""
-        cluster = await self.open()
-        runner = cluster.deployment.runners[0]
+    async def test_leaving_runners_and_a_host_list_that_lags(self) -> None:
+        """Guards against new work for a runner that refuses it, or that the host list names.
+
+        The list goes on to show the first runner as live; the second one knows of nothing.
+        """
+        cluster = await self.open(nodes=0, ready=False)
+        hosts = cluster.deployment.add_hosts()
+        runners = cluster.deployment.runners
+        for runner in runners:
+            await cluster.control(hosts, "put", address=runner.address)
+        for index in range(3):
+            cluster.deployment.add_node(f"n{index}", hosts=hosts.address)
+        await cluster.start()
         running = [asyncio.create_task(cluster.chat("n0", f"long {i}", 300)) for i in range(6)]
         await asyncio.sleep(0.3)
         cluster.note(EventKind.LEAVING, endpoint="r0")
-        await cluster.control(runner, "leave")
-        for index in range(60):
+        await cluster.control(runners[0], "leave")
+        cluster.note(EventKind.LEAVING, endpoint="r1")
+        await cluster.control(hosts, "put", address=runners[1].address, state="leaving")
+        for index in range(70):
             node = cluster.names[index % 3]
             running.append(asyncio.create_task(cluster.chat(node, f"short {index}", 5)))
             await asyncio.sleep(0.08)
         calls = await asyncio.gather(*running)
         self.assertEqual({call.code for call in calls}, {""})
         await self.assert_kept(cluster)
+        used = [event.endpoint for event in cluster.evidence.of(EventKind.DISPATCHED)]
+        self.assertEqual(set(used[-10:]), {"r2"})
 
     async def test_poison_request_at_all_nodes(self) -> None:
         """Guards against one caller that crashes every runner."""
