Let no arrival above the floor take the place of a lower tier

An arrival of tier 4 above the floor was admitted in place of a waiting tier 6, while another node shed tier 2 and relied on the floor. Change: this exchange stays under rules 2 and 3 only.

--- a/lacewinghub/admission.py
+++ b/lacewinghub/admission.py
@@ -177,12 +177,12 @@
         refusal = self._refusal(pool, queue, req, now)
         if refusal is None:
             return self._admit(pool, waiter, now)
+        above = req.tier > self.effective_floor(pool.name)
         lowest = queue.lowest()
-        if lowest is not None and lowest.req.tier > req.tier:
+        if not above and lowest is not None and lowest.req.tier > req.tier:
             displaced = lowest if self.may_shed(lowest.req, now) else None
             return self._admit(pool, waiter, now, displaced=displaced)
-        full = len(queue) >= pool.queue_limit and req.tier <= self.effective_floor(pool.name)
-        if not full and self.starving(pool.name, req.tier, now):
+        if (above or len(queue) < pool.queue_limit) and self.starving(pool.name, req.tier, now):
             return self._admit(pool, waiter, now, quota=True)
         return refusal
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -126,6 +126,30 @@
         self.assertTrue(self._arrive(1).admitted)
         self.assertTrue(self._arrive(2, patience_s=30.0).admitted)
 
+    def test_rules_2_and_3_lower_tier_that_waits_gives_way_but_not_under_rule_1(self) -> None:
+        cases = [
+            ("rule 2: full queue", 4, 8, 0.0, True),
+            ("rule 3: predicted wait", 1, 8, 9.0, True),
+            ("rule 1: floor of a peer", 1, 1, 0.0, False),
+        ]
+        for name, waiting, floor, wait, admitted in cases:
+            with self.subTest(name):
+                self.setUp()
+                for _ in range(20):
+                    self._arrive(2)
+                    self.queue.pop()
+                for _ in range(waiting):
+                    self._arrive(6)
+                self._forecast(0.0, wait)
+                self.admission.update(self.pool, self.queue, self.now)
+                self.now += NEWS_BOUND_S
+                self._hear(floor)
+                self._forecast(0.0, wait)
+                lower = len(self.queue)
+                self.assertEqual(self._arrive(2).admitted, admitted)
+                if not admitted:
+                    self.assertEqual(len(self.queue), lower)
+
     def test_rule_4_evidence(self) -> None:
         cases = [
             ("nothing heard", None, True),
