Check full queues in the simulation again and tell refusals by the floor apart

Change: the event shed carries the floor that refused the arrival; the rule permits such a refusal only if a request at the floor or above waited within 15 s. The simulation test is back, for two scenarios; the checker has a history for each side.

--- a/lacewinghub/admission.py
+++ b/lacewinghub/admission.py
@@ -34,6 +34,7 @@
         quota: True if admitted because its tier was starving.
         reason: Why it is refused.
         retry_after_s: When a retry makes sense, in seconds.
+        floor: Effective floor if it is the reason, otherwise 0.
     """
 
     admitted: bool
@@ -41,6 +42,7 @@
     quota: bool = False
     reason: str = ""
     retry_after_s: float = 1.0
+    floor: int = 0
 
 
 class Admission(ABC):
@@ -190,7 +192,8 @@
         """Return the refusal that the state of the pool calls for, or None."""
         own, floor = self._own(pool.name), self.effective_floor(pool.name)
         if req.tier > floor:
-            return Verdict(False, reason=f"pool {pool.name!r} admits tiers 1 to {floor}")
+            reason = f"pool {pool.name!r} admits tiers 1 to {floor}"
+            return Verdict(False, reason=reason, floor=floor)
         full = len(queue) >= pool.queue_limit
         if own.strict_for(req.tier, now) < NEWS_BOUND_S:
             lowest = queue.lowest()
--- a/lacewinghub/checker.py
+++ b/lacewinghub/checker.py
@@ -27,6 +27,8 @@
         config_s: From the acceptance of a change to its use at every node.
         min_share: Share of the finished requests of a pool that each tier completes.
         share_window_s: Time over which the share is measured; longer than any answer.
+        floor_s: Longest time in which a floor returns to the lowest tier: 2 s for each of 7 tiers
+            and the propagation delay.
     """
 
     news_s: float = 1.0
@@ -34,6 +36,7 @@
     config_s: float = 4.0
     min_share: float = 0.02
     share_window_s: float = 30.0
+    floor_s: float = 15.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,7 +105,11 @@
 
 
 class FullQueue(Rule):
-    """No arrival is refused while a lower tier waits in the same queue."""
+    """No arrival is refused while a lower tier waits in the same queue.
+
+    A refusal by the floor is permitted while, at some node, a request at the floor or above waited
+    within ``floor_s``: the arrival is then refused in favour of that higher tier.
+    """
 
     name, guarantee = "full_queue", 2
 
@@ -113,6 +120,8 @@
         for shed in evidence.of(EventKind.SHED):
             if shed.time - shed.arrived > CLOCK_S or not shed.arrived:
                 continue
+            if shed.floor and self._is_floor_needed(shed, waits):
+                continue
             for event, end in waits[shed.node, shed.pool]:
                 waited = event.time < shed.time - CLOCK_S and shed.time + CLOCK_S < end
                 if event.tier > shed.tier and not event.quota and waited:
@@ -127,6 +136,17 @@
             f" while request {event.request} of tier {event.tier} waited there",
         )
 
+    def _is_floor_needed(
+        self, shed: Event, waits: dict[tuple[str, str], list[tuple[Event, float]]]
+    ) -> bool:
+        start = shed.time - self.bounds.floor_s
+        return any(
+            event.tier <= shed.floor and event.time < shed.time and end > start
+            for (_, pool), items in waits.items()
+            if pool == shed.pool
+            for event, end in items
+        )
+
 
 class MinimumShare(Rule):
     """Every class with demand completes the stated share of its pool's requests.
--- a/lacewinghub/history.py
+++ b/lacewinghub/history.py
@@ -58,6 +58,7 @@
         request_class: Class of the request.
         workspace: Workspace of the caller.
         quota: True if admitted through the starvation quota.
+        floor: For ``shed``, the floor of the pool that refused the arrival, otherwise 0.
         first_token_s: Time from arrival to the first token, in seconds; -1 if unknown.
         between_tokens_s: Mean time between tokens, in seconds; -1 if unknown.
         completion_s: Time from arrival to the end, in seconds; -1 if unknown.
@@ -79,6 +80,7 @@
     request_class: str = ""
     workspace: str = ""
     quota: bool = False
+    floor: int = 0
     first_token_s: float = -1.0
     between_tokens_s: float = -1.0
     completion_s: float = -1.0
--- a/lacewinghub/local.py
+++ b/lacewinghub/local.py
@@ -117,7 +117,7 @@
         now = asyncio.get_running_loop().time()
         verdict = self.admission.decide(pool, state.queue, waiter, now)
         if not verdict.admitted:
-            self._record(EventKind.SHED, req)
+            self._record(EventKind.SHED, req, floor=verdict.floor)
             raise Overloaded(verdict.reason, retry_after_s=verdict.retry_after_s)
         if verdict.displaced is not None:
             self._shed(verdict.displaced, "displaced by a request of a higher tier")
@@ -145,7 +145,7 @@
         if fut.done() and not fut.cancelled() and fut.exception() is None:
             self.release(fut.result(), Observation(ok=False))
 
-    def _record(self, kind: EventKind, req: Request, quota: bool = False) -> None:
+    def _record(self, kind: EventKind, req: Request, quota: bool = False, floor: int = 0) -> None:
         waited = asyncio.get_running_loop().time() - req.arrived
         self._history.record(
             kind,
@@ -157,6 +157,7 @@
             arrived=self._history.now() - waited if kind is EventKind.SHED else 0.0,
             code=Overloaded.code if kind is EventKind.SHED else "",
             quota=quota,
+            floor=floor,
         )
 
 
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -85,6 +85,13 @@
         shed(3, 3),
     ],
     "full_queue: the lower tier waits at another node": [admitted(1, 6, "n2"), shed(1.5, 1.5)],
+    "full_queue: the floor protects a higher tier": [
+        replace(admitted(0, 1, "n2"), request="h"),
+        admitted(1, 6, "n1"),
+        replace(shed(2, 2), floor=1),
+        event(K.DISPATCHED, 3, request="h", node="n2"),
+        event(K.DISPATCHED, 4, request="a"),
+    ],
     "full_queue: a higher tier waits": [admitted(1, 1, "n1"), shed(3, 3, tier=2)],
     "minimum_share: two of a hundred": list(burst(5)),
     "minimum_share: no demand in the last third": [
@@ -161,6 +168,11 @@
         shed(2, 2),
         event(K.DISPATCHED, 3, request="a"),
     ],
+    "full_queue: a floor that protects nobody": [
+        admitted(1, 6, "n1"),
+        replace(shed(2, 2), floor=1),
+        event(K.DISPATCHED, 3, request="a"),
+    ],
     "minimum_share: nothing finished": list(burst(0)),
     "minimum_share: below the share": list(burst(3)),
     "complete_answers: truncated": [call(0, 1, answer="ab", expected="abc")],
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -4,7 +4,7 @@
 import unittest
 from dataclasses import replace
 
-from lacewinghub.checker import Bounds, MinimumShare, TierOrder
+from lacewinghub.checker import Bounds, FullQueue, MinimumShare, TierOrder
 from lacewinghub.evidence import Evidence
 from lacewinghub.history import Event
 from lacewinghub.model import Job, JobEnd, Rates, SimRunner, new_loop
@@ -60,6 +60,12 @@
                 found = MinimumShare(Bounds()).check(evidence)
                 self.assertEqual(not found, holds, found[:3])
 
+    def test_guarantee_2_full_queue_displaces_its_lowest_tier(self) -> None:
+        for name in ("overload", "top-burst"):
+            with self.subTest(name):
+                evidence = _evidence(_run(replace(BY_NAME[name], traffic_s=20.0), "current"), 20.0)
+                self.assertEqual(FullQueue(Bounds()).check(evidence), [])
+
 
 class RepeatabilityTest(unittest.TestCase):
     """Guards against figures that differ between runs on one seed."""
