Measure messages, broker time, polls and resident memory of a node

Change: modules footprint (messages, broker, client, heartbeats, links, polls) and resident (real node processes); python -m lacewinghub.capacity [NAME...] prints one JSON object per slope.

--- a/lacewinghub/capacity.py
+++ b/lacewinghub/capacity.py
@@ -4,11 +4,14 @@
 allocates, in bytes; time is processor time of this process, in seconds.
 """
 
+import argparse
 import asyncio
 import base64
 import gc
 import hashlib
+import json
 import math
+import os
 import time
 import tracemalloc
 from collections.abc import Callable, Sequence
@@ -198,21 +201,49 @@
     )
 
 
-async def measure() -> list[Slope]:
-    """Measure all slopes; takes about a minute."""
-    slopes = [
-        workspace_memory(),
-        route_memory(),
-        claim_memory(answered=False),
-        claim_memory(answered=True),
-        claim_replay(),
-        change_time(),
-        change_replay(),
-        snapshot_size(),
-        snapshot_write(),
-        snapshot_load(),
-    ]
-    return [*slopes, *await append_rates()]
+Measurement = Callable[[], Sequence[Slope]]
+
+
+def measurements() -> dict[str, Measurement]:
+    """Return all measurements by the name that the command line takes."""
+    from . import footprint, resident  # They need the names of this module.
+
+    found: dict[str, Measurement] = {
+        "workspace-memory": lambda: [workspace_memory()],
+        "route-memory": lambda: [route_memory()],
+        "claim-memory": lambda: [claim_memory(answered=False), claim_memory(answered=True)],
+        "claim-replay": lambda: [claim_replay()],
+        "change-time": lambda: [change_time()],
+        "change-replay": lambda: [change_replay()],
+        "snapshot-size": lambda: [snapshot_size()],
+        "snapshot-write": lambda: [snapshot_write()],
+        "snapshot-load": lambda: [snapshot_load()],
+        "append-rates": lambda: asyncio.run(append_rates()),
+    }
+    return found | footprint.MEASUREMENTS | resident.MEASUREMENTS
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run measurements and print one JSON object per slope.
+
+    Args:
+        argv: Arguments; by default those of the process.
+
+    Returns:
+        Exit status.
+    """
+    found = measurements()
+    parser = argparse.ArgumentParser(prog="python -m lacewinghub.capacity", description=__doc__)
+    parser.add_argument("names", nargs="*", metavar="NAME", help=f"of: {', '.join(found)}")
+    names = parser.parse_args(argv).names
+    unknown = [name for name in names if name not in found]
+    if unknown:
+        parser.error(f"unknown measurement {unknown[0]!r}; choose from {', '.join(found)}")
+    os.environ["UV_USE_IO_URING"] = "0"
+    for name in names or found:
+        for line in found[name]():
+            print(json.dumps({"measurement": name, **asdict(line)}), flush=True)
+    return 0
 
 
 def _endpoint(n: int) -> dict[str, Any]:
@@ -382,3 +413,7 @@
 async def _answer(check: Check) -> Reply:
     check()
     return Reply(200, {"booked": True})
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/lacewinghub/footprint.py
@@ -0,0 +1,430 @@
+"""Measures the messages, processor time and resident memory of a node's parts.
+
+Every function returns lines through at least four measured points, as those of ``capacity`` do.
+``python -m lacewinghub.capacity NAME`` runs them.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable, Coroutine, Sequence
+from functools import partial
+from typing import Any
+
+import aiohttp
+import uvloop
+
+from .broker import START_S, Broker
+from .brokered import BrokeredScheduler
+from .capacity import Slope, fit
+from .group import broker_of, split
+from .health import EndpointHealth
+from .membership import Member, Members, MemberState
+from .memory_transport import MemoryNetwork
+from .mesh import MESH_SIZES, SampleState, measure_mesh
+from .message import Demand, GrantItem, Grants, Heartbeat, Held, Message, encode
+from .model import new_loop
+from .overlay import Overlay
+from .poll import EndpointPoller
+from .prefix import PrefixMap
+from .request import Observation, Request
+from .scheduler import TablesView
+from .selection import LoadReports
+from .tables import Pool, Tables, Target
+from .transport import Peer
+
+GROUP = 18
+GROUPS = (1, 5, 10, 20, 40, 80)
+HELD = (0, 50, 100, 200, 400)
+MEMBERS = (30, 90, 180, 330)
+POLLED = (4, 9, 18, 36)
+SMALL = (1, 2, 4, 8)
+OVERLAY_SIZES = (16, 24, 36, 54, 81)
+REQUESTS = 100
+REQUEST_EVERY_S = 0.05
+HOLD_S = 0.02
+# An address that refuses connections, so that a measured node polls nothing.
+CLOSED = "127.0.0.1:9"
+_LOAD = b'{"running": 3, "waiting": 0, "state": "live"}'
+_EVENTS = b'{"events": [{"op": "evict", "block": 1}], "next": 1}'
+
+
+class FixedMembers(Members):
+    """Live nodes that do not change."""
+
+    def __init__(self, count: int) -> None:
+        self._members = [
+            Member(f"node-{n:03}", "", f"zone-{n % 11}", 1, MemberState.LIVE) for n in range(count)
+        ]
+
+    def live(self) -> list[Member]:
+        """Return all nodes."""
+        return self._members
+
+    def state(self, node: str) -> MemberState:
+        """Return live for every node."""
+        return MemberState.LIVE
+
+
+def demand_size(sizes: Sequence[int] = HELD) -> list[Slope]:
+    """Measure the bytes of a demand by grants held, and of a heartbeat's other shares."""
+    points = [
+        (float(n), _size(Demand("model-0/17", 9_000, [], [], [_held(i) for i in range(n)])))
+        for n in sizes
+    ]
+    grants = [(float(n), _size(Grants("model-0/17", [_item(i) for i in range(n)]))) for n in sizes]
+    return [
+        fit("demand size per grant held", "bytes", points),
+        fit("size of grants per slot", "bytes", grants),
+    ]
+
+
+def demand_time(sizes: Sequence[int] = HELD, repeats: int = 100) -> list[Slope]:
+    """Measure the time of a broker for one demand, by grants that the node holds."""
+    return [fit("broker time per demand and grant held", "s", run(_demand_points(sizes, repeats)))]
+
+
+def request_groups(sizes: Sequence[int] = GROUPS) -> list[Slope]:
+    """Measure messages, bytes and time per request by the number of runner groups of its pool.
+
+    One node sends all requests. It and three others in the same process are the brokers, so that
+    the time includes both sides; that of the idle nodes is subtracted. Messages to the node itself
+    are not counted, which are those for a quarter of the groups.
+    """
+    rows = [(float(n), run(_serve_requests(n))) for n in sizes]
+    names = (
+        ("client messages per request and group", "messages"),
+        ("client bytes per request and group", "bytes"),
+        ("broker bytes per request and group", "bytes"),
+        ("time of client and brokers per request and group", "s"),
+    )
+    return [
+        fit(name, unit, [(size, row[index]) for size, row in rows])
+        for index, (name, unit) in enumerate(names)
+    ]
+
+
+def broker_choice(sizes: Sequence[int] = MEMBERS) -> list[Slope]:
+    """Measure the time to choose the broker of one group by the number of live nodes."""
+    group = split(_pool(GROUP))[0]
+    points = []
+    for count in sizes:
+        spent = _seconds(partial(broker_of, group, FixedMembers(count)), 200)
+        points.append((float(count), spent))
+    return [fit("time to choose a broker per live node", "s", points)]
+
+
+def broker_open(sizes: Sequence[int] = GROUPS, members: int = 330) -> list[Slope]:
+    """Measure the time in which a broker looks for its own groups, by groups of all pools.
+
+    The broker repeats it every ``OPEN_EVERY_S``.
+    """
+    points = []
+    for count in sizes:
+        points.append((float(count), run(_open_time(count, members))))
+    return [fit("time to look for own groups per group", "s", points)]
+
+
+def split_time(sizes: Sequence[int] = GROUPS) -> list[Slope]:
+    """Measure the time to split a pool, over the square of its groups, as it grows with that."""
+    points = []
+    for count in sizes:
+        pool = _pool(count * GROUP)
+        points.append((float(count * count), _seconds(partial(split, pool), 1)))
+    return [fit("time to split a pool per group squared", "s", points)]
+
+
+def heartbeat_size(sizes: Sequence[int] = SMALL) -> list[Slope]:
+    """Measure the bytes of a heartbeat by pools, tiers and groups of which the node is broker."""
+    return [
+        fit("heartbeat size per pool", "bytes", [(n, _beat(pools=n)) for n in sizes]),
+        fit("heartbeat size per tier", "bytes", [(n, _beat(tiers=n)) for n in sizes]),
+        fit("heartbeat size per group", "bytes", [(n, _beat(groups=n)) for n in sizes]),
+    ]
+
+
+def mesh_links(sizes: Sequence[int] = MESH_SIZES) -> list[Slope]:
+    """Measure bytes and share of a core of the links of one node in a full mesh."""
+    costs = [run(measure_mesh(n, 3.0)) for n in sizes]
+    return [
+        fit(
+            "mesh payload per second and node", "bytes/s", [(c.nodes, c.bytes_per_s) for c in costs]
+        ),
+        fit(
+            "mesh wire bytes per second and node",
+            "bytes/s",
+            [(c.nodes, c.wire_bytes_per_s) for c in costs],
+        ),
+        fit("mesh share of a core per node", "cores", [(c.nodes, c.core) for c in costs]),
+    ]
+
+
+def overlay_links(sizes: Sequence[int] = OVERLAY_SIZES, seconds: float = 4.0) -> list[Slope]:
+    """Measure bytes and time of one node in the overlay, on a network in one process.
+
+    The time includes encoding and decoding but no sockets.
+    """
+    rows = []
+    for count in sizes:
+        with asyncio.Runner(loop_factory=new_loop) as runner:
+            rows.append((float(count), *runner.run(_overlay(count, seconds))))
+    return [
+        fit("overlay payload per second and node", "bytes/s", [(n, b) for n, b, _, _ in rows]),
+        fit("overlay messages per second and node", "1/s", [(n, m) for n, _, m, _ in rows]),
+        fit("overlay time per second and node", "s", [(n, s) for n, _, _, s in rows]),
+    ]
+
+
+def poll_cost(sizes: Sequence[int] = POLLED, rounds: int = 100) -> list[Slope]:
+    """Measure bytes in both directions and time of one poll of each endpoint, by endpoints.
+
+    The time includes that of the answering side.
+    """
+    rows = [(float(n), *run(_poll(n, rounds))) for n in sizes]
+    return [
+        fit("bytes per poll and endpoint", "bytes", [(n, size) for n, size, _ in rows]),
+        fit("time per poll and endpoint", "s", [(n, spent) for n, _, spent in rows]),
+    ]
+
+
+MEASUREMENTS: dict[str, Callable[[], list[Slope]]] = {
+    "demand-size": demand_size,
+    "demand-time": demand_time,
+    "request-groups": request_groups,
+    "broker-choice": broker_choice,
+    "broker-open": broker_open,
+    "split-time": split_time,
+    "heartbeat-size": heartbeat_size,
+    "mesh-links": mesh_links,
+    "overlay-links": overlay_links,
+    "poll-cost": poll_cost,
+}
+
+
+def run(work: Coroutine[Any, Any, Any]) -> Any:
+    """Run a coroutine on an event loop of its own."""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(work)
+
+
+def _seconds(run: Callable[[], Any], repeats: int) -> float:
+    run()
+    start = time.process_time()
+    for _ in range(repeats):
+        run()
+    return (time.process_time() - start) / repeats
+
+
+def _size(message: Message) -> float:
+    return float(len(encode(message)))
+
+
+def _held(n: int) -> Held:
+    return Held(0x12345600 + n, f"runner-{1000 + n % GROUP}", 1 + n % 8)
+
+
+def _item(n: int) -> GrantItem:
+    return GrantItem(0x12345600 + n, f"runner-{1000 + n % GROUP}", 1 + n % 8)
+
+
+def _beat(pools: int = 4, tiers: int = 8, groups: int = 1) -> float:
+    heartbeat = Heartbeat("node-123", 1_780_000_000_000, 100_000, str(MemberState.LIVE))
+    SampleState(pools, tiers, groups).fill(heartbeat)
+    return _size(heartbeat)
+
+
+def _pool(endpoints: int, address: str = CLOSED) -> Pool:
+    return _tables(1, endpoints, address).pools["model-0"]
+
+
+def sample_tables(workspaces: int, endpoints: int, address: str) -> dict[str, Any]:
+    """Return a document of four pools and a route per workspace, all at one address."""
+    pools = min(4, endpoints)
+    return {
+        "pools": [
+            {
+                "name": f"model-{pool}",
+                "queue_limit": 1000,
+                "endpoints": [
+                    {
+                        "name": f"runner-{n}",
+                        "address": address,
+                        "availability_zone": f"zone-{n % 11}",
+                        "slots": 32,
+                    }
+                    for n in range(pool, endpoints, pools)
+                ],
+            }
+            for pool in range(pools)
+        ],
+        "routes": [
+            {
+                "name": f"route-{n}",
+                "pool": f"model-{n % pools}",
+                "tier": 1 + n % 8,
+                "workspace": f"workspace-{n}",
+            }
+            for n in range(workspaces)
+        ],
+        "workspaces": [
+            {"name": f"workspace-{n}", "keys": [f"{n:064x}"]} for n in range(workspaces)
+        ],
+    }
+
+
+def _tables(workspaces: int, endpoints: int, address: str = CLOSED) -> Tables:
+    document = sample_tables(workspaces, endpoints, address)
+    if workspaces == 1:  # One pool that holds all endpoints.
+        first = document["pools"][0]
+        first["endpoints"] = [item for pool in document["pools"] for item in pool["endpoints"]]
+        document["pools"] = [first]
+    return Tables.parse(document, 1)
+
+
+async def _demand_points(sizes: Sequence[int], repeats: int) -> list[tuple[float, float]]:
+    tables = _tables(1, GROUP)
+    points = []
+    for count in sizes:
+        network = MemoryNetwork(coded=False)
+        members = FixedMembers(3)
+        broker = Broker(network.transport("node-000"), members, TablesView(lambda: tables))
+        sender = network.transport("node-001")
+        held = [_held(n) for n in range(count)]
+        group = split(tables.pools["model-0"])[0].name
+        start = 0.0
+        for seq in range(repeats + 10):
+            if seq == 10:
+                start = time.process_time()
+            sender.send("node-000", Demand(group, seq, [], [], held))
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+        points.append((float(count), (time.process_time() - start) / repeats))
+        del broker
+    return points
+
+
+async def _serve_requests(groups: int) -> tuple[float, float, float, float]:
+    """Return messages, bytes out, bytes in and time per request."""
+    tables = _tables(1, groups * GROUP)
+    network, members = MemoryNetwork(), FixedMembers(4)
+    transports = [network.transport(item.node) for item in members.live()]
+    parts = [
+        BrokeredScheduler(TablesView(lambda: tables), LoadReports(), t, members) for t in transports
+    ]
+    tasks = [asyncio.create_task(part.run()) for part in parts]
+    await asyncio.sleep(START_S + 0.2)
+    await _ask(parts[0], 5)
+    idle = time.process_time()
+    await asyncio.sleep(REQUESTS * REQUEST_EVERY_S / 2)
+    idle = 2 * (time.process_time() - idle)
+    before = [t.traffic.total() for t in transports]
+    spent = time.process_time()
+    await _ask(parts[0], REQUESTS)
+    spent = time.process_time() - spent - idle
+    after = [t.traffic.total() for t in transports]
+    back = sum(b.sent_bytes - a.sent_bytes for a, b in zip(before[1:], after[1:], strict=True))
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    sent, size = after[0].sent - before[0].sent, after[0].sent_bytes - before[0].sent_bytes
+    return sent / REQUESTS, size / REQUESTS, back / REQUESTS, spent / REQUESTS
+
+
+async def _ask(scheduler: BrokeredScheduler, count: int) -> None:
+    loop = asyncio.get_running_loop()
+    calls = []
+    for n in range(count):
+        calls.append(asyncio.create_task(_one(scheduler, n, loop.time())))
+        await asyncio.sleep(REQUEST_EVERY_S)
+    await asyncio.gather(*calls)
+
+
+async def _one(scheduler: BrokeredScheduler, n: int, now: float) -> None:
+    req = Request(
+        id=f"r{n}",
+        workspace="workspace-0",
+        request_class="chat",
+        tier=1 + n % 8,
+        pool="model-0",
+        body={},
+        arrived=now,
+        patience_s=10.0,
+        target=Target(),
+    )
+    grant = await scheduler.acquire(req)
+    await asyncio.sleep(HOLD_S)
+    scheduler.release(grant, Observation(True, 0.2, 0.03, 370))
+
+
+async def _open_time(groups: int, members: int) -> float:
+    tables = _tables(1, groups * GROUP)
+    transport = MemoryNetwork().transport("node-000")
+    broker = Broker(transport, FixedMembers(members), TablesView(lambda: tables))
+    now = asyncio.get_running_loop().time()
+    return _seconds(lambda: broker._open_own(now), 3)
+
+
+async def _overlay(count: int, seconds: float) -> tuple[float, float, float]:
+    """Return bytes, messages and processor seconds per node and second."""
+    network = MemoryNetwork(0.005, mesh=False)
+    names = [f"node-{n:03}" for n in range(count)]
+    members, transports = [], []
+    for at, name in enumerate(names):
+        identity = Peer(name, 1, f"zone-{at % 11}", f"memory:{name}")
+        transport = network.transport(identity)
+        transports.append(transport)
+        member = Overlay(identity, transport, [f"memory:{item}" for item in names[:3]])
+        member.add(SampleState())
+        members.append(member)
+    tasks = [asyncio.create_task(member.run()) for member in members]
+    await asyncio.sleep(12.0)
+    if any(len(member.live()) < count for member in members):
+        raise TimeoutError("the overlay did not form")
+    before = [t.traffic.total() for t in transports]
+    start = time.process_time()
+    await asyncio.sleep(seconds)
+    spent = time.process_time() - start
+    after = [t.traffic.total() for t in transports]
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    share = 1 / seconds / count
+    size = sum(b.sent_bytes - a.sent_bytes for a, b in zip(before, after, strict=True))
+    sent = sum(b.sent - a.sent for a, b in zip(before, after, strict=True))
+    return size * share, sent * share, spent * share
+
+
+class _Answering(asyncio.Protocol):
+    """Endpoint that answers polls and counts bytes."""
+
+    def __init__(self, counts: list[int]) -> None:
+        self._counts = counts
+
+    def connection_made(self, transport: Any) -> None:
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        body = _EVENTS if b"cache_events" in data else _LOAD
+        reply = (
+            b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: "
+            b"%d\r\n\r\n%b" % (len(body), body)
+        )
+        self._counts[0] += len(data) + len(reply)
+        self._transport.write(reply)
+
+
+async def _poll(endpoints: int, rounds: int) -> tuple[float, float]:
+    """Return bytes and time of one round over all endpoints."""
+    counts = [0]
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(lambda: _Answering(counts), "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    tables = _tables(1, endpoints, address)
+    poller = EndpointPoller(lambda: tables, LoadReports(), EndpointHealth(), PrefixMap())
+    async with aiohttp.ClientSession() as http:
+        await poller.poll(http)
+        counts[0], start = 0, time.process_time()
+        for _ in range(rounds):
+            await poller.poll(http)
+        spent = time.process_time() - start
+    server.close()
+    return counts[0] / rounds, spent / rounds
--- /dev/null
+++ b/lacewinghub/resident.py
@@ -0,0 +1,147 @@
+"""Measures resident memory, idle time and start of real node processes."""
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+from .capacity import Slope, fit
+from .footprint import CLOSED, run, sample_tables
+from .log import HttpLog
+from .overhead import Load, _free_port, _Parts, _wait_ready, cpu_seconds
+from .overhead import measure as measure_streams
+from .publish import publish
+
+WORKSPACES = (10, 4_000, 8_000, 13_000)
+ENDPOINTS = (18, 1_000, 3_000, 5_700)
+STREAMS = (1, 50, 100, 200, 400)
+IDLE_S = 4.0
+STREAM_TOKENS = 100
+STREAM_INTERVAL_S = 0.05
+PAGE = os.sysconf("SC_PAGE_SIZE")
+_MODULES = ("asyncio", "aiohttp", "sanic", "lacewinghub.node")
+
+
+def node_workspaces(sizes: Sequence[int] = WORKSPACES) -> list[Slope]:
+    """Measure resident memory of a node process by workspaces with a route each."""
+    rows = [(float(n), *run(_idle_node(n, 2))) for n in sizes]
+    return [fit("resident memory per workspace", "bytes", [(n, rss) for n, rss, _, _ in rows])]
+
+
+def node_endpoints(sizes: Sequence[int] = ENDPOINTS) -> list[Slope]:
+    """Measure resident memory, idle processor time and start of a node by endpoints.
+
+    The endpoints refuse connections, so that polls fail at once.
+    """
+    rows = [(float(n), *run(_idle_node(10, n))) for n in sizes]
+    return [
+        fit("resident memory per endpoint", "bytes", [(n, rss) for n, rss, _, _ in rows]),
+        fit("idle share of a core per endpoint", "cores", [(n, core) for n, _, core, _ in rows]),
+        fit("time to start per endpoint", "s", [(n, spent) for n, _, _, spent in rows]),
+    ]
+
+
+def node_streams(sizes: Sequence[int] = STREAMS) -> list[Slope]:
+    """Measure resident memory and processor time of a node by open streams."""
+    rows = run(_stream_node(sizes))
+    return [
+        fit("resident memory per open stream", "bytes", [(n, rss) for n, rss, _ in rows]),
+        fit("processor time per token relayed", "s", [(t, cpu) for _, _, (t, cpu) in rows]),
+    ]
+
+
+def import_memory(sizes: Sequence[int] = (0, 1, 2, 4)) -> list[Slope]:
+    """Measure the resident memory of interpreters by the modules that they import."""
+    points = []
+    for count in sizes:
+        code = "".join(f"import {name}; " for name in _MODULES[:count])
+        code += "print(open('/proc/self/statm').read())"
+        done = subprocess.run([sys.executable, "-c", code], capture_output=True, check=True)
+        points.append((float(count), float(int(done.stdout.split()[1]) * PAGE)))
+    return [fit("resident memory by imports", "bytes", points)]
+
+
+MEASUREMENTS: dict[str, Callable[[], list[Slope]]] = {
+    "node-workspaces": node_workspaces,
+    "node-endpoints": node_endpoints,
+    "node-streams": node_streams,
+    "import-memory": import_memory,
+}
+
+
+class _Processes(_Parts):
+    """Processes of a measurement, with a node on any tables."""
+
+    async def start_with(self, log: str, document: dict[str, Any]) -> int:
+        """Publish tables, start a node, wait until it serves and return its process id."""
+        client = HttpLog(log)
+        await publish(client, document, "capacity")
+        await client.close()
+        address, peer = (f"127.0.0.1:{_free_port()}" for _ in range(2))
+        cfg = {
+            "node": "n1",
+            "availability_zone": "zone-0",
+            "listen": address,
+            "peer_listen": peer,
+            "log": log,
+            "peer_key": "0123456789abcdef",
+            "log_level": "ERROR",
+            "limits": {"grace_s": 0.0},
+        }
+        file = self._path / "idle.json"
+        file.write_text(json.dumps(cfg))
+        process = self._spawn(["-m", "lacewinghub.node", str(file)], subprocess.DEVNULL)
+        await _wait_ready(address)
+        return process.pid
+
+
+async def _idle_node(workspaces: int, endpoints: int) -> tuple[float, float, float]:
+    """Return resident bytes, share of a core and processor seconds until ready."""
+    with tempfile.TemporaryDirectory() as path:
+        parts = _Processes(Path(path))
+        try:
+            log, _ = parts.start("fake_log")
+            document = sample_tables(workspaces, endpoints, CLOSED)
+            pid = await parts.start_with(log, document)
+            started = cpu_seconds(pid)
+            await asyncio.sleep(1.0)
+            before, began = cpu_seconds(pid), time.monotonic()
+            await asyncio.sleep(IDLE_S)
+            core = (cpu_seconds(pid) - before) / (time.monotonic() - began)
+            return resident(pid), core, started
+        finally:
+            await asyncio.to_thread(parts.stop)
+
+
+async def _stream_node(
+    sizes: Sequence[int],
+) -> list[tuple[float, float, tuple[float, float]]]:
+    """Return streams, resident bytes while they are open, and tokens with processor time."""
+    rows = []
+    with tempfile.TemporaryDirectory() as path:
+        parts = _Processes(Path(path))
+        try:
+            source, _ = parts.start("overhead", "--serve", "source")
+            log, _ = parts.start("fake_log")
+            address, pid = await parts.start_node(log, source)
+            for count in sizes:
+                load = Load(count, STREAM_TOKENS, STREAM_INTERVAL_S)
+                run = asyncio.create_task(measure_streams("node", address, pid, load))
+                await asyncio.sleep(count / 100 + 0.5)
+                memory = resident(pid)
+                found = await run
+                rows.append((float(count), memory, (float(found.tokens), found.cpu_s)))
+        finally:
+            await asyncio.to_thread(parts.stop)
+    return rows
+
+
+def resident(pid: int) -> float:
+    """Return the resident memory of a process in bytes, from /proc."""
+    return float(int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE)
