--- a/lacewinghub/capacity.py
+++ b/lacewinghub/capacity.py
@@ -18,6 +18,8 @@
 from dataclasses import asdict, dataclass
 from typing import Any
 
+from loguru import logger
+
 from .claim import Claimer
 from .claim_index import ClaimIndex, ClaimRecord, ResultRecord
 from .config import ChangeRecord, ConfigState, pack_document, unpack_document
@@ -128,6 +130,17 @@
     return fit("replay per claim and result", "s", points)
 
 
+def record_size(sizes: Sequence[int] = CHANGES) -> list[Slope]:
+    """Measure the bytes of JSON that a reader of the log receives, by claims and by changes."""
+    claims = [(float(n), _page_bytes(_claim_pages(n, answered=True))) for n in sizes]
+    state = _synced_state(13_000)
+    changes = [(float(n), _page_bytes(_change_pages(state, n, PAGE_RECORDS))) for n in sizes]
+    return [
+        fit("log bytes per claim and result", "bytes", claims),
+        fit("log bytes per change", "bytes", changes),
+    ]
+
+
 def change_time(sizes: Sequence[int] = WORKSPACES, repeats: int = 30) -> Slope:
     """Measure the time to apply one change by number of workspaces and as many routes."""
     points = []
@@ -213,6 +226,7 @@
         "route-memory": lambda: [route_memory()],
         "claim-memory": lambda: [claim_memory(answered=False), claim_memory(answered=True)],
         "claim-replay": lambda: [claim_replay()],
+        "record-size": record_size,
         "change-time": lambda: [change_time()],
         "change-replay": lambda: [change_replay()],
         "snapshot-size": lambda: [snapshot_size()],
@@ -304,6 +318,10 @@
     ]
 
 
+def _page_bytes(pages: list[Page]) -> float:
+    return float(sum(len(json.dumps(asdict(page))) for page in pages))
+
+
 def _feed(state: ConfigState, pages: list[Page]) -> None:
     accepted = sum(len(state.feed(page)) for page in pages)
     if accepted != sum(len(page.records) for page in pages):
@@ -416,4 +434,5 @@
 
 
 if __name__ == "__main__":
+    logger.disable("lacewinghub")
     raise SystemExit(main())
--- a/lacewinghub/footprint.py
+++ b/lacewinghub/footprint.py
@@ -21,7 +21,7 @@
 from .membership import Member, Members, MemberState
 from .memory_transport import MemoryNetwork
 from .mesh import MESH_SIZES, SampleState, measure_mesh
-from .message import Demand, GrantItem, Grants, Heartbeat, Held, Message, encode
+from .message import Demand, GrantItem, Grants, Heartbeat, Held, Message, Rumour, Rumours, encode
 from .model import new_loop
 from .overlay import Overlay
 from .poll import EndpointPoller
@@ -78,7 +78,7 @@
     ]
 
 
-def demand_time(sizes: Sequence[int] = HELD, repeats: int = 100) -> list[Slope]:
+def demand_time(sizes: Sequence[int] = HELD, repeats: int = 1_000) -> list[Slope]:
     """Measure the time of a broker for one demand, by grants that the node holds."""
     return [fit("broker time per demand and grant held", "s", run(_demand_points(sizes, repeats)))]
 
@@ -134,11 +134,12 @@
 
 
 def heartbeat_size(sizes: Sequence[int] = SMALL) -> list[Slope]:
-    """Measure the bytes of a heartbeat by pools, tiers and groups of which the node is broker."""
+    """Measure heartbeats by pools, tiers and groups of the broker, and rumours by nodes."""
     return [
         fit("heartbeat size per pool", "bytes", [(n, _beat(pools=n)) for n in sizes]),
         fit("heartbeat size per tier", "bytes", [(n, _beat(tiers=n)) for n in sizes]),
         fit("heartbeat size per group", "bytes", [(n, _beat(groups=n)) for n in sizes]),
+        fit("rumours size per node", "bytes", [(n, _size(Rumours(_rumours(n)))) for n in sizes]),
     ]
 
 
@@ -226,6 +227,13 @@
     return GrantItem(0x12345600 + n, f"runner-{1000 + n % GROUP}", 1 + n % 8)
 
 
+def _rumours(count: int) -> list[Rumour]:
+    return [
+        Rumour(f"node-{n:03}", 1_780_000_000_000, 1, "live", "zone-10", "10.100.100.100:7100")
+        for n in range(count)
+    ]
+
+
 def _beat(pools: int = 4, tiers: int = 8, groups: int = 1) -> float:
     heartbeat = Heartbeat("node-123", 1_780_000_000_000, 100_000, str(MemberState.LIVE))
     SampleState(pools, tiers, groups).fill(heartbeat)
