--- a/lacewinghub/capacity.py
+++ b/lacewinghub/capacity.py
@@ -4,17 +4,22 @@
 allocates, in bytes; time is processor time of this process, in seconds.
 """
 
+import argparse
 import asyncio
 import base64
 import gc
 import hashlib
+import json
 import math
+import os
 import time
 import tracemalloc
 from collections.abc import Callable, Sequence
 from dataclasses import asdict, dataclass
 from typing import Any
 
+from loguru import logger
+
 from .claim import Claimer
 from .claim_index import ClaimIndex, ClaimRecord, ResultRecord
 from .config import ChangeRecord, ConfigState, pack_document, unpack_document
@@ -125,6 +130,17 @@
     return fit("replay per claim and result", "s", points)
 
 
+def record_size(sizes: Sequence[int] = CHANGES) -> list[Slope]:
+    """Measure the bytes of JSON that a reader of the log receives, by claims and by changes."""
+    claims = [(float(n), _page_bytes(_claim_pages(n, answered=True))) for n in sizes]
+    state = _synced_state(13_000)
+    changes = [(float(n), _page_bytes(_change_pages(state, n, PAGE_RECORDS))) for n in sizes]
+    return [
+        fit("log bytes per claim and result", "bytes", claims),
+        fit("log bytes per change", "bytes", changes),
+    ]
+
+
 def change_time(sizes: Sequence[int] = WORKSPACES, repeats: int = 30) -> Slope:
     """Measure the time to apply one change by number of workspaces and as many routes."""
     points = []
@@ -198,21 +214,50 @@
     )
 
 
-async def measure() -> list[Slope]:
-    """Measure all slopes; takes about a minute."""
-    slopes = [
-        workspace_memory(),
-        route_memory(),
-        claim_memory(answered=False),
-        claim_memory(answered=True),
-        claim_replay(),
-        change_time(),
-        change_replay(),
-        snapshot_size(),
-        snapshot_write(),
-        snapshot_load(),
-    ]
-    return [*slopes, *await append_rates()]
+Measurement = Callable[[], Sequence[Slope]]
+
+
+def measurements() -> dict[str, Measurement]:
+    """Return all measurements by the name that the command line takes."""
+    from . import footprint, resident  # They need the names of this module.
+
+    found: dict[str, Measurement] = {
+        "workspace-memory": lambda: [workspace_memory()],
+        "route-memory": lambda: [route_memory()],
+        "claim-memory": lambda: [claim_memory(answered=False), claim_memory(answered=True)],
+        "claim-replay": lambda: [claim_replay()],
+        "record-size": record_size,
+        "change-time": lambda: [change_time()],
+        "change-replay": lambda: [change_replay()],
+        "snapshot-size": lambda: [snapshot_size()],
+        "snapshot-write": lambda: [snapshot_write()],
+        "snapshot-load": lambda: [snapshot_load()],
+        "append-rates": lambda: asyncio.run(append_rates()),
+    }
+    return found | footprint.MEASUREMENTS | resident.MEASUREMENTS
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run measurements and print one JSON object per slope.
+
+    Args:
+        argv: Arguments; by default those of the process.
+
+    Returns:
+        Exit status.
+    """
+    found = measurements()
+    parser = argparse.ArgumentParser(prog="python -m lacewinghub.capacity", description=__doc__)
+    parser.add_argument("names", nargs="*", metavar="NAME", help=f"of: {', '.join(found)}")
+    names = parser.parse_args(argv).names
+    unknown = [name for name in names if name not in found]
+    if unknown:
+        parser.error(f"unknown measurement {unknown[0]!r}; choose from {', '.join(found)}")
+    os.environ["UV_USE_IO_URING"] = "0"
+    for name in names or found:
+        for line in found[name]():
+            print(json.dumps({"measurement": name, **asdict(line)}), flush=True)
+    return 0
 
 
 def _endpoint(n: int) -> dict[str, Any]:
@@ -273,6 +318,10 @@
     ]
 
 
+def _page_bytes(pages: list[Page]) -> float:
+    return float(sum(len(json.dumps(asdict(page))) for page in pages))
+
+
 def _feed(state: ConfigState, pages: list[Page]) -> None:
     accepted = sum(len(state.feed(page)) for page in pages)
     if accepted != sum(len(page.records) for page in pages):
@@ -382,3 +431,8 @@
 async def _answer(check: Check) -> Reply:
     check()
     return Reply(200, {"booked": True})
+
+
+if __name__ == "__main__":
+    logger.disable("lacewinghub")
+    raise SystemExit(main())
