--- /dev/null
+++ b/tests/claim_variants.py
@@ -0,0 +1,92 @@
+"""Claimers with one mechanism taken out each, as counterparts of the proofs."""
+
+import asyncio
+from typing import Any
+
+from lacewinghub.claim import Claimer
+from lacewinghub.claim_index import ClaimIndex, Status
+from lacewinghub.errors import NotRun
+from lacewinghub.log import Page
+from lacewinghub.permit import Permit
+
+
+class NoReadBack(Claimer):
+    """Believes that its claim owns the key as soon as the log took it."""
+
+    async def _decision(self, attempt: Any, item: Any) -> bool:
+        await asyncio.wait([item.confirmed])
+        attempt.claimed = self._log_now()
+        return True
+
+
+class NoTimeLimit(Claimer):
+    """Sends under a claim of any age."""
+
+    def _permit(self) -> Permit:
+        return Permit(lambda: 0.0, lambda: 1.0)
+
+
+class ReadyAtOnce(Claimer):
+    """Starts without a complete index."""
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self.index = _IncompleteIndex(self.index.window_s, self._on_claim, self._wake)
+
+
+class _IncompleteIndex(ClaimIndex):
+    def _check_gap(self, page: Page) -> None:
+        self.next = max(self.next, page.first)
+
+
+class NoTombstones(Claimer):
+    """Forgets a release that precedes the late claim."""
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self.index = _ForgetfulIndex(self.index.window_s, self._on_claim, self._wake)
+
+
+class _ForgetfulIndex(ClaimIndex):
+    def _is_released(self, claim_id: str, now: float) -> bool:
+        return False
+
+
+class NoReplay(Claimer):
+    """Accepts requests before it has read the stream to its tail."""
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self.index.get = lambda key, now: None  # type: ignore[method-assign]
+
+
+class HandsOver(Claimer):
+    """Takes over the claim of a dead node that has no result."""
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        get = self.index.get
+        self.index.get = lambda key, now: self._unless_dead(get(key, now))  # type: ignore
+
+    def _unless_dead(self, entry: Any) -> Any:
+        if entry is None or entry.status is not Status.PENDING or self._is_alive(entry):
+            return entry
+        return None
+
+
+class NoCopies(ReadyAtOnce):
+    """Neither carries the index nor waits for a complete one."""
+
+    def _start_copy(self, page: Page) -> None:
+        return None
+
+
+class ReleaseThenSend(Claimer):
+    """Releases a claim that the log did not confirm in time and sends the request all the same."""
+
+    async def _claim(self, attempt: Any, timeout_s: float) -> bool:
+        try:
+            return await super()._claim(attempt, timeout_s)
+        except NotRun:
+            attempt.permit = Permit(lambda: 0.0, lambda: 1.0)
+            return True
