Use one backoff for the three loops towards the log

Cause: config, claim and _outbox each held the same constants and the same jittered doubling pause. Change: _backoff.Backoff serves all three; bounds, jitter and the order of random draws are the same.

--- a/lacewinghub/_outbox.py
+++ b/lacewinghub/_outbox.py
@@ -9,11 +9,10 @@
 
 from loguru import logger
 
+from ._backoff import BACKOFF_MAX_S, Backoff
 from .errors import LogUnavailable, LogUncertain
 from .log import Log
 
-BACKOFF_MIN_S = 0.05
-BACKOFF_MAX_S = 2.0
 # A shorter pause can be below the resolution of the clock.
 MIN_PAUSE_S = 0.001
 BATCH_RECORDS = 200
@@ -92,7 +91,7 @@
 
     async def run(self) -> None:
         """Append the queued records until cancelled."""
-        backoff = BACKOFF_MIN_S
+        backoff = Backoff(self._random)
         while True:
             await self._filled.wait()
             await self._pace()
@@ -101,10 +100,9 @@
                 self._filled.clear()
                 continue
             if await self._append(batch):
-                backoff = BACKOFF_MIN_S
+                backoff.reset()
                 continue
-            await asyncio.sleep(backoff * self._random.uniform(0.5, 1.0))
-            backoff = min(BACKOFF_MAX_S, backoff * 2)
+            await backoff.pause()
 
     async def append_now(self, data: dict[str, Any], attempts: int = 5) -> bool:
         """Append a record between the queued ones.
--- a/lacewinghub/claim.py
+++ b/lacewinghub/claim.py
@@ -11,6 +11,7 @@
 
 from loguru import logger
 
+from ._backoff import Backoff
 from ._outbox import Item, Outbox
 from ._refresh import RefreshTimer
 from .claim_index import (
@@ -48,8 +49,6 @@
 from .router import Claims, Send
 
 READ_WAIT_S = 2.0
-BACKOFF_MIN_S = 0.05
-BACKOFF_MAX_S = 2.0
 CLAIM_TIMEOUT_S = 3.0
 # Before a request is refused as not run, the stream is read once more for at most this long.
 VERIFY_TIMEOUT_S = 1.0
@@ -407,16 +406,15 @@
         return self._outbox.add(asdict(record), size)
 
     async def _tail(self) -> None:
-        backoff = BACKOFF_MIN_S
+        backoff = Backoff(self._random)
         wait_s = 0.0
         while True:
             try:
                 page = await self._log.read(CLAIM_STREAM, self.index.next, wait_s=wait_s)
             except LogUnavailable:
-                await asyncio.sleep(backoff * self._random.uniform(0.5, 1.0))
-                backoff = min(BACKOFF_MAX_S, backoff * 2)
+                await backoff.pause()
                 continue
-            backoff = BACKOFF_MIN_S
+            backoff.reset()
             self._take(page)
             wait_s = READ_WAIT_S if self.index.next >= page.next else 0.0
 
--- a/lacewinghub/config.py
+++ b/lacewinghub/config.py
@@ -12,6 +12,7 @@
 from loguru import logger
 from pydantic import TypeAdapter, ValidationError
 
+from ._backoff import Backoff
 from ._refresh import RefreshTimer
 from .errors import LogUnavailable, LogUncertain, TablesInvalid
 from .history import EventKind, History
@@ -25,8 +26,6 @@
 # Tables of 13,000 workspaces with a route each have 5 MB.
 MAX_DOCUMENT_BYTES = 64 * 1024 * 1024
 READ_WAIT_S = 2.0
-BACKOFF_MIN_S = 0.05
-BACKOFF_MAX_S = 2.0
 # A peer's version spreads with heartbeats faster than a record through a slow log; a node that
 # lags for a shorter time gets the change from the log soon.
 LAG_BEFORE_REQUEST_S = 0.5
@@ -312,16 +311,15 @@
 
     async def run(self) -> None:
         """Tail the stream until cancelled."""
-        backoff = BACKOFF_MIN_S
+        backoff = Backoff(self._random)
         wait_s = 0.0
         while True:
             try:
                 page = await self._log.read(CONFIG_STREAM, self._state.next, wait_s=wait_s)
             except LogUnavailable:
-                await asyncio.sleep(backoff * self._random.uniform(0.5, 1.0))
-                backoff = min(BACKOFF_MAX_S, backoff * 2)
+                await backoff.pause()
                 continue
-            backoff = BACKOFF_MIN_S
+            backoff.reset()
             self._state.feed(page)
             at_tail = self._state.next >= page.next
             if self._state.synced and (at_tail or self._in_force):
