Close accepted connections when a stand-in crashes

Cause: asyncio and uvloop leave a socket open without an owner if the server closes between the accept and the call of connection_made. Its peer then waits for its idle timeout (30 s at a node). Change: a crashing stand-in first stops to accept, lets asyncio hand over what it has accepted, and then aborts all connections.

--- a/lacewinghub/_fake_server.py
+++ b/lacewinghub/_fake_server.py
@@ -21,6 +21,8 @@
 STATE_HEADER = "X-Endpoint-State"
 LEAVING = "leaving"
 LIVE = "live"
+# Loop iterations after which asyncio has handed every accepted socket to a protocol.
+ACCEPT_ITERATIONS = 3
 
 _numbers = itertools.count(1)
 
@@ -45,6 +47,8 @@
         self.crashes = 0
         self._app = self._build_app()
         self._server: Any = None
+        self._socket: socket.socket | None = None
+        self._closing: asyncio.Task[None] | None = None
         self._started = False
         self._thawed = asyncio.Event()
         self._thawed.set()
@@ -66,6 +70,7 @@
         Raises:
             OSError: If the port is taken.
         """
+        await self._closed()
         sock = socket.socket(socket.AF_INET6 if ":" in self.host else socket.AF_INET)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((self.host, self.port))
@@ -74,7 +79,7 @@
         if not self._started:
             await server.startup()
             self._started = True
-        self._server = server
+        self._server, self._socket = server, sock
 
     async def stop(self) -> None:
         """Close the port and all connections."""
@@ -84,7 +89,7 @@
         self._on_crash()
         with contextlib.suppress(Exception):
             Sanic.unregister_app(self._app)
-        await asyncio.sleep(0)
+        await self._closed()
 
     def crash(self, for_s: float | None = None) -> None:
         """Close all connections at once and refuse new ones.
@@ -159,11 +164,17 @@
 
     def _down(self) -> None:
         server, self._server = self._server, None
-        if server is None:
+        if server is None or self._socket is None:
             return
-        server.close()
-        for conn in list(server.connections):
-            conn.abort()
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self._socket)
+        self._socket.shutdown(socket.SHUT_RDWR)
+        _abort_connections(server)
+        self._closing = loop.create_task(_close(server))
+
+    async def _closed(self) -> None:
+        if self._closing is not None:
+            await self._closing
 
     def _headers(self) -> dict[str, str]:
         return {STATE_HEADER: LEAVING} if self.leaving else {}
@@ -203,6 +214,23 @@
         return app
 
 
+async def _close(server: Any) -> None:
+    """Close a server that accepts no more.
+
+    A socket that asyncio has accepted but not yet handed to a protocol when its server closes stays
+    open without an owner, and its peer waits for an answer until it times out.
+    """
+    for _ in range(ACCEPT_ITERATIONS):
+        await asyncio.sleep(0)
+    server.close()
+    _abort_connections(server)
+
+
+def _abort_connections(server: Any) -> None:
+    for conn in list(server.connections):
+        conn.abort()
+
+
 def run_process(build: Callable[[argparse.Namespace], FakeServer], parser: Any) -> None:
     """Run a stand-in as a process until SIGTERM or SIGINT.
 
--- a/tests/test_fakes.py
+++ b/tests/test_fakes.py
@@ -1,7 +1,9 @@
 """Tests of the stand-ins of runners and services: their protocol, speed and faults."""
 
 import asyncio
+import contextlib
 import json
+import socket
 import subprocess
 import sys
 import unittest
@@ -111,6 +113,17 @@
         chunks, done = await self._stream(_body())
         self.assertEqual((len(chunks), done, self.runner.crashes), (13, True, 1))
 
+    async def test_crash_closes_a_connection_that_is_being_accepted(self) -> None:
+        """Guards against peers that wait until a timeout for a runner that has crashed."""
+        loop = asyncio.get_running_loop()
+        with socket.create_connection((self.runner.host, self.runner.port)) as sock:
+            sock.setblocking(False)
+            # The timer runs in the loop iteration in which the connection is accepted.
+            loop.call_at(loop.time(), self.runner.crash)
+            async with asyncio.timeout(5):
+                with contextlib.suppress(ConnectionResetError):
+                    self.assertEqual(await loop.sock_recv(sock, 1), b"")
+
     async def test_poison_crashes_the_runner(self) -> None:
         with self.assertRaises(aiohttp.ClientError):
             await self._stream(_body(f"x {POISON}"))
