Continue an answer elsewhere when its runner falls silent

Cause: a frozen runner, or one whose host is gone without a reset, keeps its connection open, and an answer waited for the idle timeout of 30 s. Ruled out: broker, quarantine and queue; the history has the dispatch to the crashed runner and nothing after it. Change: a timer per attempt gives a silent runner up after a limit learnt from the pool, at most twice per request and within the retry budget. Cancellations at such runners no longer delay the resume. New metric stalled.POOL.

--- a/lacewinghub/endpoint.py
+++ b/lacewinghub/endpoint.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 from abc import ABC, abstractmethod
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any
 
@@ -41,6 +41,12 @@
     code = "endpoint_crashed"
 
 
+class EndpointStalled(EndpointError):
+    """The endpoint sent nothing for too long and was given up."""
+
+    code = "endpoint_stalled"
+
+
 class EndpointLeaving(EndpointError):
     """The endpoint announced that it is leaving and did not take the request."""
 
@@ -78,22 +84,40 @@
     body: Any
 
 
+class Silence(ABC):
+    """Decides when a silent endpoint is given up."""
+
+    @abstractmethod
+    def limit_s(self, started: bool) -> float:
+        """Return the longest silence before (False) or after the first token, in seconds."""
+
+    @abstractmethod
+    def give_up(self) -> bool:
+        """Tell whether to give up the endpoint, which has been silent for the limit.
+
+        After False the silence is measured from now on.
+        """
+
+
 class EndpointClient(ABC):
     """Sends requests to endpoints."""
 
     @abstractmethod
-    def stream(self, endpoint: Endpoint, req: Request) -> AsyncGenerator[Chunk, None]:
+    def stream(
+        self, endpoint: Endpoint, req: Request, silence: Silence | None = None
+    ) -> AsyncGenerator[Chunk, None]:
         """Start or resume an answer at a runner.
 
         Args:
             endpoint: The runner.
             req: The request; ``req.sent_tokens`` tokens were already received.
+            silence: Decides when the runner is given up; None leaves that to the idle timeout.
 
         Yields:
             Chunks, possibly repeated or out of order.
 
         Raises:
-            EndpointError: One of its subclasses.
+            EndpointError: One of its subclasses; ``EndpointStalled`` if ``silence`` gave it up.
         """
 
     @abstractmethod
@@ -142,7 +166,9 @@
         )
         self._session_or_none: aiohttp.ClientSession | None = None
 
-    async def stream(self, endpoint: Endpoint, req: Request) -> AsyncGenerator[Chunk, None]:
+    async def stream(
+        self, endpoint: Endpoint, req: Request, silence: Silence | None = None
+    ) -> AsyncGenerator[Chunk, None]:
         """Start or resume an answer at a runner; see ``EndpointClient.stream``."""
         body = req.body | {
             "stream": True,
@@ -150,11 +176,18 @@
             "request_id": req.id,
             "resume_from": req.sent_tokens,
         }
-        resp = await self._post(endpoint, "/v1/chat/completions", body, {})
+        watch = _Watch(endpoint, silence)
+        try:
+            resp = await watch.run(self._post(endpoint, "/v1/chat/completions", body, {}))
+        except BaseException:
+            watch.close()
+            raise
+        watch.close_on_silence(resp)
         try:
             await _check_status(endpoint, resp, accept_below=300)
             reader = _ChunkReader(endpoint)
             async for data in resp.content.iter_any():
+                watch.heard()
                 for chunk in reader.feed(data):
                     yield chunk
                 if reader.failure is not None:
@@ -162,8 +195,9 @@
                 if reader.ended:
                     return
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
-            raise _crashed(endpoint, exc) from exc
+            raise watch.stalled() or _crashed(endpoint, exc) from exc
         finally:
+            watch.close()
             resp.close()
 
     async def call(self, endpoint: Endpoint, req: Request) -> Reply:
@@ -222,6 +256,81 @@
         return self._session_or_none
 
 
+class _Watch:
+    """Ends the wait for an endpoint when its silence has been too long.
+
+    A timer runs per attempt and not per chunk, since chunks are the hot path.
+
+    Args:
+        endpoint: The endpoint.
+        silence: Decides; None never ends the wait.
+    """
+
+    def __init__(self, endpoint: Endpoint, silence: Silence | None) -> None:
+        self._endpoint = endpoint
+        self._silence = silence
+        self._loop = asyncio.get_running_loop()
+        self._heard = self._loop.time()
+        self._started = False
+        self._expired = False
+        self._end: Callable[[], object] = lambda: None
+        self._timer: asyncio.TimerHandle | None = None
+        self._arm()
+
+    async def run(
+        self, post: Coroutine[Any, Any, aiohttp.ClientResponse]
+    ) -> aiohttp.ClientResponse:
+        """Wait for the head of the response.
+
+        Raises:
+            EndpointError: The error of ``post``, or ``EndpointStalled``.
+        """
+        try:
+            async with asyncio.timeout(None) as limit:
+                self._end = lambda: limit.reschedule(self._loop.time())
+                return await post
+        except TimeoutError as exc:
+            raise self.stalled() or _crashed(self._endpoint, exc) from exc
+
+    def close_on_silence(self, resp: aiohttp.ClientResponse) -> None:
+        """Close a response from now on, which ends the wait for its next bytes."""
+        self._end = resp.close
+
+    def heard(self) -> None:
+        """Note that bytes of the answer have arrived."""
+        self._heard = self._loop.time()
+        if not self._started:
+            self._started = True
+            self.close()
+            self._arm()
+
+    def stalled(self) -> EndpointStalled | None:
+        """Return the error if the endpoint was given up."""
+        if not self._expired:
+            return None
+        name = self._endpoint.name
+        return EndpointStalled(f"endpoint {name!r} sent nothing for too long", endpoint=name)
+
+    def close(self) -> None:
+        """Stop the timer."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _arm(self) -> None:
+        if self._silence is not None:
+            due = self._heard + self._silence.limit_s(self._started)
+            self._timer = self._loop.call_at(due, self._check, self._silence)
+
+    def _check(self, silence: Silence) -> None:
+        if self._loop.time() - self._heard >= silence.limit_s(self._started):
+            if silence.give_up():
+                self._expired = True
+                self._end()
+                return
+            self._heard = self._loop.time()
+        self._arm()
+
+
 def _crashed(endpoint: Endpoint, exc: BaseException) -> EndpointCrashed:
     timeout = isinstance(exc, TimeoutError)
     what = "sent nothing for too long" if timeout else "broke the connection"
--- a/lacewinghub/history.py
+++ b/lacewinghub/history.py
@@ -25,6 +25,7 @@
     FAILED = "failed"
     CANCELLED = "cancelled"
     CRASHED = "crashed"
+    STALLED = "stalled"
     LEAVING = "leaving"
     CONFIG = "config"
     CLAIMED = "claimed"
--- a/lacewinghub/metrics.py
+++ b/lacewinghub/metrics.py
@@ -19,6 +19,7 @@
     "retries.POOL": "requests sent to another endpoint before the first token",
     "resumes.POOL": "answers continued at another runner after a part of them was received",
     "crashed.POOL": "requests whose endpoint broke the connection",
+    "stalled.POOL": "requests whose endpoint was given up because it sent nothing for too long",
 }
 TIMERS = {
     "first_token.CLASS": "time from arrival to the first token",
--- a/lacewinghub/node.py
+++ b/lacewinghub/node.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import time
+from functools import partial
 from typing import TextIO
 
 from loguru import logger
@@ -34,6 +35,7 @@
 from .scheduler import Scheduler
 from .selection import LoadReports
 from .settings import Settings, load
+from .stall import StallLimits, StallWatch
 from .supervisor import Supervisor
 from .tables import Tables
 from .transport import Peer
@@ -150,6 +152,7 @@
         self._config.subscribe(self._on_tables)
         self._client = HttpEndpoint(cfg.limits.connect_s, cfg.limits.endpoint_idle_s)
         self._health = EndpointHealth()
+        self._stalls = StallLimits()
         self._quarantine = Quarantine(cfg.node, self._membership, self._membership.beat)
         self._claimer = Claimer(
             cfg.node,
@@ -173,8 +176,9 @@
                 history=self._history,
                 budget=PoolBudgets(),
                 guard=self._quarantine,
-                monitors=[HealthMonitor(self._health)],
+                monitors=[HealthMonitor(self._health), self._stalls],
                 claims=self._claimer,
+                watch=partial(StallWatch, self._stalls),
             )
         )
         self._gateway = Gateway(
@@ -216,6 +220,7 @@
     def _on_tables(self, tables: Tables) -> None:
         names = {item.name for pool in tables.pools.values() for item in pool.endpoints}
         self._health.retain(names)
+        self._stalls.retain(tables.pools)
 
     def _on_hosts(self, live: list[str]) -> None:
         """Divide the host list into endpoints, whose states count, and addresses of other nodes."""
--- a/lacewinghub/observe.py
+++ b/lacewinghub/observe.py
@@ -98,6 +98,8 @@
             self._metrics.count("admitted", event.pool, event.tier)
         elif event.kind is EventKind.CRASHED:
             self._metrics.count("crashed", event.pool)
+        elif event.kind is EventKind.STALLED:
+            self._metrics.count("stalled", event.pool)
         elif event.kind is EventKind.CONFIG:
             self._metrics.gauge("config_version", value=event.version)
         elif event.kind in _ENDS:
--- a/lacewinghub/request.py
+++ b/lacewinghub/request.py
@@ -39,6 +39,7 @@
         weight: Fair-share weight of the workspace.
         avoid: Names of endpoints that already failed this request.
         sent_tokens: Tokens already received, for a resume.
+        moves: Number of silent endpoints that were given up for this request.
     """
 
     id: str
@@ -57,6 +58,7 @@
     weight: float = 1.0
     avoid: set[str] = field(default_factory=set)
     sent_tokens: int = 0
+    moves: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/lacewinghub/router.py
+++ b/lacewinghub/router.py
@@ -15,7 +15,9 @@
     EndpointError,
     EndpointLeaving,
     EndpointRejected,
+    EndpointStalled,
     Reply,
+    Silence,
 )
 from .errors import (
     AnswerIncomplete,
@@ -34,6 +36,8 @@
 from .tables import Endpoint, Tables
 
 MAX_ATTEMPTS = 6
+# Moves away from silent endpoints; a runner that is only slow must not be left again and again.
+MAX_MOVES = 2
 # Statuses with which an endpoint refuses the request itself; another endpoint would do the same.
 REFUSAL_STATUSES = (400, 404, 405, 413, 415, 422)
 
@@ -142,7 +146,11 @@
 
 @dataclass(slots=True)
 class Parts:
-    """What a router works with; parts that are None are left out."""
+    """What a router works with; parts that are None are left out.
+
+    ``watch`` returns what decides when a silent endpoint is given up, from the name of the pool and
+    a function that takes one move to another endpoint if it is permitted.
+    """
 
     scheduler: Scheduler
     client: EndpointClient
@@ -152,6 +160,7 @@
     guard: Guard | None = None
     monitors: list[Monitor] = field(default_factory=list)
     claims: Claims | None = None
+    watch: Callable[[str, Callable[[], bool]], Silence] | None = None
 
 
 @dataclass(slots=True)
@@ -187,7 +196,7 @@
     def __init__(self, parts: Parts) -> None:
         self._parts = parts
         self._history = parts.history
-        self._cancels: set[asyncio.Task[None]] = set()
+        self._cancels: dict[tuple[str, str], asyncio.Task[None]] = {}
         self._keyed: set[asyncio.Task[Reply]] = set()
 
     async def handle(self, req: Request) -> AsyncGenerator[Chunk, None]:
@@ -219,7 +228,9 @@
                 answer.restart()
                 failure: BaseException | None = None
                 try:
-                    async with aclosing(self._parts.client.stream(endpoint, req)) as chunks:
+                    silence = self._silence(req, endpoint, attempt)
+                    stream = self._parts.client.stream(endpoint, req, silence)
+                    async with aclosing(stream) as chunks:
                         async for chunk in chunks:
                             index, tokens = answer.received, answer.add(chunk)
                             now = loop.time()
@@ -243,7 +254,7 @@
                 if failure is None:
                     break
                 assert isinstance(failure, EndpointError)
-                await self._prepare_retry(req, endpoint, failure, attempt, answer)
+                self._prepare_retry(req, endpoint, failure, attempt, answer)
         except LacewingError as exc:
             self._fail(req, exc, answer.received)
             raise
@@ -287,7 +298,7 @@
     async def close(self) -> None:
         """Wait for keyed calls whose callers left and for cancellations at runners."""
         while self._keyed or self._cancels:
-            await asyncio.wait([*self._keyed, *self._cancels])
+            await asyncio.wait([*self._keyed, *self._cancels.values()])
 
     async def _call_repeatable(self, req: Request) -> Reply:
         for attempt in range(1, MAX_ATTEMPTS + 1):
@@ -296,7 +307,7 @@
             try:
                 return await self._exchange(req, grant, endpoint)
             except EndpointError as exc:
-                await self._prepare_retry(req, endpoint, exc, attempt, None)
+                self._prepare_retry(req, endpoint, exc, attempt, None)
         raise EndpointFailed("no endpoint completed the call")
 
     async def _call_keyed(self, req: Request) -> Reply:
@@ -363,13 +374,20 @@
                 self._parts.scheduler.release(grant, Observation(ok=True))
                 raise
             if endpoint is not None:
+                await self._cancelled_at(endpoint, req)
                 return grant, endpoint
             self._parts.scheduler.release(grant, Observation(ok=False))
             if pool is None:
                 raise NotRun(f"pool {req.pool!r} was removed")
             await asyncio.sleep(0.01)
 
-    async def _prepare_retry(
+    async def _cancelled_at(self, endpoint: Endpoint, req: Request) -> None:
+        """Wait for a cancellation there: a resume must not meet the old generation."""
+        task = self._cancels.get((endpoint.name, req.id))
+        if task is not None:
+            await asyncio.wait([task])
+
+    def _prepare_retry(
         self,
         req: Request,
         endpoint: Endpoint,
@@ -381,14 +399,34 @@
         req.avoid.add(endpoint.name)
         if _refused(exc) and not (answer and answer.received):
             raise BadRequest(exc.message, endpoint=endpoint.name) from exc
-        if attempt == MAX_ATTEMPTS or not self._repeatable(req, exc) or not self._spend(req):
+        if isinstance(exc, EndpointStalled):
+            # The move was taken from the budget when the endpoint was given up.
+            self._record(EventKind.STALLED, req, endpoint=endpoint.name, tokens=req.sent_tokens)
+            self._cancel_at(endpoint, req)
+        elif attempt == MAX_ATTEMPTS or not self._repeatable(req, exc) or not self._spend(req):
             raise self._final(exc, answer) from exc
         if isinstance(exc, EndpointCrashed) and exc.details.get("timeout"):
-            # The runner may wake up; a resume there must not meet the old generation.
-            await self._parts.client.cancel(endpoint, req.id)
+            self._cancel_at(endpoint, req)
         if answer is not None:
             req.sent_tokens = answer.received
 
+    def _silence(self, req: Request, endpoint: Endpoint, attempt: int) -> Silence | None:
+        """Return what decides when a silent endpoint is given up in favour of another one."""
+        if self._parts.watch is None or attempt == MAX_ATTEMPTS:
+            return None
+
+        def may_move() -> bool:
+            pool = self._parts.tables().pools.get(req.pool)
+            if pool is None or not pool.repeatable or req.moves >= MAX_MOVES:
+                return False
+            others = {item.name for item in pool.endpoints} - req.avoid - {endpoint.name}
+            if not others or not self._spend(req):
+                return False
+            req.moves += 1
+            return True
+
+        return self._parts.watch(req.pool, may_move)
+
     def _repeatable(self, req: Request, exc: EndpointError) -> bool:
         if isinstance(exc, ConnectFailed | EndpointLeaving):
             return True
@@ -453,9 +491,10 @@
                 monitor.observe(req.pool, endpoint, seen)
 
     def _cancel_at(self, endpoint: Endpoint, req: Request) -> None:
+        key = (endpoint.name, req.id)
         task = asyncio.get_running_loop().create_task(self._parts.client.cancel(endpoint, req.id))
-        self._cancels.add(task)
-        task.add_done_callback(self._cancels.discard)
+        self._cancels[key] = task
+        task.add_done_callback(lambda _: self._cancels.pop(key, None))
 
     def _drop(self, req: Request) -> None:
         if self._parts.guard is not None:
--- a/tests/test_endpoint.py
+++ b/tests/test_endpoint.py
@@ -12,8 +12,10 @@
     EndpointCrashed,
     EndpointLeaving,
     EndpointRejected,
+    EndpointStalled,
     HttpEndpoint,
     Reply,
+    Silence,
 )
 from lacewinghub.request import Request
 from lacewinghub.tables import Endpoint, Target
@@ -41,6 +43,18 @@
     return req
 
 
+class _Silence(Silence):
+    def __init__(self, limit_s: float, verdicts: list[bool]) -> None:
+        self.limit = limit_s
+        self.verdicts = verdicts
+
+    def limit_s(self, started: bool) -> float:
+        return self.limit
+
+    def give_up(self) -> bool:
+        return self.verdicts.pop(0)
+
+
 class _Server:
     """Sends byte strings, waits for numbers of seconds, and keeps what it received."""
 
@@ -86,11 +100,13 @@
         self.client = HttpEndpoint(connect_timeout_s=1.0, idle_timeout_s=0.2)
         self.addAsyncCleanup(self.client.close)
 
-    async def _stream(self, *steps: bytes | float) -> tuple[list[Chunk], Exception | None]:
+    async def _stream(
+        self, *steps: bytes | float, silence: Silence | None = None
+    ) -> tuple[list[Chunk], Exception | None]:
         got: list[Chunk] = []
         async with _Server(*steps) as endpoint:
             try:
-                async for chunk in self.client.stream(endpoint, _request()):
+                async for chunk in self.client.stream(endpoint, _request(), silence):
                     got.append(chunk)
             except Exception as exc:
                 return got, exc
@@ -192,6 +208,24 @@
         assert isinstance(exc, EndpointRejected)
         self.assertEqual((exc.details["status"], exc.details["reason"]), (400, "too long"))
 
+    async def test_silent_runner_is_given_up_only_when_permitted(self) -> None:
+        """Guards against answers that wait for the idle timeout of a runner that is gone."""
+        late = [_SSE, _chunk(3, "a"), 0.3]
+        cases: list[tuple[str, list[bytes | float], list[bool], int, type[Exception]]] = [
+            ("no head", [1.0], [True], 0, EndpointStalled),
+            ("head only", [_SSE, 1.0], [True], 0, EndpointStalled),
+            ("midway", [_SSE, _chunk(3, "a"), 1.0], [True], 1, EndpointStalled),
+            ("asked again", [_SSE, _chunk(3, "a"), 1.0], [False, True], 1, EndpointStalled),
+            ("never permitted", late, [False] * 9, 1, EndpointCrashed),
+        ]
+        for name, steps, verdicts, chunks, error_type in cases:
+            with self.subTest(name):
+                silence = _Silence(0.05, verdicts)
+                found, exc = await self._stream(*steps, silence=silence)
+                self.assertEqual((len(found), type(exc)), (chunks, error_type))
+                if error_type is EndpointStalled:
+                    self.assertEqual(silence.verdicts, [])
+
     async def test_leaving_the_stream_closes_the_connection(self) -> None:
         server = _Server(_SSE, _chunk(3, "a"), 5.0)
         async with server as endpoint:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -13,7 +13,9 @@
     EndpointCrashed,
     EndpointLeaving,
     EndpointRejected,
+    EndpointStalled,
     Reply,
+    Silence,
 )
 from lacewinghub.errors import (
     AnswerIncomplete,
@@ -29,6 +31,7 @@
 from lacewinghub.request import Grant, Observation, Request
 from lacewinghub.router import Budget, Claims, Guard, Monitor, Parts, Router, Send
 from lacewinghub.scheduler import Scheduler
+from lacewinghub.stall import StallLimits, StallWatch
 from lacewinghub.tables import Endpoint, Tables, Target
 
 _TOKENS = tuple("abcdef")
@@ -90,13 +93,17 @@
         self.calls: list[str] = []
         self.closed = 0
 
-    async def stream(self, endpoint: Endpoint, req: Request) -> AsyncGenerator[Chunk, None]:
+    async def stream(
+        self, endpoint: Endpoint, req: Request, silence: Silence | None = None
+    ) -> AsyncGenerator[Chunk, None]:
         self.attempts.append((endpoint.name, req.sent_tokens))
         self.calls.append(f"stream {endpoint.name}")
         script = self.scripts.pop(0)
         assert isinstance(script, list)
         try:
             for step in script:
+                if isinstance(step, EndpointStalled) and not (silence and silence.give_up()):
+                    continue
                 if isinstance(step, Exception):
                     raise step
                 if isinstance(step, float):
@@ -200,6 +207,16 @@
         )
         self.router = Router(self.parts)
 
+    def watch(self) -> None:
+        """Let silent endpoints be given up; ``permits`` receives the function of each attempt."""
+        self.permits: list[Callable[[], bool]] = []
+
+        def start(pool: str, may_move: Callable[[], bool]) -> Silence:
+            self.permits.append(may_move)
+            return StallWatch(StallLimits(), pool, may_move)
+
+        self.parts.watch = start
+
     async def collect(self, req: Request | None = None) -> tuple[list[str], str]:
         """Return the tokens, and the finish reason or the error code."""
         got: list[str] = []
@@ -329,6 +346,26 @@
         self.assertEqual(case.client.calls, ["stream x", "cancel x r1", "stream y"])
         self.assertNotIn(EventKind.CRASHED, case.kinds())
 
+    async def test_stalled_runner_costs_one_move(self) -> None:
+        """Guards against moves beyond the bound, or paid for twice, and against lost tokens."""
+        stalled = EndpointStalled("silent")
+        for budget, moves in ((10, 2), (1, 1), (0, 0)):
+            with self.subTest(budget=budget):
+                scripts = [[*_WHOLE[:n], stalled, *_WHOLE[n:]] for n in (2, 3, 4)]
+                case = _Case(_Client(*scripts), budget=budget)
+                case.watch()
+                self.assertEqual(await case.collect(), (list(_TOKENS), "stop"))
+                self.assertEqual(len(case.client.attempts), moves + 1)
+                self.assertEqual(case.kinds().count(EventKind.STALLED), moves)
+                self.check_slots(case)
+
+    async def test_no_move_without_another_endpoint(self) -> None:
+        """Guards against a wait for a runner that is exchanged for no runner at all."""
+        case = _Case(_Client([*_WHOLE]), names="x")
+        case.watch()
+        self.assertEqual(await case.collect(), (list(_TOKENS), "stop"))
+        self.assertFalse(case.permits[0]())
+
     async def test_endpoint_that_left_the_tables_is_not_used(self) -> None:
         case = _Case(_Client([*_WHOLE]), names="xy")
         case.tables = _tables("y")
--- a/tests/test_runner_failure.py
+++ b/tests/test_runner_failure.py
@@ -1,6 +1,7 @@
 """Failures of runners, with real processes; every history goes through the checker."""
 
 import asyncio
+import signal
 import unittest
 
 from lacewinghub.history import EventKind
@@ -27,6 +28,25 @@
         self.assertTrue(resumed)
         await self.assert_kept(cluster)
 
+    async def test_runner_frozen_in_mid_stream(self) -> None:
+        """Guards against answers that wait for a runner whose host is gone without a reset."""
+        cluster = await self.open(nodes=1, runners=3)
+        node = cluster.names[0]
+        chats = [asyncio.create_task(cluster.chat(node, f"door {i}", 150)) for i in range(9)]
+        await asyncio.sleep(0.6)
+        frozen = cluster.deployment.runners[0].popen
+        frozen.send_signal(signal.SIGSTOP)
+        self.addCleanup(frozen.send_signal, signal.SIGCONT)
+        calls = await asyncio.gather(*chats)
+        self.assertEqual([call.code for call in calls], [""] * 9)
+        self.assertEqual([call.answer == call.expected for call in calls], [True] * 9)
+        history = cluster.deployment.history(node)
+        self.assertIn(EventKind.STALLED, [event["kind"] for event in history])
+        # Half of the idle timeout of 30 s, which answers had to wait for before.
+        self.assertLess(max(call.ended - call.sent for call in calls), 15.0)
+        frozen.send_signal(signal.SIGCONT)
+        await self.assert_kept(cluster)
+
     async def test_leaving_runners_and_a_host_list_that_lags(self) -> None:
         """Guards against new work for a runner that refuses it, or that the host list names.
 
