Bound the wait of an interrupted request for its next slot

Cause: a request that was dispatched once is never shed, so with all endpoints of its pool leaving or down after the crash it waited without end, and its caller had no answer and no error. Change: after 60 s it ends with answer_incomplete, or endpoint_failed before the first token.

--- a/lacewinghub/router.py
+++ b/lacewinghub/router.py
@@ -38,6 +38,8 @@
 MAX_ATTEMPTS = 6
 # Moves away from silent endpoints; a runner that is only slow must not be left again and again.
 MAX_MOVES = 2
+# An interrupted request is never shed; without this bound it would wait as long as a pool is down.
+RESUME_WAIT_S = 60.0
 # Statuses with which an endpoint refuses the request itself; another endpoint would do the same.
 REFUSAL_STATUSES = (400, 404, 405, 413, 415, 422)
 
@@ -222,7 +224,7 @@
         try:
             for attempt in range(1, MAX_ATTEMPTS + 1):
                 self._check(req)
-                grant, endpoint = await self._acquire(req)
+                grant, endpoint = await self._acquire_again(req, answer, attempt)
                 use = _Attempt(endpoint, loop.time())
                 self._start(req, endpoint, resumed=answer.received > 0)
                 answer.restart()
@@ -303,7 +305,7 @@
     async def _call_repeatable(self, req: Request) -> Reply:
         for attempt in range(1, MAX_ATTEMPTS + 1):
             self._check(req)
-            grant, endpoint = await self._acquire(req)
+            grant, endpoint = await self._acquire_again(req, None, attempt)
             try:
                 return await self._exchange(req, grant, endpoint)
             except EndpointError as exc:
@@ -381,6 +383,17 @@
                 raise NotRun(f"pool {req.pool!r} was removed")
             await asyncio.sleep(0.01)
 
+    async def _acquire_again(
+        self, req: Request, answer: Answer | None, attempt: int
+    ) -> tuple[Grant, Endpoint]:
+        """Wait for a slot; after an interrupted attempt for ``RESUME_WAIT_S`` at most."""
+        try:
+            async with asyncio.timeout(RESUME_WAIT_S if attempt > 1 else None):
+                return await self._acquire(req)
+        except TimeoutError as exc:
+            error = EndpointError(f"no endpoint became free within {RESUME_WAIT_S:g} s")
+            raise self._final(error, answer) from exc
+
     async def _cancelled_at(self, endpoint: Endpoint, req: Request) -> None:
         """Wait for a cancellation there: a resume must not meet the old generation."""
         task = self._cancels.get((endpoint.name, req.id))
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncGenerator, Awaitable, Callable
 from contextlib import aclosing
 from typing import Any
+from unittest.mock import patch
 
 from lacewinghub.endpoint import (
     Chunk,
@@ -67,13 +68,15 @@
         self.held: dict[int, str] = {}
         self.seen: list[Observation] = []
         self.blocked = False
+        self.blocked_after = 1000
         self.shed = False
         self._last = 0
 
     async def acquire(self, req: Request) -> Grant:
         if self.shed:
             raise Overloaded("the queue is full")
-        await asyncio.sleep(3600 if self.blocked else 0)
+        blocked = self.blocked or self._last >= self.blocked_after
+        await asyncio.sleep(3600 if blocked else 0)
         usable = [name for name in self.names if name not in req.avoid] or list(self.names)
         self._last += 1
         self.held[self._last] = usable[0]
@@ -359,6 +362,20 @@
                 self.assertEqual(case.kinds().count(EventKind.STALLED), moves)
                 self.check_slots(case)
 
+    async def test_interrupted_request_does_not_wait_for_ever(self) -> None:
+        """Guards against callers that hang while all endpoints of a pool are down."""
+        crash = EndpointCrashed("broken")
+        cases = [
+            ([crash], ([], "endpoint_failed")),
+            ([_WHOLE[0], crash], (["a"], "answer_incomplete")),
+        ]
+        for script, expected in cases:
+            with self.subTest(expected[1]), patch("lacewinghub.router.RESUME_WAIT_S", 0.05):
+                case = _Case(_Client(script))
+                case.scheduler.blocked_after = 1
+                self.assertEqual(await case.collect(), expected)
+                self.check_slots(case)
+
     async def test_no_move_without_another_endpoint(self) -> None:
         """Guards against a wait for a runner that is exchanged for no runner at all."""
         case = _Case(_Client([*_WHOLE]), names="x")
