Make the cost of slot grants independent of the size of a pool

A node sent a demand to every group of a pool on each change, each with the full list of held grants, and every part walked the whole pool.

- Only groups whose waiters or grants changed get a demand, also those that a waiter leaves.
A late waiter moves only to a group with more free slots, and to a random one every 2 s.
Groups of the own availability zone are preferred, which bounds the renewals.
- A demand lists the grants taken since the one before, and the number and digest of all held ones.
On a mismatch the broker renews nothing and asks for the full list; a grant on its way is left out of the comparison.
The leases move to a module of their own.
- Groups are shared by broker and client.

--- a/lacewinghub/broker.py
+++ b/lacewinghub/broker.py
@@ -7,16 +7,16 @@
 from dataclasses import dataclass, field
 
 from .drain import DrainRate
-from .group import Group, Groups, broker_of
+from .group import Group, Groups
+from .lease import LEASE_S, Lease, Leases
 from .limit import ConcurrencyLimit
-from .membership import Members
+from .membership import Member, Members
 from .message import REFUSED, Demand, GrantItem, Grants, GroupFree, Release, ReleaseItem
 from .scheduler import PoolView
 from .selection import AFFINITY_BOUND
 from .tables import MAX_TIER, Endpoint
 from .transport import Transport
 
-LEASE_S = 2.0
 START_S = 0.5  # A new broker waits this long for the demands of all nodes.
 SWEEP_S = 0.1
 IDLE_S = 10.0  # A group without demands for this long is dropped.
@@ -38,15 +38,6 @@
 USE_WEIGHT = 0.05  # Of the latest use of a slot in the mean time that a slot is in use.
 
 
-@dataclass(slots=True)
-class _Lease:
-    endpoint: str
-    tier: int
-    granted: float
-    expires: float
-    confirmed: bool
-
-
 @dataclass(slots=True)
 class _Node:
     """Demand of one node."""
@@ -80,7 +71,7 @@
     started: float
     seen: float
     nodes: dict[str, _Node] = field(default_factory=dict)
-    leases: dict[tuple[str, int], _Lease] = field(default_factory=dict)
+    leases: Leases = field(default_factory=Leases)
     runners: dict[str, _Runner] = field(default_factory=dict)
     drain: DrainRate = field(default_factory=lambda: DrainRate(MIN_SHARE))
     waits: list[int] = field(default_factory=list)
@@ -99,6 +90,7 @@
         members: View of the live nodes.
         view: Pools and usable endpoints.
         rng: Source of randomness.
+        groups: The groups of the pools, if another part of the node uses them too.
     """
 
     def __init__(
@@ -107,13 +99,16 @@
         members: Members,
         view: PoolView,
         rng: random.Random | None = None,
+        groups: Groups | None = None,
     ) -> None:
         self._transport = transport
         self._members = members
         self._view = view
         self._rng = rng or random.Random()
         self._last_id = self._rng.getrandbits(24) << 8
-        self._groups = Groups(view)
+        self._groups = groups or Groups(view, members)
+        self._searched: tuple[list[Member], dict[str, list[Group]]] = ([], {})
+        self._own: list[Group] = []
         self._states: dict[str, _State] = {}
         transport.subscribe(Demand, self._on_demand)
         transport.subscribe(Release, self._on_release)
@@ -149,12 +144,21 @@
 
     def _open_own(self, now: float) -> None:
         """Open this node's groups ahead of demand; the first request would wait START_S."""
-        for name in self._view.names():
-            for group in self._groups.of(name):
-                if broker_of(group, self._members) == self._transport.node:
-                    state = self._open(group.name, now)
-                    if state is not None:
-                        state.seen = now
+        live = self._members.live()
+        pools = {name: self._groups.of(name) for name in self._view.names()}
+        known_live, known_pools = self._searched
+        if live != known_live or not _same_lists(pools, known_pools):
+            self._searched = list(live), pools
+            self._own = [
+                group
+                for groups in pools.values()
+                for group in groups
+                if self._groups.broker(group) == self._transport.node
+            ]
+        for group in self._own:
+            state = self._open(group.name, now)
+            if state is not None:
+                state.seen = now
 
     def _on_demand(self, sender: str, demand: Demand) -> None:
         now = _now()
@@ -166,15 +170,16 @@
         if demand.seq <= node.seq and now - node.seen < LEASE_S:
             return
         node.seq, node.seen = demand.seq, now
-        self._take_held(state, sender, demand, now)
+        if not self._take_held(state, sender, demand, now):
+            resend = Grants(state.group.name, [], state.waits, demand.seq)
+            self._transport.send(sender, resend)
         node.oldest_ms = demand.oldest_ms
         node.waiting, node.listed = Counter(), Counter()
         for item in demand.waiting:
             node.waiting[item.tier, item.preferred] += item.count
             node.listed[item.tier] += item.count
-        for (holder, _), lease in state.leases.items():
-            if holder == sender and not lease.confirmed:
-                _subtract(node.waiting, lease.tier)
+        for tier in state.leases.offered_tiers(sender):
+            _subtract(node.waiting, tier)
         self._grant(state, now)
         if now - state.started >= START_S and now - node.answered >= ANSWER_EVERY_S:
             self._answer(state, sender, [], now)
@@ -185,14 +190,15 @@
             return
         now = _now()
         for item in release.items:
-            lease = state.leases.get((sender, item.id))
+            lease = state.leases.find(sender, item.id)
             if lease is None:
                 continue
             if item.tokens != REFUSED:
                 self._learn(state, lease, item, now)
             elif sender in state.nodes:
                 state.nodes[sender].refused[item.endpoint] = now + REFUSAL_S
-            self._end(state, (sender, item.id))
+            state.leases.end(sender, item.id)
+            self._count(state)
         self._grant(state, now)
 
     def _open(self, name: str, now: float) -> _State | None:
@@ -209,26 +215,17 @@
     def _start(self, state: _State) -> None:
         self._grant(state, _now())
 
-    def _take_held(self, state: _State, sender: str, demand: Demand, now: float) -> None:
-        listed = set()
-        for item in demand.held:
-            key = (sender, item.id)
-            listed.add(key)
-            lease = state.leases.get(key)
-            if lease is None:
-                lease = state.leases[key] = _Lease(item.endpoint, item.tier, now, now, True)
-                self._runner(state, item.endpoint).granted += 1
-            lease.confirmed = True
-            lease.expires = now + LEASE_S
-        ended = [
-            key
-            for key, lease in state.leases.items()
-            if key[0] == sender and lease.confirmed and key not in listed
-        ]
-        for key in ended:
-            self._end(state, key)
+    def _take_held(self, state: _State, sender: str, demand: Demand, now: float) -> bool:
+        agreed = state.leases.take(sender, demand, now)
+        self._count(state)
+        return agreed
 
-    def _learn(self, state: _State, lease: _Lease, item: ReleaseItem, now: float) -> None:
+    def _count(self, state: _State) -> None:
+        """Take over changes of the leases into the numbers of granted slots."""
+        for endpoint, change in state.leases.changes().items():
+            self._runner(state, endpoint).granted += change
+
+    def _learn(self, state: _State, lease: Lease, item: ReleaseItem, now: float) -> None:
         runner = self._runner(state, lease.endpoint)
         if item.crashed:
             if now >= runner.rests_until:
@@ -248,14 +245,9 @@
         target = self._view.target(state.group.pool, lease.tier)
         runner.limit.observe(first, between, target, runner.granted, now)
 
-    def _end(self, state: _State, key: tuple[str, int]) -> None:
-        lease = state.leases.pop(key, None)
-        if lease is not None:
-            self._runner(state, lease.endpoint).granted -= 1
-
     def _expire(self, state: _State, now: float) -> None:
-        for key in [key for key, lease in state.leases.items() if lease.expires <= now]:
-            self._end(state, key)
+        state.leases.expire(now)
+        self._count(state)
         for name in [name for name, node in state.nodes.items() if now - node.seen > LEASE_S]:
             del state.nodes[name]
 
@@ -293,8 +285,8 @@
 
     def _lease(self, state: _State, node: str, endpoint: str, tier: int, now: float) -> GrantItem:
         self._last_id += 1
-        state.leases[node, self._last_id] = _Lease(endpoint, tier, now, now + LEASE_S, False)
-        self._runner(state, endpoint).granted += 1
+        state.leases.offer(node, self._last_id, endpoint, tier, now)
+        self._count(state)
         return GrantItem(self._last_id, endpoint, tier)
 
     def _answer(self, state: _State, node: str, items: list[GrantItem], now: float) -> None:
@@ -380,6 +372,11 @@
         return found
 
 
+def _same_lists(left: dict[str, list[Group]], right: dict[str, list[Group]]) -> bool:
+    """Compare by identity; a pool whose groups did not change keeps its list."""
+    return left.keys() == right.keys() and all(right[key] is item for key, item in left.items())
+
+
 def _by_tier(state: _State) -> Counter[int]:
     found: Counter[int] = Counter()
     for node in state.nodes.values():
--- a/lacewinghub/brokered.py
+++ b/lacewinghub/brokered.py
@@ -24,7 +24,13 @@
 from .transport import Transport
 
 TICK_S = 0.1
-REGROUP_S = 0.5  # A request that waits longer asks the broker with the most free slots each tick.
+REGROUP_S = 0.5  # A request that waits longer moves to a group with more free slots.
+# A group of another availability zone is used if it has this many times the free slots. Keeping to
+# the own zone bounds the number of groups whose grants a node has to renew.
+NEAR_BOUND = 2.0
+# A request that still waits moves to a random group if none has more free slots, since its own may
+# be out of order. A move takes two messages, so this is rare.
+WANDER_S = 2.0
 MEDIAN = 0.5
 
 
@@ -64,14 +70,14 @@
         super().__init__(view, TierQueue, admission or self.floors, history)
         self.lengths = LengthEstimator()
         self.prefixes = PrefixMap()
-        self.broker = Broker(transport, members, view, rng)
+        self._groups = Groups(view, members)
+        self.broker = Broker(transport, members, view, rng, self._groups)
         self._rng = rng or random.Random()
         self._members = members
-        self._groups = Groups(view)
+        self._node = transport.node
         self._client = GrantClient(
             transport,
-            members,
-            self._groups.find,
+            self._groups,
             self._waiters,
             self._on_grant,
             self._on_forecast,
@@ -92,11 +98,18 @@
         return waiter
 
     def pump(self, pool: str) -> None:
-        """Tell the brokers about the waiters, or dispatch directly if they are silent."""
-        for group in self._groups.of(pool):
-            if self._client.silent(group.name):
-                self._dispatch(group)
-            self._client.changed(group.name)
+        """Dispatch directly to the groups whose brokers are silent."""
+        for name in {waiter.group for waiter in self.state(pool).queue}:
+            self._dispatch_if_silent(name)
+
+    def entered(self, waiter: Waiter) -> None:
+        """Ask the broker of the waiter's group, or dispatch directly if it is silent."""
+        self._dispatch_if_silent(waiter.group)
+        self._client.changed(waiter.group)
+
+    def left(self, waiter: Waiter) -> None:
+        """Tell the broker of the waiter's group."""
+        self._client.changed(waiter.group)
 
     def release(self, grant: Grant, seen: Observation) -> None:
         """Return a slot to its broker and learn from what was measured."""
@@ -111,8 +124,7 @@
             total = use.req.sent_tokens or seen.tokens
             self.lengths.observe(use.req.request_class, use.req.workspace, total)
         self._client.give_back(use.group, use.number, grant.endpoint, seen)
-        if self._client.silent(use.group):
-            self.pump(grant.pool)
+        self._dispatch_if_silent(use.group)
 
     async def run(self) -> None:
         """Run the broker and the periodic work until cancelled."""
@@ -138,30 +150,43 @@
             for name in list(self._pools):
                 with contextlib.suppress(UnknownPool):
                     self._tick_pool(name, now)
-            self._client.tick()
+            queues = [state.queue for state in self._pools.values()]
+            self._client.tick({waiter.group for queue in queues for waiter in queue})
 
     def _tick_pool(self, name: str, now: float) -> None:
         queue = self.state(name).queue
         self.admission.update(self.view.pool(name), queue, now)
+        if not len(queue):
+            return
+        self.pump(name)
         groups = self._groups.of(name)
-        for group in groups:
-            if len(queue) and self._client.silent(group.name):
-                self._dispatch(group)
         names = {group.name for group in groups}
         for waiter in queue:
-            late = len(groups) > 1 and now - waiter.req.arrived > REGROUP_S
-            if late or waiter.group not in names:
-                waiter.group = self._choose_group(name).name
+            waited = now - waiter.since
+            if waiter.group not in names:
+                self._move(waiter, self._choose_group(name).name)
+            elif len(groups) > 1 and waited >= WANDER_S and waited % WANDER_S < TICK_S:
+                self._move(waiter, self._rng.choice(groups).name)
+            elif len(groups) > 1 and waited > REGROUP_S:
+                chosen = self._choose_group(name).name
+                if self._free(chosen) > self._free(waiter.group):
+                    self._move(waiter, chosen)
+
+    def _move(self, waiter: Waiter, group: str) -> None:
+        """Assign a waiter to another group."""
+        if group != waiter.group:
+            old, waiter.group = waiter.group, group
+            self._client.changed(old)
+            self._client.changed(group)
 
     def _on_grant(self, name: str, item: GrantItem) -> None:
         pool = pool_of(name)
         queue = self.state(pool).queue
-        usable = {endpoint.name for endpoint in self.view.usable(pool)}
         waiter = None
-        if item.endpoint in usable:
+        if self._is_usable(name, item.endpoint):
 
             def fits(waiter: Waiter) -> int:
-                if item.endpoint in waiter.req.avoid and not usable <= waiter.req.avoid:
+                if item.endpoint in waiter.req.avoid and self._has_other(pool, waiter.req):
                     return 0
                 return 1 + (waiter.preferred == item.endpoint)
 
@@ -180,9 +205,24 @@
             self._client.changed(name)
             self._client.changed(waiter.group)
 
+    def _is_usable(self, name: str, endpoint: str) -> bool:
+        group = self._groups.find(name)
+        return group is not None and any(
+            item.name == endpoint for item in self._groups.usable(group)
+        )
+
+    def _has_other(self, pool: str, req: Request) -> bool:
+        """Tell whether the pool has a usable endpoint that the request does not avoid."""
+        return any(item.name not in req.avoid for item in self.view.usable(pool))
+
     def _on_forecast(self, group: str, wait_ms: list[int]) -> None:
         self.floors.forecast(pool_of(group), group, wait_ms, _now())
 
+    def _dispatch_if_silent(self, name: str) -> None:
+        group = self._groups.find(name) if self._client.silent(name) else None
+        if group is not None:
+            self._dispatch(group)
+
     def _dispatch(self, group: Group) -> None:
         state = self.state(group.pool)
         live = max(1, len(self._members.live()))
@@ -202,6 +242,8 @@
             chosen = self._selection.choose(waiter.req, better or free, state.in_flight)
             number = self._client.hold_direct(group.name, chosen.name, waiter.req.tier)
             self._use(waiter, group.name, number, chosen.name, brokered=False)
+            self._client.changed(group.name)
+            self._client.changed(waiter.group)
 
     def _use(self, waiter: Waiter, group: str, number: int, endpoint: str, brokered: bool) -> None:
         req = waiter.req
@@ -219,10 +261,21 @@
         return (waiter for waiter in state.queue if waiter.group == group)
 
     def _choose_group(self, pool: str) -> Group:
-        """Two random choices over the free slots that the brokers advertised."""
+        """Two random choices over the free slots that the brokers advertised, own zone first."""
         groups = self._groups.of(pool)
+        chosen = self._emptier(groups)
+        near = self._groups.near(pool, self._node) if len(groups) > 1 else []
+        if not near:
+            return chosen
+        own = self._emptier(near)
+        return own if NEAR_BOUND * self._free(own.name) >= self._free(chosen.name) else chosen
+
+    def _emptier(self, groups: list[Group]) -> Group:
         pair = groups if len(groups) <= 2 else self._rng.sample(groups, 2)
-        return max(pair, key=lambda group: self._advertised.get(group.name, 0))
+        return max(pair, key=lambda group: self._free(group.name))
+
+    def _free(self, group: str) -> int:
+        return self._advertised.get(group, 0)
 
 
 def _pop_for(queue: WaitQueue, names: set[str]) -> Waiter | None:
--- a/lacewinghub/grant.py
+++ b/lacewinghub/grant.py
@@ -2,11 +2,11 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
-from .group import Group, broker_of
-from .membership import Members
+from .group import Groups
+from .lease import HeldSet
 from .message import Demand, GrantItem, Grants, Held, Release, ReleaseItem, Waiting
 from .queue import Waiter
 from .request import Observation
@@ -25,14 +25,21 @@
 
 @dataclass(slots=True)
 class _Asked:
-    """State of the conversation about one group."""
+    """State of the conversation about one group.
+
+    ``taken`` are the held grants that no demand has listed yet. ``listed`` is the number of the
+    last demand that listed all held ones; 0 makes the next one do so.
+    """
 
     seq: int = 0
+    listed: int = 0
     broker: str | None = None
     sent: float = float("-inf")
     asked: float | None = None
     scheduled: bool = False
     held: dict[int, Held] = field(default_factory=dict)
+    taken: dict[int, Held] = field(default_factory=dict)
+    summary: HeldSet = field(default_factory=HeldSet)
 
 
 class GrantClient:
@@ -40,8 +47,7 @@
 
     Args:
         transport: Connects the nodes.
-        members: View of the live nodes.
-        find: Returns a group by name, or None.
+        groups: Groups of the pools and their brokers.
         waiters: Returns the waiters assigned to a group.
         on_grant: Receives each granted slot with the name of its group.
         on_forecast: Receives the expected waits by tier with the name of the group.
@@ -50,15 +56,13 @@
     def __init__(
         self,
         transport: Transport,
-        members: Members,
-        find: Callable[[str], Group | None],
+        groups: Groups,
         waiters: Waiters,
         on_grant: OnGrant,
         on_forecast: OnForecast,
     ) -> None:
         self._transport = transport
-        self._members = members
-        self._find = find
+        self._groups = groups
         self._waiters = waiters
         self._on_grant = on_grant
         self._on_forecast = on_forecast
@@ -78,7 +82,10 @@
 
     def hold(self, group: str, item: GrantItem, tier: int) -> None:
         """Keep a granted slot for a request of a tier."""
-        self._state(group).held[item.id] = Held(item.id, item.endpoint, tier)
+        state = self._state(group)
+        if item.id not in state.held:
+            state.summary.add(item.id)
+        state.held[item.id] = state.taken[item.id] = Held(item.id, item.endpoint, tier)
 
     def hold_direct(self, group: str, endpoint: str, tier: int) -> int:
         """Tell the broker about a slot that was taken without it.
@@ -93,7 +100,9 @@
     def give_back(self, group: str, number: int, endpoint: str, seen: Observation) -> None:
         """Release a slot with what was measured."""
         state = self._state(group)
-        state.held.pop(number, None)
+        if state.held.pop(number, None) is not None:
+            state.summary.remove(number)
+            state.taken.pop(number, None)
         item = ReleaseItem(
             number,
             endpoint,
@@ -109,14 +118,20 @@
 
     def silent(self, group: str) -> bool:
         """Tell whether a demand has been without an answer for too long."""
-        asked = self._state(group).asked
-        return asked is not None and _now() - asked > SILENCE_S
+        state = self._asked.get(group)
+        if state is None or state.asked is None:
+            return False
+        return _now() - state.asked > SILENCE_S
 
-    def tick(self) -> None:
-        """Renew leases and repeat unanswered demands; called several times per second."""
+    def tick(self, waiting: Collection[str]) -> None:
+        """Renew leases and repeat unanswered demands; called several times per second.
+
+        Args:
+            waiting: Names of the groups that have waiters.
+        """
         now = _now()
         for name, state in self._asked.items():
-            waits = next(iter(self._waiters(name)), None) is not None
+            waits = name in waiting
             if not waits:
                 state.asked = None
             elapsed = now - state.sent
@@ -133,11 +148,15 @@
         now = _now()
         state.seq += 1
         state.sent = now
-        state.broker = broker
+        if broker != state.broker:
+            state.broker, state.listed = broker, 0
         if state.asked is None and waiters:
             state.asked = now
-        if broker is not None:
-            self._transport.send(broker, self._demand(name, state, waiters, now))
+        if broker is None:
+            return
+        demand = self._demand(name, state, waiters, now)
+        if not self._transport.send(broker, demand):
+            state.listed = 0
 
     def _demand(self, name: str, state: _Asked, waiters: list[Waiter], now: float) -> Demand:
         counts = Counter((item.req.tier, item.preferred) for item in waiters)
@@ -147,26 +166,48 @@
             oldest[item.req.tier - 1] = max(oldest[item.req.tier - 1], age)
         while oldest and not oldest[-1]:
             oldest.pop()
+        full = not state.listed
+        if full:
+            state.listed = state.seq
+        taken = list((state.held if full else state.taken).values())
+        state.taken.clear()
         return Demand(
             name,
             state.seq,
             [Waiting(tier, preferred, count) for (tier, preferred), count in counts.items()],
             oldest,
-            list(state.held.values()),
+            taken,
+            state.summary.count,
+            state.summary.digest,
+            full,
         )
 
     def _on_grants(self, sender: str, grants: Grants) -> None:
         state = self._asked.get(grants.group)
         if state is None:
             return
+        if grants.resend:
+            self._resend(grants, sender, state)
+            return
         state.asked = None
         self._on_forecast(grants.group, grants.wait_ms)
         for item in grants.items:
-            self._on_grant(grants.group, item)
+            if item.id not in state.held:
+                self._on_grant(grants.group, item)
+
+    def _resend(self, grants: Grants, sender: str, state: _Asked) -> None:
+        """List all held grants, unless a list that answers the question is on its way.
+
+        The question does not count as an answer to the demand: a broker that has just started asks
+        it but grants nothing yet.
+        """
+        if sender == state.broker and grants.resend > state.listed > 0:
+            state.listed = 0
+            self.changed(grants.group)
 
     def _broker(self, name: str) -> str | None:
-        group = self._find(name)
-        return broker_of(group, self._members) if group is not None else None
+        group = self._groups.find(name)
+        return self._groups.broker(group) if group is not None else None
 
     def _state(self, group: str) -> _Asked:
         found = self._asked.get(group)
--- a/lacewinghub/health.py
+++ b/lacewinghub/health.py
@@ -7,7 +7,7 @@
 import asyncio
 import statistics
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from loguru import logger
@@ -70,6 +70,7 @@
     generation: int
     until: float
     endpoints: list[Endpoint]
+    names: frozenset[str]
 
     def is_valid(self, generation: int, now: float) -> bool:
         return self.generation == generation and now < self.until
@@ -106,18 +107,27 @@
         Returns:
             Endpoints in the order of the pool; empty if all are leaving.
         """
+        return list(self._usable_of(pool).endpoints)
+
+    def usable_names(self, pool: Pool) -> frozenset[str]:
+        """Return the names of the endpoints that ``usable`` returns."""
+        return self._usable_of(pool).names
+
+    def _usable_of(self, pool: Pool) -> "_Usable":
         now = _now()
         known = self._usable.get(pool.name)
         if known and known.pool is pool and known.is_valid(self._generation, now):
-            return list(known.endpoints)
+            return known
         self._evaluate(pool, now)
         present = [item for item in pool.endpoints if not self._is_leaving(item.name, now)]
         ejected = [item for item in present if self._is_ejected(item.name, now)]
         ejected.sort(key=lambda item: self._status[item.name].ejected_until, reverse=True)
         out = {item.name for item in ejected[: len(present) // 2]}
         endpoints = [item for item in present if item.name not in out]
-        self._usable[pool.name] = _Usable(pool, self._generation, now + EVALUATE_S, endpoints)
-        return list(endpoints)
+        names = frozenset(item.name for item in endpoints)
+        found = _Usable(pool, self._generation, now + EVALUATE_S, endpoints, names)
+        self._usable[pool.name] = found
+        return found
 
     def observe(self, endpoint: str, seen: Observation) -> None:
         """Take over what a request measured.
@@ -348,6 +358,11 @@
         """Return the usable endpoints of a pool."""
         return self._health.usable(self.pool(name))
 
+    def usable_of(self, name: str, endpoints: Iterable[Endpoint]) -> list[Endpoint]:
+        """Return those of some endpoints of a pool that are usable."""
+        names = self._health.usable_names(self.pool(name))
+        return [item for item in endpoints if item.name in names]
+
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/lacewinghub/local.py
+++ b/lacewinghub/local.py
@@ -66,7 +66,7 @@
         if not waiter.resumed:
             self._admit(pool, state, waiter)
         state.queue.push(waiter)
-        self.pump(pool.name)
+        self.entered(waiter)
         if waiter.fut.done():
             return waiter.fut.result()
         timer = loop.call_at(req.arrived + req.patience_s, self._expire, waiter)
@@ -86,6 +86,14 @@
     def pump(self, pool: str) -> None:
         """Hand free slots of a pool to its waiters."""
 
+    def entered(self, waiter: Waiter) -> None:
+        """React to a request that was queued."""
+        self.pump(waiter.req.pool)
+
+    def left(self, waiter: Waiter) -> None:
+        """React to a request that left its queue without a slot."""
+        return None
+
     def state(self, pool: str) -> PoolState:
         """Return the state of a pool."""
         found = self._pools.get(pool)
@@ -134,17 +142,21 @@
         self._shed(waiter, f"no slot became free within {waiter.req.patience_s:g} s")
 
     def _shed(self, waiter: Waiter, reason: str) -> None:
-        self.state(waiter.req.pool).queue.remove(waiter)
+        self._remove(waiter)
         if not waiter.fut.done():
             self._record(EventKind.SHED, waiter.req)
             waiter.fut.set_exception(Overloaded(reason, retry_after_s=1.0))
 
     def _withdraw(self, waiter: Waiter) -> None:
-        self.state(waiter.req.pool).queue.remove(waiter)
+        self._remove(waiter)
         fut = waiter.fut
         if fut.done() and not fut.cancelled() and fut.exception() is None:
             self.release(fut.result(), Observation(ok=False))
 
+    def _remove(self, waiter: Waiter) -> None:
+        if self.state(waiter.req.pool).queue.remove(waiter):
+            self.left(waiter)
+
     def _record(self, kind: EventKind, req: Request, quota: bool = False, floor: int = 0) -> None:
         waited = asyncio.get_running_loop().time() - req.arrived
         self._history.record(
--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -136,7 +136,18 @@
 
 @dataclass(slots=True)
 class Demand:
-    """Complete demand of a node on one runner group."""
+    """Demand of a node on one runner group.
+
+    Attributes:
+        group: Name of the group.
+        seq: Grows with every demand of the node on this group.
+        waiting: All requests that wait for a slot of the group.
+        oldest_ms: Age of the oldest of them by tier, from tier 1, in milliseconds.
+        taken: Grants taken since the demand before, or all held ones if ``full``.
+        held: Number of held grants.
+        digest: Digest of their identifiers, 32 bits.
+        full: True if ``taken`` lists all held grants.
+    """
 
     CODE: ClassVar[int] = 3
 
@@ -144,7 +155,10 @@
     seq: int
     waiting: list[Waiting]
     oldest_ms: list[int]
-    held: list[Held]
+    taken: list[Held]
+    held: int = 0
+    digest: int = 0
+    full: bool = False
 
 
 @dataclass(slots=True)
@@ -172,6 +186,9 @@
         group: Name of the group.
         items: The slots; may be empty, as an answer to a demand.
         wait_ms: Expected wait of a new request by tier, from tier 1; empty without queueing.
+        resend: Asks for all held grants, because those of the demand with this number differ from
+            the ones that the broker knows; otherwise 0. By the number, the node knows whether a
+            full list that is already on its way is the answer.
     """
 
     CODE: ClassVar[int] = 4
@@ -179,6 +196,7 @@
     group: str
     items: list[GrantItem]
     wait_ms: list[int] = field(default_factory=list)
+    resend: int = 0
 
 
 @dataclass(slots=True)
@@ -312,7 +330,7 @@
     (Heartbeat, "relayed"): Relayed,
     (Rumours, "items"): Rumour,
     (Demand, "waiting"): Waiting,
-    (Demand, "held"): Held,
+    (Demand, "taken"): Held,
     (Grants, "items"): GrantItem,
     (Release, "items"): ReleaseItem,
 }
--- a/lacewinghub/scheduler.py
+++ b/lacewinghub/scheduler.py
@@ -22,6 +22,14 @@
     def usable(self, name: str) -> list[Endpoint]:
         """Return the endpoints of a pool that are neither leaving nor ejected."""
 
+    def usable_of(self, name: str, endpoints: Iterable[Endpoint]) -> list[Endpoint]:
+        """Return those of some endpoints of a pool that are usable.
+
+        Subclasses do so without a walk over the whole pool.
+        """
+        usable = {item.name for item in self.usable(name)}
+        return [item for item in endpoints if item.name in usable]
+
     def names(self) -> list[str]:
         """Return the names of all pools."""
         return []
@@ -57,6 +65,10 @@
         """Return the endpoints that pass ``is_usable``."""
         return [item for item in self.pool(name).endpoints if self._is_usable(item.name)]
 
+    def usable_of(self, name: str, endpoints: Iterable[Endpoint]) -> list[Endpoint]:
+        """Return those of some endpoints that pass ``is_usable``."""
+        return [item for item in endpoints if self._is_usable(item.name)]
+
     def names(self) -> list[str]:
         """Return the names of all pools."""
         return list(self._tables().pools)
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -13,6 +13,7 @@
 from lacewinghub.broker import LEASE_S, MIN_SHARE
 from lacewinghub.brokered import BrokeredScheduler
 from lacewinghub.errors import Overloaded
+from lacewinghub.footprint import FixedMembers
 from lacewinghub.grant import SILENCE_S
 from lacewinghub.group import GROUP_SIZE, Groups, broker_of, split
 from lacewinghub.model import SimMembers, SimNetwork, new_loop
@@ -366,7 +367,7 @@
 
     def test_unknown_group(self) -> None:
         tables = Tables(pools=[Pool("chat", _endpoints(2, 1))])
-        groups = Groups(TablesView(lambda: tables))
+        groups = Groups(TablesView(lambda: tables), FixedMembers(3))
         for name, known in [("chat/0", True), ("chat/7", False), ("gone/0", False)]:
             with self.subTest(name):
                 self.assertEqual(groups.find(name) is not None, known)
--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,369 @@
+"""Tests that brokers and nodes agree on held grants, on an unreliable network."""
+
+import asyncio
+import random
+import unittest
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from lacewinghub.brokered import BrokeredScheduler
+from lacewinghub.footprint import FixedMembers
+from lacewinghub.grant import RENEW_S
+from lacewinghub.group import broker_of, split
+from lacewinghub.lease import LEASE_S, HeldSet, Leases
+from lacewinghub.memory_transport import MemoryNetwork, MemoryTransport
+from lacewinghub.message import Demand, Grants, Held, Message, encode
+from lacewinghub.request import Grant, Observation, Request
+from lacewinghub.scheduler import TablesView
+from lacewinghub.selection import LoadReports
+from lacewinghub.tables import Endpoint, Pool, Tables, Target
+
+from .clock import simulate
+
+NODES = 4
+START_S = 1.0
+DELAY_S = 0.02
+DONE = Observation(True, 0.1, 0.02, 10)
+
+
+class _Network(MemoryNetwork):
+    """Also repeats and reorders messages, and holds back those of frozen nodes."""
+
+    def __init__(self, delay_s: float = DELAY_S) -> None:
+        super().__init__(delay_s)
+        self.repeats = 0.0
+        self.reorders = 0.0
+        self.frozen: set[str] = set()
+        self.late: list[tuple[MemoryTransport, str, Message]] = []
+        self.seen: list[tuple[str, Message]] = []
+        self._rng = random.Random(5)
+
+    def carry(self, sender: MemoryTransport, node: str, message: Message) -> bool:
+        self.seen.append((sender.node, message))
+        if {sender.node, node} & self.frozen:
+            self.late.append((sender, node, message))
+            return True
+        done = super().carry(sender, node, message)
+        if self._rng.random() < self.repeats:
+            asyncio.get_running_loop().call_later(
+                0.3 * self._rng.random(), super().carry, sender, node, message
+            )
+        return done
+
+    def thaw(self) -> None:
+        self.frozen.clear()
+        late, self.late = self.late, []
+        for sender, node, message in late:
+            super().carry(sender, node, message)
+
+    def _due_at(self, sender: str, node: str) -> float:
+        due = super()._due_at(sender, node)
+        return due + 0.2 * self._rng.random() if self._rng.random() < self.reorders else due
+
+    def resends(self) -> int:
+        return sum(isinstance(item, Grants) and item.resend > 0 for _, item in self.seen)
+
+
+class _Cluster:
+    """Nodes with one pool of three groups, whose brokers are the nodes."""
+
+    def __init__(self, network: _Network, endpoints: int = 54, slots: int = 2) -> None:
+        items = [Endpoint(f"r{n}", "127.0.0.1:9", f"z{n % 3}", slots) for n in range(endpoints)]
+        self.tables = Tables(pools=[Pool("chat", items)])
+        self.slots = endpoints * slots
+        self.network, self.members = network, FixedMembers(NODES)
+        self.names = [item.node for item in self.members.live()]
+        self.schedulers: dict[str, BrokeredScheduler] = {}
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.number = 0
+        for name in self.names:
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        transport = self.network.transport(name)
+        view = TablesView(lambda: self.tables)
+        self.schedulers[name] = BrokeredScheduler(
+            view, LoadReports(), transport, self.members, rng=random.Random(name)
+        )
+        self.resume(name)
+
+    def resume(self, name: str) -> None:
+        self.tasks[name] = asyncio.create_task(self.schedulers[name].run())
+
+    async def acquire(self, node: str, tier: int = 1) -> Grant:
+        self.number += 1
+        now = asyncio.get_running_loop().time()
+        req = Request(f"q{self.number}", "w", "c", tier, "chat", {}, now, 1000.0, Target())
+        return await self.schedulers[node].acquire(req)
+
+    async def use(self, node: str, seconds: float) -> None:
+        grant = await self.acquire(node)
+        await asyncio.sleep(seconds)
+        self.schedulers[node].release(grant, DONE)
+
+    def held(self) -> set[tuple[str, str, int]]:
+        """Return group, node and number of every grant in use."""
+        return {
+            (group, node, number)
+            for node, scheduler in self.schedulers.items()
+            for group, state in scheduler._client._asked.items()
+            for number in state.held
+        }
+
+    def leased(self) -> set[tuple[str, str, int]]:
+        """Return group, node and number of every lease of a broker."""
+        return {
+            (group, node, number)
+            for scheduler in self.schedulers.values()
+            for group, state in scheduler.broker._states.items()
+            for node, number in state.leases
+        }
+
+    def free(self) -> int:
+        brokers = [scheduler.broker for scheduler in self.schedulers.values()]
+        return sum(item.free for broker in brokers for item in broker.free())
+
+
+Fault = Callable[[_Cluster], Coroutine[Any, Any, None]]
+
+
+async def _lossy(cluster: _Cluster) -> None:
+    cluster.network.loss = 0.4
+    await asyncio.sleep(20)
+    cluster.network.loss = 0.0
+
+
+async def _repeated_and_reordered(cluster: _Cluster) -> None:
+    cluster.network.repeats = cluster.network.reorders = cluster.network.loss = 0.2
+    await asyncio.sleep(20)
+    cluster.network.repeats = cluster.network.reorders = cluster.network.loss = 0.0
+    await asyncio.sleep(0.5)  # Until the last repeated message has arrived.
+
+
+async def _frozen(cluster: _Cluster) -> None:
+    name = cluster.names[1]
+    cluster.network.frozen.add(name)
+    cluster.tasks[name].cancel()
+    await asyncio.sleep(3 * LEASE_S)
+    cluster.network.thaw()
+    cluster.resume(name)
+
+
+async def _cut_off(cluster: _Cluster) -> None:
+    cluster.network.partition([cluster.names[2]], cluster.names[:2])
+    await asyncio.sleep(3 * LEASE_S)
+    cluster.network.heal()
+
+
+class AgreementTest(unittest.TestCase):
+    """Guards against slots that stay lost, or counted twice, after messages were lost."""
+
+    def test_brokers_and_nodes_agree_within_the_lease_time(self) -> None:
+        for fault in (_lossy, _repeated_and_reordered, _frozen, _cut_off):
+            with self.subTest(fault.__name__):
+                simulate(lambda fault=fault: self._check(fault))
+
+    async def _check(self, fault: Fault) -> None:
+        cluster, rng = _Cluster(_Network()), random.Random(3)
+        await asyncio.sleep(START_S)
+        kept = [(name, await cluster.acquire(name)) for name in 5 * cluster.names]
+
+        async def traffic() -> None:
+            async with asyncio.TaskGroup() as tasks:
+                for _ in range(800):
+                    use = cluster.use(rng.choice(cluster.names), rng.choice((0.01, 0.3, 3.0)))
+                    tasks.create_task(use)
+                    await asyncio.sleep(0.03)
+
+        load = asyncio.create_task(traffic())
+        await fault(cluster)
+        await asyncio.wait_for(load, 120)
+        await asyncio.sleep(LEASE_S + RENEW_S)
+        self.assertEqual(cluster.leased(), cluster.held())
+        self.assertEqual(len(cluster.held()), len(kept))
+        asked = cluster.network.resends()
+        await asyncio.sleep(LEASE_S)
+        self.assertEqual(cluster.network.resends(), asked)
+        for name, grant in kept:
+            cluster.schedulers[name].release(grant, DONE)
+        await asyncio.sleep(LEASE_S + RENEW_S)
+        self.assertEqual(cluster.leased(), set())
+        self.assertEqual(cluster.free(), cluster.slots)
+
+    def test_held_grants_are_known_again_after_an_outage_and_at_a_new_broker(self) -> None:
+        """Guards against a broker that never learns of grants which it did not give."""
+
+        async def main() -> None:
+            cluster = _Cluster(_Network())
+            await asyncio.sleep(START_S)
+            for name in 10 * cluster.names:
+                await cluster.acquire(name)
+            cluster.network.loss = 1.0
+            await asyncio.sleep(LEASE_S + RENEW_S)
+            cluster.network.loss = 0.0
+            await asyncio.sleep(RENEW_S + 0.2)
+            self.assertEqual(cluster.leased(), cluster.held())
+            cluster.tasks["node-000"].cancel()
+            lost = {item for item in cluster.held() if item[1] == "node-000"}
+            cluster.start("node-000")
+            await asyncio.sleep(LEASE_S + RENEW_S)
+            self.assertTrue(lost)
+            self.assertEqual(cluster.leased(), cluster.held())
+            self.assertEqual(len(cluster.held()), 10 * NODES - len(lost))
+
+        simulate(main)
+
+    def test_grants_on_their_way_cause_no_mismatch(self) -> None:
+        """Guards against a full list after every grant, where a delay is longer than the pauses."""
+
+        async def main() -> tuple[int, int]:
+            cluster = _Cluster(_Network(0.1))
+            await asyncio.sleep(START_S)
+            uses = [cluster.use(name, 0.05 * n) for n in range(20) for name in cluster.names]
+            await asyncio.gather(*uses)
+            full = [
+                item for _, item in cluster.network.seen if isinstance(item, Demand) and item.full
+            ]
+            return cluster.network.resends(), len(full)
+
+        resends, full = simulate(main)
+        self.assertEqual(resends, 0)
+        self.assertLessEqual(full, 3 * NODES)
+
+
+class DemandTest(unittest.TestCase):
+    """Guards against messages to groups that have nothing to do with a change."""
+
+    def test_only_changed_groups_are_asked(self) -> None:
+        async def main() -> None:
+            cluster = _Cluster(_Network())
+            node = cluster.schedulers["node-000"]
+            asked: list[str] = []
+            send = node._client._transport.send
+
+            def note(receiver: str, message: Message) -> bool:
+                if isinstance(message, Demand):
+                    asked.append(message.group)
+                return send(receiver, message)
+
+            node._client._transport.send = note  # type: ignore[method-assign]
+            await asyncio.sleep(START_S)
+            self.assertEqual(asked, [])
+            grant = await cluster.acquire("node-000")
+            first = set(asked)
+            self.assertEqual(len(first), 1)
+            await asyncio.sleep(1)
+            self.assertEqual(set(asked), first)
+            node.release(grant, DONE)
+            await asyncio.sleep(1)
+            asked.clear()
+            await asyncio.sleep(1)
+            self.assertEqual(asked, [])
+            for _ in range(cluster.slots):
+                await cluster.acquire("node-001")
+            waiting = asyncio.create_task(cluster.acquire("node-000"))
+            await asyncio.sleep(0.2)
+            waiter = next(iter(node.state("chat").queue))
+            old = waiter.group
+            new = next(item.name for item in node._groups.of("chat") if item.name != old)
+            asked.clear()
+            node._move(waiter, new)
+            await asyncio.sleep(0.01)
+            self.assertEqual(set(asked), {old, new})
+            asked.clear()
+            waiting.cancel()
+            await asyncio.sleep(0.01)
+            self.assertEqual(asked, [new])
+
+        simulate(main)
+
+    def test_first_demand_to_each_broker_lists_all_held_grants(self) -> None:
+        """Guards against a new broker that has to ask before it knows what is held."""
+
+        async def main() -> None:
+            cluster = _Cluster(_Network(), endpoints=18, slots=8)
+            await asyncio.sleep(START_S)
+            group = split(cluster.tables.pool("chat"))[0]
+            live, broker = cluster.members.live(), broker_of(group, cluster.members)
+            rest = [item for item in live if item.node != broker]
+            cluster.members._members = rest
+            node = next(x.node for x in rest if x.node != broker_of(group, cluster.members))
+            cluster.members._members = live
+            for _ in range(10):
+                await cluster.acquire(node)
+            await asyncio.sleep(1)
+            cluster.members._members = rest
+            cluster.network.seen.clear()
+            await asyncio.sleep(1)
+            demands = [item for _, item in cluster.network.seen if isinstance(item, Demand)]
+            self.assertEqual((demands[0].full, len(demands[0].taken)), (True, 10))
+            self.assertFalse(any(item.full for item in demands[1:]))
+            self.assertEqual(cluster.network.resends(), 0)
+
+        simulate(main)
+
+    def test_renewal_does_not_grow_with_the_held_grants(self) -> None:
+        async def main() -> list[int]:
+            sizes = []
+            for count in (1, 100):
+                cluster = _Cluster(_Network(), endpoints=18, slots=8)
+                await asyncio.sleep(START_S)
+                for _ in range(count):
+                    await cluster.acquire("node-000")
+                await asyncio.sleep(1)
+                cluster.network.seen.clear()
+                await asyncio.sleep(1)
+                demands = [item for _, item in cluster.network.seen if isinstance(item, Demand)]
+                self.assertGreaterEqual(len(demands), 3)
+                sizes.append(max(len(encode(item)) for item in demands))
+            return sizes
+
+        one, hundred = simulate(main)
+        # The number of held grants and that of the demand take a byte more each.
+        self.assertLessEqual(hundred, one + 2)
+
+
+def _demand(held: list[int], taken: list[int], full: bool = False) -> Demand:
+    summary = HeldSet()
+    for number in held:
+        summary.add(number)
+    items = [Held(number, "r0", 1) for number in taken]
+    return Demand("chat/0", 1, [], [], items, summary.count, summary.digest, full)
+
+
+class LeasesTest(unittest.TestCase):
+    """Guards against a renewal of leases that the node does not hold, or none of those it does."""
+
+    def test_comparison(self) -> None:
+        cases = [
+            # Demand, whether it agrees, leases afterwards; before: 1 and 2 held, 3 offered.
+            ("unchanged", _demand([1, 2], []), True, {1, 2, 3}),
+            ("offer taken", _demand([1, 2, 3], [3]), True, {1, 2, 3}),
+            ("direct slot", _demand([1, 2, -1], [-1]), True, {1, 2, 3, -1}),
+            ("release lost", _demand([2], []), False, {1, 2, 3}),
+            ("taken lost", _demand([1, 2, 3], []), False, {1, 2, 3}),
+            ("other grant, same number", _demand([1, 4], []), False, {1, 2, 3}),
+            ("taken twice", _demand([1, 2], [2]), True, {1, 2, 3}),
+            ("full after a lost release", _demand([2], [2], True), True, {2, 3}),
+            ("full with a lost one", _demand([1, 2, 4], [1, 2, 4], True), True, {1, 2, 3, 4}),
+            ("full and empty", _demand([], [], True), True, {3}),
+        ]
+        for name, demand, agrees, left in cases:
+            with self.subTest(name):
+                leases = Leases()
+                self.assertTrue(leases.take("n", _demand([1, 2], [1, 2], True), 0.0))
+                leases.offer("n", 3, "r0", 1, 0.0)
+                self.assertEqual(leases.take("n", demand, 1.0), agrees)
+                self.assertEqual({number for _, number in leases}, left)
+                self.assertEqual(leases.changes(), {"r0": len(left)})
+                leases.expire(LEASE_S + 0.5)
+                renewed = {number for number in left if number in {x.id for x in demand.taken}}
+                kept = (left - {3}) | renewed if agrees else renewed - {1, 2}
+                self.assertEqual({number for _, number in leases}, kept)
+                leases.expire(1.0 + LEASE_S)
+                self.assertEqual(len(leases), 0)
+                self.assertEqual(leases.changes(), {"r0": -len(left)})
+
+
+if __name__ == "__main__":
+    unittest.main()
