Spread the polls of endpoints and ask for cache events less often

Beyond 36 endpoints a node asked those of its own groups all at once and every second, for load and cache events. It asks each of them every 2.5 s now, at its own time of the period, and for cache events with every second load report. An endpoint that still has a poll open is not asked again. Up to 36 endpoints nothing changes.

--- a/lacewinghub/poll.py
+++ b/lacewinghub/poll.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from typing import Any
 
 import aiohttp
@@ -13,13 +14,26 @@
 from .tables import Endpoint, Pool, Tables
 
 POLL_S = 1.0
+# Beyond MAX_POLLED endpoints. A leaving endpoint must be known within 3 s (guarantee 6).
+SPREAD_POLL_S = 2.5
+SPREAD_STEP_S = 0.1  # How often the endpoints whose turn it is are looked for.
+EVENTS_EVERY = 2  # Beyond MAX_POLLED, cache events are asked for with every second load report.
 REQUEST_TIMEOUT_S = 1.0
 CONCURRENT_POLLS = 8
-# With more endpoints, a node asks only those whose slots it hands out: the work of a node must not
-# grow with the deployment.
+# With more endpoints, a node asks only those whose slots it hands out, spread over a longer period:
+# the work of a node must not grow with the deployment.
 MAX_POLLED = 36
 
 
+@dataclass(slots=True)
+class _Turn:
+    """When an endpoint is asked next, and how often it was asked."""
+
+    due: float
+    polls: int = 0
+    asking: bool = False
+
+
 class EndpointPoller:
     """Polls load reports and, from runners, cache events. Both lag and may fail; neither is needed.
 
@@ -30,6 +44,7 @@
         prefixes: Receives evicted blocks, or None.
         brokered: Returns the names of the endpoints whose slots this node hands out.
         poll_s: Time between two polls of one endpoint, in seconds.
+        spread_s: The same beyond ``MAX_POLLED`` endpoints.
     """
 
     def __init__(
@@ -40,6 +55,7 @@
         prefixes: PrefixMap | None = None,
         brokered: Callable[[], set[str]] = set,
         poll_s: float = POLL_S,
+        spread_s: float = SPREAD_POLL_S,
     ) -> None:
         self._tables = tables
         self._reports = reports
@@ -47,16 +63,28 @@
         self._prefixes = prefixes
         self._brokered = brokered
         self._poll_s = poll_s
+        self._spread_s = spread_s
+        self._known: Tables | None = None
+        self._endpoints: dict[str, tuple[Pool, Endpoint]] = {}
+        self._turns: dict[str, _Turn] = {}
         self._next_event: dict[str, int] = {}
         self._gate = asyncio.Semaphore(CONCURRENT_POLLS)
 
     async def run(self) -> None:
         """Poll until cancelled."""
         timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
-        async with aiohttp.ClientSession(timeout=timeout) as http:
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as http,
+            asyncio.TaskGroup() as asking,
+        ):
             while True:
-                await self.poll(http)
-                await asyncio.sleep(self._poll_s * random.uniform(0.8, 1.2))
+                if len(self._all()) <= MAX_POLLED:
+                    await self.poll(http)
+                    await asyncio.sleep(self._poll_s * random.uniform(0.8, 1.2))
+                    continue
+                for name, turn in self._due():
+                    asking.create_task(self._ask_next(http, name, turn))
+                await asyncio.sleep(SPREAD_STEP_S)
 
     async def poll(self, http: aiohttp.ClientSession) -> None:
         """Ask every chosen endpoint once."""
@@ -64,18 +92,46 @@
             for pool, endpoint in self._chosen():
                 group.create_task(self._ask(http, pool, endpoint))
 
+    def _all(self) -> dict[str, tuple[Pool, Endpoint]]:
+        tables = self._tables()
+        if tables is not self._known:
+            self._known = tables
+            pools = tables.pools.values()
+            self._endpoints = {item.name: (pool, item) for pool in pools for item in pool.endpoints}
+        return self._endpoints
+
     def _chosen(self) -> list[tuple[Pool, Endpoint]]:
-        pools = self._tables().pools.values()
-        found = {item.name: (pool, item) for pool in pools for item in pool.endpoints}
+        found = self._all()
         if len(found) <= MAX_POLLED:
             return list(found.values())
         return [found[name] for name in self._brokered() if name in found]
 
-    async def _ask(self, http: aiohttp.ClientSession, pool: Pool, endpoint: Endpoint) -> None:
+    def _due(self) -> list[tuple[str, _Turn]]:
+        """Return the endpoints whose turn it is; new ones start at a random time of the period."""
+        now, spread = asyncio.get_running_loop().time(), self._spread_s
+        names = sorted(name for name in self._brokered() if name in self._endpoints)
+        self._turns = {
+            name: self._turns.get(name) or _Turn(now + spread * random.random()) for name in names
+        }
+        found = [(name, turn) for name, turn in self._turns.items() if turn.due <= now]
+        for _, turn in found:
+            turn.due = max(turn.due + spread, now + spread / 2)
+        return [(name, turn) for name, turn in found if not turn.asking]
+
+    async def _ask_next(self, http: aiohttp.ClientSession, name: str, turn: _Turn) -> None:
+        pool, endpoint = self._endpoints[name]
+        turn.asking = True
+        await self._ask(http, pool, endpoint, events=turn.polls % EVENTS_EVERY == 0)
+        turn.polls += 1
+        turn.asking = False
+
+    async def _ask(
+        self, http: aiohttp.ClientSession, pool: Pool, endpoint: Endpoint, events: bool = True
+    ) -> None:
         async with self._gate:
             try:
                 await self._ask_load(http, endpoint)
-                if pool.kind == "model" and self._prefixes is not None:
+                if events and pool.kind == "model" and self._prefixes is not None:
                     await self._ask_events(http, endpoint, self._prefixes)
             except (aiohttp.ClientError, OSError, TimeoutError, ValueError, KeyError, TypeError):
                 return
--- a/tests/test_poll.py
+++ b/tests/test_poll.py
@@ -2,17 +2,21 @@
 
 import asyncio
 import unittest
+from collections import Counter
+from itertools import pairwise
 
 import aiohttp
 
 from lacewinghub.fake_runner import FakeRunner
 from lacewinghub.fake_service import FakeService
 from lacewinghub.health import EndpointHealth
-from lacewinghub.poll import MAX_POLLED, EndpointPoller
+from lacewinghub.poll import MAX_POLLED, POLL_S, SPREAD_POLL_S, EndpointPoller
 from lacewinghub.prefix import PrefixMap
 from lacewinghub.selection import LoadReports
 from lacewinghub.tables import Endpoint, Pool, Tables
 
+from .clock import simulate
+
 
 def _endpoint(name: str, address: str) -> Endpoint:
     return Endpoint(name, address, "z")
@@ -75,3 +79,78 @@
         self.assertFalse(self.health.is_leaving("r0"))
         await self._poller(pool, brokered={"r0", "unknown"}).poll(self.http)
         self.assertTrue(self.health.is_leaving("r0"))
+
+
+class _Recorder(EndpointPoller):
+    """Records when each endpoint is asked, and whether for events."""
+
+    def __init__(self, endpoints: int, brokered: set[str], answer_s: float = 0.01) -> None:
+        names = [f"r{n}" for n in range(endpoints)]
+        pool = Pool("a", [_endpoint(name, "127.0.0.1:1") for name in names])
+        tables = Tables((), [pool], (), 1)
+        super().__init__(
+            lambda: tables, LoadReports(), EndpointHealth(), PrefixMap(), lambda: brokered
+        )
+        self.asked: list[tuple[float, str, bool]] = []
+        self.most = 0
+        self._answer_s = answer_s
+        self._open = 0
+
+    async def _ask(
+        self, http: aiohttp.ClientSession, pool: Pool, endpoint: Endpoint, events: bool = True
+    ) -> None:
+        self.asked.append((asyncio.get_running_loop().time(), endpoint.name, events))
+        self._open += 1
+        self.most = max(self.most, self._open)
+        await asyncio.sleep(self._answer_s)
+        self._open -= 1
+
+    async def watch(self, seconds: float) -> None:
+        task = asyncio.create_task(self.run())
+        await asyncio.sleep(seconds)
+        task.cancel()
+
+
+class ScheduleTest(unittest.TestCase):
+    """Guards against polls that come too late for guarantee 6, or all at once."""
+
+    def test_few_endpoints_are_all_polled_with_events(self) -> None:
+        poller = _Recorder(MAX_POLLED, set())
+        simulate(lambda: poller.watch(20 * POLL_S))
+        counts = Counter(name for _, name, events in poller.asked if events)
+        self.assertEqual(len(counts), MAX_POLLED)
+        self.assertGreaterEqual(min(counts.values()), 15)
+
+    def test_many_endpoints_are_polled_spread_over_the_period(self) -> None:
+        own = {f"r{n}" for n in range(18)}
+        poller = _Recorder(MAX_POLLED + 1, own)
+        simulate(lambda: poller.watch(20 * SPREAD_POLL_S))
+        self.assertEqual({name for _, name, _ in poller.asked}, own)
+        for name in own:
+            times = [time for time, asked, _ in poller.asked if asked == name]
+            events = [events for _, asked, events in poller.asked if asked == name]
+            self.assertLessEqual(times[0], SPREAD_POLL_S + 0.2)
+            gaps = [b - a for a, b in pairwise(times)]
+            self.assertLessEqual(max(gaps), SPREAD_POLL_S + 0.2)
+            self.assertGreaterEqual(sum(gaps) / len(gaps), SPREAD_POLL_S - 0.1)
+            self.assertEqual(events, [n % 2 == 0 for n in range(len(events))])
+        self.assertLessEqual(poller.most, 9)
+
+    def test_endpoints_that_do_not_answer_do_not_pile_up(self) -> None:
+        poller = _Recorder(MAX_POLLED + 1, {"r1"}, answer_s=60.0)
+        simulate(lambda: poller.watch(50.0))
+        self.assertEqual(len(poller.asked), 1)
+
+    def test_new_group_is_polled_within_a_period(self) -> None:
+        own = {"r1"}
+        poller = _Recorder(MAX_POLLED + 1, own)
+
+        async def main() -> None:
+            watching = asyncio.create_task(poller.watch(20.0))
+            await asyncio.sleep(10.0)
+            own.add("r2")
+            await watching
+
+        simulate(main)
+        first = next(time for time, name, _ in poller.asked if name == "r2")
+        self.assertLessEqual(first, 10.0 + SPREAD_POLL_S + 0.2)
