Measure renewals, changed splits and spread polls

The measurements followed the mechanisms that are gone: every demand listed the held grants, and every search for own groups was a full one. They give both kinds of demand, the search at the start and after a change of the members, a split of a changed pool, and the polls of a large deployment now. The nodes of request-groups are in one zone, since a node alone in its zone would send to itself only.

A broker answers every second renewal while its group has no waiters.

--- a/lacewinghub/broker.py
+++ b/lacewinghub/broker.py
@@ -23,6 +23,9 @@
 OPEN_EVERY_S = 0.5
 FORECAST_EVERY_S = 0.02
 ANSWER_EVERY_S = 0.1  # Smallest interval between empty answers to a node.
+# The same for a node without waiters while the group has none either. Admission uses a forecast for
+# 1 s, so every second renewal is answered.
+QUIET_ANSWER_EVERY_S = 0.45
 MIN_SHARE = 0.02
 EARNED_SHARE = 0.03  # Of every grant; above the minimum, since a tier earns only while it waits.
 MAX_CREDIT = 1.0
@@ -181,7 +184,8 @@
         for tier in state.leases.offered_tiers(sender):
             _subtract(node.waiting, tier)
         self._grant(state, now)
-        if now - state.started >= START_S and now - node.answered >= ANSWER_EVERY_S:
+        pause = ANSWER_EVERY_S if demand.waiting or state.waits else QUIET_ANSWER_EVERY_S
+        if now - state.started >= START_S and now - node.answered >= pause:
             self._answer(state, sender, [], now)
 
     def _on_release(self, sender: str, release: Release) -> None:
--- a/lacewinghub/footprint.py
+++ b/lacewinghub/footprint.py
@@ -5,8 +5,10 @@
 """
 
 import asyncio
+import contextlib
+import itertools
 import time
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import AsyncIterator, Callable, Coroutine, Sequence
 from functools import partial
 from typing import Any
 
@@ -16,15 +18,16 @@
 from .broker import START_S, Broker
 from .brokered import BrokeredScheduler
 from .capacity import Slope, fit
-from .group import broker_of, split
+from .group import Groups, Split, broker_of, split
 from .health import EndpointHealth
+from .lease import HeldSet
 from .membership import Member, Members, MemberState
 from .memory_transport import MemoryNetwork
 from .mesh import MESH_SIZES, SampleState, measure_mesh
 from .message import Demand, GrantItem, Grants, Heartbeat, Held, Message, Rumour, Rumours, encode
 from .model import new_loop
 from .overlay import Overlay
-from .poll import EndpointPoller
+from .poll import MAX_POLLED, SPREAD_POLL_S, EndpointPoller
 from .prefix import PrefixMap
 from .request import Observation, Request
 from .scheduler import TablesView
@@ -49,38 +52,45 @@
 
 
 class FixedMembers(Members):
-    """Live nodes that do not change."""
+    """Live nodes that change only by ``replace``."""
 
-    def __init__(self, count: int) -> None:
+    def __init__(self, count: int, zones: int = 11) -> None:
         self._members = [
-            Member(f"node-{n:03}", "", f"zone-{n % 11}", 1, MemberState.LIVE) for n in range(count)
+            Member(f"node-{n:03}", "", f"zone-{n % zones}", 1, MemberState.LIVE)
+            for n in range(count)
         ]
 
     def live(self) -> list[Member]:
         """Return all nodes."""
         return self._members
 
+    def replace(self, members: list[Member]) -> None:
+        """Let other nodes be the live ones."""
+        self._members = members
+
     def state(self, node: str) -> MemberState:
         """Return live for every node."""
         return MemberState.LIVE
 
 
 def demand_size(sizes: Sequence[int] = HELD) -> list[Slope]:
-    """Measure the bytes of a demand by grants held, and of a heartbeat's other shares."""
-    points = [
-        (float(n), _size(Demand("model-0/17", 9_000, [], [], [_held(i) for i in range(n)])))
-        for n in sizes
-    ]
+    """Measure the bytes of demands by grants held, with and without their list, and of grants."""
+    full = [(float(n), _size(_demand(9_000, n, True))) for n in sizes]
+    renewals = [(float(n), _size(_demand(9_000, n, False))) for n in sizes]
     grants = [(float(n), _size(Grants("model-0/17", [_item(i) for i in range(n)]))) for n in sizes]
     return [
-        fit("demand size per grant held", "bytes", points),
+        fit("full demand size per grant held", "bytes", full),
+        fit("renewal size per grant held", "bytes", renewals),
         fit("size of grants per slot", "bytes", grants),
     ]
 
 
 def demand_time(sizes: Sequence[int] = HELD, repeats: int = 1_000) -> list[Slope]:
     """Measure the time of a broker for one demand, by grants that the node holds."""
-    return [fit("broker time per demand and grant held", "s", run(_demand_points(sizes, repeats)))]
+    return [
+        fit("broker time per full demand and grant held", "s", run(_times(sizes, repeats, True))),
+        fit("broker time per renewal and grant held", "s", run(_times(sizes, repeats, False))),
+    ]
 
 
 def request_groups(sizes: Sequence[int] = GROUPS) -> list[Slope]:
@@ -106,31 +116,43 @@
 def broker_choice(sizes: Sequence[int] = MEMBERS) -> list[Slope]:
     """Measure the time to choose the broker of one group by the number of live nodes."""
     group = split(_pool(GROUP))[0]
-    points = []
-    for count in sizes:
-        spent = _seconds(partial(broker_of, group, FixedMembers(count)), 200)
-        points.append((float(count), spent))
+    points = [
+        (float(count), _seconds(partial(broker_of, group, FixedMembers(count)), 200))
+        for count in sizes
+    ]
     return [fit("time to choose a broker per live node", "s", points)]
 
 
 def broker_open(sizes: Sequence[int] = GROUPS, members: int = 330) -> list[Slope]:
     """Measure the time in which a broker looks for its own groups, by groups of all pools.
 
-    The broker repeats it every ``OPEN_EVERY_S``.
+    It does so at its start and after a change of the members or pools.
     """
-    points = []
-    for count in sizes:
-        points.append((float(count), run(_open_time(count, members))))
-    return [fit("time to look for own groups per group", "s", points)]
+    rows = [(float(count), *run(_open_times(count, members))) for count in sizes]
+    return [
+        fit(
+            "time to look for own groups per group, at the start", "s", [(n, t) for n, t, _ in rows]
+        ),
+        fit(
+            "time to look for own groups per group, a member more or less",
+            "s",
+            [(n, t) for n, _, t in rows],
+        ),
+    ]
 
 
 def split_time(sizes: Sequence[int] = GROUPS) -> list[Slope]:
-    """Measure the time to split a pool, over the square of its groups, as it grows with that."""
-    points = []
+    """Measure the time to split a new pool, over the square of its groups, and a changed one."""
+    fresh, changed = [], []
     for count in sizes:
-        pool = _pool(count * GROUP)
-        points.append((float(count * count), _seconds(partial(split, pool), 1)))
-    return [fit("time to split a pool per group squared", "s", points)]
+        pools = [_pool(count * GROUP - n) for n in (0, 1)]
+        fresh.append((float(count * count), _seconds(partial(split, pools[0]), 1)))
+        kept, turn = Split(), itertools.cycle(pools)
+        changed.append((float(count), _seconds(lambda: kept.update(next(turn)), 10)))  # noqa: B023
+    return [
+        fit("time to split a pool per group squared", "s", fresh),
+        fit("time to split a pool with one endpoint more or less per group", "s", changed),
+    ]
 
 
 def heartbeat_size(sizes: Sequence[int] = SMALL) -> list[Slope]:
@@ -176,14 +198,16 @@
 
 
 def poll_cost(sizes: Sequence[int] = POLLED, rounds: int = 100) -> list[Slope]:
-    """Measure bytes in both directions and time of one poll of each endpoint, by endpoints.
+    """Measure bytes in both directions and time, including the answering side, by endpoints.
 
-    The time includes that of the answering side.
+    One poll of each endpoint, and one second of a node with more than ``MAX_POLLED`` endpoints.
     """
     rows = [(float(n), *run(_poll(n, rounds))) for n in sizes]
+    spread = [(float(n), run(_poll_spread(n))) for n in sizes]
     return [
         fit("bytes per poll and endpoint", "bytes", [(n, size) for n, size, _ in rows]),
         fit("time per poll and endpoint", "s", [(n, spent) for n, _, spent in rows]),
+        fit("bytes per second and endpoint of own groups", "bytes/s", spread),
     ]
 
 
@@ -288,7 +312,16 @@
     return Tables.parse(document, 1)
 
 
-async def _demand_points(sizes: Sequence[int], repeats: int) -> list[tuple[float, float]]:
+def _demand(seq: int, held: int, full: bool) -> Demand:
+    items, summary = [_held(n) for n in range(held)], HeldSet()
+    for item in items:
+        summary.add(item.id)
+    taken = items if full else []
+    return Demand("model-0/0", seq, [], [], taken, summary.count, summary.digest, full)
+
+
+async def _times(sizes: Sequence[int], repeats: int, full: bool) -> list[tuple[float, float]]:
+    """Return the time of a broker per demand, by grants held."""
     tables = _tables(1, GROUP)
     points = []
     for count in sizes:
@@ -296,13 +329,12 @@
         members = FixedMembers(3)
         broker = Broker(network.transport("node-000"), members, TablesView(lambda: tables))
         sender = network.transport("node-001")
-        held = [_held(n) for n in range(count)]
-        group = split(tables.pools["model-0"])[0].name
+        demands = [_demand(seq, count, full or seq == 0) for seq in range(repeats + 10)]
         start = 0.0
-        for seq in range(repeats + 10):
-            if seq == 10:
+        for demand in demands:
+            if demand.seq == 10:
                 start = time.process_time()
-            sender.send("node-000", Demand(group, seq, [], [], held))
+            sender.send("node-000", demand)
             await asyncio.sleep(0)
             await asyncio.sleep(0)
         points.append((float(count), (time.process_time() - start) / repeats))
@@ -313,7 +345,7 @@
 async def _serve_requests(groups: int) -> tuple[float, float, float, float]:
     """Return messages, bytes out, bytes in and time per request."""
     tables = _tables(1, groups * GROUP)
-    network, members = MemoryNetwork(), FixedMembers(4)
+    network, members = MemoryNetwork(), FixedMembers(4, zones=1)
     transports = [network.transport(item.node) for item in members.live()]
     parts = [
         BrokeredScheduler(TablesView(lambda: tables), LoadReports(), t, members) for t in transports
@@ -363,12 +395,23 @@
     scheduler.release(grant, Observation(True, 0.2, 0.03, 370))
 
 
-async def _open_time(groups: int, members: int) -> float:
+async def _open_times(groups: int, members: int) -> tuple[float, float]:
+    """Return the time of the first search and of one after a change of the members."""
     tables = _tables(1, groups * GROUP)
-    transport = MemoryNetwork().transport("node-000")
-    broker = Broker(transport, FixedMembers(members), TablesView(lambda: tables))
-    now = asyncio.get_running_loop().time()
-    return _seconds(lambda: broker._open_own(now), 3)
+    transport, live = MemoryNetwork().transport("node-000"), FixedMembers(members)
+    divided = Groups(TablesView(lambda: tables), live)
+    broker = Broker(transport, live, TablesView(lambda: tables), groups=divided)
+    divided.of("model-0")
+    now, start = asyncio.get_running_loop().time(), time.process_time()
+    broker._open_own(now)
+    first = time.process_time() - start
+    turn = itertools.cycle([live.live()[:-1], live.live()])
+
+    def change() -> None:
+        live.replace(next(turn))
+        broker._open_own(now)
+
+    return first, _seconds(change, 10)
 
 
 async def _overlay(count: int, seconds: float) -> tuple[float, float, float]:
@@ -422,17 +465,36 @@
 
 async def _poll(endpoints: int, rounds: int) -> tuple[float, float]:
     """Return bytes and time of one round over all endpoints."""
+    async with _answering(endpoints) as (tables, counts):
+        poller = EndpointPoller(lambda: tables, LoadReports(), EndpointHealth(), PrefixMap())
+        async with aiohttp.ClientSession() as http:
+            await poller.poll(http)
+            counts[0], start = 0, time.process_time()
+            for _ in range(rounds):
+                await poller.poll(http)
+            spent = time.process_time() - start
+        return counts[0] / rounds, spent / rounds
+
+
+async def _poll_spread(own: int, periods: int = 4) -> float:
+    """Return bytes per second of a poller in a large deployment."""
+    names = {f"runner-{n}" for n in range(own)}
+    async with _answering(own + MAX_POLLED) as (tables, counts):
+        parts = LoadReports(), EndpointHealth(), PrefixMap()
+        poller = EndpointPoller(lambda: tables, *parts, lambda: names)
+        task = asyncio.create_task(poller.run())
+        await asyncio.sleep(1.5 * SPREAD_POLL_S)
+        counts[0] = 0
+        await asyncio.sleep(periods * SPREAD_POLL_S)
+        task.cancel()
+        return counts[0] / periods / SPREAD_POLL_S
+
+
+@contextlib.asynccontextmanager
+async def _answering(endpoints: int) -> AsyncIterator[tuple[Tables, list[int]]]:
+    """Serve polls of endpoints; yields their tables and the count of bytes."""
     counts = [0]
     loop = asyncio.get_running_loop()
     server = await loop.create_server(lambda: _Answering(counts), "127.0.0.1", 0)
-    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-    tables = _tables(1, endpoints, address)
-    poller = EndpointPoller(lambda: tables, LoadReports(), EndpointHealth(), PrefixMap())
-    async with aiohttp.ClientSession() as http:
-        await poller.poll(http)
-        counts[0], start = 0, time.process_time()
-        for _ in range(rounds):
-            await poller.poll(http)
-        spent = time.process_time() - start
+    yield _tables(1, endpoints, f"127.0.0.1:{server.sockets[0].getsockname()[1]}"), counts
     server.close()
-    return counts[0] / rounds, spent / rounds
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -100,7 +100,7 @@
         with contextlib.redirect_stdout(out):
             self.assertEqual(capacity.main(["heartbeat-size", "demand-size"]), 0)
         lines = [json.loads(line) for line in out.getvalue().splitlines()]
-        self.assertEqual(len(lines), 6)
+        self.assertEqual(len(lines), 7)
         for line in lines:
             self.assertGreaterEqual(len({x for x, _ in line["points"]}), 4)
             self.assertGreater(line["slope"], 0)
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -21,12 +21,12 @@
     return Pool("chat", items)
 
 
-class _Members(FixedMembers):
-    def set(self, nodes: dict[int, int]) -> None:
-        self._members = [
-            Member(f"node-{n:03}", "", f"z{zone}", 1, MemberState.LIVE)
-            for n, zone in sorted(nodes.items())
-        ]
+def _members(nodes: dict[int, int]) -> list[Member]:
+    """Return members by number and zone."""
+    return [
+        Member(f"node-{n:03}", "", f"z{zone}", 1, MemberState.LIVE)
+        for n, zone in sorted(nodes.items())
+    ]
 
 
 class SplitTest(unittest.TestCase):
@@ -70,14 +70,14 @@
 
     def test_any_history_ends_like_a_fresh_choice(self) -> None:
         rng = random.Random(1)
-        members = _Members(0)
+        members = FixedMembers(0)
         brokers = Brokers(members)
         nodes: dict[int, int] = {}
         for step in range(300):
             number = rng.randrange(12)
             if nodes.pop(number, None) is None or rng.random() < 0.2:
                 nodes[number] = rng.randrange(3)
-            members.set(nodes)
+            members.replace(_members(nodes))
             limit = rng.choice((60, 80))
             for item in split(_pool(set(range(limit)) if step % 3 else set(range(18)))):
                 with self.subTest(step=step, group=item.name):
@@ -86,7 +86,7 @@
     def test_own_groups_are_searched_after_changes_only(self) -> None:
         async def main() -> None:
             tables = Tables(pools=[_pool(set(range(100)))])
-            members = _Members(3)
+            members = FixedMembers(3)
             view = TablesView(lambda: tables)
             groups = Groups(view, members)
             broker = Broker(
@@ -97,8 +97,8 @@
                 ("none", lambda: None, False),
                 ("equal tables", lambda: _replace(_pool(set(range(100)))), False),
                 ("a new endpoint", lambda: _replace(_pool(set(range(101)))), True),
-                ("a node less", lambda: members.set({0: 0, 2: 2}), True),
-                ("alone", lambda: members.set({0: 0}), True),
+                ("a node less", lambda: members.replace(_members({0: 0, 2: 2})), True),
+                ("alone", lambda: members.replace(_members({0: 0})), True),
             ]
 
             def _replace(pool: Pool) -> None:
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -286,13 +286,13 @@
             group = split(cluster.tables.pool("chat"))[0]
             live, broker = cluster.members.live(), broker_of(group, cluster.members)
             rest = [item for item in live if item.node != broker]
-            cluster.members._members = rest
+            cluster.members.replace(rest)
             node = next(x.node for x in rest if x.node != broker_of(group, cluster.members))
-            cluster.members._members = live
+            cluster.members.replace(live)
             for _ in range(10):
                 await cluster.acquire(node)
             await asyncio.sleep(1)
-            cluster.members._members = rest
+            cluster.members.replace(rest)
             cluster.network.seen.clear()
             await asyncio.sleep(1)
             demands = [item for _, item in cluster.network.seen if isinstance(item, Demand)]
