--- a/lacewinghub/group.py
+++ b/lacewinghub/group.py
@@ -74,8 +74,8 @@
         """Add the new groups to all rankings, or remove those that are gone."""
         count = len(names)
         for endpoint, ranking in self._rankings.items():
-            if count < self._count:
-                self._rankings[endpoint] = array("H", (at for at in ranking if at < count))
+            for number in range(count, self._count):
+                ranking.remove(number)
             for number in range(self._count, count):
                 insort(ranking, number, key=lambda at: _order(endpoint, names, at))
         self._count = count
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -277,6 +277,27 @@
 
         simulate(main)
 
+    def test_groups_of_the_own_zone_come_first(self) -> None:
+        """Guards against grants in all groups, each of which takes renewals."""
+
+        async def main() -> None:
+            cluster = _Cluster(_Network())
+            node = next(
+                item
+                for name, item in cluster.schedulers.items()
+                if len(item._groups.near("chat", name)) == 1
+            )
+            near = {item.name for item in node._groups.near("chat", node._node)}
+            far = {item.name for item in node._groups.of("chat")} - near
+            for own, other, expected in [(0, 0, near), (1, 2, near), (1, 3, far), (0, 1, far)]:
+                with self.subTest(own=own, other=other):
+                    free = dict.fromkeys(near, own) | dict.fromkeys(far, other)
+                    node._advertised.update(free)
+                    chosen = {node._choose_group("chat").name for _ in range(40)}
+                    self.assertEqual(chosen, expected)
+
+        simulate(main)
+
     def test_first_demand_to_each_broker_lists_all_held_grants(self) -> None:
         """Guards against a new broker that has to ask before it knows what is held."""
 
