--- a/lacewinghub/footprint.py
+++ b/lacewinghub/footprint.py
@@ -327,7 +327,7 @@
     for count in sizes:
         network = MemoryNetwork(coded=False)
         members = FixedMembers(3)
-        broker = Broker(network.transport("node-000"), members, TablesView(lambda: tables))
+        Broker(network.transport("node-000"), members, TablesView(lambda: tables))
         sender = network.transport("node-001")
         demands = [_demand(seq, count, full or seq == 0) for seq in range(repeats + 10)]
         start = 0.0
@@ -338,7 +338,6 @@
             await asyncio.sleep(0)
             await asyncio.sleep(0)
         points.append((float(count), (time.process_time() - start) / repeats))
-        del broker
     return points
 
 
