Let leaving marks and returns of endpoints travel through nodes

A mark was passed on with the age of its evidence, which each hop made younger by its delay, and the return of an endpoint was known only to nodes that poll it. Marks and returns now carry a version that only a node with own evidence raises, so each is passed on once per node. Heartbeat.quarantined was never filled and is removed.

--- a/lacewinghub/health.py
+++ b/lacewinghub/health.py
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from .membership import Contributor
-from .message import Heartbeat
+from .message import Heartbeat, Mark
 from .request import Observation
 from .router import Monitor
 from .scheduler import TablesView
@@ -38,6 +38,8 @@
 RETURN_LISTED_S = 60.0
 LEAVING_S = 600.0
 NEW_MARK_S = 3.0
+# Renewed well within RETURN_LISTED_S, so that the host list does not end a mark that still holds.
+RENEW_MARK_S = 30.0
 FULL_EVERY = 20
 
 
@@ -54,8 +56,18 @@
     samples: deque[_Sample] = field(default_factory=lambda: deque(maxlen=SAMPLES))
     ejections: int = 0
     ejected_until: float = float("-inf")
+    version: int = 0
+    changed: float = float("-inf")
     left: float = float("-inf")
-    returned: float = float("-inf")
+    witnessed: float = float("-inf")
+
+    @property
+    def rank(self) -> tuple[int, bool]:
+        """Order of the states of an endpoint; of two nodes the larger one is in force."""
+        return self.version, self.left > float("-inf")
+
+    def change(self, version: int, left: float, now: float) -> None:
+        self.version, self.left, self.changed = version, left, now
 
     def is_leaving(self, now: float) -> bool:
         return now - self.left < LEAVING_S
@@ -79,10 +91,14 @@
     """Failures, outlier ejection and leaving marks of all endpoints, as this node sees them.
 
     An endpoint is leaving when it refuses work for that reason, says so in its load report, or is
-    listed as leaving by the platform. Marks are shared through heartbeats with the age of the
-    evidence. A mark ends when the endpoint itself reports to be live ``RETURN_REPORT_S`` after the
-    last evidence, when the host list shows it as live ``RETURN_LISTED_S`` after it, or after
-    ``LEAVING_S``.
+    listed as leaving by the platform. A mark ends when the endpoint itself reports to be live
+    ``RETURN_REPORT_S`` after the last evidence, when the host list shows it as live
+    ``RETURN_LISTED_S`` after it, or after ``LEAVING_S``.
+
+    Marks and their ends travel from node to node through heartbeats. Each change raises a version,
+    and a node takes over and passes on each version at most once, so that nothing circulates for
+    ever. A node that has seen an endpoint leave itself, less than ``RETURN_REPORT_S`` ago,
+    contradicts its return.
 
     Attributes:
         contributor: Shares the leaving marks through heartbeats.
@@ -143,7 +159,15 @@
         Args:
             endpoint: Name of the endpoint.
         """
-        self._mark(endpoint, _now())
+        status, now = self._of(endpoint), _now()
+        before = status.is_leaving(now)
+        fresh = now - status.left < RETURN_REPORT_S and now - status.changed < RENEW_MARK_S
+        status.witnessed = now
+        if before and fresh:
+            status.left = now
+            return
+        status.change(status.version + 1, now, now)
+        self._note(endpoint, before, True)
 
     def reported(self, endpoint: str, leaving: bool) -> None:
         """Take over the state from a load report of the endpoint.
@@ -184,25 +208,46 @@
             del self._status[name]
         self._usable.clear()
 
-    def marks(self, full: bool) -> list[tuple[str, float]]:
-        """Return the leaving endpoints with the age of the evidence in seconds.
+    def marks(self, full: bool) -> list[Mark]:
+        """Return the endpoints that leave or have returned.
 
         Args:
-            full: False to return only marks younger than ``NEW_MARK_S``.
+            full: False to return only those that this node learned within ``NEW_MARK_S``.
         """
         now = _now()
         limit_s = LEAVING_S if full else NEW_MARK_S
-        ages = [(name, now - status.left) for name, status in self._status.items()]
-        return [(name, age_s) for name, age_s in ages if age_s < limit_s]
+        return [
+            Mark(name, status.version, True, int((now - status.left) * 1000))
+            if status.rank[1]
+            else Mark(name, status.version, False, 0)
+            for name, status in self._status.items()
+            if now - status.changed < limit_s
+        ]
 
-    def heard(self, endpoint: str, age_s: float) -> None:
-        """Take over a leaving mark of a peer.
+    def heard(self, mark: Mark) -> bool:
+        """Take over a mark of a peer.
 
         Args:
-            endpoint: Name of the endpoint.
-            age_s: Age of its evidence in seconds.
+            mark: The mark.
+
+        Returns:
+            True if it was new.
         """
-        self._mark(endpoint, _now() - max(0.0, age_s))
+        status, now = self._of(mark.endpoint), _now()
+        if (mark.version, mark.leaving) <= status.rank:
+            if mark.version < status.version and now - status.changed >= NEW_MARK_S:
+                # The peer, perhaps restarted, does not know the later state: share it again.
+                status.changed = now
+            return False
+        before = status.is_leaving(now)
+        left = float("-inf")
+        if mark.leaving:
+            left = now - max(0, mark.age_ms) / 1000
+        elif now - status.witnessed < RETURN_REPORT_S:
+            left = status.left
+        status.change(mark.version, left, now)
+        self._note(mark.endpoint, before, status.is_leaving(now))
+        return True
 
     def _of(self, endpoint: str) -> _Status:
         status = self._status.get(endpoint)
@@ -218,24 +263,18 @@
         status = self._status.get(endpoint)
         return status is not None and status.is_ejected(now)
 
-    def _mark(self, endpoint: str, when: float) -> None:
-        status = self._of(endpoint)
-        if when <= max(status.left, status.returned):
-            return
-        if not status.is_leaving(_now()):
-            logger.info("endpoint {} is leaving", endpoint)
+    def _note(self, endpoint: str, before: bool, after: bool) -> None:
+        if before != after:
+            logger.info("endpoint {} is {}", endpoint, "leaving" if after else "live again")
             self._generation += 1
-        status.left = when
 
     def _unmark(self, endpoint: str, after_s: float) -> None:
         status = self._status.get(endpoint)
         now = _now()
         if status is None or not status.is_leaving(now) or now - status.left < after_s:
             return
-        logger.info("endpoint {} is live again", endpoint)
-        status.returned = now - after_s
-        status.left = float("-inf")
-        self._generation += 1
+        status.change(status.version + 1, float("-inf"), now)
+        self._note(endpoint, True, False)
 
     def _eject(self, endpoint: str, reason: str, now: float) -> None:
         status = self._of(endpoint)
@@ -287,10 +326,14 @@
 
     Args:
         health: Where the marks are kept.
+        forward: Passes on news of a peer without waiting for the next heartbeat.
     """
 
-    def __init__(self, health: EndpointHealth) -> None:
+    def __init__(
+        self, health: EndpointHealth, forward: Callable[[], None] | None = None
+    ) -> None:
         self._health = health
+        self._forward = forward
         self._beats = 0
         self._peers: dict[str, int] = {}
         self._full_due = False
@@ -300,17 +343,16 @@
         self._beats += 1
         full = self._full_due or self._beats % FULL_EVERY == 0
         self._full_due = False
-        for name, age_s in self._health.marks(full):
-            heartbeat.leaving.append(name)
-            heartbeat.leaving_age_ms.append(int(age_s * 1000))
+        heartbeat.marks.extend(self._health.marks(full))
 
     def observe(self, heartbeat: Heartbeat) -> None:
         """Take over the marks of a peer."""
         if self._peers.get(heartbeat.node) != heartbeat.incarnation:
             self._peers[heartbeat.node] = heartbeat.incarnation
             self._full_due = True
-        for name, age_ms in zip(heartbeat.leaving, heartbeat.leaving_age_ms, strict=False):
-            self._health.heard(name, age_ms / 1000)
+        news = [mark for mark in heartbeat.marks if self._health.heard(mark)]
+        if news and self._forward is not None:
+            self._forward()
 
 
 class HealthMonitor(Monitor):
--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -19,7 +19,10 @@
 
 @dataclass(slots=True)
 class Hello:
-    """Opens a connection; ``proof`` is the HMAC of the peer's challenge."""
+    """Opens a connection; ``proof`` is the HMAC of the peer's challenge.
+
+    ``on_demand`` is true for a connection without heartbeats that is closed when it is unused.
+    """
 
     CODE: ClassVar[int] = 1
 
@@ -29,6 +32,7 @@
     address: str
     nonce: bytes
     proof: bytes
+    on_demand: bool = False
 
 
 @dataclass(slots=True)
@@ -55,6 +59,66 @@
     free: int
 
 
+@dataclass(slots=True)
+class FreeElsewhere:
+    """Free slots of a runner group whose broker is not the sender.
+
+    Attributes:
+        group: Name of the group.
+        free: Number of free slots.
+        age_ms: Time since the broker sent it, in milliseconds.
+        hops: Number of nodes that have passed it on.
+    """
+
+    group: str
+    free: int
+    age_ms: int
+    hops: int
+
+
+@dataclass(slots=True)
+class Mark:
+    """State of an endpoint that leaves or has returned.
+
+    Attributes:
+        endpoint: Name of the endpoint.
+        version: Raised with each change by the node that saw it; the largest one is in force, and
+            of two equal ones the one that is leaving.
+        leaving: True if the endpoint leaves, False if it has returned.
+        age_ms: Age of the evidence in milliseconds.
+    """
+
+    endpoint: str
+    version: int
+    leaving: bool
+    age_ms: int
+
+
+@dataclass(slots=True)
+class Trial:
+    """Where a node runs a suspect again; ``where`` is as in ``Suspect.trial``."""
+
+    fingerprint: int
+    where: str
+
+
+@dataclass(slots=True)
+class Trials:
+    """All trials of a node, passed on by others.
+
+    Attributes:
+        node: Identifier of the node.
+        incarnation: Its incarnation.
+        seq: Sequence number of its heartbeat that announced them; a larger one replaces them.
+        items: The trials; empty after the last one has ended.
+    """
+
+    node: str
+    incarnation: int
+    seq: int
+    items: list[Trial]
+
+
 @dataclass(slots=True)
 class Suspect:
     """A fingerprint and the crashes that it was in flight at.
@@ -96,8 +160,8 @@
 class Heartbeat:
     """Periodic state of a node; complete, so that a lost one does no harm.
 
-    ``leaving_age_ms`` holds, for each endpoint in ``leaving``, the time since it was last seen to
-    be leaving.
+    ``relayed``, ``free_elsewhere`` and ``trials`` describe nodes beyond the sender and are empty in
+    a full mesh.
     """
 
     CODE: ClassVar[int] = 2
@@ -109,11 +173,11 @@
     config_version: int = 0
     pressure: list[Pressure] = field(default_factory=list)
     free: list[GroupFree] = field(default_factory=list)
-    leaving: list[str] = field(default_factory=list)
+    marks: list[Mark] = field(default_factory=list)
     suspects: list[Suspect] = field(default_factory=list)
-    quarantined: list[int] = field(default_factory=list)
-    leaving_age_ms: list[int] = field(default_factory=list)
     relayed: list[Relayed] = field(default_factory=list)
+    free_elsewhere: list[FreeElsewhere] = field(default_factory=list)
+    trials: list[Trials] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -309,7 +373,11 @@
     (Heartbeat, "pressure"): Pressure,
     (Heartbeat, "free"): GroupFree,
     (Heartbeat, "suspects"): Suspect,
+    (Heartbeat, "marks"): Mark,
     (Heartbeat, "relayed"): Relayed,
+    (Heartbeat, "free_elsewhere"): FreeElsewhere,
+    (Heartbeat, "trials"): Trials,
+    (Trials, "items"): Trial,
     (Rumours, "items"): Rumour,
     (Demand, "waiting"): Waiting,
     (Demand, "held"): Held,
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -205,7 +205,7 @@
             for index in range(100):
                 health.leaving(f"e{index}")
             health.retain({"e1"})
-            self.assertEqual([name for name, _ in health.marks(full=True)], ["e1"])
+            self.assertEqual([mark.endpoint for mark in health.marks(full=True)], ["e1"])
 
         self.run_simulated(test())
 
