Relay pressure, free slots and trials of nodes that are not peers

The relay of floors and admission ages becomes a module of its own. Pools without pressure are left out of heartbeats beyond a full mesh, and the ages of tiers that every node admits. Each relayed item ends by a sequence number, a limit of hops or an age that grows at each hop; before, an age lost the delay of each hop. Rule 4 waits for relayed evidence, and the starvation quota no longer counts peers where most nodes are not peers.

--- a/lacewinghub/admission.py
+++ b/lacewinghub/admission.py
@@ -15,6 +15,9 @@
 from .tables import MAX_TIER, Pool
 
 NEWS_BOUND_S = 1.0  # Propagation delay between nodes that guarantee 1 excludes.
+# Beyond a full mesh a floor is known everywhere after the news bound, but the age of an admission
+# at a distant node takes 5 hops of one heartbeat period each (0.4 s) and their delays to arrive.
+EVIDENCE_S = 2.5
 MIN_SHARE = 0.02  # Share of a tier below which it counts as starving.
 QUOTA_SHARE = 0.03  # Admitted by the quota; above the minimum, so that the share completes.
 SHARE_WINDOW_S = 10.0
@@ -219,7 +222,9 @@
         limit, own = req.arrived + NEWS_BOUND_S, self._own(req.pool)
         if now <= limit:
             return True
-        if own.strict_for(req.tier, now) < NEWS_BOUND_S:
+        # Relayed evidence arrives later than the floors that keep it from growing.
+        known_after_s = NEWS_BOUND_S + (EVIDENCE_S if self._members.beyond_mesh() else 0.0)
+        if own.strict_for(req.tier, now) < known_after_s:
             own.lower(min(own.tier, req.tier), now)
             own.pressed = now
             return False
@@ -236,7 +241,9 @@
 
         A node with enough admissions counts its own share. Otherwise the pool's admissions are
         taken as the node's own times the live nodes, and those of the tier as its own and one for
-        each peer with evidence of one in the window.
+        each peer with evidence of one in the window. Beyond a full mesh the evidence does not tell
+        how many nodes admitted one; there the tier is starving if no node did in the window, or if
+        the own last admission is so long ago that the node's share is due.
         """
         own, start = self._own(pool), now - SHARE_WINDOW_S
         while own.admitted and own.admitted[0][0] < start:
@@ -247,6 +254,9 @@
             return count < QUOTA_SHARE * total
         known = [pressure[pool].last[tier] for pressure in self._peers.values() if pool in pressure]
         count += sum(1 for last in known if last >= start)
+        if self._members.beyond_mesh() and count:
+            due_s = SHARE_WINDOW_S / (QUOTA_SHARE * max(total, 1))
+            return now - own.last[tier] >= due_s
         return count == 0 or count < QUOTA_SHARE * total * len(self._members.live())
 
     def predicted_wait(self, pool: str, queue: WaitQueue, tier: int) -> float:
--- a/lacewinghub/brokered.py
+++ b/lacewinghub/brokered.py
@@ -18,6 +18,7 @@
 from .message import REFUSED, GrantItem, Heartbeat
 from .prefix import PrefixMap
 from .queue import TierQueue, Waiter, WaitQueue
+from .relay import FreeSlots
 from .request import Grant, Observation, Request
 from .scheduler import PoolView
 from .selection import Affinity, LoadReports, TwoChoices
@@ -78,7 +79,7 @@
         )
         self._selection = Affinity(self.prefixes, TwoChoices(reports, rng), reports)
         self._uses: dict[int, _Use] = {}
-        self._advertised: dict[str, int] = {}
+        self._free = FreeSlots()
 
     def make_waiter(self, req: Request, fut: asyncio.Future[Grant]) -> Waiter:
         """Estimate the work, choose a group and the preferred endpoint."""
@@ -123,13 +124,15 @@
     def fill(self, heartbeat: Heartbeat) -> None:
         """Write floors, admission ages and free slots."""
         self.floors.fill(heartbeat)
-        heartbeat.free.extend(self.broker.free())
+        own = self.broker.free()
+        heartbeat.free.extend(own)
+        if self._members.beyond_mesh():
+            self._free.write(heartbeat, own, _now())
 
     def observe(self, heartbeat: Heartbeat) -> None:
         """Take over floors, admission ages and free slots of a peer."""
         self.floors.observe(heartbeat)
-        for item in heartbeat.free:
-            self._advertised[item.group] = item.free
+        self._free.take(heartbeat, _now())
 
     async def _tick(self) -> None:
         while True:
@@ -222,7 +225,7 @@
         """Two random choices over the free slots that the brokers advertised."""
         groups = self._groups.of(pool)
         pair = groups if len(groups) <= 2 else self._rng.sample(groups, 2)
-        return max(pair, key=lambda group: self._advertised.get(group.name, 0))
+        return max(pair, key=lambda group: self._free.of(group.name))
 
 
 def _pop_for(queue: WaitQueue, names: set[str]) -> Waiter | None:
--- a/lacewinghub/health.py
+++ b/lacewinghub/health.py
@@ -217,9 +217,11 @@
         now = _now()
         limit_s = LEAVING_S if full else NEW_MARK_S
         return [
-            Mark(name, status.version, True, int((now - status.left) * 1000))
-            if status.rank[1]
-            else Mark(name, status.version, False, 0)
+            (
+                Mark(name, status.version, True, int((now - status.left) * 1000))
+                if status.rank[1]
+                else Mark(name, status.version, False, 0)
+            )
             for name, status in self._status.items()
             if now - status.changed < limit_s
         ]
@@ -329,9 +331,7 @@
         forward: Passes on news of a peer without waiting for the next heartbeat.
     """
 
-    def __init__(
-        self, health: EndpointHealth, forward: Callable[[], None] | None = None
-    ) -> None:
+    def __init__(self, health: EndpointHealth, forward: Callable[[], None] | None = None) -> None:
         self._health = health
         self._forward = forward
         self._beats = 0
--- a/lacewinghub/membership.py
+++ b/lacewinghub/membership.py
@@ -53,6 +53,10 @@
     def state(self, node: str) -> MemberState:
         """Return the state of a node; an unknown one is dead."""
 
+    def beyond_mesh(self) -> bool:
+        """Return whether some nodes are known only through others."""
+        return False
+
 
 class Contributor(ABC):
     """A part of the node that shares its state through heartbeats."""
@@ -135,9 +139,12 @@
 
     def live(self) -> list[Member]:
         """Return the nodes in state live, this one included, ordered by identifier."""
+        return list(self._cached_live())
+
+    def _cached_live(self) -> list[Member]:
         if self._live is None:
             self._live = [item for item in self.members() if item.state is MemberState.LIVE]
-        return list(self._live)
+        return self._live
 
     def members(self) -> list[Member]:
         """Return all known nodes in any state, this one included, ordered by identifier."""
@@ -205,6 +212,9 @@
             contributor.fill(heartbeat)
         self._transport.broadcast((peer.node for peer in self._transport.peers()), heartbeat)
 
+    def forward(self) -> None:
+        """Pass on news of a peer; in a full mesh all nodes have heard them."""
+
     def _on_heartbeat(self, sender: str, heartbeat: Heartbeat) -> None:
         if sender != heartbeat.node or sender == self.identity.node:
             return
--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -146,6 +146,7 @@
         floor: Smallest floor.
         origin: Node that has this floor.
         age_ms: Time since the origin sent it, in milliseconds.
+        hops: Number of nodes that have passed the floor on.
         admit_age_ms: Per tier, from tier 1, the age of the last admission at any node, -1 if none.
     """
 
@@ -153,6 +154,7 @@
     floor: int
     origin: str
     age_ms: int
+    hops: int
     admit_age_ms: list[int] = field(default_factory=list)
 
 
--- a/lacewinghub/overlay.py
+++ b/lacewinghub/overlay.py
@@ -24,7 +24,8 @@
     _Seen,
     rendezvous,
 )
-from .message import Heartbeat, Parting, Pressure, Relayed, Rumour, Rumours
+from .message import Heartbeat, Parting, Rumour, Rumours
+from .relay import PressureRelay
 from .transport import Peer, Transport
 
 # Heartbeats of the target size in a full mesh of 13 nodes reach 8000 bytes/s per node.
@@ -38,11 +39,6 @@
 LARGE = 64
 LARGE_PERIOD_FACTOR = 1.6
 SPREAD_S = 0.05
-# A relayed floor is dropped when its origin has not renewed it for this long: renewals take one
-# period per hop, and 330 nodes are up to 5 hops apart.
-RELAY_S = 3.0
-# An admission elsewhere is relayed if it is this much later than the last own one.
-ADMISSION_GAP_MS = 500
 # Heartbeats that were on their way when a connection was closed do not make its end a silence.
 PARTED_S = 1.0
 # A connection is closed only after it was unneeded for this long, so that choices can settle.
@@ -69,12 +65,6 @@
         return mine < (rumour.incarnation, rumour.seq, RANKS[MemberState(rumour.state)])
 
 
-@dataclass(slots=True)
-class _Floor:
-    floor: int
-    sent: float
-
-
 def choose_peers(own: Member, members: Iterable[Member]) -> set[str]:
     """Choose the nodes to which a node keeps connections.
 
@@ -135,8 +125,8 @@
         self._missing: dict[str, float] = {}
         self._unneeded: dict[str, float] = {}
         self._parted: dict[str, float] = {}
-        self._floors: dict[str, dict[str, _Floor]] = {}
-        self._admitted: dict[str, list[float]] = {}
+        self._relay = PressureRelay(identity.node)
+        self._injected = False
         self._spreading = False
         self._changed = True
         transport.subscribe(Rumours, self._on_rumours)
@@ -161,6 +151,10 @@
         direct = super().state(node)
         if node == self.identity.node or direct in (MemberState.LIVE, MemberState.LEAVING):
             return direct
+        seen = self._seen.get(node)
+        if seen is not None and seen.leaving:
+            # A silent node that announced its stop has ended.
+            return MemberState.DEAD
         known = self._known.get(node)
         if known is None:
             return MemberState.DEAD
@@ -169,6 +163,10 @@
             return MemberState.DEAD
         return known.state
 
+    def beyond_mesh(self) -> bool:
+        """Return whether there are more live nodes than a full mesh connects."""
+        return len(self._cached_live()) > MESH_LIMIT
+
     def leave(self) -> None:
         """Announce that this node takes no new work; peers hear it at once."""
         self._own_seq += 1
@@ -360,101 +358,41 @@
         heartbeat = Heartbeat(own.node, own.incarnation, self._seq, str(state))
         for contributor in self._contributors:
             contributor.fill(heartbeat)
-        heartbeat.relayed = self._relayed(heartbeat.pressure)
+        if self.beyond_mesh():
+            self._relay.write(heartbeat, _now())
         self._transport.broadcast((peer.node for peer in self._transport.peers()), heartbeat)
 
+    def forward(self) -> None:
+        """Send a heartbeat soon, because a peer sent news that must not wait at each hop."""
+        if self._spreading or not self.beyond_mesh():
+            return
+        self._spreading = True
+        asyncio.get_running_loop().call_later(SPREAD_S, self._spread)
+
     def _on_heartbeat(self, sender: str, heartbeat: Heartbeat) -> None:
         if _now() - self._parted.get(sender, float("-inf")) < PARTED_S:
             return
         super()._on_heartbeat(sender, heartbeat)
-        now = _now()
-        lowered = False
-        for item in heartbeat.pressure:
-            lowered |= self._take_floor(item.pool, sender, item.floor, now)
-            self._take_ages(item.pool, item.admit_age_ms, now)
-        for relay in heartbeat.relayed:
-            sent = now - relay.age_ms / 1000
-            if relay.origin != self.identity.node:
-                lowered |= self._take_floor(relay.pool, relay.origin, relay.floor, sent)
-            self._take_ages(relay.pool, relay.admit_age_ms, now)
-        if lowered and not self._spreading:
-            # A stricter floor must reach all nodes within the propagation delay.
-            self._spreading = True
-            asyncio.get_running_loop().call_later(SPREAD_S, self._spread)
+        if sender == heartbeat.node and self._relay.take(heartbeat, _now()):
+            self.forward()
 
     def _spread(self) -> None:
         self._spreading = False
         self._inject()
         self.beat()
 
-    def _take_floor(self, pool: str, origin: str, floor: int, sent: float) -> bool:
-        """Keep the latest floor of a node; True if it is stricter than all known ones."""
-        floors = self._floors.setdefault(pool, {})
-        known = floors.get(origin)
-        if known is not None and known.sent >= sent:
-            return False
-        if known is not None and floor >= known.floor:
-            known.floor, known.sent = floor, sent
-            return False
-        lowest = min((item.floor for item in floors.values()), default=floor)
-        floors[origin] = _Floor(floor, sent)
-        return floor < lowest
-
-    def _take_ages(self, pool: str, ages_ms: list[int], now: float) -> None:
-        known = self._admitted.setdefault(pool, [])
-        known += [float("-inf")] * (len(ages_ms) - len(known))
-        for index, age_ms in enumerate(ages_ms):
-            last = now - age_ms / 1000
-            if age_ms >= 0 and last > known[index]:
-                known[index] = last
-
-    def _merged(self, pool: str) -> Relayed | None:
-        """Return the strictest floor and the last admissions at all other nodes."""
-        now = _now()
-        floors = self._floors.get(pool, {})
-        for origin in [node for node, item in floors.items() if now - item.sent > RELAY_S]:
-            del floors[origin]
-        if not floors:
-            return None
-        origin = min(floors, key=lambda node: (floors[node].floor, -floors[node].sent))
-        ages = [min((now - last) * 1000, 1e9) for last in self._admitted.get(pool, [])]
-        return Relayed(
-            pool,
-            floors[origin].floor,
-            origin,
-            int((now - floors[origin].sent) * 1000),
-            [int(age) if age < 60_000 else -1 for age in ages],
-        )
-
-    def _relayed(self, pressure: list[Pressure]) -> list[Relayed]:
-        """Return the merged entries that say more than the own ones."""
-        own = {item.pool: item for item in pressure}
-        found = []
-        for pool in self._floors:
-            merged = self._merged(pool)
-            if merged is not None and _adds(merged, own.get(pool)):
-                found.append(merged)
-        return found
-
     def _inject(self) -> None:
         """Pass the merged state on to the parts of this node, as that of one further node."""
-        merged = [item for pool in list(self._floors) if (item := self._merged(pool))]
+        far = self.beyond_mesh()
+        if not far and not self._injected:
+            return
+        self._injected = far
         heartbeat = Heartbeat(OTHERS, 1, self._seq, str(MemberState.LIVE))
-        heartbeat.pressure = [Pressure(m.pool, m.floor, m.admit_age_ms) for m in merged]
+        heartbeat.pressure = self._relay.others(_now()) if far else []
         for contributor in self._contributors:
             contributor.observe(heartbeat)
 
 
-def _adds(merged: Relayed, own: Pressure | None) -> bool:
-    if own is None or merged.floor < own.floor:
-        return True
-    ages = own.admit_age_ms + [-1] * (len(merged.admit_age_ms) - len(own.admit_age_ms))
-    return any(
-        other >= 0 and (mine < 0 or mine - other > ADMISSION_GAP_MS)
-        for mine, other in zip(ages, merged.admit_age_ms, strict=False)
-    )
-
-
 def _successor(node: str, others: list[str]) -> str:
     """Return the next node on a ring ordered by hash."""
     place = _place(node)
--- a/lacewinghub/quarantine.py
+++ b/lacewinghub/quarantine.py
@@ -9,6 +9,10 @@
 message delay. Sent to nine nodes one after the other it crashes 2 runners, sent to nine nodes at
 the same moment at most 9. This holds while heartbeats arrive within ``SETTLE_S``, for a poison
 that crashes its runner within ``TRIAL_S``, and for callers of ``hold``.
+
+Beyond a full mesh the nodes pass on crashes and trials, each at once, and the news of the first
+crash take up to ``SETTLE_RELAYED_S``. The limit is the same: 2 runners if copies arrive later than
+that, otherwise as many as copies had been sent to within that time.
 """
 
 import asyncio
@@ -22,6 +26,7 @@
 from .errors import Quarantined, QuarantinedAfterRun
 from .membership import Contributor, Members, MemberState, rendezvous
 from .message import Heartbeat, Suspect
+from .relay import TrialRelay
 from .request import Observation, Request
 from .router import Guard
 
@@ -30,6 +35,8 @@
 SAME_CRASH_MS = 2000
 # Two heartbeats: by then the live nodes know of a crash or of a trial elsewhere.
 SETTLE_S = 0.6
+# With relayed heartbeats: 5 hops of 50 ms and their delays, and one lost heartbeat.
+SETTLE_RELAYED_S = 1.0
 TRIAL_S = 5.0
 # A suspect that has run for this long no longer keeps others off its endpoint: longer waits would
 # cost the innocent ones more than another count.
@@ -95,6 +102,7 @@
         node: Identifier of this node.
         members: View of the live nodes.
         announce: Sends a heartbeat at once, so that the others hear of a crash without delay.
+        forward: Passes on news of a peer without waiting for the next heartbeat.
         wall: Returns the wall time in seconds.
     """
 
@@ -104,15 +112,17 @@
         members: Members,
         announce: Callable[[], None] | None = None,
         wall: Callable[[], float] = time.time,
+        forward: Callable[[], None] | None = None,
     ) -> None:
         self._node = node
         self._members = members
         self._announce = announce
+        self._forward = forward
         self._wall = wall
         self._cases: dict[int, _Case] = {}
         self._ran: dict[str, float] = {}
         self._trials: dict[int, _Trial] = {}
-        self._peer_trials: dict[str, dict[int, str]] = {}
+        self._relay = TrialRelay()
         self._incarnations: dict[str, int] = {}
         self._beats = 0
         self._full_due = False
@@ -161,7 +171,7 @@
                 return
             trial = self._announced(req, names)
             ahead = self._ahead(req)
-            limit_s = SETTLE_S + (TRIAL_S * ahead or CROWDED_S)
+            limit_s = self._settle_s() + (TRIAL_S * ahead or CROWDED_S)
             waited = _now() - started >= limit_s
             placed = trial.plan in names or not names
             if self._is_settled(req, trial) and (waited or (not ahead and placed)):
@@ -239,17 +249,25 @@
                     trial.where() if trial else "",
                 )
             )
+        if self._members.beyond_mesh():
+            self._relay.write(heartbeat, _now())
 
     def observe(self, heartbeat: Heartbeat) -> None:
         """Take over the cases and trials of a peer."""
         if self._incarnations.get(heartbeat.node) != heartbeat.incarnation:
             self._incarnations[heartbeat.node] = heartbeat.incarnation
             self._full_due = True
-        self._peer_trials[heartbeat.node] = {
-            item.fingerprint: item.trial for item in heartbeat.suspects if item.trial
-        }
+        now = _now()
+        trials = {item.fingerprint: item.trial for item in heartbeat.suspects if item.trial}
+        news = self._relay.take(heartbeat.node, heartbeat.incarnation, heartbeat.seq, trials, now)
+        for told in heartbeat.trials:
+            if told.node != self._node:
+                trials = {item.fingerprint: item.where for item in told.items}
+                news |= self._relay.take(told.node, told.incarnation, told.seq, trials, now)
         for item in heartbeat.suspects:
-            self._merge(item.fingerprint, set(item.crashes), set(item.cleared))
+            news |= self._merge(item.fingerprint, set(item.crashes), set(item.cleared))
+        if news and self._forward is not None:
+            self._forward()
 
     def status(self) -> dict[str, int]:
         """Return the numbers of suspects and of refused fingerprints."""
@@ -282,7 +300,10 @@
     def _is_settled(self, req: Request, trial: _Trial) -> bool:
         """Return whether the others know of the last crash and of the trial."""
         announced = trial.announced if trial.request == req.id else float("-inf")
-        return _now() - max(announced, self._cases[req.fingerprint].changed) >= SETTLE_S
+        return _now() - max(announced, self._cases[req.fingerprint].changed) >= self._settle_s()
+
+    def _settle_s(self) -> float:
+        return SETTLE_RELAYED_S if self._members.beyond_mesh() else SETTLE_S
 
     def _is_stale(self, trial: _Trial) -> bool:
         return trial.started is None and _now() - trial.announced > TRIAL_S
@@ -317,26 +338,25 @@
         return found - {"", RUNNING}
 
     def _live_trials(self) -> list[tuple[str, dict[int, str]]]:
-        states = ((node, self._members.state(node)) for node in self._peer_trials)
-        return [
-            (node, self._peer_trials[node]) for node, state in states if state is MemberState.LIVE
-        ]
+        known = self._relay.known(_now())
+        return [item for item in known if self._members.state(item[0]) is MemberState.LIVE]
 
     def _crashed_endpoints(self, fingerprint: int) -> set[str]:
         case = self._cases.get(fingerprint)
         return {_split(item)[0] for item in case.crashes - case.cleared} if case else set()
 
-    def _merge(self, fingerprint: int, crashes: set[str], cleared: set[str]) -> None:
+    def _merge(self, fingerprint: int, crashes: set[str], cleared: set[str]) -> bool:
+        """Add crashes to a case and return whether any is new."""
         if not fingerprint:
-            return
+            return False
         case = self._cases.get(fingerprint)
         if case is None:
             if not self._is_recent(crashes | cleared):
-                return
+                return False
             self._make_room()
             case = self._cases[fingerprint] = _Case()
         if crashes <= case.crashes and cleared <= case.cleared:
-            return
+            return False
         before = case.count
         case.crashes |= crashes
         case.cleared |= cleared
@@ -344,6 +364,7 @@
         case.recount()
         if before < CRASH_LIMIT <= case.count:
             logger.warning("fingerprint {:x} is quarantined: {}", fingerprint, sorted(case.crashes))
+        return True
 
     def _is_recent(self, crashes: set[str]) -> bool:
         newest = max((_split(item)[1] for item in crashes), default=0)
