Use the overlay in nodes, with connections on demand

node built Membership, a full mesh, which exceeds 8 KB/s at 13 nodes. It now builds Overlay. A broker that is not a peer is reached over a connection on demand, which carries no heartbeats, is closed after 10 s without messages and counts for nothing in membership. A node opens at most 64; beyond, it dispatches directly. PeerLink and PeerTls move to a module of their own.

--- a/lacewinghub/memory_transport.py
+++ b/lacewinghub/memory_transport.py
@@ -3,16 +3,23 @@
 import asyncio
 import random
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from .message import Message, decode, encode
 from .traffic import Traffic
-from .transport import Peer, Transport
+from .transport import MAX_ON_DEMAND, ON_DEMAND_IDLE_S, Peer, Transport
 
 DIAL_S = 0.005
 REDIAL_S = 0.5
 Delay = Callable[[str, str], float]
 
 
+@dataclass(slots=True)
+class _OnDemand:
+    dialler: str
+    used: float
+
+
 class MemoryNetwork:
     """Connects the transports of one process.
 
@@ -36,6 +43,7 @@
     ) -> None:
         self.mesh = mesh
         self._links: dict[frozenset[str], str] = {}
+        self._on_demand: dict[frozenset[str], _OnDemand] = {}
         self.delay_s = delay_s
         self.loss = loss
         self.coded = coded
@@ -64,6 +72,8 @@
         self._transports.pop(node, None)
         for link in [item for item in self._links if node in item]:
             del self._links[link]
+        for link in [item for item in self._on_demand if node in item]:
+            del self._on_demand[link]
 
     def partition(self, left: Iterable[str], right: Iterable[str]) -> None:
         """Drop all messages between two sets of nodes, in both directions, until ``heal``."""
@@ -106,9 +116,34 @@
             if reachable and item.identity.address in addresses:
                 self._links.setdefault(frozenset((node, name)), node)
 
+    def reach(self, node: str, address: str) -> None:
+        """Open a connection on demand to an address that exists and can be reached."""
+        if self.on_demand(node) >= MAX_ON_DEMAND:
+            return
+        for name, item in self._transports.items():
+            if item.identity.address == address and (node, name) not in self._cut:
+                now = asyncio.get_running_loop().time()
+                self._on_demand.setdefault(frozenset((node, name)), _OnDemand(node, now))
+
+    def on_demand(self, node: str) -> int:
+        """Return the number of open connections on demand that a node opened."""
+        limit = asyncio.get_running_loop().time() - ON_DEMAND_IDLE_S
+        for link in [link for link, item in self._on_demand.items() if item.used < limit]:
+            del self._on_demand[link]
+        return sum(item.dialler == node for item in self._on_demand.values())
+
+    def _use_on_demand(self, node: str, other: str) -> bool:
+        item = self._on_demand.get(frozenset((node, other)))
+        now = asyncio.get_running_loop().time()
+        if item is None or now - item.used > ON_DEMAND_IDLE_S:
+            return False
+        item.used = now
+        return True
+
     def carry(self, sender: "MemoryTransport", node: str, message: Message) -> bool:
         """Pass a message on after the delay, unless it is lost."""
         linked = self.mesh or frozenset((sender.node, node)) in self._links
+        linked = linked or self._use_on_demand(sender.node, node)
         if node not in self._transports or not linked:
             return False
         lost = self.loss and self._random.random() < self.loss
@@ -174,6 +209,10 @@
         """Close the connection to a node; messages on their way still arrive."""
         self._network.hang_up(self.node, node)
 
+    def reach(self, address: str) -> None:
+        """Open a connection on demand; see ``Transport.reach``."""
+        asyncio.get_running_loop().call_later(DIAL_S, self._network.reach, self.node, address)
+
     def _dial(self) -> None:
         self._network.connect(self.node, self._wanted)
         self._dialling = asyncio.get_running_loop().call_later(REDIAL_S, self._dial)
--- a/lacewinghub/node.py
+++ b/lacewinghub/node.py
@@ -23,10 +23,11 @@
 from .level import Levels
 from .local import LocalScheduler
 from .log import HttpLog
-from .membership import Membership
 from .metrics import Metrics
 from .naive import NaiveScheduler
 from .observe import Observer
+from .ondemand import OnDemand
+from .overlay import Overlay
 from .peer import PeerServer, PeerTls
 from .poll import EndpointPoller
 from .quarantine import Quarantine
@@ -144,13 +145,15 @@
         identity = Peer(cfg.node, int(time.time() * 1000), cfg.availability_zone, address)
         tls = PeerTls(**cfg.peer_tls.model_dump()) if cfg.peer_tls else None
         self._peers = PeerServer(identity, cfg.peer_key.encode(), tls, listen=cfg.peer_listen)
-        self._membership = Membership(identity, self._peers, cfg.peers)
+        self._membership = Overlay(identity, self._peers, cfg.peers)
         self._hosts = HostList(cfg.hosts, self._on_hosts) if cfg.hosts else None
         self._config = ConfigReplica(cfg.node, self._log, self._peers, self._history)
         self._config.subscribe(self._on_tables)
         self._client = HttpEndpoint(cfg.limits.connect_s, cfg.limits.endpoint_idle_s)
         self._health = EndpointHealth()
-        self._quarantine = Quarantine(cfg.node, self._membership, self._membership.beat)
+        self._quarantine = Quarantine(
+            cfg.node, self._membership, self._membership.beat, forward=self._membership.forward
+        )
         self._claimer = Claimer(
             cfg.node,
             self._log,
@@ -159,7 +162,8 @@
             history=self._history,
         )
         self._scheduler = self._build_scheduler()
-        for part in (self._config, LeavingMarks(self._health), self._quarantine):
+        marks = LeavingMarks(self._health, self._membership.forward)
+        for part in (self._config, marks, self._quarantine):
             self._membership.add(part)
         self._build_path()
 
@@ -203,7 +207,8 @@
             return NaiveScheduler(view, reports, history=self._history)
         if self.cfg.scheduler == "local":
             return LocalScheduler(view, reports, self._live_count, self._history)
-        scheduler = BrokeredScheduler(view, reports, self._peers, self._membership, self._history)
+        transport = OnDemand(self._peers, self._membership)
+        scheduler = BrokeredScheduler(view, reports, transport, self._membership, self._history)
         self._membership.add(scheduler)
         self._poller = EndpointPoller(
             self._tables, reports, self._health, scheduler.prefixes, scheduler.broker.endpoints
--- a/lacewinghub/peer.py
+++ b/lacewinghub/peer.py
@@ -10,10 +10,8 @@
 import hmac
 import random
 import secrets
-import ssl
-from collections import deque
-from collections.abc import Callable, Iterable
-from dataclasses import astuple, dataclass, replace
+from collections.abc import Iterable
+from dataclasses import astuple, replace
 
 from loguru import logger
 from websockets.asyncio.client import connect
@@ -21,10 +19,11 @@
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, InvalidHandshake, InvalidMessage
 
-from .errors import PeerRejected, SettingsInvalid
+from .errors import PeerRejected
+from .link import PeerLink, PeerTls
 from .message import MAX_MESSAGE_BYTES, Hello, Message, decode, encode
 from .traffic import Traffic
-from .transport import Peer, Transport
+from .transport import MAX_ON_DEMAND, ON_DEMAND_IDLE_S, SPARE_S, Peer, Transport
 
 HANDSHAKE_S = 2.0
 IDLE_S = 5.0
@@ -35,131 +34,14 @@
 STALE_S = 1.0
 BACKOFF_FIRST_S = 0.1
 BACKOFF_LIMIT_S = 2.0
-QUEUE_MESSAGES = 1024
-QUEUE_BYTES = 2 * MAX_MESSAGE_BYTES
 HELLO_BYTES = 2048
 NONCE_BYTES = 16
 MAX_HANDSHAKES = 64
 POLICY_VIOLATION = 1008
-
-
-@dataclass(frozen=True, slots=True)
-class PeerTls:
-    """Certificate files in PEM format; both ends present a certificate signed by ``ca``."""
-
-    certificate: str
-    key: str
-    ca: str
-
-    def context(self, server: bool) -> ssl.SSLContext:
-        """Build the context of one side.
-
-        Args:
-            server: True for the accepting side.
-
-        Returns:
-            A context that requires a certificate of the other side. Host names are not compared,
-            because nodes are addressed by IP address and the authority is private.
-
-        Raises:
-            SettingsInvalid: If a file cannot be read or is not a valid certificate or key.
-        """
-        ctx = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER if server else ssl.PROTOCOL_TLS_CLIENT)
-        ctx.minimum_version = ssl.TLSVersion.TLSv1_3
-        ctx.check_hostname = False
-        ctx.verify_mode = ssl.CERT_REQUIRED
-        try:
-            ctx.load_cert_chain(self.certificate, self.key)
-            ctx.load_verify_locations(self.ca)
-        except OSError as exc:
-            files = f"{self.certificate!r}, {self.key!r}, {self.ca!r}"
-            raise SettingsInvalid(
-                f"peer_tls: {exc}: one of {files}",
-                key="peer_tls",
-                allowed="a certificate, its key and the authority's certificate in PEM format",
-            ) from exc
-        return ctx
-
-
-class PeerLink:
-    """An authenticated connection with a bounded send queue.
-
-    Args:
-        conn: Connection after the handshake.
-        peer: The other end.
-        dialler: Identifier of the node that opened the connection.
-    """
-
-    def __init__(self, conn: Connection, peer: Peer, dialler: str) -> None:
-        self.peer = peer
-        self.dialler = dialler
-        self.closed = asyncio.Event()
-        self._conn = conn
-        self._loop = asyncio.get_running_loop()
-        self.last_received = self._loop.time()
-        self._queue: deque[bytes] = deque()
-        self._queued_bytes = 0
-        self._wake = asyncio.Event()
-        self._finishing = False
-
-    def push(self, data: bytes) -> bool:
-        """Queue an encoded message.
-
-        Returns:
-            False if the queue is full or the connection is closed; the message is dropped.
-        """
-        size = self._queued_bytes + len(data)
-        if self.closed.is_set() or len(self._queue) >= QUEUE_MESSAGES or size > QUEUE_BYTES:
-            return False
-        self._queue.append(data)
-        self._queued_bytes = size
-        self._wake.set()
-        return True
-
-    async def run(self, receive: Callable[["PeerLink", bytes], None]) -> None:
-        """Exchange messages until the connection ends.
-
-        Args:
-            receive: Called with this link and the bytes of each received message.
-
-        Raises:
-            PeerRejected: If ``receive`` raised it.
-        """
-        writer = asyncio.create_task(self._write())
-        try:
-            while True:
-                data = await self._conn.recv(decode=False)
-                self.last_received = self._loop.time()
-                receive(self, bytes(data))
-        except ConnectionClosed:
-            return
-        finally:
-            writer.cancel()
-            self.abort()
-
-    def finish(self) -> None:
-        """Close the connection once the queue has been sent."""
-        self._finishing = True
-        self._wake.set()
-
-    def abort(self) -> None:
-        """Close the connection without waiting for the other end, which may be frozen."""
-        self.closed.set()
-        self._conn.transport.abort()
-
-    async def _write(self) -> None:
-        try:
-            while True:
-                await self._wake.wait()
-                self._wake.clear()
-                while self._queue:
-                    data = self._queue.popleft()
-                    self._queued_bytes -= len(data)
-                    await self._conn.send(data)
-                if self._finishing:
-                    await self._conn.close()
-        except ConnectionClosed:
-            self.abort()
+# Accepted connections on demand; the choice of brokers by hash is not even.
+MAX_ACCEPTED = 4 * MAX_ON_DEMAND
+# An address that could not be reached on demand is not tried again for this long.
+REACH_AGAIN_S = 1.0
 
 
 class PeerServer(Transport):
@@ -198,6 +80,10 @@
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._server: Server | None = None
         self._handshakes = 0
+        # Two nodes may reach each other at the same moment; the later connection is sent over.
+        self._on_demand: dict[str, PeerLink] = {}
+        self._on_demand_links: set[PeerLink] = set()
+        self._reaching: dict[str, asyncio.Task[None]] = {}
 
     async def start(self) -> None:
         """Listen on the address of this node.
@@ -241,10 +127,11 @@
 
     async def close(self) -> None:
         """Stop listening and close all connections."""
-        tasks, self._tasks = list(self._tasks.values()), {}
+        tasks = [*self._tasks.values(), *self._reaching.values()]
+        self._tasks, self._reaching = {}, {}
         for task in tasks:
             task.cancel()
-        for link in list(self._links.values()):
+        for link in [*self._links.values(), *self._on_demand_links]:
             link.abort()
         await asyncio.gather(*tasks, return_exceptions=True)
         if self._server is not None:
@@ -278,6 +165,20 @@
         if link is not None:
             link.finish()
 
+    def reach(self, address: str) -> None:
+        """Open a connection on demand; see ``Transport.reach``."""
+        if self._server is None or address == self.identity.address or address in self._reaching:
+            return
+        if any(link.peer.address == address for link in self._on_demand_links):
+            return
+        if len(self._reaching) >= MAX_ON_DEMAND and not self._spare():
+            return
+        self._reaching[address] = asyncio.create_task(self._reach(address))
+
+    def on_demand(self) -> int:
+        """Return the number of open connections on demand, whichever end opened them."""
+        return len(self._on_demand_links)
+
     def dial(self, addresses: Iterable[str]) -> None:
         """Keep connections to these addresses."""
         self._wanted = set(addresses) - {self.identity.address}
@@ -289,7 +190,7 @@
 
     def _push(self, node: str, name: str, data: bytes) -> bool:
         count = self.traffic.of(name)
-        link = self._links.get(node)
+        link = self._links.get(node) or self._on_demand.get(node)
         if link is None or not link.push(data):
             count.dropped += 1
             return False
@@ -309,6 +210,33 @@
             if link.last_received < limit:
                 logger.info("closing the silent connection to node {}", link.peer.node)
                 link.abort()
+        limit = asyncio.get_running_loop().time() - ON_DEMAND_IDLE_S
+        for link in list(self._on_demand_links):
+            if link.last_used < limit:
+                link.finish()
+
+    def _spare(self) -> bool:
+        """Close the opened connection on demand that was unused for longest, if it can be."""
+        opened = [link for link in self._on_demand_links if link.dialler == self.node]
+        oldest = min(opened, key=lambda link: link.last_used, default=None)
+        if oldest is None or asyncio.get_running_loop().time() - oldest.last_used < SPARE_S:
+            return False
+        oldest.abort()
+        self._reaching.pop(oldest.peer.address, None)
+        return True
+
+    async def _reach(self, address: str) -> None:
+        try:
+            await self._connect(address, on_demand=True)
+        except (OSError, TimeoutError, PeerRejected, ConnectionClosed) as exc:
+            logger.debug("no connection on demand to {}: {}", address, exc)
+            await asyncio.sleep(REACH_AGAIN_S)
+        except (InvalidHandshake, InvalidMessage) as exc:
+            logger.debug("{} refused the connection on demand: {}", address, exc)
+            await asyncio.sleep(REACH_AGAIN_S)
+        finally:
+            if self._reaching.get(address) is asyncio.current_task():
+                del self._reaching[address]
 
     async def _dial(self, address: str) -> None:
         delay = BACKOFF_FIRST_S
@@ -331,7 +259,7 @@
             except (ConnectionClosed, InvalidHandshake, InvalidMessage) as exc:
                 logger.debug("peer {} refused the connection: {}", address, exc)
 
-    async def _connect(self, address: str) -> None:
+    async def _connect(self, address: str, on_demand: bool = False) -> None:
         scheme = "wss" if self._client_tls else "ws"
         conn = await connect(
             f"{scheme}://{address}/peer",
@@ -346,10 +274,10 @@
         )
         try:
             async with asyncio.timeout(HANDSHAKE_S):
-                peer = await self._open(conn)
+                peer = await self._open(conn, on_demand)
             if peer == self.identity:
                 self._wanted.discard(address)
-            link = self._admit(PeerLink(conn, peer, self.node))
+            link = self._admit(PeerLink(conn, peer, self.node, on_demand))
         except BaseException:
             conn.transport.abort()
             raise
@@ -362,8 +290,8 @@
         self._handshakes += 1
         try:
             async with asyncio.timeout(HANDSHAKE_S):
-                peer = await self._answer(conn)
-            link = self._admit(PeerLink(conn, peer, peer.node))
+                peer, on_demand = await self._answer(conn)
+            link = self._admit(PeerLink(conn, peer, peer.node, on_demand))
         except (PeerRejected, TimeoutError) as exc:
             logger.warning("connection from {} rejected: {}", conn.remote_address, exc)
             await conn.close(POLICY_VIOLATION, "rejected")
@@ -374,18 +302,18 @@
             self._handshakes -= 1
         await self._serve(link)
 
-    async def _open(self, conn: Connection) -> Peer:
+    async def _open(self, conn: Connection, on_demand: bool) -> Peer:
         nonce = secrets.token_bytes(NONCE_BYTES)
         await conn.send(encode(self._hello(nonce, b"")))
         hello = await _receive_hello(conn)
         peer = _peer_of(hello)
         nonces = nonce + hello.nonce
         _verify(hello.proof, self._proof(b"accept", peer, self.identity, nonces))
-        proof = self._proof(b"dial", self.identity, peer, nonces)
-        await conn.send(encode(self._hello(nonce, proof)))
+        proof = self._proof(_role(on_demand), self.identity, peer, nonces)
+        await conn.send(encode(self._hello(nonce, proof, on_demand)))
         return peer
 
-    async def _answer(self, conn: Connection) -> Peer:
+    async def _answer(self, conn: Connection) -> tuple[Peer, bool]:
         hello = await _receive_hello(conn)
         peer = _peer_of(hello)
         nonce = secrets.token_bytes(NONCE_BYTES)
@@ -393,12 +321,13 @@
         proof = self._proof(b"accept", self.identity, peer, nonces)
         await conn.send(encode(self._hello(nonce, proof)))
         last = await _receive_hello(conn)
-        _verify(last.proof, self._proof(b"dial", peer, self.identity, nonces))
-        return peer
+        _verify(last.proof, self._proof(_role(last.on_demand), peer, self.identity, nonces))
+        return peer, last.on_demand
 
-    def _hello(self, nonce: bytes, proof: bytes) -> Hello:
+    def _hello(self, nonce: bytes, proof: bytes, on_demand: bool = False) -> Hello:
         own = self.identity
-        return Hello(own.node, own.incarnation, own.availability_zone, own.address, nonce, proof)
+        zone = own.availability_zone
+        return Hello(own.node, own.incarnation, zone, own.address, nonce, proof, on_demand)
 
     def _proof(self, role: bytes, prover: Peer, verifier: Peer, nonces: bytes) -> bytes:
         """Compute the proof of one side; the role keeps it from being reflected to its prover."""
@@ -418,6 +347,8 @@
         peer = link.peer
         if peer.node == self.node:
             raise PeerRejected(f"node {peer.node} has the identifier of this node")
+        if link.on_demand:
+            return self._admit_on_demand(link)
         old = self._links.get(peer.node)
         if old is not None:
             self._check_replacement(old, link)
@@ -427,6 +358,14 @@
         self._at[peer.address] = link
         return link
 
+    def _admit_on_demand(self, link: PeerLink) -> PeerLink:
+        accepted = sum(item.dialler != self.node for item in self._on_demand_links)
+        if link.dialler != self.node and accepted >= MAX_ACCEPTED:
+            raise PeerRejected("too many connections on demand")
+        self._on_demand[link.peer.node] = link
+        self._on_demand_links.add(link)
+        return link
+
     def _check_replacement(self, old: PeerLink, new: PeerLink) -> None:
         stale = asyncio.get_running_loop().time() - old.last_received > STALE_S
         if stale or new.peer.incarnation > old.peer.incarnation:
@@ -450,6 +389,9 @@
             del self._links[link.peer.node]
         if self._at.get(link.peer.address) is link:
             del self._at[link.peer.address]
+        self._on_demand_links.discard(link)
+        if self._on_demand.get(link.peer.node) is link:
+            del self._on_demand[link.peer.node]
 
     def _receive(self, link: PeerLink, data: bytes) -> None:
         message = decode(data)
@@ -476,6 +418,10 @@
     return Peer(hello.node, hello.incarnation, hello.availability_zone, hello.address)
 
 
+def _role(on_demand: bool) -> bytes:
+    return b"dial on demand" if on_demand else b"dial"
+
+
 def _identity(peer: Peer) -> list[bytes]:
     return [str(value).encode() for value in astuple(peer)]
 
--- a/lacewinghub/relay.py
+++ b/lacewinghub/relay.py
@@ -215,11 +215,6 @@
             age_ms = int((now - item.sent) * 1000)
             heartbeat.free_elsewhere.append(FreeElsewhere(name, item.free, age_ms, item.hops + 1))
 
-    def retain(self, groups: set[str]) -> None:
-        """Forget all groups except those named."""
-        for name in set(self._groups) - groups:
-            del self._groups[name]
-
     def _take(self, group: str, free: int, sent: float, hops: int) -> None:
         item = self._groups.setdefault(group, _Free(free, sent, hops))
         item.free, item.sent, item.hops = free, sent, hops
--- a/lacewinghub/transport.py
+++ b/lacewinghub/transport.py
@@ -7,6 +7,15 @@
 
 from .message import Message
 
+# A connection on demand is closed after this long without messages.
+ON_DEMAND_IDLE_S = 10.0
+# Open connections on demand that a node opened; 64 brokers serve a fifth of the groups of the
+# target size. Without room the node dispatches directly, as to a broker that is silent.
+MAX_ON_DEMAND = 64
+# Of the connections on demand, one that was unused for this long gives way to a new one. Demands
+# to a broker in use are repeated every 250 ms.
+SPARE_S = 1.0
+
 Handler = Callable[[str, Any], None]
 
 
@@ -89,6 +98,18 @@
         """Close the connection to a node once its queue has been sent."""
         return None
 
+    def reach(self, address: str) -> None:
+        """Open a connection on demand, if there is room for one.
+
+        It carries messages in both directions but does not make the other end a peer, and is
+        closed by either end after ``ON_DEMAND_IDLE_S`` without messages. ``send`` uses it once it
+        is open; messages sent before are dropped.
+
+        Args:
+            address: IP address with port.
+        """
+        return None
+
     def subscribe(self, kind: type, handler: Handler) -> None:
         """Register a handler for a message class.
 
--- a/tests/test_overlay.py
+++ b/tests/test_overlay.py
@@ -3,119 +3,16 @@
 import asyncio
 import statistics
 import unittest
-from collections.abc import Callable, Coroutine
-from typing import Any
 
-import looptime
-
-from lacewinghub.membership import Contributor, Member, MemberState
-from lacewinghub.memory_transport import MemoryNetwork
-from lacewinghub.message import Heartbeat, Pressure
-from lacewinghub.overlay import DEGREE, MESH_LIMIT, OTHERS, Overlay, choose_peers
+from lacewinghub.membership import Member, MemberState
+from lacewinghub.overlay import DEGREE, MESH_LIMIT, Overlay, choose_peers
 from lacewinghub.peer import PeerServer
 from lacewinghub.transport import Peer
 
-ZONES = 4
-ZONE_DELAY_S = {True: 0.0005, False: 0.02}
-
-
-class Floor(Contributor):
-    """Shares a floor of one pool and keeps those of the others."""
-
-    def __init__(self) -> None:
-        self.own = 8
-        self.seen: dict[str, int] = {}
-
-    def fill(self, heartbeat: Heartbeat) -> None:
-        heartbeat.pressure.append(Pressure("p", self.own, [100] * 8))
-
-    def observe(self, heartbeat: Heartbeat) -> None:
-        if heartbeat.node == OTHERS:
-            self.seen.pop(OTHERS, None)
-        for item in heartbeat.pressure:
-            self.seen[heartbeat.node] = item.floor
-
-    def lowest(self) -> int:
-        return min(self.seen.values(), default=8)
-
-
-class Cluster:
-    """Nodes of a few zones on a network in which only dialled nodes are connected."""
-
-    def __init__(self, size: int, loss: float = 0.0) -> None:
-        self.network = MemoryNetwork(self._delay, loss, coded=False, mesh=False)
-        self.members: dict[str, Overlay] = {}
-        self.floors: dict[str, Floor] = {}
-        self.tasks: dict[str, asyncio.Task[None]] = {}
-        for index in range(size):
-            self.start(f"n{index:03}", 1)
-
-    def _delay(self, sender: str, receiver: str) -> float:
-        return ZONE_DELAY_S[zone(sender) == zone(receiver)]
-
-    def start(self, name: str, incarnation: int) -> None:
-        identity = Peer(name, incarnation, zone(name), f"memory:{name}")
-        seeds = ["memory:n000", "memory:n001", "memory:n002"]
-        member = Overlay(identity, self.network.transport(identity), seeds)
-        self.floors[name] = Floor()
-        member.add(self.floors[name])
-        self.members[name] = member
-        self.tasks[name] = asyncio.create_task(member.run())
-
-    def kill(self, name: str) -> None:
-        self.tasks.pop(name).cancel()
-        self.members.pop(name)
-        self.floors.pop(name)
-        self.network.detach(name)
-
-    def agree(self, names: set[str], seen_by: set[str] | None = None) -> bool:
-        return all(
-            {item.node for item in member.live()} == names
-            for name, member in self.members.items()
-            if seen_by is None or name in seen_by
-        )
-
-    async def until(self, check: Callable[[], bool], timeout_s: float) -> float:
-        """Wait for a condition and return how long it took, in seconds."""
-        loop = asyncio.get_running_loop()
-        start = loop.time()
-        while not check():
-            if loop.time() - start > timeout_s:
-                raise AssertionError(f"not within {timeout_s} s")
-            await asyncio.sleep(0.05)
-        return loop.time() - start
-
-    async def stop(self) -> None:
-        tasks = list(self.tasks.values())
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-
-
-def zone(name: str) -> str:
-    """Return the zone of a node."""
-    return f"zone-{int(name[1:]) % ZONES}"
-
-
-class TestOverlay(unittest.TestCase):
-    def run_simulated(
-        self, test: Callable[[Cluster], Coroutine[Any, Any, None]], size: int = 40, **options: Any
-    ) -> None:
-        async def main() -> None:
-            cluster = Cluster(size, **options)
-            try:
-                await cluster.until(lambda: cluster.agree(set(cluster.members)), 15)
-                await asyncio.sleep(8)
-                await test(cluster)
-            finally:
-                await cluster.stop()
-
-        loop = looptime.new_event_loop(end=10_000)
-        try:
-            loop.run_until_complete(main())
-        finally:
-            loop.close()
+from .overlay_cluster import Cluster, SimulatedCase, zone
+
 
+class TestOverlay(SimulatedCase):
     def test_number_of_connections_is_bounded(self) -> None:
         """Guards against seeds, or all nodes, that end up connected to everybody."""
 
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -10,6 +10,7 @@
 
 from lacewinghub import peer as peer_module
 from lacewinghub.errors import PeerRejected, SettingsInvalid
+from lacewinghub.link import QUEUE_BYTES
 from lacewinghub.membership import Membership, MemberState
 from lacewinghub.message import ConfigReply, ConfigRequest, Demand, Heartbeat, encode
 from lacewinghub.peer import PeerServer, PeerTls
@@ -167,7 +168,7 @@
         sent = [one.send("n2", reply) for _ in range(40)]
         await asyncio.sleep(0.1)
         self.assertFalse(sent[-1])
-        self.assertLessEqual(one._links["n2"]._queued_bytes, peer_module.QUEUE_BYTES)
+        self.assertLessEqual(one._links["n2"]._queued_bytes, QUEUE_BYTES)
         self.assertEqual(one.traffic.of("ConfigReply").dropped, sent.count(False))
 
     async def test_fault_in_a_handler_keeps_the_connection(self) -> None:
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,408 @@
+"""Tests of state that reaches nodes which are not peers of its origin, with simulated nodes."""
+
+import asyncio
+import itertools
+import random
+import unittest
+
+from lacewinghub.admission import NEWS_BOUND_S
+from lacewinghub.brokered import BrokeredScheduler
+from lacewinghub.errors import Quarantined
+from lacewinghub.footprint import sample_tables
+from lacewinghub.group import broker_of, split
+from lacewinghub.health import RENEW_MARK_S, EndpointHealth, LeavingMarks
+from lacewinghub.message import FreeElsewhere, GroupFree, Heartbeat, Pressure, Relayed
+from lacewinghub.ondemand import OnDemand
+from lacewinghub.overlay import MESH_LIMIT, Overlay
+from lacewinghub.quarantine import CRASH_LIMIT, SETTLE_RELAYED_S, Quarantine
+from lacewinghub.relay import FREE_PER_BEAT, MAX_HOPS, FreeSlots, PressureRelay, TrialRelay
+from lacewinghub.request import Observation, Request
+from lacewinghub.scheduler import TablesView
+from lacewinghub.selection import LoadReports
+from lacewinghub.tables import Tables, Target
+from lacewinghub.transport import MAX_ON_DEMAND, ON_DEMAND_IDLE_S
+
+from .overlay_cluster import Cluster, SimulatedCase
+
+POOL = "model-0"
+RUNNERS = [f"r{i}" for i in range(100)]
+POISON = 666
+MARK_BOUND_S = 3.0
+
+
+def request(number: int, fingerprint: int = 0) -> Request:
+    """Build a request."""
+    now = asyncio.get_running_loop().time()
+    return Request(
+        f"q{number}", "workspace-0", "c", 1, POOL, {}, now, 30.0, Target(), None, fingerprint
+    )
+
+
+class HealthCluster(Cluster):
+    """Nodes that share leaving endpoints."""
+
+    def __init__(self, size: int, loss: float = 0.0) -> None:
+        self.health: dict[str, EndpointHealth] = {}
+        super().__init__(size, loss)
+
+    def attach(self, name: str, member: Overlay) -> None:
+        self.health[name] = EndpointHealth()
+        member.add(LeavingMarks(self.health[name], member.forward))
+
+    def all_leaving(self, wanted: bool) -> bool:
+        return all(item.is_leaving("e0") is wanted for item in self.health.values())
+
+    def marks_sent(self) -> int:
+        return sum(len(item.marks(full=False)) for item in self.health.values())
+
+
+class TestLeaving(SimulatedCase):
+    cluster = HealthCluster
+
+    def test_leaving_endpoint_is_known_everywhere_and_forgotten_after_its_return(self) -> None:
+        """Guards against marks that do not reach distant nodes, or are passed round for ever."""
+
+        async def test(cluster: HealthCluster) -> None:
+            first = cluster.health["n007"]
+            first.leaving("e0")
+            await cluster.until(lambda: cluster.all_leaving(True), MARK_BOUND_S)
+            await asyncio.sleep(6)
+            self.assertEqual(cluster.marks_sent(), 0)
+            first.reported("e0", leaving=False)
+            await cluster.until(lambda: cluster.all_leaving(False), MARK_BOUND_S)
+            for _ in range(40):
+                await asyncio.sleep(1)
+                self.assertTrue(cluster.all_leaving(False))
+            self.assertEqual(cluster.marks_sent(), 0)
+            cluster.health["n020"].leaving("e0")
+            await cluster.until(lambda: cluster.all_leaving(True), MARK_BOUND_S)
+
+        for size, loss in ((40, 0.0), (40, 0.1), (80, 0.0)):
+            with self.subTest(size=size, loss=loss):
+                self.run_simulated(test, size=size, loss=loss)
+
+    def test_own_evidence_contradicts_a_return(self) -> None:
+        """Guards against a late report at one node that ends the mark of a leaving endpoint."""
+
+        async def test(cluster: HealthCluster) -> None:
+            cluster.health["n007"].leaving("e0")
+            await asyncio.sleep(5.5)
+            cluster.health["n007"].leaving("e0")
+            cluster.health["n020"].reported("e0", leaving=False)
+            await cluster.until(lambda: cluster.all_leaving(True), MARK_BOUND_S)
+
+        self.run_simulated(test)
+
+    def test_restarted_node_learns_and_contradicts_old_states(self) -> None:
+        """Guards against a restarted node whose new mark is older than the state it lost."""
+
+        async def test(cluster: HealthCluster) -> None:
+            for _ in range(2):
+                cluster.health["n007"].leaving("e0")
+                await asyncio.sleep(6)
+                cluster.health["n007"].reported("e0", leaving=False)
+                await asyncio.sleep(4)
+            await asyncio.sleep(700)
+            cluster.kill("n007")
+            cluster.health.pop("n007")
+            await asyncio.sleep(8)
+            cluster.start("n007", 2)
+            await asyncio.sleep(1)
+            cluster.health["n007"].leaving("e0")
+            await asyncio.sleep(1)
+            cluster.health["n007"].leaving("e0")
+            await cluster.until(lambda: cluster.all_leaving(True), MARK_BOUND_S)
+
+        self.run_simulated(test, size=MESH_LIMIT + 1)
+
+    def test_lasting_state_is_renewed(self) -> None:
+        """Guards against a mark that ends while its endpoint still reports that it leaves."""
+
+        async def test(cluster: HealthCluster) -> None:
+            for _ in range(int(650 / 2.5)):
+                cluster.health["n007"].reported("e0", leaving=True)
+                await asyncio.sleep(2.5)
+            self.assertTrue(cluster.all_leaving(True))
+            versions = {item.marks(full=True)[0].version for item in cluster.health.values()}
+            self.assertLess(max(versions), 3 + 650 / RENEW_MARK_S)
+
+        self.run_simulated(test, size=MESH_LIMIT + 1)
+
+
+class PoisonCluster(Cluster):
+    """Nodes with a quarantine each; the poison crashes its runner after ``crash_s``."""
+
+    crash_s = 0.05
+
+    def __init__(self, size: int, loss: float = 0.0) -> None:
+        self.guards: dict[str, Quarantine] = {}
+        self.crashes: list[str] = []
+        super().__init__(size, loss)
+
+    def attach(self, name: str, member: Overlay) -> None:
+        loop = asyncio.get_running_loop()
+        guard = Quarantine(
+            name, member, member.beat, lambda: 1e9 + loop.time(), forward=member.forward
+        )
+        self.guards[name] = guard
+        member.add(guard)
+
+    async def serve(self, node: str, number: int, after_s: float = 0.0) -> None:
+        """Serve the poison as the router does, until it is refused."""
+        await asyncio.sleep(after_s)
+        guard, req = self.guards[node], request(number, POISON)
+        while True:
+            try:
+                await guard.hold(req, RUNNERS)
+            except Quarantined:
+                return
+            free = [name for name in RUNNERS if name not in req.avoid]
+            runner = free[number % len(free)]
+            guard.started(req, runner)
+            await asyncio.sleep(self.crash_s)
+            self.crashes.append(runner)
+            guard.ended(req, runner, Observation(ok=False, crashed=True))
+
+
+class TestPoison(SimulatedCase):
+    cluster = PoisonCluster
+
+    def test_crash_is_known_everywhere_and_crashes_are_bounded(self) -> None:
+        """Guards against copies at distant nodes that each crash a runner of their own.
+
+        The bound is ``max(CRASH_LIMIT, w)``, with ``w`` copies sent before the news of the first
+        crash can have arrived.
+        """
+        late_s = PoisonCluster.crash_s + SETTLE_RELAYED_S
+        cases = (
+            # copies that start at once, copies after the news, bound
+            (1, 0, CRASH_LIMIT),
+            (1, 39, CRASH_LIMIT),
+            (5, 35, 5),
+            (40, 0, 40),
+        )
+        for early, late, bound in cases:
+
+            async def test(
+                cluster: PoisonCluster, early: int = early, late: int = late, bound: int = bound
+            ) -> None:
+                nodes = random.Random(1).sample(list(cluster.members), early + late)
+                starts = [0.0] * early + [late_s] * late
+                await asyncio.gather(
+                    *(
+                        cluster.serve(n, i, s)
+                        for i, (n, s) in enumerate(zip(nodes, starts, strict=True))
+                    )
+                )
+                self.assertLessEqual(len(cluster.crashes), bound)
+                self.assertGreaterEqual(len(cluster.crashes), min(bound, CRASH_LIMIT))
+                await asyncio.sleep(SETTLE_RELAYED_S)
+                counts = {guard.count(POISON) for guard in cluster.guards.values()}
+                self.assertEqual(len(counts), 1)
+                self.assertGreaterEqual(min(counts), CRASH_LIMIT)
+
+            with self.subTest(early=early, late=late):
+                self.run_simulated(test, size=40)
+
+    def test_one_crash_is_known_everywhere(self) -> None:
+        """Guards against news of a crash that take longer than a suspect waits."""
+
+        async def test(cluster: PoisonCluster) -> None:
+            cluster.guards["n011"].crashed("r1", [5])
+            await cluster.until(
+                lambda: all(guard.count(5) == 1 for guard in cluster.guards.values()),
+                SETTLE_RELAYED_S,
+            )
+            cluster.guards["n033"].finished(5)
+            await cluster.until(
+                lambda: all(guard.count(5) == 0 for guard in cluster.guards.values()), 3
+            )
+
+        self.run_simulated(test, size=80)
+
+
+class BrokerCluster(Cluster):
+    """Nodes that ask the brokers of one pool for slots."""
+
+    groups = 20
+
+    def __init__(self, size: int, loss: float = 0.0) -> None:
+        document = sample_tables(1, 18 * self.groups, "127.0.0.1:9")
+        first = document["pools"][0]
+        first["endpoints"] = [item for pool in document["pools"] for item in pool["endpoints"]]
+        document["pools"] = [first]
+        self.tables = Tables.parse(document, 1)
+        self.schedulers: dict[str, BrokeredScheduler] = {}
+        self.running: list[asyncio.Task[None]] = []
+        self.numbers = itertools.count()
+        super().__init__(size, loss)
+
+    def attach(self, name: str, member: Overlay) -> None:
+        transport = OnDemand(member._transport, member)
+        scheduler = BrokeredScheduler(
+            TablesView(lambda: self.tables), LoadReports(), transport, member, rng=random.Random(1)
+        )
+        member.add(scheduler)
+        self.schedulers[name] = scheduler
+        self.running.append(asyncio.create_task(scheduler.run()))
+
+    async def serve(self, name: str) -> bool:
+        """Serve a request and return whether a broker granted its slot."""
+        scheduler = self.schedulers[name]
+        grant = await scheduler.acquire(request(next(self.numbers)))
+        await asyncio.sleep(0.05)
+        scheduler.release(grant, Observation(True, 0.02, 0.01, 10))
+        return grant.brokered
+
+    async def stop(self) -> None:
+        for task in self.running:
+            task.cancel()
+        await asyncio.gather(*self.running, return_exceptions=True)
+        await super().stop()
+
+
+class TestBrokers(SimulatedCase):
+    cluster = BrokerCluster
+
+    def test_grants_from_brokers_beyond_the_peers(self) -> None:
+        """Guards against demands without a connection, and connections that are never closed."""
+
+        async def test(cluster: BrokerCluster) -> None:
+            names = list(cluster.members)
+            before = {name: len(cluster.network.others(name)) for name in names}
+            brokered = 0
+            for _ in range(20):
+                brokered += sum(await asyncio.gather(*(cluster.serve(name) for name in names)))
+            # Only the first request to a broker may be dispatched without a grant.
+            self.assertGreater(brokered, 0.9 * 20 * len(names))
+            opened = [cluster.network.on_demand(name) for name in names]
+            self.assertGreater(sum(opened), len(names))
+            self.assertLessEqual(max(opened), MAX_ON_DEMAND)
+            self.assertEqual({name: len(cluster.network.others(name)) for name in names}, before)
+            await asyncio.sleep(ON_DEMAND_IDLE_S + 1)
+            self.assertEqual(sum(cluster.network.on_demand(name) for name in names), 0)
+            self.assertTrue(cluster.agree(set(names)))
+
+        self.run_simulated(test, size=40)
+
+    def test_free_slots_reach_all_nodes(self) -> None:
+        """Guards against a choice of groups that knows only those of the peers."""
+
+        async def test(cluster: BrokerCluster) -> None:
+            groups = split(cluster.tables.pools[POOL])
+            self.assertEqual(len(groups), cluster.groups)
+            for name, scheduler in cluster.schedulers.items():
+                for group in groups:
+                    if broker_of(group, cluster.members[name]) != name:
+                        self.assertGreater(scheduler._free.of(group.name), 0, (name, group.name))
+
+        self.run_simulated(test, size=40)
+
+
+class TestMeshOfTwelve(SimulatedCase):
+    cluster = BrokerCluster
+
+    def test_twelve_nodes_relay_nothing(self) -> None:
+        """Guards against a small deployment that behaves unlike a full mesh."""
+
+        async def test(cluster: BrokerCluster) -> None:
+            seen: list[Heartbeat] = []
+            for name, member in cluster.members.items():
+                self.assertEqual(len(cluster.network.others(name)), MESH_LIMIT - 1)
+                member._transport.subscribe(Heartbeat, lambda _, item: seen.append(item))
+            await asyncio.gather(*(cluster.serve(name) for name in cluster.members))
+            await asyncio.sleep(3)
+            self.assertTrue(all(len(item.pressure) == 2 for item in seen))
+            self.assertFalse(any(x.relayed or x.free_elsewhere or x.trials for x in seen))
+            self.assertEqual(sum(map(cluster.network.on_demand, cluster.members)), 0)
+
+        self.run_simulated(test, size=MESH_LIMIT)
+
+
+class TestParts(unittest.TestCase):
+    def test_pools_without_pressure_are_left_out(self) -> None:
+        """Guards against heartbeats that grow with the pools, and ages missing under pressure."""
+        relay = PressureRelay("n1")
+        for now, floor, expected in (
+            (0.0, 8, []),
+            (1.0, 6, [Pressure("p", 6, [-1] * 6 + [70, 80])]),
+            (3.0, 8, [Pressure("p", 8, [])]),
+            (4.5, 8, []),
+        ):
+            with self.subTest(now):
+                heartbeat = Heartbeat("n1", 1, 1, "live")
+                heartbeat.pressure = [Pressure("p", floor, [10, 20, 30, 40, 50, 60, 70, 80])]
+                relay.write(heartbeat, now)
+                self.assertEqual(heartbeat.pressure, expected)
+
+    def test_relayed_floor_ends(self) -> None:
+        """Guards against two nodes that keep the floor of a dead one alive between them."""
+        relays, now = [PressureRelay("n1"), PressureRelay("n2")], 0.0
+        first = Heartbeat("n0", 1, 1, "live", pressure=[Pressure("p", 2, [-1, -1, 0])])
+        self.assertTrue(relays[0].take(first, now))
+        for turn in range(60):
+            sender, receiver = relays[turn % 2], relays[1 - turn % 2]
+            heartbeat = Heartbeat(f"n{1 + turn % 2}", 1, turn, "live")
+            sender.write(heartbeat, now)
+            if turn == 0:
+                self.assertEqual(heartbeat.relayed, [Relayed("p", 2, "n0", 0, 1, [-1, -1, 100])])
+            # A delay as long as the period between the two would keep the age constant.
+            now += 0.1
+            receiver.take(heartbeat, now)
+        self.assertFalse([item for relay in relays for item in relay.others(now)])
+
+    def test_free_slots_are_passed_on_once(self) -> None:
+        """Guards against reports that circulate, and against more of them than fit a heartbeat."""
+        free = FreeSlots()
+        groups = [GroupFree(f"g{i}", 5) for i in range(2 * FREE_PER_BEAT)]
+        free.take(Heartbeat("n1", 1, 1, "live", free=groups), 0.0)
+        sent = []
+        for now in (0.1, 0.2, 0.3):
+            heartbeat = Heartbeat("n2", 1, 1, "live")
+            free.write(heartbeat, [GroupFree("g0", 5)], now)
+            sent.append(len(heartbeat.free_elsewhere))
+            # The same reports come back.
+            free.take(heartbeat, now + 0.1)
+        self.assertEqual(sent, [FREE_PER_BEAT, FREE_PER_BEAT - 1, 0])
+        late = [FreeElsewhere("g1", 0, 0, MAX_HOPS), FreeElsewhere("g2", 0, 0, 1)]
+        free.take(Heartbeat("n1", 1, 2, "live", free_elsewhere=late), 2.0)
+        heartbeat = Heartbeat("n2", 1, 2, "live")
+        free.write(heartbeat, [GroupFree("g0", 5)], 2.1)
+        self.assertEqual(heartbeat.free_elsewhere, [FreeElsewhere("g2", 0, 100, 2)])
+        self.assertEqual([free.of(name) for name in ("g1", "g2", "g3", "x")], [0, 0, 5, 0])
+
+    def test_trials_are_taken_once_and_end(self) -> None:
+        """Guards against trials of a dead node that hold back all other copies."""
+        relay = TrialRelay()
+        self.assertTrue(relay.take("n1", 1, 5, {7: "r1"}, 0.0))
+        self.assertFalse(relay.take("n1", 1, 6, {7: "r1"}, 0.5))
+        self.assertFalse(relay.take("n1", 1, 6, {7: "r2"}, 2.0))
+        self.assertEqual(relay.known(3.4), [("n1", {7: "r1"})])
+        self.assertEqual(relay.known(3.6), [])
+        heartbeat = Heartbeat("n2", 1, 1, "live")
+        relay.write(heartbeat, 3.6)
+        self.assertEqual(heartbeat.trials, [])
+        self.assertFalse(relay.take("n1", 1, 6, {7: "r1"}, 4.0))
+        self.assertEqual(relay.known(4.0), [])
+        self.assertTrue(relay.take("n1", 2, 1, {}, 5.0))
+
+
+class TestNewsBound(SimulatedCase):
+    def test_stricter_floor_is_known_within_the_bound_from_quiet(self) -> None:
+        """Guards against a first floor that waits for a heartbeat at each hop."""
+
+        async def test(cluster: Cluster) -> None:
+            for node, floor in (("n009", 5), ("n030", 2)):
+                cluster.floors[node].own = floor
+                await cluster.until(
+                    lambda floor=floor: all(  # type: ignore[misc]
+                        item.lowest() == floor for item in cluster.floors.values() if item.own == 8
+                    ),
+                    NEWS_BOUND_S,
+                )
+
+        self.run_simulated(test, size=80)
+
+
+if __name__ == "__main__":
+    unittest.main()
