--- a/lacewinghub/node.py
+++ b/lacewinghub/node.py
@@ -190,6 +190,7 @@
                 status={
                     "levels": self._observer.levels.to_json,
                     "members": self._member_states,
+                    "connections": self._connections,
                     "endpoints": self._endpoint_states,
                     "quarantine": self._quarantine.status,
                     "claims_ready": lambda: self._claimer.ready,
@@ -238,6 +239,9 @@
     def _member_states(self) -> dict[str, str]:
         return {item.node: str(item.state) for item in self._membership.members()}
 
+    def _connections(self) -> dict[str, int]:
+        return {"peers": len(self._peers.peers()), "on_demand": self._peers.on_demand()}
+
     def _endpoint_states(self) -> dict[str, dict[str, int]]:
         found = {}
         for pool in self._tables().pools.values():
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -24,6 +24,7 @@
     "tests.test_counterpart",
     "tests.test_failure",
     "tests.test_overlay",
+    "tests.test_overlay_nodes",
     "tests.test_partition",
     "tests.test_path",
     "tests.test_runner_failure",
