--- a/lacewinghub/footprint.py
+++ b/lacewinghub/footprint.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import random
 import time
 from collections.abc import Callable, Coroutine, Sequence
 from functools import partial
@@ -21,11 +22,23 @@
 from .membership import Member, Members, MemberState
 from .memory_transport import MemoryNetwork
 from .mesh import MESH_SIZES, SampleState, measure_mesh
-from .message import Demand, GrantItem, Grants, Heartbeat, Held, Message, Rumour, Rumours, encode
+from .message import (
+    Demand,
+    GrantItem,
+    Grants,
+    GroupFree,
+    Heartbeat,
+    Held,
+    Message,
+    Rumour,
+    Rumours,
+    encode,
+)
 from .model import new_loop
 from .overlay import Overlay
 from .poll import EndpointPoller
 from .prefix import PrefixMap
+from .relay import FreeSlots
 from .request import Observation, Request
 from .scheduler import TablesView
 from .selection import LoadReports
@@ -48,6 +61,31 @@
 _EVENTS = b'{"events": [{"op": "evict", "block": 1}], "next": 1}'
 
 
+class BrokerState(SampleState):
+    """State of a node at the target size that is broker of one group and relays those of others.
+
+    Args:
+        node: Identifier of the node.
+        floor: Lowest tier that it admits.
+    """
+
+    def __init__(self, node: str, floor: int) -> None:
+        super().__init__(floor=floor)
+        self._group = f"model-0/{node.removeprefix('node-')}"
+        self._random = random.Random(node)
+        self._slots = FreeSlots()
+
+    def fill(self, heartbeat: Heartbeat) -> None:
+        """Write the state with a number of free slots that changes at every heartbeat."""
+        super().fill(heartbeat)
+        heartbeat.free = [GroupFree(self._group, self._random.randint(0, 17))]
+        self._slots.write(heartbeat, heartbeat.free, asyncio.get_running_loop().time())
+
+    def observe(self, heartbeat: Heartbeat) -> None:
+        """Take over the free slots of other brokers."""
+        self._slots.take(heartbeat, asyncio.get_running_loop().time())
+
+
 class FixedMembers(Members):
     """Live nodes that do not change."""
 
@@ -162,17 +200,21 @@
 def overlay_links(sizes: Sequence[int] = OVERLAY_SIZES, seconds: float = 4.0) -> list[Slope]:
     """Measure bytes and time of one node in the overlay, on a network in one process.
 
-    The time includes encoding and decoding but no sockets.
+    Each node is broker of a group. Under pressure, all pools have a floor at every node. The time
+    includes encoding and decoding but no sockets.
     """
-    rows = []
-    for count in sizes:
-        with asyncio.Runner(loop_factory=new_loop) as runner:
-            rows.append((float(count), *runner.run(_overlay(count, seconds))))
-    return [
-        fit("overlay payload per second and node", "bytes/s", [(n, b) for n, b, _, _ in rows]),
-        fit("overlay messages per second and node", "1/s", [(n, m) for n, _, m, _ in rows]),
-        fit("overlay time per second and node", "s", [(n, s) for n, _, _, s in rows]),
-    ]
+    found = []
+    for label, floor in (("", 8), (" under pressure", 4)):
+        rows = []
+        for count in sizes:
+            with asyncio.Runner(loop_factory=new_loop) as runner:
+                rows.append((float(count), *runner.run(_overlay(count, seconds, floor))))
+        found += [
+            fit(f"overlay payload per second and node{label}", "bytes/s", [r[:2] for r in rows]),
+            fit(f"overlay messages per second and node{label}", "1/s", [r[::2] for r in rows]),
+            fit(f"overlay time per second and node{label}", "s", [r[::3] for r in rows]),
+        ]
+    return found
 
 
 def poll_cost(sizes: Sequence[int] = POLLED, rounds: int = 100) -> list[Slope]:
@@ -371,7 +413,7 @@
     return _seconds(lambda: broker._open_own(now), 3)
 
 
-async def _overlay(count: int, seconds: float) -> tuple[float, float, float]:
+async def _overlay(count: int, seconds: float, floor: int) -> tuple[float, float, float]:
     """Return bytes, messages and processor seconds per node and second."""
     network = MemoryNetwork(0.005, mesh=False)
     names = [f"node-{n:03}" for n in range(count)]
@@ -381,7 +423,7 @@
         transport = network.transport(identity)
         transports.append(transport)
         member = Overlay(identity, transport, [f"memory:{item}" for item in names[:3]])
-        member.add(SampleState())
+        member.add(BrokerState(name, floor))
         members.append(member)
     tasks = [asyncio.create_task(member.run()) for member in members]
     await asyncio.sleep(12.0)
--- a/lacewinghub/mesh.py
+++ b/lacewinghub/mesh.py
@@ -76,19 +76,23 @@
         pools: Number of pools.
         tiers: Number of tiers.
         groups: Number of runner groups that the node is broker for.
+        floor: Lowest tier that it admits; below 8 all pools are under pressure.
     """
 
-    def __init__(self, pools: int = 4, tiers: int = 8, groups: int = 1) -> None:
+    def __init__(self, pools: int = 4, tiers: int = 8, groups: int = 1, floor: int = 8) -> None:
         self._pools = pools
         self._tiers = tiers
         self._groups = groups
+        self._floor = floor
         self._seen = 0
 
     def fill(self, heartbeat: Heartbeat) -> None:
         """Write floors, ages of admissions and free slots."""
         heartbeat.config_version = 10_000
         ages = [int(17 * 3**tier) % 60_000 for tier in range(self._tiers)]
-        heartbeat.pressure = [Pressure(f"model-{i}", 8, ages) for i in range(self._pools)]
+        heartbeat.pressure = [
+            Pressure(f"model-{i}", self._floor, list(ages)) for i in range(self._pools)
+        ]
         heartbeat.free = [GroupFree(f"model-0/{i}", 17) for i in range(self._groups)]
 
     def observe(self, heartbeat: Heartbeat) -> None:
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+import unittest.mock
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -228,6 +229,89 @@
         await until(lambda: got == [3])
 
 
+class TestOnDemand(PeerCase):
+    async def pair(self) -> tuple[PeerServer, PeerServer, list[tuple[str, int]]]:
+        """Start two nodes that record the requests that they receive."""
+        one, two = server("n1"), server("n2")
+        got: list[tuple[str, int]] = []
+        for item in (one, two):
+            item.subscribe(ConfigRequest, lambda sender, m: got.append((sender, m.version)))
+        await self.start(one, two)
+        return one, two, got
+
+    async def test_connection_carries_answers_but_makes_no_peer(self) -> None:
+        """Guards against brokers that cannot answer, and heartbeats to every broker."""
+        one, two, got = await self.pair()
+        self.assertFalse(one.send("n2", ConfigRequest(1)))
+        for _ in range(3):
+            one.reach(two.identity.address)
+        await until(lambda: one.on_demand() and two.on_demand())
+        self.assertTrue(one.send("n2", ConfigRequest(2)))
+        self.assertTrue(two.send("n1", ConfigRequest(3)))
+        await until(lambda: len(got) == 2)
+        self.assertEqual(sorted(got), [("n1", 2), ("n2", 3)])
+        self.assertEqual((one.on_demand(), two.on_demand()), (1, 1))
+        self.assertEqual((one.peers(), two.peers(), one.opened()), ([], [], []))
+        one.dial([two.identity.address])
+        await until(lambda: one.peers() and two.peers())
+        self.assertEqual((one.on_demand(), two.on_demand()), (1, 1))
+
+    async def test_unused_connection_is_closed_and_opened_again(self) -> None:
+        """Guards against connections to every broker that was ever asked."""
+        with unittest.mock.patch.object(peer_module, "ON_DEMAND_IDLE_S", 0.6):
+            one, two, got = await self.pair()
+            one.reach(two.identity.address)
+            two.reach(one.identity.address)
+            await until(lambda: one.on_demand() and two.on_demand())
+            for version in range(12):
+                await asyncio.sleep(0.1)
+                self.assertTrue(one.send("n2", ConfigRequest(version)))
+            await until(lambda: len(got) == 12)
+            await until(lambda: not one.on_demand() and not two.on_demand())
+            self.assertFalse(two.send("n1", ConfigRequest(1)))
+            two.reach(one.identity.address)
+            await until(lambda: two.send("n1", ConfigRequest(1)))
+
+    async def test_number_is_bounded_and_the_unused_give_way(self) -> None:
+        """Guards against descriptors without bound, and against closing connections in use."""
+        one, others = server("n0"), [server(f"n{i}") for i in range(1, 5)]
+        await self.start(one, *others)
+
+        def reached() -> set[str]:
+            return {item.node for item in others if item.on_demand()}
+
+        with unittest.mock.patch.multiple(peer_module, MAX_ON_DEMAND=2, SPARE_S=0.5):
+            for item in others:
+                one.reach(item.identity.address)
+            await until(lambda: len(reached()) == 2)
+            await asyncio.sleep(0.2)
+            self.assertEqual(reached(), {"n1", "n2"})
+            await asyncio.sleep(0.4)
+            self.assertTrue(one.send("n1", ConfigRequest(1)))
+            one.reach(others[2].identity.address)
+            await until(lambda: reached() == {"n1", "n3"})
+        with unittest.mock.patch.object(peer_module, "MAX_ACCEPTED", 1):
+            for item in others[:2]:
+                item.reach(others[3].identity.address)
+            await until(lambda: others[3].on_demand())
+            await asyncio.sleep(0.3)
+            self.assertEqual(others[3].on_demand(), 1)
+
+    async def test_node_that_cannot_be_reached(self) -> None:
+        """Guards against an attempt per message to a host that is gone."""
+        one, two, _ = await self.pair()
+        address = two.identity.address
+        await asyncio.sleep(0.05)
+        await two.close()
+        one.reach(address)
+        await asyncio.sleep(0.2)
+        task = one._reaching[address]
+        one.reach(address)
+        self.assertIs(one._reaching[address], task)
+        await until(lambda: address not in one._reaching)
+        self.assertEqual(one.on_demand(), 0)
+
+
 class TestMesh(PeerCase):
     async def test_nodes_find_each_other_from_one_seed(self) -> None:
         """Guards against a mesh with gaps when the host list does not answer."""
