Forget the floors of nodes that are no longer peers

A floor heard over a connection that was then closed stayed in force while its node was alive. Ages of admissions were passed to admission only for pools with a floor at another node. In deployments up to the mesh limit, only the own connection decides on the state of a node and all known addresses are dialled, as in Membership.

--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -144,7 +144,7 @@
     Attributes:
         pool: Name of the pool.
         floor: Smallest floor.
-        origin: Node that has this floor.
+        origin: Node that has this floor; empty if none is known.
         age_ms: Time since the origin sent it, in milliseconds.
         hops: Number of nodes that have passed the floor on.
         admit_age_ms: Per tier, from tier 1, the age of the last admission at any node, -1 if none.
--- a/lacewinghub/overlay.py
+++ b/lacewinghub/overlay.py
@@ -127,6 +127,8 @@
         self._parted: dict[str, float] = {}
         self._relay = PressureRelay(identity.node)
         self._injected = False
+        self._far = False
+        self._heard: set[str] = set()
         self._spreading = False
         self._changed = True
         transport.subscribe(Rumours, self._on_rumours)
@@ -152,9 +154,10 @@
         if node == self.identity.node or direct in (MemberState.LIVE, MemberState.LEAVING):
             return direct
         seen = self._seen.get(node)
-        if seen is not None and seen.leaving:
-            # A silent node that announced its stop has ended.
-            return MemberState.DEAD
+        if seen is not None and (seen.leaving or not self._far):
+            # A silent node that announced its stop has ended; in a full mesh only the node's own
+            # connection counts.
+            return MemberState.DEAD if seen.leaving else direct
         known = self._known.get(node)
         if known is None:
             return MemberState.DEAD
@@ -165,7 +168,7 @@
 
     def beyond_mesh(self) -> bool:
         """Return whether there are more live nodes than a full mesh connects."""
-        return len(self._cached_live()) > MESH_LIMIT
+        return self._far
 
     def leave(self) -> None:
         """Announce that this node takes no new work; peers hear it at once."""
@@ -175,6 +178,8 @@
 
     def tick(self) -> None:
         """Do the work of one heartbeat period."""
+        self._far = len(self._cached_live()) > MESH_LIMIT
+        self._drop_silent()
         if self._seq % SEED_EVERY == 0:
             self._live = None
             self._forget()
@@ -321,7 +326,9 @@
         known = {item.address for item in live} | {self.identity.address}
         gone = {known.peer.address for known in self._known.values()}
         unknown = sorted((self._seeds | self._listed | gone) - known)
-        if unknown:
+        if len(known) + len(unknown) <= MESH_LIMIT:
+            addresses |= set(unknown)
+        elif unknown:
             # The same one for a few ticks: a connection takes longer than one tick.
             turn = self._seq // SEED_EVERY + _place(self.identity.node)
             addresses.add(unknown[turn % len(unknown)])
@@ -373,6 +380,7 @@
         if _now() - self._parted.get(sender, float("-inf")) < PARTED_S:
             return
         super()._on_heartbeat(sender, heartbeat)
+        self._heard.add(sender)
         if sender == heartbeat.node and self._relay.take(heartbeat, _now()):
             self.forward()
 
@@ -381,6 +389,23 @@
         self._inject()
         self.beat()
 
+    def _drop_silent(self) -> None:
+        """Let the parts of this node forget what nodes sent that are no longer heard directly.
+
+        Such a node may be alive, and what it sends now arrives through others.
+        """
+        direct = super().state
+        for node in list(self._heard):
+            if direct(node) in (MemberState.LIVE, MemberState.LEAVING):
+                continue
+            self._heard.discard(node)
+            if self.state(node) in (MemberState.LIVE, MemberState.LEAVING):
+                seen = self._seen.get(node)
+                incarnation = seen.peer.incarnation if seen else self._known[node].peer.incarnation
+                empty = Heartbeat(node, incarnation, 0, str(MemberState.LIVE))
+                for contributor in self._contributors:
+                    contributor.observe(empty)
+
     def _inject(self) -> None:
         """Pass the merged state on to the parts of this node, as that of one further node."""
         far = self.beyond_mesh()
--- a/lacewinghub/quarantine.py
+++ b/lacewinghub/quarantine.py
@@ -259,7 +259,9 @@
             self._full_due = True
         now = _now()
         trials = {item.fingerprint: item.trial for item in heartbeat.suspects if item.trial}
-        news = self._relay.take(heartbeat.node, heartbeat.incarnation, heartbeat.seq, trials, now)
+        news = self._relay.take(
+            heartbeat.node, heartbeat.incarnation, heartbeat.seq, trials, now, direct=True
+        )
         for told in heartbeat.trials:
             if told.node != self._node:
                 trials = {item.fingerprint: item.where for item in told.items}
--- a/lacewinghub/relay.py
+++ b/lacewinghub/relay.py
@@ -66,7 +66,7 @@
             self._take_ages(item.pool, item.admit_age_ms, now)
         for relay in heartbeat.relayed:
             sent = now - max(0, relay.age_ms) / 1000
-            if relay.origin != self._node:
+            if relay.origin not in ("", self._node):
                 found = _Floor(relay.floor, sent, relay.hops)
                 lowered |= self._take_floor(relay.pool, relay.origin, found)
             self._take_ages(relay.pool, relay.admit_age_ms, now)
@@ -83,7 +83,7 @@
             heartbeat: Heartbeat with the own state.
             now: Loop time, in seconds.
         """
-        merged = {pool: item for pool in list(self._floors) if (item := self._merged(pool, now))}
+        merged = {pool: item for pool in self._pools() if (item := self._merged(pool, now))}
         own = {item.pool: item for item in heartbeat.pressure}
         for pool in own.keys() | merged.keys():
             floors = [item[pool].floor for item in (own, merged) if pool in item]
@@ -105,7 +105,7 @@
 
         The ages are reduced by what the hops may have added.
         """
-        merged = [item for pool in list(self._floors) if (item := self._merged(pool, now))]
+        merged = [item for pool in self._pools() if (item := self._merged(pool, now))]
         margin_ms = DIAMETER * HOP_MS
         return [
             Pressure(
@@ -138,19 +138,19 @@
         floors = self._floors.get(pool, {})
         for origin in [node for node, item in floors.items() if now - item.sent > RELAY_S]:
             del floors[origin]
+        ages = [min((now - last) * 1000, 1e9) + HOP_MS for last in self._admitted.get(pool, [])]
+        ages_ms = [int(age) if age < AGE_LIMIT_MS else -1 for age in ages]
         if not floors:
-            return None
+            # The only floor may be that of this node, for which the admissions count.
+            known = max(ages_ms, default=-1) >= 0
+            return Relayed(pool, MAX_TIER, "", 0, 0, ages_ms) if known else None
         origin = min(floors, key=lambda node: (floors[node].floor, -floors[node].sent))
         first = floors[origin]
-        ages = [min((now - last) * 1000, 1e9) + HOP_MS for last in self._admitted.get(pool, [])]
-        return Relayed(
-            pool,
-            first.floor,
-            origin,
-            int((now - first.sent) * 1000),
-            first.hops + 1,
-            [int(age) if age < AGE_LIMIT_MS else -1 for age in ages],
-        )
+        age_ms = int((now - first.sent) * 1000)
+        return Relayed(pool, first.floor, origin, age_ms, first.hops + 1, ages_ms)
+
+    def _pools(self) -> set[str]:
+        return self._floors.keys() | self._admitted.keys()
 
 
 def _adds(merged: Relayed, own: Pressure | None) -> bool:
@@ -245,7 +245,13 @@
         self._nodes: dict[str, _Told] = {}
 
     def take(
-        self, node: str, incarnation: int, seq: int, trials: dict[int, str], now: float
+        self,
+        node: str,
+        incarnation: int,
+        seq: int,
+        trials: dict[int, str],
+        now: float,
+        direct: bool = False,
     ) -> bool:
         """Take over the trials of a node, from itself or from another one.
 
@@ -255,6 +261,8 @@
             seq: Sequence number of its heartbeat.
             trials: Where it runs them, by fingerprint.
             now: Loop time, in seconds.
+            direct: True if the node itself sent them; its incarnation then counts even if it is
+                earlier, since the clock of a replaced host may be behind.
 
         Returns:
             True if they differ from those known before.
@@ -263,7 +271,8 @@
         if old is None:
             self._nodes[node] = _Told(incarnation, seq, trials, now, now)
             return bool(trials)
-        if (incarnation, seq) <= (old.incarnation, old.seq):
+        replaced = direct and incarnation != old.incarnation
+        if not replaced and (incarnation, seq) <= (old.incarnation, old.seq):
             return False
         changed = trials != old.trials
         old.incarnation, old.seq, old.trials, old.taken = incarnation, seq, trials, now
--- a/tests/overlay_cluster.py
+++ b/tests/overlay_cluster.py
@@ -10,7 +10,7 @@
 from lacewinghub.membership import Contributor
 from lacewinghub.memory_transport import MemoryNetwork
 from lacewinghub.message import Heartbeat, Pressure
-from lacewinghub.overlay import OTHERS, Overlay
+from lacewinghub.overlay import Overlay
 from lacewinghub.transport import Peer
 
 ZONES = 4
@@ -28,8 +28,7 @@
         heartbeat.pressure.append(Pressure("p", self.own, [100] * 8))
 
     def observe(self, heartbeat: Heartbeat) -> None:
-        if heartbeat.node == OTHERS:
-            self.seen.pop(OTHERS, None)
+        self.seen.pop(heartbeat.node, None)
         for item in heartbeat.pressure:
             self.seen[heartbeat.node] = item.floor
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -4,7 +4,15 @@
 import unittest
 from typing import Any
 
-from lacewinghub.admission import NEWS_BOUND_S, RAISE_AFTER_S, FloorAdmission, NaiveAdmission
+from lacewinghub.admission import (
+    EVIDENCE_S,
+    NEWS_BOUND_S,
+    QUOTA_SHARE,
+    RAISE_AFTER_S,
+    SHARE_WINDOW_S,
+    FloorAdmission,
+    NaiveAdmission,
+)
 from lacewinghub.membership import Member, Members, MemberState
 from lacewinghub.message import Heartbeat, Pressure
 from lacewinghub.queue import FifoQueue, TierQueue, Waiter
@@ -17,6 +25,10 @@
 class _Peers(Members):
     def __init__(self) -> None:
         self.states = {"peer": MemberState.LIVE}
+        self.far = False
+
+    def beyond_mesh(self) -> bool:
+        return self.far
 
     def live(self) -> list[Member]:
         return [
@@ -89,6 +101,25 @@
         self._hear(floor=3, ages=[-1, -1, -1, -1, 1000])
         self.assertFalse(self._arrive(5).admitted)
 
+    def test_rule_1_quota_of_each_node_beyond_a_full_mesh(self) -> None:
+        """Guards against a quota per node where the evidence hides how many nodes used it."""
+        self.members.far = True
+        self.pool = Pool("p", [], queue_limit=1000)
+        self.members.states |= {f"n{i}": MemberState.LIVE for i in range(300)}
+        total, due_s = 10, SHARE_WINDOW_S / (QUOTA_SHARE * 10)
+        for _ in range(total):
+            self._arrive(1)
+        self._hear(floor=3, ages=[-1, -1, -1, -1, 1000])
+        self.assertTrue(self._arrive(5).quota)
+        admitted = 0
+        for _ in range(int(due_s)):
+            self.now += 1.0
+            self.queue = TierQueue()  # The waiting requests were served.
+            self._arrive(1)
+            self._hear(floor=3, ages=[-1, -1, -1, -1, 1000])
+            admitted += self._arrive(5).quota
+        self.assertEqual(admitted, 1)
+
     def test_rule_2_full_queue_displaces_its_lowest_tier(self) -> None:
         for tier in (6, 6, 6, 6):
             self._arrive(tier)
@@ -170,6 +201,18 @@
                     self._hear(ages=ages)
                 self.assertEqual(self.admission.may_shed(req, self.now), expected)
 
+    def test_rule_4_waits_for_relayed_evidence(self) -> None:
+        """Guards against shedding while the age of a distant admission is on its way."""
+        self.members.far = True
+        req = self._waiter(2).req
+        self.now += 4.0
+        for passed, expected in ((0.0, False), (NEWS_BOUND_S, False), (EVIDENCE_S, True)):
+            with self.subTest(passed):
+                self.now += passed
+                self.assertEqual(self.admission.may_shed(req, self.now), expected)
+        self._hear(ages=[-1, -1, int(EVIDENCE_S * 1000)])
+        self.assertFalse(self.admission.may_shed(req, self.now))
+
     def test_rule_4_own_admission_of_a_lower_tier_counts(self) -> None:
         req = self._waiter(2).req
         self.now += 5.0
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -5,7 +5,7 @@
 import random
 import unittest
 
-from lacewinghub.admission import NEWS_BOUND_S
+from lacewinghub.admission import EVIDENCE_S, NEWS_BOUND_S, FloorAdmission
 from lacewinghub.brokered import BrokeredScheduler
 from lacewinghub.errors import Quarantined
 from lacewinghub.footprint import sample_tables
@@ -15,14 +15,15 @@
 from lacewinghub.ondemand import OnDemand
 from lacewinghub.overlay import MESH_LIMIT, Overlay
 from lacewinghub.quarantine import CRASH_LIMIT, SETTLE_RELAYED_S, Quarantine
+from lacewinghub.queue import TierQueue, Waiter
 from lacewinghub.relay import FREE_PER_BEAT, MAX_HOPS, FreeSlots, PressureRelay, TrialRelay
 from lacewinghub.request import Observation, Request
 from lacewinghub.scheduler import TablesView
 from lacewinghub.selection import LoadReports
-from lacewinghub.tables import Tables, Target
+from lacewinghub.tables import Pool, Tables, Target
 from lacewinghub.transport import MAX_ON_DEMAND, ON_DEMAND_IDLE_S
 
-from .overlay_cluster import Cluster, SimulatedCase
+from .overlay_cluster import Cluster, Floor, SimulatedCase
 
 POOL = "model-0"
 RUNNERS = [f"r{i}" for i in range(100)]
@@ -349,7 +350,10 @@
             # A delay as long as the period between the two would keep the age constant.
             now += 0.1
             receiver.take(heartbeat, now)
-        self.assertFalse([item for relay in relays for item in relay.others(now)])
+        for relay in relays:
+            (found,) = relay.others(now)
+            self.assertEqual(found.floor, 8)
+            self.assertGreater(found.admit_age_ms[2], 1000 * now - 500)
 
     def test_free_slots_are_passed_on_once(self) -> None:
         """Guards against reports that circulate, and against more of them than fit a heartbeat."""
@@ -403,6 +407,67 @@
 
         self.run_simulated(test, size=80)
 
+    def test_floor_of_a_former_peer_ends(self) -> None:
+        """Guards against a floor that stays because the connection that brought it was closed."""
+
+        async def test(cluster: Cluster) -> None:
+            for how in ("closed", "silent"):
+                cluster.floors["n009"].own = 3
+                await cluster.until(
+                    lambda: all(item.lowest() == 3 for name, item in others(cluster)), NEWS_BOUND_S
+                )
+                peers = [item.node for item in cluster.network.others("n009")]
+                for peer in peers[1:]:
+                    if how == "closed":
+                        cluster.members[peer]._part("n009")
+                        cluster.network.hang_up("n009", peer)
+                    else:
+                        cluster.network.partition(["n009"], [peer])
+                cluster.floors["n009"].own = 8
+                await cluster.until(
+                    lambda: all(item.lowest() == 8 for name, item in others(cluster)), 6
+                )
+                cluster.network.heal()
+                await asyncio.sleep(10)
+
+        def others(cluster: Cluster) -> list[tuple[str, Floor]]:
+            return [item for item in cluster.floors.items() if item[0] != "n009"]
+
+        self.run_simulated(test, size=40)
+
+    def test_pressure_is_evident_to_admission_of_distant_nodes(self) -> None:
+        """Guards against ages that are left out, or look older than the admission is."""
+
+        async def test(cluster: Cluster) -> None:
+            loop = asyncio.get_running_loop()
+            far = {
+                name: FloorAdmission(member, loop.time) for name, member in cluster.members.items()
+            }
+            for name, admission in far.items():
+                cluster.members[name].add(admission)
+            own, pool, queue = far["n009"], Pool("q", [], queue_limit=4), TierQueue()
+            own.decide(pool, queue, self.waiter(8), loop.time())
+            admitted = loop.time()
+            sheds = far["n030"]
+            req = self.waiter(2).req
+            req.arrived = admitted - NEWS_BOUND_S - 0.1
+            while not sheds.may_shed(req, loop.time()):
+                await asyncio.sleep(0.1)
+                if loop.time() - admitted > NEWS_BOUND_S + EVIDENCE_S + 1:
+                    break
+            self.assertFalse(sheds.may_shed(req, loop.time()))
+            self.assertEqual({item.effective_floor("q") for item in far.values()}, {2})
+            req.arrived = admitted + 0.6
+            self.assertTrue(sheds.may_shed(req, loop.time()))
+
+        self.run_simulated(test, size=80)
+
+    def waiter(self, tier: int) -> Waiter:
+        """Build a waiting request of a pool that the other tests do not use."""
+        req = request(tier)
+        req.tier, req.pool = tier, "q"
+        return Waiter(req, asyncio.get_running_loop().create_future())
+
 
 if __name__ == "__main__":
     unittest.main()
