--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,27 +1,22 @@
 """Tests of state that reaches nodes which are not peers of its origin, with simulated nodes."""
 
 import asyncio
-import itertools
 import random
 import unittest
 
 from lacewinghub.admission import EVIDENCE_S, NEWS_BOUND_S, FloorAdmission
-from lacewinghub.brokered import BrokeredScheduler
+from lacewinghub.config import ConfigReplica, pack_document
 from lacewinghub.errors import Quarantined
+from lacewinghub.fake_log import MemoryLog
 from lacewinghub.footprint import sample_tables
-from lacewinghub.group import broker_of, split
 from lacewinghub.health import RENEW_MARK_S, EndpointHealth, LeavingMarks
-from lacewinghub.message import FreeElsewhere, GroupFree, Heartbeat, Pressure, Relayed
-from lacewinghub.ondemand import OnDemand
+from lacewinghub.message import ConfigReply, FreeElsewhere, GroupFree, Heartbeat, Pressure, Relayed
 from lacewinghub.overlay import MESH_LIMIT, Overlay
 from lacewinghub.quarantine import CRASH_LIMIT, SETTLE_RELAYED_S, Quarantine
 from lacewinghub.queue import TierQueue, Waiter
 from lacewinghub.relay import FREE_PER_BEAT, MAX_HOPS, FreeSlots, PressureRelay, TrialRelay
 from lacewinghub.request import Observation, Request
-from lacewinghub.scheduler import TablesView
-from lacewinghub.selection import LoadReports
 from lacewinghub.tables import Pool, Tables, Target
-from lacewinghub.transport import MAX_ON_DEMAND, ON_DEMAND_IDLE_S
 
 from .overlay_cluster import Cluster, Floor, SimulatedCase
 
@@ -222,102 +217,34 @@
         self.run_simulated(test, size=80)
 
 
-class BrokerCluster(Cluster):
-    """Nodes that ask the brokers of one pool for slots."""
-
-    groups = 20
+class ConfigCluster(Cluster):
+    """Nodes with tables, none of which reads the log."""
 
     def __init__(self, size: int, loss: float = 0.0) -> None:
-        document = sample_tables(1, 18 * self.groups, "127.0.0.1:9")
-        first = document["pools"][0]
-        first["endpoints"] = [item for pool in document["pools"] for item in pool["endpoints"]]
-        document["pools"] = [first]
-        self.tables = Tables.parse(document, 1)
-        self.schedulers: dict[str, BrokeredScheduler] = {}
-        self.running: list[asyncio.Task[None]] = []
-        self.numbers = itertools.count()
+        self.replicas: dict[str, ConfigReplica] = {}
         super().__init__(size, loss)
 
     def attach(self, name: str, member: Overlay) -> None:
-        transport = OnDemand(member._transport, member)
-        scheduler = BrokeredScheduler(
-            TablesView(lambda: self.tables), LoadReports(), transport, member, rng=random.Random(1)
-        )
-        member.add(scheduler)
-        self.schedulers[name] = scheduler
-        self.running.append(asyncio.create_task(scheduler.run()))
-
-    async def serve(self, name: str) -> bool:
-        """Serve a request and return whether a broker granted its slot."""
-        scheduler = self.schedulers[name]
-        grant = await scheduler.acquire(request(next(self.numbers)))
-        await asyncio.sleep(0.05)
-        scheduler.release(grant, Observation(True, 0.02, 0.01, 10))
-        return grant.brokered
-
-    async def stop(self) -> None:
-        for task in self.running:
-            task.cancel()
-        await asyncio.gather(*self.running, return_exceptions=True)
-        await super().stop()
-
-
-class TestBrokers(SimulatedCase):
-    cluster = BrokerCluster
-
-    def test_grants_from_brokers_beyond_the_peers(self) -> None:
-        """Guards against demands without a connection, and connections that are never closed."""
-
-        async def test(cluster: BrokerCluster) -> None:
-            names = list(cluster.members)
-            before = {name: len(cluster.network.others(name)) for name in names}
-            brokered = 0
-            for _ in range(20):
-                brokered += sum(await asyncio.gather(*(cluster.serve(name) for name in names)))
-            # Only the first request to a broker may be dispatched without a grant.
-            self.assertGreater(brokered, 0.9 * 20 * len(names))
-            opened = [cluster.network.on_demand(name) for name in names]
-            self.assertGreater(sum(opened), len(names))
-            self.assertLessEqual(max(opened), MAX_ON_DEMAND)
-            self.assertEqual({name: len(cluster.network.others(name)) for name in names}, before)
-            await asyncio.sleep(ON_DEMAND_IDLE_S + 1)
-            self.assertEqual(sum(cluster.network.on_demand(name) for name in names), 0)
-            self.assertTrue(cluster.agree(set(names)))
-
-        self.run_simulated(test, size=40)
-
-    def test_free_slots_reach_all_nodes(self) -> None:
-        """Guards against a choice of groups that knows only those of the peers."""
+        self.replicas[name] = ConfigReplica(name, MemoryLog(), member._transport)
+        member.add(self.replicas[name])
 
-        async def test(cluster: BrokerCluster) -> None:
-            groups = split(cluster.tables.pools[POOL])
-            self.assertEqual(len(groups), cluster.groups)
-            for name, scheduler in cluster.schedulers.items():
-                for group in groups:
-                    if broker_of(group, cluster.members[name]) != name:
-                        self.assertGreater(scheduler._free.of(group.name), 0, (name, group.name))
 
-        self.run_simulated(test, size=40)
-
-
-class TestMeshOfTwelve(SimulatedCase):
-    cluster = BrokerCluster
+class TestConfig(SimulatedCase):
+    cluster = ConfigCluster
 
-    def test_twelve_nodes_relay_nothing(self) -> None:
-        """Guards against a small deployment that behaves unlike a full mesh."""
+    def test_tables_reach_nodes_that_are_cut_off_from_the_log(self) -> None:
+        """Guards against a request to a node that is not a peer, and one that cannot answer."""
 
-        async def test(cluster: BrokerCluster) -> None:
-            seen: list[Heartbeat] = []
-            for name, member in cluster.members.items():
-                self.assertEqual(len(cluster.network.others(name)), MESH_LIMIT - 1)
-                member._transport.subscribe(Heartbeat, lambda _, item: seen.append(item))
-            await asyncio.gather(*(cluster.serve(name) for name in cluster.members))
-            await asyncio.sleep(3)
-            self.assertTrue(all(len(item.pressure) == 2 for item in seen))
-            self.assertFalse(any(x.relayed or x.free_elsewhere or x.trials for x in seen))
-            self.assertEqual(sum(map(cluster.network.on_demand, cluster.members)), 0)
+        async def test(cluster: ConfigCluster) -> None:
+            tables = Tables.parse(sample_tables(3, 9, "127.0.0.1:9"), 5)
+            reply = ConfigReply(5, pack_document(tables), 9, 1.0)
+            cluster.members["n004"]._transport.deliver("n005", reply)
+            # Half a second of lag and one heartbeat at each of 5 hops, and one lost request.
+            await cluster.until(
+                lambda: all(item.tables.version == 5 for item in cluster.replicas.values()), 8
+            )
 
-        self.run_simulated(test, size=MESH_LIMIT)
+        self.run_simulated(test, size=60)
 
 
 class TestParts(unittest.TestCase):
