Accuse a node that only one other cannot hear at most once per 5 s

Cause: a pair of live nodes without a working connection accused each other at every heartbeat, and each accusation and its answer went to all nodes.

--- a/lacewinghub/overlay.py
+++ b/lacewinghub/overlay.py
@@ -128,6 +128,7 @@
         self._relay = PressureRelay(identity.node)
         self._injected = False
         self._far = False
+        self._accused: dict[str, float] = {}
         self._heard: set[str] = set()
         self._spreading = False
         self._changed = True
@@ -245,8 +246,12 @@
         self._linked = linked
 
     def _accuse(self) -> None:
-        """Pass on the suspicion of silent peers and of chosen ones that cannot be reached."""
+        """Pass on the suspicion of silent peers and of chosen ones that cannot be reached.
+
+        A node that only this one cannot hear contradicts; it is not accused again at once.
+        """
         now = _now()
+        self._accused = {n: at for n, at in self._accused.items() if now - at < self._dead_s}
         silent = [
             node
             for node in self._seen
@@ -257,7 +262,10 @@
         silent += [node for node, since in self._missing.items() if now - since >= self._dead_s]
         for node in silent:
             known = self._known.get(node)
+            if now - self._accused.get(node, float("-inf")) < self._dead_s:
+                continue
             if known is not None and RANKS[known.state] < RANKS[MemberState.SUSPECT]:
+                self._accused[node] = now
                 known.state, known.since = MemberState.SUSPECT, now
                 self._changed, self._live = True, None
                 self._missing.pop(node, None)
--- a/tests/test_overlay.py
+++ b/tests/test_overlay.py
@@ -75,6 +75,26 @@
 
         self.run_simulated(test)
 
+    def test_pair_that_cannot_connect_is_not_accused_again_and_again(self) -> None:
+        """Guards against rumours without end about two live nodes that do not hear each other."""
+
+        async def test(cluster: Cluster) -> None:
+            peer = cluster.network.others("n005")[0].node
+            cluster.network.partition(["n005"], [peer])
+            await asyncio.sleep(3)
+            transports = [member._transport for member in cluster.members.values()]
+            before = sum(item.traffic.of("Rumours").sent for item in transports)
+            missing = 0
+            for _ in range(100):
+                await asyncio.sleep(0.2)
+                missing += sum(len(item.live()) < 40 for item in cluster.members.values())
+            after = sum(item.traffic.of("Rumours").sent for item in transports)
+            # Both ends accuse at most every 5 s; accusation and answer pass each connection.
+            self.assertLess(after - before, 2 * 5 * 2 * 40 * DEGREE)
+            self.assertLess(missing, 0.1 * 100 * 40)
+
+        self.run_simulated(test)
+
     def test_partition_heals(self) -> None:
         """Guards against two parts that stay apart because all are dead for each other."""
 
