--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -12,7 +12,7 @@
 from lacewinghub.group import broker_of, split
 from lacewinghub.lease import LEASE_S, HeldSet, Leases
 from lacewinghub.memory_transport import MemoryNetwork, MemoryTransport
-from lacewinghub.message import Demand, Grants, Held, Message, encode
+from lacewinghub.message import Demand, Grants, GroupFree, Heartbeat, Held, Message, encode
 from lacewinghub.request import Grant, Observation, Request
 from lacewinghub.scheduler import TablesView
 from lacewinghub.selection import LoadReports
@@ -292,7 +292,8 @@
             for own, other, expected in [(0, 0, near), (1, 2, near), (1, 3, far), (0, 1, far)]:
                 with self.subTest(own=own, other=other):
                     free = dict.fromkeys(near, own) | dict.fromkeys(far, other)
-                    node._advertised.update(free)
+                    slots = [GroupFree(name, count) for name, count in free.items()]
+                    node.observe(Heartbeat("peer", 1, 1, "live", free=slots))
                     chosen = {node._choose_group("chat").name for _ in range(40)}
                     self.assertEqual(chosen, expected)
 
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,400 @@
+"""Tests of state that reaches nodes which are not peers of its origin, with simulated nodes."""
+
+import asyncio
+import random
+import unittest
+
+from lacewinghub.admission import EVIDENCE_S, NEWS_BOUND_S, FloorAdmission
+from lacewinghub.config import ConfigReplica, pack_document
+from lacewinghub.errors import Quarantined
+from lacewinghub.fake_log import MemoryLog
+from lacewinghub.footprint import sample_tables
+from lacewinghub.health import RENEW_MARK_S, EndpointHealth, LeavingMarks
+from lacewinghub.message import ConfigReply, FreeElsewhere, GroupFree, Heartbeat, Pressure, Relayed
+from lacewinghub.overlay import MESH_LIMIT, Overlay
+from lacewinghub.quarantine import CRASH_LIMIT, SETTLE_RELAYED_S, Quarantine
+from lacewinghub.queue import TierQueue, Waiter
+from lacewinghub.relay import FREE_PER_BEAT, MAX_HOPS, FreeSlots, PressureRelay, TrialRelay
+from lacewinghub.request import Observation, Request
+from lacewinghub.tables import Pool, Tables, Target
+
+from .overlay_cluster import Cluster, Floor, SimulatedCase
+
+POOL = "model-0"
+RUNNERS = [f"r{i}" for i in range(100)]
+POISON = 666
+MARK_BOUND_S = 3.0
+
+
+def request(number: int, fingerprint: int = 0) -> Request:
+    """Build a request."""
+    now = asyncio.get_running_loop().time()
+    return Request(
+        f"q{number}", "workspace-0", "c", 1, POOL, {}, now, 30.0, Target(), None, fingerprint
+    )
+
+
+class HealthCluster(Cluster):
+    """Nodes that share leaving endpoints."""
+
+    def __init__(self, size: int, loss: float = 0.0) -> None:
+        self.health: dict[str, EndpointHealth] = {}
+        super().__init__(size, loss)
+
+    def attach(self, name: str, member: Overlay) -> None:
+        self.health[name] = EndpointHealth()
+        member.add(LeavingMarks(self.health[name], member.forward))
+
+    def all_leaving(self, wanted: bool) -> bool:
+        return all(item.is_leaving("e0") is wanted for item in self.health.values())
+
+    def marks_sent(self) -> int:
+        return sum(len(item.marks(full=False)) for item in self.health.values())
+
+
+class TestLeaving(SimulatedCase):
+    cluster = HealthCluster
+
+    def test_leaving_endpoint_is_known_everywhere_and_forgotten_after_its_return(self) -> None:
+        """Guards against marks that do not reach distant nodes, or are passed round for ever."""
+
+        async def test(cluster: HealthCluster) -> None:
+            first = cluster.health["n007"]
+            first.leaving("e0")
+            await cluster.until(lambda: cluster.all_leaving(True), MARK_BOUND_S)
+            await asyncio.sleep(6)
+            self.assertEqual(cluster.marks_sent(), 0)
+            first.reported("e0", leaving=False)
+            await cluster.until(lambda: cluster.all_leaving(False), MARK_BOUND_S)
+            for _ in range(20):
+                await asyncio.sleep(1)
+                self.assertTrue(cluster.all_leaving(False))
+            self.assertEqual(cluster.marks_sent(), 0)
+            cluster.health["n020"].leaving("e0")
+            await cluster.until(lambda: cluster.all_leaving(True), MARK_BOUND_S)
+
+        for size, loss in ((40, 0.0), (40, 0.1), (80, 0.0)):
+            with self.subTest(size=size, loss=loss):
+                self.run_simulated(test, size=size, loss=loss)
+
+    def test_own_evidence_contradicts_a_return(self) -> None:
+        """Guards against a late report at one node that ends the mark of a leaving endpoint."""
+
+        async def test(cluster: HealthCluster) -> None:
+            cluster.health["n007"].leaving("e0")
+            await asyncio.sleep(5.5)
+            cluster.health["n007"].leaving("e0")
+            cluster.health["n020"].reported("e0", leaving=False)
+            await cluster.until(lambda: cluster.all_leaving(True), MARK_BOUND_S)
+
+        self.run_simulated(test)
+
+    def test_restarted_node_learns_and_contradicts_old_states(self) -> None:
+        """Guards against a restarted node whose new mark is older than the state it lost."""
+
+        async def test(cluster: HealthCluster) -> None:
+            for _ in range(2):
+                cluster.health["n007"].leaving("e0")
+                await asyncio.sleep(6)
+                cluster.health["n007"].reported("e0", leaving=False)
+                await asyncio.sleep(4)
+            await asyncio.sleep(700)
+            cluster.kill("n007")
+            cluster.health.pop("n007")
+            await asyncio.sleep(8)
+            cluster.start("n007", 2)
+            await asyncio.sleep(1)
+            cluster.health["n007"].leaving("e0")
+            await asyncio.sleep(1)
+            cluster.health["n007"].leaving("e0")
+            await cluster.until(lambda: cluster.all_leaving(True), MARK_BOUND_S)
+
+        self.run_simulated(test, size=MESH_LIMIT + 1)
+
+    def test_lasting_state_is_renewed(self) -> None:
+        """Guards against a mark that ends while its endpoint still reports that it leaves."""
+
+        async def test(cluster: HealthCluster) -> None:
+            for _ in range(int(650 / 2.5)):
+                cluster.health["n007"].reported("e0", leaving=True)
+                await asyncio.sleep(2.5)
+            self.assertTrue(cluster.all_leaving(True))
+            versions = {item.marks(full=True)[0].version for item in cluster.health.values()}
+            self.assertLess(max(versions), 3 + 650 / RENEW_MARK_S)
+
+        self.run_simulated(test, size=MESH_LIMIT + 1)
+
+
+class PoisonCluster(Cluster):
+    """Nodes with a quarantine each; the poison crashes its runner after ``crash_s``."""
+
+    crash_s = 0.05
+
+    def __init__(self, size: int, loss: float = 0.0) -> None:
+        self.guards: dict[str, Quarantine] = {}
+        self.crashes: list[str] = []
+        super().__init__(size, loss)
+
+    def attach(self, name: str, member: Overlay) -> None:
+        loop = asyncio.get_running_loop()
+        guard = Quarantine(
+            name, member, member.beat, lambda: 1e9 + loop.time(), forward=member.forward
+        )
+        self.guards[name] = guard
+        member.add(guard)
+
+    async def serve(self, node: str, number: int, after_s: float = 0.0) -> None:
+        """Serve the poison as the router does, until it is refused."""
+        await asyncio.sleep(after_s)
+        guard, req = self.guards[node], request(number, POISON)
+        while True:
+            try:
+                await guard.hold(req, RUNNERS)
+            except Quarantined:
+                return
+            free = [name for name in RUNNERS if name not in req.avoid]
+            runner = free[number % len(free)]
+            guard.started(req, runner)
+            await asyncio.sleep(self.crash_s)
+            self.crashes.append(runner)
+            guard.ended(req, runner, Observation(ok=False, crashed=True))
+
+
+class TestPoison(SimulatedCase):
+    cluster = PoisonCluster
+
+    def test_crash_is_known_everywhere_and_crashes_are_bounded(self) -> None:
+        """Guards against copies at distant nodes that each crash a runner of their own.
+
+        The bound is ``max(CRASH_LIMIT, w)``, with ``w`` copies sent before the news of the first
+        crash can have arrived.
+        """
+        late_s = PoisonCluster.crash_s + SETTLE_RELAYED_S
+        cases = (
+            # copies that start at once, copies after the news, bound
+            (1, 0, CRASH_LIMIT),
+            (1, 39, CRASH_LIMIT),
+            (5, 35, 5),
+            (40, 0, 40),
+        )
+        for early, late, bound in cases:
+
+            async def test(
+                cluster: PoisonCluster, early: int = early, late: int = late, bound: int = bound
+            ) -> None:
+                nodes = random.Random(1).sample(list(cluster.members), early + late)
+                starts = [0.0] * early + [late_s] * late
+                await asyncio.gather(
+                    *(
+                        cluster.serve(n, i, s)
+                        for i, (n, s) in enumerate(zip(nodes, starts, strict=True))
+                    )
+                )
+                self.assertLessEqual(len(cluster.crashes), bound)
+                self.assertGreaterEqual(len(cluster.crashes), min(bound, CRASH_LIMIT))
+                await asyncio.sleep(SETTLE_RELAYED_S)
+                counts = {guard.count(POISON) for guard in cluster.guards.values()}
+                self.assertEqual(len(counts), 1)
+                self.assertGreaterEqual(min(counts), CRASH_LIMIT)
+
+            with self.subTest(early=early, late=late):
+                self.run_simulated(test, size=40)
+
+    def test_one_crash_is_known_everywhere(self) -> None:
+        """Guards against news of a crash that take longer than a suspect waits."""
+
+        async def test(cluster: PoisonCluster) -> None:
+            cluster.guards["n011"].crashed("r1", [5])
+            await cluster.until(
+                lambda: all(guard.count(5) == 1 for guard in cluster.guards.values()),
+                SETTLE_RELAYED_S,
+            )
+            cluster.guards["n033"].finished(5)
+            await cluster.until(
+                lambda: all(guard.count(5) == 0 for guard in cluster.guards.values()), 3
+            )
+
+        self.run_simulated(test, size=80)
+
+
+class ConfigCluster(Cluster):
+    """Nodes with tables, none of which reads the log."""
+
+    def __init__(self, size: int, loss: float = 0.0) -> None:
+        self.replicas: dict[str, ConfigReplica] = {}
+        super().__init__(size, loss)
+
+    def attach(self, name: str, member: Overlay) -> None:
+        self.replicas[name] = ConfigReplica(name, MemoryLog(), member._transport)
+        member.add(self.replicas[name])
+
+
+class TestConfig(SimulatedCase):
+    cluster = ConfigCluster
+
+    def test_tables_reach_nodes_that_are_cut_off_from_the_log(self) -> None:
+        """Guards against a request to a node that is not a peer, and one that cannot answer."""
+
+        async def test(cluster: ConfigCluster) -> None:
+            tables = Tables.parse(sample_tables(3, 9, "127.0.0.1:9"), 5)
+            reply = ConfigReply(5, pack_document(tables), 9, 1.0)
+            cluster.members["n004"]._transport.deliver("n005", reply)
+            # Half a second of lag and one heartbeat at each of 5 hops, and one lost request.
+            await cluster.until(
+                lambda: all(item.tables.version == 5 for item in cluster.replicas.values()), 8
+            )
+
+        self.run_simulated(test, size=60)
+
+
+class TestParts(unittest.TestCase):
+    def test_pools_without_pressure_are_left_out(self) -> None:
+        """Guards against heartbeats that grow with the pools, and ages missing under pressure."""
+        relay = PressureRelay("n1")
+        for now, floor, expected in (
+            (0.0, 8, []),
+            (1.0, 6, [Pressure("p", 6, [-1] * 6 + [70, 80])]),
+            (3.0, 8, [Pressure("p", 8, [])]),
+            (4.5, 8, []),
+        ):
+            with self.subTest(now):
+                heartbeat = Heartbeat("n1", 1, 1, "live")
+                heartbeat.pressure = [Pressure("p", floor, [10, 20, 30, 40, 50, 60, 70, 80])]
+                relay.write(heartbeat, now)
+                self.assertEqual(heartbeat.pressure, expected)
+
+    def test_relayed_floor_ends(self) -> None:
+        """Guards against two nodes that keep the floor of a dead one alive between them."""
+        relays, now = [PressureRelay("n1"), PressureRelay("n2")], 0.0
+        first = Heartbeat("n0", 1, 1, "live", pressure=[Pressure("p", 2, [-1, -1, 0])])
+        self.assertTrue(relays[0].take(first, now))
+        for turn in range(60):
+            sender, receiver = relays[turn % 2], relays[1 - turn % 2]
+            heartbeat = Heartbeat(f"n{1 + turn % 2}", 1, turn, "live")
+            sender.write(heartbeat, now)
+            if turn == 0:
+                self.assertEqual(heartbeat.relayed, [Relayed("p", 2, "n0", 0, 1, [-1, -1, 100])])
+            # A delay as long as the period between the two would keep the age constant.
+            now += 0.1
+            receiver.take(heartbeat, now)
+        for relay in relays:
+            (found,) = relay.others(now)
+            self.assertEqual(found.floor, 8)
+            self.assertGreater(found.admit_age_ms[2], 1000 * now - 500)
+
+    def test_free_slots_are_passed_on_once(self) -> None:
+        """Guards against reports that circulate, and against more of them than fit a heartbeat."""
+        free = FreeSlots()
+        groups = [GroupFree(f"g{i}", 5) for i in range(2 * FREE_PER_BEAT)]
+        free.take(Heartbeat("n1", 1, 1, "live", free=groups), 0.0)
+        sent = []
+        for now in (0.1, 0.2, 0.3):
+            heartbeat = Heartbeat("n2", 1, 1, "live")
+            free.write(heartbeat, [GroupFree("g0", 5)], now)
+            sent.append(len(heartbeat.free_elsewhere))
+            # The same reports come back.
+            free.take(heartbeat, now + 0.1)
+        self.assertEqual(sent, [FREE_PER_BEAT, FREE_PER_BEAT - 1, 0])
+        late = [FreeElsewhere("g1", 0, 0, MAX_HOPS), FreeElsewhere("g2", 0, 0, 1)]
+        free.take(Heartbeat("n1", 1, 2, "live", free_elsewhere=late), 2.0)
+        heartbeat = Heartbeat("n2", 1, 2, "live")
+        free.write(heartbeat, [GroupFree("g0", 5)], 2.1)
+        self.assertEqual(heartbeat.free_elsewhere, [FreeElsewhere("g2", 0, 100, 2)])
+        self.assertEqual([free.of(name) for name in ("g1", "g2", "g3", "x")], [0, 0, 5, 0])
+
+    def test_trials_are_taken_once_and_end(self) -> None:
+        """Guards against trials of a dead node that hold back all other copies."""
+        relay = TrialRelay()
+        self.assertTrue(relay.take("n1", 1, 5, {7: "r1"}, 0.0))
+        self.assertFalse(relay.take("n1", 1, 6, {7: "r1"}, 0.5))
+        self.assertFalse(relay.take("n1", 1, 6, {7: "r2"}, 2.0))
+        self.assertEqual(relay.known(3.4), [("n1", {7: "r1"})])
+        self.assertEqual(relay.known(3.6), [])
+        heartbeat = Heartbeat("n2", 1, 1, "live")
+        relay.write(heartbeat, 3.6)
+        self.assertEqual(heartbeat.trials, [])
+        self.assertFalse(relay.take("n1", 1, 6, {7: "r1"}, 4.0))
+        self.assertEqual(relay.known(4.0), [])
+        self.assertTrue(relay.take("n1", 2, 1, {}, 5.0))
+
+
+class TestNewsBound(SimulatedCase):
+    def test_stricter_floor_is_known_within_the_bound_from_quiet(self) -> None:
+        """Guards against a first floor that waits for a heartbeat at each hop."""
+
+        async def test(cluster: Cluster) -> None:
+            for node, floor in (("n009", 5), ("n030", 2)):
+                cluster.floors[node].own = floor
+                await cluster.until(
+                    lambda floor=floor: all(  # type: ignore[misc]
+                        item.lowest() == floor for item in cluster.floors.values() if item.own == 8
+                    ),
+                    NEWS_BOUND_S,
+                )
+
+        self.run_simulated(test, size=80)
+
+    def test_floor_of_a_former_peer_ends(self) -> None:
+        """Guards against a floor that stays because the connection that brought it was closed."""
+
+        async def test(cluster: Cluster) -> None:
+            for how in ("closed", "silent"):
+                cluster.floors["n009"].own = 3
+                await cluster.until(
+                    lambda: all(item.lowest() == 3 for name, item in others(cluster)), NEWS_BOUND_S
+                )
+                peers = [item.node for item in cluster.network.others("n009")]
+                for peer in peers[1:]:
+                    if how == "closed":
+                        cluster.members[peer]._part("n009")
+                        cluster.network.hang_up("n009", peer)
+                    else:
+                        cluster.network.partition(["n009"], [peer])
+                cluster.floors["n009"].own = 8
+                await cluster.until(
+                    lambda: all(item.lowest() == 8 for name, item in others(cluster)), 6
+                )
+                cluster.network.heal()
+                await asyncio.sleep(10)
+
+        def others(cluster: Cluster) -> list[tuple[str, Floor]]:
+            return [item for item in cluster.floors.items() if item[0] != "n009"]
+
+        self.run_simulated(test, size=40)
+
+    def test_pressure_is_evident_to_admission_of_distant_nodes(self) -> None:
+        """Guards against ages that are left out, or look older than the admission is."""
+
+        async def test(cluster: Cluster) -> None:
+            loop = asyncio.get_running_loop()
+            far = {
+                name: FloorAdmission(member, loop.time) for name, member in cluster.members.items()
+            }
+            for name, admission in far.items():
+                cluster.members[name].add(admission)
+            own, pool, queue = far["n009"], Pool("q", [], queue_limit=4), TierQueue()
+            own.decide(pool, queue, self.waiter(8), loop.time())
+            admitted = loop.time()
+            sheds = far["n030"]
+            req = self.waiter(2).req
+            req.arrived = admitted - NEWS_BOUND_S - 0.1
+            while not sheds.may_shed(req, loop.time()):
+                await asyncio.sleep(0.1)
+                if loop.time() - admitted > NEWS_BOUND_S + EVIDENCE_S + 1:
+                    break
+            self.assertFalse(sheds.may_shed(req, loop.time()))
+            self.assertEqual({item.effective_floor("q") for item in far.values()}, {2})
+            req.arrived = admitted + 0.6
+            self.assertTrue(sheds.may_shed(req, loop.time()))
+
+        self.run_simulated(test, size=80)
+
+    def waiter(self, tier: int) -> Waiter:
+        """Build a waiting request of a pool that the other tests do not use."""
+        req = request(tier)
+        req.tier, req.pool = tier, "q"
+        return Waiter(req, asyncio.get_running_loop().create_future())
+
+
+if __name__ == "__main__":
+    unittest.main()
