Write and read configuration documents in slices

Tables never change, so a document is of one version. A state decides again whether it needs the tables once they are read, since a change or another document may have arrived meanwhile. The tasks of the transfer end with the replica. The format is as before: a compressed JSON object.

--- a/lacewinghub/capacity.py
+++ b/lacewinghub/capacity.py
@@ -22,7 +22,8 @@
 
 from .claim import Claimer
 from .claim_index import ClaimIndex, ClaimRecord, ResultRecord
-from .config import ChangeRecord, ConfigState, pack_document, unpack_document
+from .config import ChangeRecord, ConfigState
+from .document import pack_document, unpack_document
 from .endpoint import Reply
 from .fake_log import MemoryLog
 from .log import Page, Record
@@ -288,7 +289,7 @@
 
 
 def _decode(data: bytes) -> Tables:
-    return Tables.parse(unpack_document(data))
+    return unpack_document(data)
 
 
 def _synced_state(workspaces: int) -> ConfigState:
--- a/lacewinghub/config.py
+++ b/lacewinghub/config.py
@@ -2,9 +2,7 @@
 
 import asyncio
 import base64
-import json
 import random
-import zlib
 from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from typing import Any, Literal
@@ -14,6 +12,8 @@
 
 from ._backoff import Backoff
 from ._refresh import RefreshTimer
+from ._steps import Steps, at_once, in_steps
+from .document import read_steps, write_steps
 from .errors import LogUnavailable, LogUncertain, TablesInvalid
 from .history import EventKind, History
 from .log import Log, Page, Record
@@ -23,8 +23,6 @@
 from .transport import Transport
 
 CONFIG_STREAM = "config"
-# Tables of 13,000 workspaces with a route each have 5 MB.
-MAX_DOCUMENT_BYTES = 64 * 1024 * 1024
 READ_WAIT_S = 2.0
 # A peer's version spreads with heartbeats faster than a record through a slow log; a node that
 # lags for a shorter time gets the change from the log soon.
@@ -93,6 +91,10 @@
     ``synced``: it holds the changes that it reads until a snapshot tells the tables at an offset
     from which on it has read every record.
 
+    ``feed_steps`` and ``adopt_steps`` pause while they read a document and may then run side by
+    side. The state is consistent at every pause: it changes between two pauses only, and what was
+    decided before a document was read is decided again after it.
+
     Attributes:
         tables: Tables at ``next`` if synced, otherwise the last known ones.
         next: Offset of the first record that was not read.
@@ -114,7 +116,11 @@
         self._unbroken_from = 0
 
     def feed(self, page: Page) -> list[Accepted]:
-        """Take over the records of a page.
+        """Take over the records of a page at once; see ``feed_steps``."""
+        return at_once(self.feed_steps(page))
+
+    def feed_steps(self, page: Page) -> Steps[list[Accepted]]:
+        """Take over the records of a page, in steps.
 
         Args:
             page: Result of a read from ``next`` or from a smaller offset.
@@ -127,12 +133,18 @@
         for record in page.records:
             if record.offset < self.next:
                 continue
-            accepted += self._take(record)
+            accepted += yield from self._take(record)
         self._build()
         return accepted
 
     def adopt(self, version: int, document: bytes, through: int) -> list[Accepted] | None:
-        """Take over the tables at an offset.
+        """Take over the tables at an offset at once; see ``adopt_steps``."""
+        return at_once(self.adopt_steps(version, document, through))
+
+    def adopt_steps(
+        self, version: int, document: bytes, through: int
+    ) -> Steps[list[Accepted] | None]:
+        """Take over the tables at an offset, in steps.
 
         Args:
             version: Version of the tables.
@@ -146,11 +158,12 @@
         Raises:
             TablesInvalid: If the document is wrong.
         """
-        if through <= self.next and (self.synced or through < self._unbroken_from):
+        if not self._usable(version, through):
             return None
-        if version < self._version:
+        tables = yield from read_steps(document, version)
+        if not self._usable(version, through):
             return None
-        self.tables = Tables.parse(unpack_document(document), version)
+        self.tables = tables
         self._draft, self._version = Draft(self.tables), version
         self.next = max(self.next, through)
         self.synced = True
@@ -161,6 +174,11 @@
         self._build()
         return accepted
 
+    def _usable(self, version: int, through: int) -> bool:
+        if through <= self.next and (self.synced or through < self._unbroken_from):
+            return False
+        return version >= self._version
+
     def _check_gap(self, page: Page) -> None:
         start = page.records[0].offset if page.records else page.first
         if start <= self.next:
@@ -171,7 +189,7 @@
         self._pending = []
         self._unbroken_from = self.next = start
 
-    def _take(self, record: Record) -> list[Accepted]:
+    def _take(self, record: Record) -> Steps[list[Accepted]]:
         self.next = record.offset + 1
         parsed = parse_record(record)
         if isinstance(parsed, ChangeRecord):
@@ -182,16 +200,16 @@
                 self.refreshed = record.time
             return self._apply_change(parsed)
         if isinstance(parsed, SnapshotRecord):
-            return self._take_snapshot(parsed, record)
+            return (yield from self._take_snapshot(parsed, record))
         return []
 
-    def _take_snapshot(self, snapshot: SnapshotRecord, record: Record) -> list[Accepted]:
+    def _take_snapshot(self, snapshot: SnapshotRecord, record: Record) -> Steps[list[Accepted]]:
         if snapshot.through > record.offset:
             logger.error("snapshot at offset {} claims to reflect later records", record.offset)
             return []
         try:
             document = base64.b64decode(snapshot.document)
-            accepted = self.adopt(snapshot.version, document, snapshot.through)
+            accepted = yield from self.adopt_steps(snapshot.version, document, snapshot.through)
         except (TablesInvalid, ValueError) as exc:
             logger.error("snapshot of version {} is invalid: {}", snapshot.version, exc)
             return []
@@ -216,27 +234,6 @@
             self.tables = self._draft.build(self._version)
 
 
-def pack_document(tables: Tables) -> bytes:
-    """Return tables as a compressed JSON document."""
-    return zlib.compress(json.dumps(tables.to_document()).encode(), 1)
-
-
-def unpack_document(data: bytes) -> Any:
-    """Return the JSON document that ``pack_document`` compressed.
-
-    Raises:
-        TablesInvalid: If the data is damaged or too large.
-    """
-    try:
-        reader = zlib.decompressobj()
-        text = reader.decompress(data, MAX_DOCUMENT_BYTES)
-        if not reader.eof:
-            raise TablesInvalid("the document is incomplete or too large")
-        return json.loads(text)
-    except (zlib.error, ValueError) as exc:
-        raise TablesInvalid(f"the document is damaged: {exc}") from exc
-
-
 def parse_record(record: Record) -> ChangeRecord | SnapshotRecord | None:
     """Check a record of the stream.
 
@@ -289,7 +286,12 @@
         self._behind_since: float | None = None
         self._requested_at = float("-inf")
         self._refresh_timer = RefreshTimer(self._random)
+        self._writing = asyncio.Lock()
+        self._readers = 0
         self._document: tuple[int, bytes] | None = None
+        self._requests: dict[str, int] = {}
+        self._reply: tuple[str, ConfigReply] | None = None
+        self._requested, self._replied = asyncio.Event(), asyncio.Event()
         if transport is not None:
             transport.subscribe(ConfigRequest, self._on_request)
             transport.subscribe(ConfigReply, self._on_reply)
@@ -310,7 +312,12 @@
         return self.tables
 
     async def run(self) -> None:
-        """Tail the stream until cancelled."""
+        """Tail the stream and exchange tables with peers until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            for work in (self._tail, self._answer_requests, self._take_replies):
+                group.create_task(work())
+
+    async def _tail(self) -> None:
         backoff = Backoff(self._random)
         wait_s = 0.0
         while True:
@@ -320,7 +327,7 @@
                 await backoff.pause()
                 continue
             backoff.reset()
-            self._state.feed(page)
+            await in_steps(self._state.feed_steps(page))
             at_tail = self._state.next >= page.next
             if self._state.synced and (at_tail or self._in_force):
                 self._put_in_force()
@@ -347,21 +354,45 @@
         self._transport.send(heartbeat.node, ConfigRequest(self.tables.version))
 
     def _on_request(self, sender: str, request: ConfigRequest) -> None:
-        if self._transport is None or not self.ready or not self._state.synced:
+        self._requests[sender] = request.version
+        self._requested.set()
+
+    def _on_reply(self, sender: str, reply: ConfigReply) -> None:
+        """Keep the newest reply; an older one would be read in vain."""
+        if self._reply is None or reply.version >= self._reply[1].version:
+            self._reply = (sender, reply)
+            self._replied.set()
+
+    async def _answer_requests(self) -> None:
+        while True:
+            await self._requested.wait()
+            self._requested.clear()
+            while self._requests:
+                sender = next(iter(self._requests))
+                await self._answer(sender, self._requests.pop(sender))
+
+    async def _answer(self, sender: str, version: int) -> None:
+        state = self._state
+        tables, through, refreshed = state.tables, state.next, state.refreshed or 0.0
+        if self._transport is None or not self.ready or not state.synced:
             return
-        if self.tables.version <= request.version:
+        if tables.version <= version:
             return
-        reply = ConfigReply(
-            self.tables.version,
-            self._full_document(),
-            self._state.next,
-            self._state.refreshed or 0.0,
-        )
-        self._transport.send(sender, reply)
+        document = await self._full_document(tables)
+        self._transport.send(sender, ConfigReply(tables.version, document, through, refreshed))
 
-    def _on_reply(self, sender: str, reply: ConfigReply) -> None:
+    async def _take_replies(self) -> None:
+        while True:
+            await self._replied.wait()
+            self._replied.clear()
+            if self._reply is not None:
+                (sender, reply), self._reply = self._reply, None
+                await self._take_reply(sender, reply)
+
+    async def _take_reply(self, sender: str, reply: ConfigReply) -> None:
+        steps = self._state.adopt_steps(reply.version, reply.document, reply.through)
         try:
-            accepted = self._state.adopt(reply.version, reply.document, reply.through)
+            accepted = await in_steps(steps)
         except TablesInvalid as exc:
             logger.error("peer {} sent invalid tables: {}", sender, exc)
             return
@@ -376,6 +407,8 @@
         if tables.version <= self.tables.version:
             return
         self.tables = tables
+        if not self._readers:
+            self._document = None
         self._behind_since = None
         self._changed.set()
         self._changed = asyncio.Event()
@@ -384,11 +417,17 @@
         for listener in self._listeners:
             listener(tables)
 
-    def _full_document(self) -> bytes:
-        tables = self.tables
-        if self._document is None or self._document[0] != tables.version:
-            self._document = (tables.version, pack_document(tables))
-        return self._document[1]
+    async def _full_document(self, tables: Tables) -> bytes:
+        """Write tables; a second user of the same version waits for the first one's work."""
+        self._readers += 1
+        try:
+            async with self._writing:
+                if self._document is None or self._document[0] != tables.version:
+                    self._document = None
+                    self._document = (tables.version, await in_steps(write_steps(tables)))
+                return self._document[1]
+        finally:
+            self._readers -= 1
 
     async def _refresh(self, page: Page) -> None:
         """Append a snapshot if the newest one gets old and no other node does so first."""
@@ -396,13 +435,11 @@
             return
         if not self._refresh_timer.due(page, self._state.refreshed):
             return
-        snapshot = SnapshotRecord(
-            self.tables.version,
-            self._state.next,
-            self._node,
-            base64.b64encode(self._full_document()).decode(),
-        )
-        self._document = None
+        tables, through = self._state.tables, self._state.next
+        text = base64.b64encode(await self._full_document(tables)).decode()
+        snapshot = SnapshotRecord(tables.version, through, self._node, text)
+        if not self._readers:
+            self._document = None
         try:
             await self._log.append(CONFIG_STREAM, [asdict(snapshot)])
         except (LogUnavailable, LogUncertain) as exc:
--- a/lacewinghub/publish.py
+++ b/lacewinghub/publish.py
@@ -6,6 +6,7 @@
 from dataclasses import asdict, dataclass
 from typing import Any
 
+from ._steps import in_steps
 from .config import CONFIG_STREAM, Accepted, ChangeRecord, ConfigState
 from .errors import LogUnavailable, LogUncertain, PublishLost
 from .log import Log
@@ -44,7 +45,7 @@
     async def to_tail(self) -> None:
         while True:
             page = await self._log.read(CONFIG_STREAM, self.state.next)
-            self.accepted += self.state.feed(page)
+            self.accepted += await in_steps(self.state.feed_steps(page))
             if self.state.next >= page.next:
                 return
 
--- a/lacewinghub/tables.py
+++ b/lacewinghub/tables.py
@@ -5,7 +5,7 @@
 """
 
 import ipaddress
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import asdict, dataclass, field
 from typing import Annotated, Any, ClassVar, Literal
 
@@ -157,13 +157,16 @@
         version: int = 0,
     ) -> None:
         self.version = version
-        self.routes = _by_name("routes", routes)
-        self.pools = _by_name("pools", pools)
-        self.workspaces = _by_name("workspaces", workspaces)
+        self.routes: dict[str, Route] = {}
+        self.pools: dict[str, Pool] = {}
+        self.workspaces: dict[str, Workspace] = {}
         self._index = _Index()
         draft = Draft(self)
-        draft.check_all()
-        self._index = draft.build(version)._index
+        for table, entries in zip(TABLE_NAMES, (routes, pools, workspaces), strict=True):
+            draft.insert(table, entries)
+        for _ in draft.check():
+            pass
+        vars(self).update(vars(draft.build(version)))
 
     @classmethod
     def parse(cls, document: Any, version: int = 0) -> "Tables":
@@ -349,11 +352,35 @@
         self._owned.clear()
         return tables
 
-    def check_all(self) -> None:
-        """Check all entries and build the look-ups."""
+    def insert(self, table: str, entries: Iterable[Any]) -> None:
+        """Put new entries; ``check`` must follow before ``build``.
+
+        Raises:
+            TablesInvalid: If the table already has an entry of that name.
+        """
+        for item in entries:
+            if item.name in self._maps[table]:
+                raise TablesInvalid(
+                    f"{table} lists {item.name!r} twice", place=f"{table}.{item.name}"
+                )
+            self._put(table, item.name, item)
+
+    def check(self, size: int = 500) -> Iterator[None]:
+        """Check all inserted entries and build the look-ups, with a pause after each slice.
+
+        Args:
+            size: Number of entries in a slice.
+
+        Raises:
+            TablesInvalid: If the tables are inconsistent.
+        """
         for table in TABLE_NAMES:
-            for entry in self._maps[table].values():
+            for number, entry in enumerate(self._maps[table].values(), 1):
                 self._add(table, entry)
+                if number % size == 0:
+                    self._journal.clear()
+                    yield
+        self._journal.clear()
 
     def _set(self, table: str, key: Any, value: Any) -> None:
         self._journal.append((table, key, self._maps[table].get(key)))
@@ -451,15 +478,6 @@
     )
 
 
-def _by_name(table: str, items: Iterable[Any]) -> dict[str, Any]:
-    found: dict[str, Any] = {}
-    for item in items:
-        if item.name in found:
-            raise TablesInvalid(f"{table} lists {item.name!r} twice", place=f"{table}.{item.name}")
-        found[item.name] = item
-    return found
-
-
 _ENTRIES: dict[str, TypeAdapter[Any]] = {
     "routes": TypeAdapter(Route),
     "pools": TypeAdapter(Pool),
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -10,15 +10,15 @@
 from dataclasses import asdict
 from typing import Any
 
+from lacewinghub._steps import Steps
 from lacewinghub.config import (
     CONFIG_STREAM,
     ChangeRecord,
     ConfigReplica,
     ConfigState,
     SnapshotRecord,
-    pack_document,
-    unpack_document,
 )
+from lacewinghub.document import pack_document, unpack_document
 from lacewinghub.errors import LogUnavailable, LogUncertain, PublishLost, TablesInvalid
 from lacewinghub.fake_log import MemoryLog
 from lacewinghub.log import Log, Page, Record
@@ -99,15 +99,16 @@
 class SnapshotAtItsPlace(ConfigState):
     """Takes a snapshot for the tables at the offset where it stands."""
 
-    def _take_snapshot(self, snapshot: SnapshotRecord, record: Record) -> list[Any]:
+    def _take_snapshot(self, snapshot: SnapshotRecord, record: Record) -> Steps[list[Any]]:
         self._pending = []
-        self.adopt(snapshot.version, base64.b64decode(snapshot.document), record.offset + 1)
+        document = base64.b64decode(snapshot.document)
+        yield from self.adopt_steps(snapshot.version, document, record.offset + 1)
         return []
 
-    def adopt(self, version: int, document: bytes, through: int) -> list[Any] | None:
+    def adopt_steps(self, version: int, document: bytes, through: int) -> Steps[list[Any] | None]:
         if self.synced:
             return None
-        return super().adopt(version, document, through)
+        return (yield from super().adopt_steps(version, document, through))
 
 
 async def _publish_blindly(log: Log, weights: dict[str, float], base: int, author: str) -> None:
@@ -395,7 +396,7 @@
         tables = Tables.parse(document, 7)
         reply = decode(encode(ConfigReply(7, pack_document(tables), 9)))
         assert isinstance(reply, ConfigReply)
-        self.assertEqual(unpack_document(reply.document), tables.to_document())
+        self.assertEqual(unpack_document(reply.document).to_document(), tables.to_document())
 
     def test_damaged_tables_of_a_peer_are_ignored(self) -> None:
         state = ConfigState()
@@ -410,7 +411,7 @@
             log = MemoryLog(clock=wall)
             node = Node("n1", log)
             await publish(log, tables_document({"trust": 1.0}), "ana")
-            old = node.replica._full_document()
+            old = pack_document(node.tables)
             await publish(log, tables_document({"trust": 2.0}), "ben")
             await asyncio.sleep(1.0)
             self.assertIsNone(node.replica._state.adopt(1, old, 99))
