--- a/lacewinghub/resident.py
+++ b/lacewinghub/resident.py
@@ -12,11 +12,13 @@
 from typing import Any
 
 from .capacity import Slope, fit
+from .document import pack_document
 from .footprint import CLOSED, run, sample_tables
 from .log import HttpLog
 from .overhead import Load, _free_port, _Parts, _wait_ready, cpu_seconds
 from .overhead import measure as measure_streams
 from .publish import publish
+from .tables import Tables
 
 WORKSPACES = (10, 4_000, 8_000, 13_000)
 ENDPOINTS = (18, 1_000, 3_000, 5_700)
@@ -25,6 +27,18 @@
 STREAM_TOKENS = 100
 STREAM_INTERVAL_S = 0.05
 PAGE = os.sysconf("SC_PAGE_SIZE")
+_LOAD_SNAPSHOT = """
+import sys
+import lacewinghub.node
+from lacewinghub.config import ConfigState
+
+def pages():
+    return int(open("/proc/self/statm").read().split()[1])
+
+state, data, before = ConfigState(), sys.stdin.buffer.read(), pages()
+state.adopt(1, data, 1)
+print(pages() - before)
+"""
 _MODULES = ("asyncio", "aiohttp", "sanic", "lacewinghub.node")
 
 
@@ -67,11 +81,23 @@
     return [fit("resident memory by imports", "bytes", points)]
 
 
+def snapshot_memory(sizes: Sequence[int] = WORKSPACES) -> list[Slope]:
+    """Measure the resident memory that loading a snapshot adds, by workspaces with a route each."""
+    points = []
+    for n in sizes:
+        data = pack_document(Tables.parse(sample_tables(n, 2, CLOSED)))
+        command = [sys.executable, "-c", _LOAD_SNAPSHOT]
+        done = subprocess.run(command, input=data, capture_output=True, check=True)
+        points.append((float(n), float(int(done.stdout) * PAGE)))
+    return [fit("resident memory of a loaded snapshot per workspace", "bytes", points)]
+
+
 MEASUREMENTS: dict[str, Callable[[], list[Slope]]] = {
     "node-workspaces": node_workspaces,
     "node-endpoints": node_endpoints,
     "node-streams": node_streams,
     "import-memory": import_memory,
+    "snapshot-memory": snapshot_memory,
 }
 
 
--- a/lacewinghub/tables.py
+++ b/lacewinghub/tables.py
@@ -315,7 +315,6 @@
         Raises:
             TablesInvalid: If an operation is malformed or the result is inconsistent.
         """
-        self._journal.clear()
         try:
             touched: dict[tuple[str, str], Any] = {}
             for change in changes:
@@ -337,6 +336,9 @@
             for table, key, value in reversed(self._journal):
                 self._put(table, key, value)
             raise
+        finally:
+            # It is as large as the tables after the first change.
+            self._journal.clear()
 
     def build(self, version: int) -> Tables:
         """Return the tables as they are now.
