Name the faulty entry of a document by its place in the table

The validation of a slice counted entries from the start of the slice, and the three places that turn a fault of pydantic into TablesInvalid each had their own code. One function does it now, and adds the index of the slice. A test holds the place for slices of 2 and of 500 entries.

--- a/lacewinghub/document.py
+++ b/lacewinghub/document.py
@@ -16,6 +16,7 @@
 from pydantic import TypeAdapter, ValidationError
 
 from ._steps import Steps, at_once
+from ._validation import invalid
 from .errors import TablesInvalid
 from .tables import TABLE_NAMES, Draft, Pool, Route, Tables, Workspace
 
@@ -120,10 +121,7 @@
     try:
         found: list[Any] = _LISTS[table].validate_python(items)
     except ValidationError as exc:
-        first = exc.errors(include_url=False)[0]
-        at, *rest = first["loc"]
-        place = ".".join([table, str(start + int(at)), *(str(part) for part in rest)])
-        raise TablesInvalid(f"{place}: {first['msg']}", place=place) from exc
+        raise invalid(exc, table, start=start) from exc
     return found
 
 
--- a/lacewinghub/tables.py
+++ b/lacewinghub/tables.py
@@ -11,6 +11,7 @@
 
 from pydantic import AfterValidator, ConfigDict, Field, TypeAdapter, ValidationError
 
+from ._validation import invalid
 from .errors import TablesInvalid, UnknownModel, UnknownPool
 
 ANY = "*"
@@ -185,9 +186,7 @@
         try:
             doc = _DOCUMENT.validate_python(document)
         except ValidationError as exc:
-            first = exc.errors(include_url=False)[0]
-            place = ".".join(str(part) for part in first["loc"]) or "document"
-            raise TablesInvalid(f"{place}: {first['msg']}", place=place) from exc
+            raise invalid(exc) from exc
         return cls(doc.routes, doc.pools, doc.workspaces, version)
 
     def to_document(self) -> dict[str, list[dict[str, Any]]]:
@@ -355,11 +354,7 @@
         return tables
 
     def insert(self, table: str, entries: Iterable[Any]) -> None:
-        """Put new entries; ``check`` must follow before ``build``.
-
-        Raises:
-            TablesInvalid: If the table already has an entry of that name.
-        """
+        """Put entries with new names; ``check`` must follow before ``build``."""
         for item in entries:
             if item.name in self._maps[table]:
                 raise TablesInvalid(
@@ -497,9 +492,7 @@
     try:
         entry: Any = adapter.validate_python(change.value)
     except ValidationError as exc:
-        first = exc.errors(include_url=False)[0]
-        place = ".".join([change.table, change.name, *(str(part) for part in first["loc"])])
-        raise TablesInvalid(f"{place}: {first['msg']}", place=place) from exc
+        raise invalid(exc, change.table, change.name) from exc
     if entry.name != change.name:
         raise TablesInvalid(f"entry {change.name!r} carries the name {entry.name!r}")
     return entry
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -108,6 +108,14 @@
                 ):
                     unpack_document(damaged)
 
+    def test_error_names_the_entry(self) -> None:
+        wrong = _pack(json.dumps(_many(9)).replace("6.0", "-6.0"))
+        for size in (2, 500):
+            with mock.patch.object(document, "SLICE_ENTRIES", size):
+                with self.assertRaises(TablesInvalid) as caught:
+                    unpack_document(wrong)
+                self.assertEqual(caught.exception.details["place"], "workspaces.6.weight")
+
     def test_too_large_documents_are_refused(self) -> None:
         with (
             mock.patch.object(document, "MAX_DOCUMENT_BYTES", 100),
