--- a/lacewinghub/_backoff.py
+++ b/lacewinghub/_backoff.py
@@ -1,4 +1,4 @@
-"""Pauses between attempts to reach the log."""
+"""Pauses between attempts to reach a part of the platform or a peer."""
 
 import asyncio
 import random
@@ -8,21 +8,41 @@
 
 
 class Backoff:
-    """Jittered pauses that double up to ``BACKOFF_MAX_S`` until an attempt succeeds.
+    """Jittered pauses that double up to a limit until an attempt succeeds.
 
     Args:
         rng: Source of the jitter.
+        first_s: Shortest pause before the jitter, in seconds.
+        limit_s: Longest pause before the jitter, in seconds.
+        jitter: Smallest and largest factor of a pause.
     """
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(
+        self,
+        rng: random.Random,
+        first_s: float = BACKOFF_MIN_S,
+        limit_s: float = BACKOFF_MAX_S,
+        jitter: tuple[float, float] = (0.5, 1.0),
+    ) -> None:
         self._random = rng
-        self._next_s = BACKOFF_MIN_S
+        self._first_s = first_s
+        self._limit_s = limit_s
+        self._jitter = jitter
+        self._next_s = first_s
 
     async def pause(self) -> None:
         """Wait after a failed attempt."""
-        await asyncio.sleep(self._next_s * self._random.uniform(0.5, 1.0))
-        self._next_s = min(BACKOFF_MAX_S, self._next_s * 2)
+        await asyncio.sleep(self.draw())
+        self.grow()
+
+    def draw(self) -> float:
+        """Return the current pause with a new jitter, in seconds."""
+        return self._next_s * self._random.uniform(*self._jitter)
+
+    def grow(self) -> None:
+        """Double the pause up to the limit."""
+        self._next_s = min(self._limit_s, self._next_s * 2)
 
     def reset(self) -> None:
         """Start again with the shortest pause after a successful attempt."""
-        self._next_s = BACKOFF_MIN_S
+        self._next_s = self._first_s
--- a/lacewinghub/hosts.py
+++ b/lacewinghub/hosts.py
@@ -10,11 +10,12 @@
 from loguru import logger
 from pydantic import TypeAdapter, ValidationError
 
+from ._backoff import Backoff
 from .errors import Unreachable
 from .tables import Address
 
 POLL_S = 2.0
-BACKOFF_MAX_S = 10.0
+BACKOFF_LIMIT_S = 10.0
 REQUEST_TIMEOUT_S = 2.0
 
 
@@ -83,17 +84,17 @@
 
     async def run(self) -> None:
         """Poll until cancelled."""
-        pause = self._poll_s
+        backoff = Backoff(random.Random(), self._poll_s, BACKOFF_LIMIT_S, jitter=(0.8, 1.2))
         while True:
             try:
                 self.hosts = await self.fetch()
-                pause = self._poll_s
+                backoff.reset()
                 if self._listener is not None:
                     self._listener([host.address for host in self.hosts if host.state == "live"])
             except Unreachable as exc:
                 logger.warning("{}; the last {} hosts stay in use", exc, len(self.hosts))
-                pause = min(BACKOFF_MAX_S, pause * 2)
-            await asyncio.sleep(pause * random.uniform(0.8, 1.2))
+                backoff.grow()
+            await asyncio.sleep(backoff.draw())
 
     async def close(self) -> None:
         """Release the connections."""
--- a/lacewinghub/overhead.py
+++ b/lacewinghub/overhead.py
@@ -277,7 +277,7 @@
     await stop.wait()
 
 
-class _Parts:
+class Processes:
     """The processes of a measurement."""
 
     def __init__(self, path: Path, profile: str = "") -> None:
@@ -294,26 +294,38 @@
             raise OSError(f"{module} did not start")
         return found.group(), process.pid
 
-    async def start_node(self, log: str, source: str) -> tuple[str, int]:
-        """Start a node and wait until it serves."""
+    async def start_node(
+        self, log: str, document: dict[str, Any], zone: str = "z", log_level: str = "WARNING"
+    ) -> tuple[str, int]:
+        """Publish tables, start a node and wait until it serves.
+
+        Args:
+            log: Address of the log.
+            document: The tables.
+            zone: Availability zone of the node.
+            log_level: Least level of what the node logs.
+
+        Returns:
+            The node's address and process id.
+        """
+        client = HttpLog(log)
+        await publish(client, document, "overhead")
+        await client.close()
         address, peer = (f"127.0.0.1:{_free_port()}" for _ in range(2))
         cfg = {
             "node": "n1",
-            "availability_zone": "z",
+            "availability_zone": zone,
             "listen": address,
             "peer_listen": peer,
             "log": log,
             "peer_key": "0123456789abcdef",
-            "log_level": "WARNING",
+            "log_level": log_level,
             "limits": {"grace_s": 0.0},
         }
         file = self._path / "node.json"
         file.write_text(json.dumps(cfg))
         profile = ["-m", "cProfile", "-o", self._profile] if self._profile else []
         process = self._spawn([*profile, "-m", "lacewinghub.node", str(file)], subprocess.DEVNULL)
-        client = HttpLog(log)
-        await publish(client, _tables(source), "overhead")
-        await client.close()
         await _wait_ready(address)
         return address, process.pid
 
@@ -334,7 +346,8 @@
         return process
 
 
-def _tables(source: str) -> dict[str, Any]:
+def stream_tables(source: str) -> dict[str, Any]:
+    """Build tables with one route to the source of tokens."""
     endpoint = {"name": "source", "address": source, "availability_zone": "z", "slots": 4096}
     return {
         "pools": [{"name": "assistant", "endpoints": [endpoint], "queue_limit": 4096}],
@@ -369,7 +382,7 @@
 async def run(args: argparse.Namespace) -> list[Measured]:
     """Start all parts, measure every load by every way, and stop the parts."""
     with tempfile.TemporaryDirectory() as path:
-        parts = _Parts(Path(path), args.profile)
+        parts = Processes(Path(path), args.profile)
         results = []
         try:
             source = parts.start("overhead", "--serve", "source")
@@ -377,7 +390,7 @@
             if not args.profile:
                 ways["relay"] = parts.start("overhead", "--serve", "relay", "--source", source[0])
             log, _ = parts.start("fake_log")
-            ways["node"] = await parts.start_node(log, source[0])
+            ways["node"] = await parts.start_node(log, stream_tables(source[0]))
             for load in _loads(args):
                 for via, (address, pid) in ways.items():
                     # A broker that was idle waits before it grants; this is not relay time.
--- a/lacewinghub/peer.py
+++ b/lacewinghub/peer.py
@@ -21,6 +21,7 @@
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, InvalidHandshake, InvalidMessage
 
+from ._backoff import Backoff
 from .errors import PeerRejected, SettingsInvalid
 from .message import MAX_MESSAGE_BYTES, Hello, Message, decode, encode
 from .traffic import Traffic
@@ -34,7 +35,6 @@
 # it.
 STALE_S = 1.0
 BACKOFF_FIRST_S = 0.1
-BACKOFF_LIMIT_S = 2.0
 QUEUE_MESSAGES = 1024
 QUEUE_BYTES = 2 * MAX_MESSAGE_BYTES
 HELLO_BYTES = 2048
@@ -311,21 +311,20 @@
                 link.abort()
 
     async def _dial(self, address: str) -> None:
-        delay = BACKOFF_FIRST_S
+        backoff = Backoff(self._random, BACKOFF_FIRST_S, jitter=(0.0, 1.0))
         while address in self._wanted or address in self._at:
             link = self._at.get(address)
             if link is not None:
-                delay = BACKOFF_FIRST_S
+                backoff.reset()
                 await link.closed.wait()
-            await asyncio.sleep(self._random.uniform(0, delay))
-            delay = min(delay * 2, BACKOFF_LIMIT_S)
+            await backoff.pause()
             if address in self._at:
                 continue
             started = asyncio.get_running_loop().time()
             try:
                 await self._connect(address)
                 if asyncio.get_running_loop().time() - started > STALE_S:
-                    delay = BACKOFF_FIRST_S
+                    backoff.reset()
             except (OSError, TimeoutError, PeerRejected) as exc:
                 logger.debug("no connection to peer {}: {}", address, exc)
             except (ConnectionClosed, InvalidHandshake, InvalidMessage) as exc:
--- a/lacewinghub/publish.py
+++ b/lacewinghub/publish.py
@@ -6,6 +6,7 @@
 from dataclasses import asdict, dataclass
 from typing import Any
 
+from ._backoff import Backoff
 from ._steps import in_steps
 from .config import CONFIG_STREAM, Accepted, ChangeRecord, ConfigState
 from .errors import LogUnavailable, LogUncertain, PublishLost
@@ -13,8 +14,7 @@
 from .tables import Tables
 
 PUBLISH_TIMEOUT_S = 30.0
-BACKOFF_MIN_S = 0.1
-BACKOFF_MAX_S = 2.0
+BACKOFF_FIRST_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,7 +98,8 @@
 
 
 async def _read_current(reader: _Reader, deadline: float) -> None:
-    for pause in _pauses():
+    backoff = _backoff()
+    while True:
         try:
             await reader.to_tail()
             if reader.state.synced:
@@ -106,7 +107,7 @@
             problem = LogUnavailable("the log holds no snapshot of the tables yet")
         except LogUnavailable as exc:
             problem = exc
-        await _pause(pause, deadline, problem)
+        await _pause(backoff, deadline, problem)
 
 
 async def _append(
@@ -114,7 +115,8 @@
 ) -> PublishResult:
     sent = False
     gaps = reader.state.gaps
-    for pause in _pauses():
+    backoff = _backoff()
+    while True:
         problem: LogUnavailable | LogUncertain
         try:
             # The same record may be appended twice: only one of the two finds its base version.
@@ -128,7 +130,7 @@
         try:
             await reader.to_tail()
         except LogUnavailable:
-            await _pause(pause, deadline, problem)
+            await _pause(backoff, deadline, problem)
             continue
         found = reader.find(record.id)
         if found is not None:
@@ -137,8 +139,7 @@
             raise LogUncertain("records expired before the change was read back")
         if reader.state.tables.version > record.base:
             raise _lost(reader, record.base)
-        await _pause(pause, deadline, problem)
-    raise AssertionError("unreachable")
+        await _pause(backoff, deadline, problem)
 
 
 def _lost(reader: _Reader, base: int) -> PublishLost:
@@ -152,14 +153,13 @@
     )
 
 
-def _pauses() -> Any:
-    pause = BACKOFF_MIN_S
-    while True:
-        yield pause * random.uniform(0.5, 1.0)
-        pause = min(BACKOFF_MAX_S, pause * 2)
+def _backoff() -> Backoff:
+    return Backoff(random.Random(), BACKOFF_FIRST_S)
 
 
-async def _pause(pause: float, deadline: float, problem: Exception) -> None:
+async def _pause(backoff: Backoff, deadline: float, problem: Exception) -> None:
+    pause = backoff.draw()
     if asyncio.get_running_loop().time() + pause > deadline:
         raise problem
     await asyncio.sleep(pause)
+    backoff.grow()
--- a/lacewinghub/resident.py
+++ b/lacewinghub/resident.py
@@ -1,7 +1,6 @@
 """Measures resident memory, idle time and start of real node processes."""
 
 import asyncio
-import json
 import os
 import subprocess
 import sys
@@ -9,15 +8,12 @@
 import time
 from collections.abc import Callable, Sequence
 from pathlib import Path
-from typing import Any
 
 from .capacity import Slope, fit
 from .document import pack_document
 from .footprint import CLOSED, run, sample_tables
-from .log import HttpLog
-from .overhead import Load, _free_port, _Parts, _wait_ready, cpu_seconds
+from .overhead import Load, Processes, cpu_seconds, stream_tables
 from .overhead import measure as measure_streams
-from .publish import publish
 from .tables import Tables
 
 WORKSPACES = (10, 4_000, 8_000, 13_000)
@@ -101,40 +97,14 @@
 }
 
 
-class _Processes(_Parts):
-    """Processes of a measurement, with a node on any tables."""
-
-    async def start_with(self, log: str, document: dict[str, Any]) -> int:
-        """Publish tables, start a node, wait until it serves and return its process id."""
-        client = HttpLog(log)
-        await publish(client, document, "capacity")
-        await client.close()
-        address, peer = (f"127.0.0.1:{_free_port()}" for _ in range(2))
-        cfg = {
-            "node": "n1",
-            "availability_zone": "zone-0",
-            "listen": address,
-            "peer_listen": peer,
-            "log": log,
-            "peer_key": "0123456789abcdef",
-            "log_level": "ERROR",
-            "limits": {"grace_s": 0.0},
-        }
-        file = self._path / "idle.json"
-        file.write_text(json.dumps(cfg))
-        process = self._spawn(["-m", "lacewinghub.node", str(file)], subprocess.DEVNULL)
-        await _wait_ready(address)
-        return process.pid
-
-
 async def _idle_node(workspaces: int, endpoints: int) -> tuple[float, float, float]:
     """Return resident bytes, share of a core and processor seconds until ready."""
     with tempfile.TemporaryDirectory() as path:
-        parts = _Processes(Path(path))
+        parts = Processes(Path(path))
         try:
             log, _ = parts.start("fake_log")
             document = sample_tables(workspaces, endpoints, CLOSED)
-            pid = await parts.start_with(log, document)
+            _, pid = await parts.start_node(log, document, "zone-0", "ERROR")
             started = cpu_seconds(pid)
             await asyncio.sleep(1.0)
             before, began = cpu_seconds(pid), time.monotonic()
@@ -151,11 +121,11 @@
     """Return streams, resident bytes while they are open, and tokens with processor time."""
     rows = []
     with tempfile.TemporaryDirectory() as path:
-        parts = _Processes(Path(path))
+        parts = Processes(Path(path))
         try:
             source, _ = parts.start("overhead", "--serve", "source")
             log, _ = parts.start("fake_log")
-            address, pid = await parts.start_node(log, source)
+            address, pid = await parts.start_node(log, stream_tables(source))
             for count in sizes:
                 load = Load(count, STREAM_TOKENS, STREAM_INTERVAL_S)
                 run = asyncio.create_task(measure_streams("node", address, pid, load))
--- a/tests/claim_cluster.py
+++ b/tests/claim_cluster.py
@@ -199,6 +199,27 @@
         return MemberState.LIVE if alive else MemberState.DEAD
 
 
+def die_at(point: str, node: Node) -> None:
+    """Kill a node at a step of its next execution."""
+
+    async def die() -> None:
+        await node.die()
+
+    if point == "before append":
+        node.log.before_append["claim"] = die
+    elif point == "after append":
+        node.log.after_append["claim"] = die
+        node.before_use = die
+    elif point == "after read-back":
+        node.before_use = die
+    elif point == "after dispatch":
+        node.after_run = die
+    elif point == "before result":
+        node.log.before_append["result"] = die
+    elif point == "before answer":
+        node.log.after_append["result"] = die
+
+
 async def _run(hook: Hook | None) -> None:
     if hook is not None:
         await hook()
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -14,7 +14,7 @@
 from lacewinghub.errors import NotRun, OutcomeUnknown, Overloaded
 from lacewinghub.permit import Permit
 from lacewinghub.router import Check
-from tests.claim_cluster import Cluster, Node, stop_forever
+from tests.claim_cluster import Cluster, die_at, stop_forever
 from tests.claim_variants import (
     HandsOver,
     NoCopies,
@@ -141,27 +141,6 @@
         self.assertNotEqual(codes[1], ["no", "ok"])
 
 
-def die_at(point: str, node: Node) -> None:
-    """Kill a node at a step of its next execution."""
-
-    async def die() -> None:
-        await node.die()
-
-    if point == "before append":
-        node.log.before_append["claim"] = die
-    elif point == "after append":
-        node.log.after_append["claim"] = die
-        node.before_use = die
-    elif point == "after read-back":
-        node.before_use = die
-    elif point == "after dispatch":
-        node.after_run = die
-    elif point == "before result":
-        node.log.before_append["result"] = die
-    elif point == "before answer":
-        node.log.after_append["result"] = die
-
-
 class CrashPointTest(unittest.TestCase):
     """Guards against a second execution, or a wrong answer, after the claimant stopped."""
 
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -27,10 +27,9 @@
 from lacewinghub.fake_log import MemoryLog
 from lacewinghub.log import Record
 from lacewinghub.publish import publish
-from tests.claim_cluster import Cluster, Node
+from tests.claim_cluster import Cluster, Node, die_at
 from tests.claim_variants import NoReadBack, ReadyAtOnce
 from tests.clock import wall
-from tests.test_claim import die_at
 from tests.test_config import AnyBase, tables_document, weights_of
 
 KEYS = ("a", "b")
