--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -329,6 +329,24 @@
                 self._run(lambda pauses=pauses: main(pauses))
 
 
+class CancellationTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against work in a thread that goes on for a node that was stopped."""
+
+    async def test_cancelled_work_ends_with_its_current_piece(self) -> None:
+        tables = Tables.parse(sample_document(2_000, 2_000, 300), 1)
+        data = pack_document(tables)
+        for make in (lambda: write_steps(tables), lambda: read_steps(data, 1)):
+            for delay_s in (0.0, 0.002, 0.005):
+                steps: Steps[Any] = make()
+                task = asyncio.ensure_future(in_steps(steps))
+                await asyncio.sleep(delay_s)
+                task.cancel()
+                with self.subTest(delay_s), self.assertRaises(asyncio.CancelledError):
+                    await task
+                self.assertIsNone(steps.gi_frame)
+                self.assertEqual(asyncio.all_tasks(), {asyncio.current_task()})
+
+
 class _MeasuredLoop(asyncio.SelectorEventLoop):
     """Notes the longest step by processor time of its thread, which other load does not change."""
 
