--- a/lacewinghub/tables.py
+++ b/lacewinghub/tables.py
@@ -5,12 +5,13 @@
 """
 
 import ipaddress
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import asdict, dataclass, field
 from typing import Annotated, Any, ClassVar, Literal
 
 from pydantic import AfterValidator, ConfigDict, Field, TypeAdapter, ValidationError
 
+from ._validation import invalid
 from .errors import TablesInvalid, UnknownModel, UnknownPool
 
 ANY = "*"
@@ -157,13 +158,16 @@
         version: int = 0,
     ) -> None:
         self.version = version
-        self.routes = _by_name("routes", routes)
-        self.pools = _by_name("pools", pools)
-        self.workspaces = _by_name("workspaces", workspaces)
+        self.routes: dict[str, Route] = {}
+        self.pools: dict[str, Pool] = {}
+        self.workspaces: dict[str, Workspace] = {}
         self._index = _Index()
         draft = Draft(self)
-        draft.check_all()
-        self._index = draft.build(version)._index
+        for table, entries in zip(TABLE_NAMES, (routes, pools, workspaces), strict=True):
+            draft.insert(table, entries)
+        for _ in draft.check():
+            pass
+        vars(self).update(vars(draft.build(version)))
 
     @classmethod
     def parse(cls, document: Any, version: int = 0) -> "Tables":
@@ -182,9 +186,7 @@
         try:
             doc = _DOCUMENT.validate_python(document)
         except ValidationError as exc:
-            first = exc.errors(include_url=False)[0]
-            place = ".".join(str(part) for part in first["loc"]) or "document"
-            raise TablesInvalid(f"{place}: {first['msg']}", place=place) from exc
+            raise invalid(exc) from exc
         return cls(doc.routes, doc.pools, doc.workspaces, version)
 
     def to_document(self) -> dict[str, list[dict[str, Any]]]:
@@ -312,7 +314,6 @@
         Raises:
             TablesInvalid: If an operation is malformed or the result is inconsistent.
         """
-        self._journal.clear()
         try:
             touched: dict[tuple[str, str], Any] = {}
             for change in changes:
@@ -334,6 +335,9 @@
             for table, key, value in reversed(self._journal):
                 self._put(table, key, value)
             raise
+        finally:
+            # It is as large as the tables after the first change.
+            self._journal.clear()
 
     def build(self, version: int) -> Tables:
         """Return the tables as they are now.
@@ -349,11 +353,31 @@
         self._owned.clear()
         return tables
 
-    def check_all(self) -> None:
-        """Check all entries and build the look-ups."""
+    def insert(self, table: str, entries: Iterable[Any]) -> None:
+        """Put entries with new names; ``check`` must follow before ``build``."""
+        for item in entries:
+            if item.name in self._maps[table]:
+                raise TablesInvalid(
+                    f"{table} lists {item.name!r} twice", place=f"{table}.{item.name}"
+                )
+            self._put(table, item.name, item)
+
+    def check(self, size: int = 500) -> Iterator[None]:
+        """Check all inserted entries and build the look-ups, with a pause after each slice.
+
+        Args:
+            size: Number of entries in a slice.
+
+        Raises:
+            TablesInvalid: If the tables are inconsistent.
+        """
         for table in TABLE_NAMES:
-            for entry in self._maps[table].values():
+            for number, entry in enumerate(self._maps[table].values(), 1):
                 self._add(table, entry)
+                if number % size == 0:
+                    self._journal.clear()
+                    yield
+        self._journal.clear()
 
     def _set(self, table: str, key: Any, value: Any) -> None:
         self._journal.append((table, key, self._maps[table].get(key)))
@@ -451,15 +475,6 @@
     )
 
 
-def _by_name(table: str, items: Iterable[Any]) -> dict[str, Any]:
-    found: dict[str, Any] = {}
-    for item in items:
-        if item.name in found:
-            raise TablesInvalid(f"{table} lists {item.name!r} twice", place=f"{table}.{item.name}")
-        found[item.name] = item
-    return found
-
-
 _ENTRIES: dict[str, TypeAdapter[Any]] = {
     "routes": TypeAdapter(Route),
     "pools": TypeAdapter(Pool),
@@ -477,9 +492,7 @@
     try:
         entry: Any = adapter.validate_python(change.value)
     except ValidationError as exc:
-        first = exc.errors(include_url=False)[0]
-        place = ".".join([change.table, change.name, *(str(part) for part in first["loc"])])
-        raise TablesInvalid(f"{place}: {first['msg']}", place=place) from exc
+        raise invalid(exc, change.table, change.name) from exc
     if entry.name != change.name:
         raise TablesInvalid(f"entry {change.name!r} carries the name {entry.name!r}")
     return entry
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -5,7 +5,8 @@
 import unittest
 
 from lacewinghub.admission import EVIDENCE_S, NEWS_BOUND_S, FloorAdmission
-from lacewinghub.config import ConfigReplica, pack_document
+from lacewinghub.config import ConfigReplica
+from lacewinghub.document import pack_document
 from lacewinghub.errors import Quarantined
 from lacewinghub.fake_log import MemoryLog
 from lacewinghub.footprint import sample_tables
@@ -218,15 +219,18 @@
 
 
 class ConfigCluster(Cluster):
-    """Nodes with tables, none of which reads the log."""
+    """Nodes with tables; the log is down."""
 
     def __init__(self, size: int, loss: float = 0.0) -> None:
         self.replicas: dict[str, ConfigReplica] = {}
         super().__init__(size, loss)
 
     def attach(self, name: str, member: Overlay) -> None:
-        self.replicas[name] = ConfigReplica(name, MemoryLog(), member._transport)
-        member.add(self.replicas[name])
+        log = MemoryLog()
+        log.faults.unavailable = True
+        replica = self.replicas[name] = ConfigReplica(name, log, member._transport)
+        member.add(replica)
+        self.tasks[f"{name}/config"] = asyncio.create_task(replica.run())
 
 
 class TestConfig(SimulatedCase):
