Count the starvation quota over 30 s instead of 10 s

Cause: a node admits few requests in 10 s, so that its quota of 3%, a whole number of requests, was rounded up.

--- a/lacewinghub/admission.py
+++ b/lacewinghub/admission.py
@@ -16,8 +16,11 @@
 
 NEWS_BOUND_S = 1.0  # Propagation delay between nodes that guarantee 1 excludes.
 MIN_SHARE = 0.02  # Share of a tier below which it counts as starving.
-QUOTA_SHARE = 0.03  # Admitted by the quota; above the minimum, so that the share completes.
-SHARE_WINDOW_S = 10.0
+QUOTA_SHARE = 0.035  # Admitted by the quota; above the minimum, so that the share completes.
+# A node's quota is a whole number of requests. Within 10 s a node admits few requests, so that the
+# quota was rounded up: with 3%, the low tiers had 4 to 7% of the finished requests in overload and
+# took slots from higher tiers.
+SHARE_WINDOW_S = 30.0
 RAISE_AFTER_S = 2.0  # Hysteresis: time without pressure before a floor rises by one tier.
 FILL_LIMIT = 0.75  # Fill of the queue by a tier and the higher ones at which it becomes the floor.
 FORECAST_S = 1.0  # How long the forecast of a broker is used.
