Leave the time in which slots are kept free out of the drain rate

Cause: while low tiers waited for slots that were kept free, the group counted as busy, so that its measured rate fell and the expected wait of tier 1 rose.

Change: this time does not count as busy.

--- a/lacewinghub/broker.py
+++ b/lacewinghub/broker.py
@@ -275,10 +275,12 @@
         made: dict[str, list[GrantItem]] = {}
         endpoints = self._usable(state)
         slow = self._slow(state, endpoints)
+        kept = False
         while waiting := _by_tier(state):
             free = [item for item in endpoints if self._room(state, item, now) > 0]
             tier, only = self._next_tier(state, waiting)
-            if not only and self._reserves(state, tier, free, now):
+            kept = not only and self._reserves(state, tier, free, now)
+            if kept:
                 break
             free, tier = self._without_slow(state, free, slow, tier, waiting, now)
             if not free:
@@ -296,7 +298,9 @@
             _pay(state, waiting, tier)
             state.drain.served(tier, 1.0)
             state.headroom.granted(tier, now)
-        state.drain.advance(now, bool(waiting))
+        # Time in which slots are kept free says nothing about how fast the group drains. Counted,
+        # it made the expected waits of the high tiers too long, and floors refused tier 2.
+        state.drain.advance(now, bool(waiting) and not kept)
         if now - state.forecast >= FORECAST_EVERY_S:
             state.forecast = now
             state.waits = _forecast(state, waiting, now)
