--- a/lacewinghub/fake_runner.py
+++ b/lacewinghub/fake_runner.py
@@ -61,7 +61,7 @@
 
 @dataclass(slots=True)
 class ChunkFaults:
-    """Faults of streams, as probabilities per chunk.
+    """Faults of streams, as probabilities per chunk, and of requests.
 
     Attributes:
         duplicate: The chunk is sent twice.
@@ -69,6 +69,7 @@
         late: The stream pauses for ``late_s`` before the chunk.
         late_s: Length of the pause in seconds.
         truncate: The stream ends before the chunk, without a last chunk.
+        fail: The request is refused with status 500; a probability per request.
     """
 
     duplicate: float = 0.0
@@ -76,6 +77,7 @@
     late: float = 0.0
     late_s: float = 0.05
     truncate: float = 0.0
+    fail: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -189,6 +191,9 @@
         body = request.json
         if not isinstance(body, dict) or not isinstance(body.get("messages"), list):
             return self._reply({"error": {"message": "messages must be an array"}}, 400)
+        if self._hits(self.faults.fail):
+            self.engine.stats.requests += 1
+            return self._reply({"error": {"message": "the engine failed"}}, 500)
         if self.engine.full:
             return self._reply({"error": {"message": "queue is full"}}, 429)
         sequence = self.engine.submit(body)
--- a/lacewinghub/fake_service.py
+++ b/lacewinghub/fake_service.py
@@ -16,6 +16,7 @@
 from sanic import HTTPResponse, Request, Sanic
 
 from ._fake_server import LEAVING, LIVE, FakeServer, run_process
+from .evidence import Execution, write
 
 
 @dataclass(slots=True)
@@ -59,6 +60,8 @@
         faults: Faults of calls.
         slots: Calls that it reports as its capacity.
         seed: Seed of the random faults.
+        ledger_file: File to which each run is added as a line that ``evidence.read`` accepts, or
+            None. It is what remains of a killed process.
     """
 
     def __init__(
@@ -69,10 +72,12 @@
         faults: ServiceFaults | None = None,
         slots: int = 8,
         seed: int = 1,
+        ledger_file: str | None = None,
     ) -> None:
         super().__init__(name, host, port)
         self.faults = faults or ServiceFaults()
         self.ledger: list[Run] = []
+        self._ledger_file = ledger_file
         self._slots = slots
         self._running = 0
         self._random = random.Random(f"{seed}:{name}")
@@ -125,6 +130,8 @@
         await self._thawed.wait()
         run = Run(len(self.ledger) + 1, key, time.time(), body)
         self.ledger.append(run)
+        if self._ledger_file is not None:
+            write(self._ledger_file, [Execution(run.key, run.time, self.name)])
         return run
 
     def _drop(self, request: Request) -> None:
@@ -158,12 +165,15 @@
     parser = argparse.ArgumentParser(description=main.__doc__)
     parser.add_argument("--delay_s", type=float, default=0.0)
     parser.add_argument("--seed", type=int, default=1)
-    run_process(
-        lambda args: FakeService(
-            args.name, args.host, args.port, ServiceFaults(delay_s=args.delay_s), seed=args.seed
-        ),
-        parser,
-    )
+    parser.add_argument("--ledger", help="file to which each run is added")
+
+    def build(args: argparse.Namespace) -> FakeServer:
+        faults = ServiceFaults(delay_s=args.delay_s)
+        return FakeService(
+            args.name, args.host, args.port, faults, seed=args.seed, ledger_file=args.ledger
+        )
+
+    run_process(build, parser)
 
 
 if __name__ == "__main__":
--- a/tests/test_fakes.py
+++ b/tests/test_fakes.py
@@ -4,6 +4,7 @@
 import json
 import subprocess
 import sys
+import tempfile
 import unittest
 from typing import Any
 
@@ -11,6 +12,7 @@
 import looptime
 
 from lacewinghub._fake_engine import Engine, prefix_blocks, prompt_words
+from lacewinghub.evidence import read
 from lacewinghub.fake_runner import (
     POISON,
     STATE_HEADER,
@@ -99,6 +101,13 @@
         chunks, done = await self._stream(_body())
         self.assertEqual((chunks, done), ([], False))
 
+    async def test_failing_runner_counts_the_requests_that_it_refuses(self) -> None:
+        self.runner.set_faults(fail=1.0)
+        async with self.client.post("/v1/chat/completions", json=_body()) as reply:
+            self.assertEqual(reply.status, 500)
+        async with self.client.get("/stats") as reply:
+            self.assertEqual((await reply.json())["requests"], 1)
+
     async def test_crash_breaks_streams_and_refuses_until_restart(self) -> None:
         task = asyncio.create_task(self._stream(_body(tokens=5000)))
         await asyncio.sleep(0.05)
@@ -274,6 +283,16 @@
                 await service.stop()
                 self.assertEqual((found, len(service.ledger)), (status, runs))
 
+    async def test_ledger_file_is_evidence_of_a_killed_service(self) -> None:
+        with tempfile.TemporaryDirectory() as path:
+            service = FakeService("s1", ledger_file=f"{path}/s1.ledger")
+            await service.start()
+            async with aiohttp.ClientSession(f"http://{service.address}") as client:
+                await self._call(client, "k1")
+            await service.stop()
+            runs = read([f"{path}/s1.ledger"]).executions
+        self.assertEqual([(run.key, run.endpoint) for run in runs], [("k1", "s1")])
+
     async def test_second_call_with_a_key_counts_as_double_run(self) -> None:
         service = FakeService()
         await service.start()
