--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -21,12 +21,17 @@
 WORKERS = 4
 MODULE_TIMEOUT_S = 300
 SERIAL = (
+    "tests.test_config_race",
     "tests.test_counterpart",
     "tests.test_failure",
     "tests.test_overlay",
+    "tests.test_overload",
     "tests.test_partition",
     "tests.test_path",
+    "tests.test_region_cut",
+    "tests.test_retry_storm",
     "tests.test_runner_failure",
+    "tests.test_zone_loss",
 )
 
 
