Let the tables set the number of claim partitions

Cause: with one stream every node reads and stores every claim. Change: the tables have an optional member claims with partitions (1 to 1024, default 1). Only the change that creates version 1 can set it; publish refuses a later change with tables_invalid and every node ignores it. Conclusion: without the member, documents and records are as before.

--- a/lacewinghub/publish.py
+++ b/lacewinghub/publish.py
@@ -76,7 +76,8 @@
         The accepted change.
 
     Raises:
-        TablesInvalid: If the document is wrong; nothing was published.
+        TablesInvalid: If the document is wrong or changes the number of claim partitions; nothing
+            was published.
         PublishLost: If another change was accepted first; details give ``winner``, its author, and
             ``version``. This change was not accepted and never will be.
         LogUnavailable: If the log did not answer in time; nothing was published.
@@ -92,6 +93,7 @@
     changes = current.diff(wanted)
     if not changes:
         return PublishResult(current.version, author, "", 0)
+    current.apply(changes, current.version + 1)
     record = ChangeRecord(current.version, current.version + 1, author, uuid.uuid4().hex, changes)
     return await _append(reader, log, record, deadline)
 
--- a/lacewinghub/tables.py
+++ b/lacewinghub/tables.py
@@ -4,109 +4,51 @@
 keeps an entry for each of thousands of workspaces.
 """
 
-import ipaddress
 from collections.abc import Iterable
 from dataclasses import asdict, dataclass, field
-from typing import Annotated, Any, ClassVar, Literal
-
-from pydantic import AfterValidator, ConfigDict, Field, TypeAdapter, ValidationError
-
+from typing import Any, ClassVar
+
+from pydantic import ConfigDict, TypeAdapter, ValidationError
+
+from ._entries import (
+    ANY,
+    MAX_PARTITIONS,
+    MAX_TIER,
+    Address,
+    ClaimSettings,
+    Endpoint,
+    Name,
+    Pool,
+    Route,
+    Sha256,
+    Target,
+    Workspace,
+)
 from .errors import TablesInvalid, UnknownModel, UnknownPool
 
-ANY = "*"
-MAX_TIER = 8
-TABLE_NAMES = ("routes", "pools", "workspaces")
-
-Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
-Match = Annotated[str, Field(pattern=r"^(\*|[A-Za-z0-9][A-Za-z0-9._-]{0,63})$")]
-Sha256 = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
-
-
-def _check_address(value: str) -> str:
-    host, _, port = value.rpartition(":")
-    ipaddress.ip_address(host.strip("[]"))
-    if not 0 < int(port) < 65536:
-        raise ValueError("port must be from 1 to 65535")
-    return value
+__all__ = [
+    "ANY",
+    "CLAIMS",
+    "MAX_PARTITIONS",
+    "MAX_TIER",
+    "TABLE_NAMES",
+    "Address",
+    "Change",
+    "ClaimSettings",
+    "Draft",
+    "Endpoint",
+    "Name",
+    "Pool",
+    "Route",
+    "Sha256",
+    "Tables",
+    "Target",
+    "Workspace",
+]
 
 
-Address = Annotated[str, AfterValidator(_check_address)]
-
-
-@dataclass(frozen=True, slots=True)
-class Target:
-    """Latency targets of a class, in seconds; None means no target."""
-
-    __pydantic_config__: ClassVar = ConfigDict(extra="forbid")
-
-    first_token_s: Annotated[float, Field(gt=0)] | None = None
-    between_tokens_s: Annotated[float, Field(gt=0)] | None = None
-    completion_s: Annotated[float, Field(gt=0)] | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class Route:
-    """Sends requests of a workspace, class and model to a pool at a tier.
-
-    ``*`` matches everything. The route with the most exact matches wins; workspace outranks class,
-    class outranks model.
-    """
-
-    __pydantic_config__: ClassVar = ConfigDict(extra="forbid")
-
-    name: Name
-    pool: Name
-    tier: Annotated[int, Field(ge=1, le=MAX_TIER)]
-    workspace: Match = ANY
-    request_class: Match = ANY
-    model: Match = ANY
-    patience_s: Annotated[float, Field(gt=0, le=3600)] = 30.0
-    target: Target = Target()
-
-
-@dataclass(frozen=True, slots=True)
-class Endpoint:
-    """A runner or plain service of a pool."""
-
-    __pydantic_config__: ClassVar = ConfigDict(extra="forbid")
-
-    name: Name
-    address: Address
-    availability_zone: Name
-    slots: Annotated[int, Field(ge=1, le=4096)] = 8
-    cache_blocks: Annotated[int, Field(ge=0)] = 4096
-
-
-@dataclass(frozen=True, slots=True)
-class Pool:
-    """Endpoints that serve under one name.
-
-    ``kind`` is ``model`` for runners and ``service`` for plain services. Calls to a service that is
-    not ``repeatable`` need an idempotency key and run at most once.
-    """
-
-    __pydantic_config__: ClassVar = ConfigDict(extra="forbid")
-
-    name: Name
-    endpoints: list[Endpoint]
-    kind: Literal["model", "service"] = "model"
-    repeatable: bool = True
-    queue_limit: Annotated[int, Field(ge=1)] = 256
-
-    def endpoint(self, name: str) -> Endpoint | None:
-        """Return the endpoint with this name, or None."""
-        return next((item for item in self.endpoints if item.name == name), None)
-
-
-@dataclass(frozen=True, slots=True)
-class Workspace:
-    """A workspace, the SHA-256 digests of its keys in hex, and its fair-share weight."""
-
-    __pydantic_config__: ClassVar = ConfigDict(extra="forbid")
-
-    name: Name
-    keys: list[Sha256] = field(default_factory=list)
-    weight: Annotated[float, Field(gt=0, le=1000)] = 1.0
+TABLE_NAMES = ("routes", "pools", "workspaces")
+CLAIMS = "claims"
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +58,7 @@
     routes: list[Route]
     pools: list[Pool]
     workspaces: list[Workspace]
+    claims: ClaimSettings = field(default_factory=ClaimSettings)
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,8 +66,8 @@
     """One operation on a table entry.
 
     Attributes:
-        table: ``routes``, ``pools`` or ``workspaces``.
-        name: Name of the entry.
+        table: ``routes``, ``pools``, ``workspaces`` or ``claims``.
+        name: Name of the entry; the only entry of ``claims`` is named ``claims``.
         value: The new entry as a JSON object, or None to delete it.
     """
 
@@ -144,6 +87,7 @@
         pools: Pools by name.
         workspaces: Workspaces by name.
         version: Version number; 0 means that nothing was published yet.
+        claims: How the claims are divided.
 
     Raises:
         TablesInvalid: If the tables are inconsistent.
@@ -155,8 +99,10 @@
         pools: Iterable[Pool] = (),
         workspaces: Iterable[Workspace] = (),
         version: int = 0,
+        claims: ClaimSettings = ClaimSettings(),  # noqa: B008
     ) -> None:
         self.version = version
+        self.claims = claims
         self.routes = _by_name("routes", routes)
         self.pools = _by_name("pools", pools)
         self.workspaces = _by_name("workspaces", workspaces)
@@ -185,14 +131,20 @@
             first = exc.errors(include_url=False)[0]
             place = ".".join(str(part) for part in first["loc"]) or "document"
             raise TablesInvalid(f"{place}: {first['msg']}", place=place) from exc
-        return cls(doc.routes, doc.pools, doc.workspaces, version)
+        return cls(doc.routes, doc.pools, doc.workspaces, version, doc.claims)
 
-    def to_document(self) -> dict[str, list[dict[str, Any]]]:
+    def to_document(self) -> dict[str, Any]:
         """Return the tables as a JSON document that ``parse`` accepts."""
         doc = _Document(
-            [*self.routes.values()], [*self.pools.values()], [*self.workspaces.values()]
+            [*self.routes.values()],
+            [*self.pools.values()],
+            [*self.workspaces.values()],
+            self.claims,
         )
-        return _DOCUMENT.dump_python(doc)
+        document = _DOCUMENT.dump_python(doc)
+        if self.claims == ClaimSettings():
+            del document[CLAIMS]
+        return document
 
     def diff(self, other: "Tables") -> list[Change]:
         """Return the operations that turn these tables into the other ones."""
@@ -205,6 +157,8 @@
                 for name, item in new.items()
                 if old.get(name) != item
             ]
+        if self.claims != other.claims:
+            changes.append(Change(CLAIMS, CLAIMS, asdict(other.claims)))
         return changes
 
     def apply(self, changes: Iterable[Change], version: int) -> "Tables":
@@ -300,6 +254,8 @@
         self._maps: dict[str, dict[Any, Any]] = {
             name: getattr(tables, name) for name in TABLE_NAMES
         } | {name: getattr(tables._index, name) for name in _Index.__slots__}
+        self._maps[CLAIMS] = {CLAIMS: tables.claims}
+        self._is_new = tables.version == 0
         self._owned: set[str] = set()
         self._journal: list[tuple[str, Any, Any]] = []
 
@@ -317,6 +273,9 @@
             touched: dict[tuple[str, str], Any] = {}
             for change in changes:
                 entry = _parse_change(change)
+                if change.table == CLAIMS:
+                    self._set_claims(entry)
+                    continue
                 old = self._maps[change.table].get(change.name)
                 touched.setdefault((change.table, change.name), old)
                 self._set(change.table, change.name, entry)
@@ -334,6 +293,7 @@
             for table, key, value in reversed(self._journal):
                 self._put(table, key, value)
             raise
+        self._is_new = False
 
     def build(self, version: int) -> Tables:
         """Return the tables as they are now.
@@ -343,6 +303,7 @@
         """
         tables = Tables.__new__(Tables)
         tables.version = version
+        tables.claims = self._maps[CLAIMS][CLAIMS]
         for name in TABLE_NAMES:
             setattr(tables, name, self._maps[name])
         tables._index = _Index(**{name: self._maps[name] for name in _Index.__slots__})
@@ -355,6 +316,16 @@
             for entry in self._maps[table].values():
                 self._add(table, entry)
 
+    def _set_claims(self, claims: ClaimSettings | None) -> None:
+        claims = claims or ClaimSettings()
+        # With another number a key would be looked up in a stream that does not hold its claim.
+        if claims != self._maps[CLAIMS][CLAIMS] and not self._is_new:
+            raise TablesInvalid(
+                "only the change that creates version 1 can set the number of partitions",
+                place="claims.partitions",
+            )
+        self._set(CLAIMS, CLAIMS, claims)
+
     def _set(self, table: str, key: Any, value: Any) -> None:
         self._journal.append((table, key, self._maps[table].get(key)))
         self._put(table, key, value)
@@ -464,6 +435,7 @@
     "routes": TypeAdapter(Route),
     "pools": TypeAdapter(Pool),
     "workspaces": TypeAdapter(Workspace),
+    CLAIMS: TypeAdapter(ClaimSettings),
 }
 
 
@@ -480,6 +452,7 @@
         first = exc.errors(include_url=False)[0]
         place = ".".join([change.table, change.name, *(str(part) for part in first["loc"])])
         raise TablesInvalid(f"{place}: {first['msg']}", place=place) from exc
-    if entry.name != change.name:
-        raise TablesInvalid(f"entry {change.name!r} carries the name {entry.name!r}")
+    name = CLAIMS if change.table == CLAIMS else entry.name
+    if name != change.name:
+        raise TablesInvalid(f"entry {change.name!r} carries the name {name!r}")
     return entry
--- a/tests/test_publish.py
+++ b/tests/test_publish.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import unittest
+from dataclasses import asdict
 from typing import Any
 
-from lacewinghub.config import ConfigReplica
+from lacewinghub.config import CONFIG_STREAM, ChangeRecord, ConfigReplica
 from lacewinghub.errors import PublishLost, TablesInvalid
 from lacewinghub.fake_log import MemoryLog
 from lacewinghub.publish import publish
+from lacewinghub.tables import Change
 from tests.clock import simulate, wall
 
 
@@ -57,6 +59,30 @@
 
         simulate(main)
 
+    def test_other_number_of_partitions_is_refused_and_ignored(self) -> None:
+        """Guards against nodes that look up a key in different streams."""
+
+        async def main() -> None:
+            log = MemoryLog(clock=wall)
+            replica = ConfigReplica("n1", log)
+            task = asyncio.ensure_future(replica.run())
+            document = tables_document(trust=1.0) | {"claims": {"partitions": 8}}
+            await publish(log, document, "ana")
+            for other in ({"claims": {"partitions": 4}}, {"claims": {"partitions": 1}}, {}):
+                with self.subTest(other), self.assertRaises(TablesInvalid) as caught:
+                    await publish(log, tables_document(trust=2.0) | other, "ben")
+                self.assertEqual(caught.exception.details["place"], "claims.partitions")
+            changes = [Change("claims", "claims", {"partitions": 4})]
+            record = ChangeRecord(1, 2, "cy", "late", changes)
+            await log.append(CONFIG_STREAM, [asdict(record)])
+            done = await publish(log, document | {"workspaces": []}, "ana")
+            await asyncio.wait_for(replica.wait_version(2), 4.0)
+            self.assertEqual((done.version, log.appends), (2, 3))
+            self.assertEqual(replica.tables.claims.partitions, 8)
+            task.cancel()
+
+        simulate(main)
+
     def test_change_is_published_once_whatever_the_append_fault(self) -> None:
         cases: list[dict[str, Any]] = [
             {"lose_replies": 1},
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -30,6 +30,8 @@
             ("tier", {"routes": [route | {"tier": 9}]}, "routes.0.tier"),
             ("unknown member", {"routes": [route | {"prio": 9}]}, "routes.0.prio"),
             ("missing table", {"pools": None}, "pools"),
+            ("no partition", {"claims": {"partitions": 0}}, "claims.partitions"),
+            ("partitions", {"claims": {"partitions": 1025}}, "claims.partitions"),
         ]
         for name, change, place in cases:
             with self.subTest(name), self.assertRaises(TablesInvalid) as caught:
@@ -77,6 +79,24 @@
         new = Tables.parse(document, 5)
         self.assertEqual(old.apply(old.diff(new), 5).to_document(), new.to_document())
 
+    def test_partitions_are_fixed_by_version_1(self) -> None:
+        """Guards against a key that is looked up in a stream that does not hold its claim."""
+        first = Tables().apply(Tables().diff(Tables.parse(_document(claims={"partitions": 8}))), 1)
+        self.assertEqual(first.claims.partitions, 8)
+        self.assertEqual(first.to_document()["claims"], {"partitions": 8})
+        self.assertNotIn("claims", Tables.parse(_document()).to_document())
+        same = Change("claims", "claims", {"partitions": 8})
+        self.assertEqual(first.apply([same], 2).claims.partitions, 8)
+        for change in (
+            Change("claims", "claims", {"partitions": 9}),
+            Change("claims", "claims", None),
+            Change("claims", "other", {"partitions": 8}),
+        ):
+            draft = Draft(first)
+            with self.subTest(change), self.assertRaises(TablesInvalid):
+                draft.apply([change])
+            self.assertEqual(draft.build(2).claims.partitions, 8)
+
     def test_incremental_change_equals_a_rebuild(self) -> None:
         """Guards against look-ups that differ from those of freshly parsed tables."""
         rng = random.Random(5)
