--- a/lacewinghub/_outbox.py
+++ b/lacewinghub/_outbox.py
@@ -40,6 +40,38 @@
     dropped: bool = False
 
 
+class Pace:
+    """Spaces the appends that one node makes to all its streams.
+
+    Args:
+        interval: Returns the shortest time between the starts of two appends, in seconds. The
+            first one after a pause does not wait.
+    """
+
+    def __init__(self, interval: Callable[[], float] = lambda: 0.0) -> None:
+        self._interval = interval
+        self._started = float("-inf")
+        self._waiting = 0
+
+    @property
+    def longest_s(self) -> float:
+        """Longest time until a record that is queued now is appended, in seconds."""
+        return self._interval() * max(1, self._waiting)
+
+    async def turn(self) -> None:
+        """Wait until the next append may start."""
+        loop = asyncio.get_running_loop()
+        left = self._started + self._interval() - loop.time()
+        self._started = max(loop.time(), self._started + self._interval())
+        if left <= 0:
+            return
+        self._waiting += 1
+        try:
+            await asyncio.sleep(max(MIN_PAUSE_S, left))
+        finally:
+            self._waiting -= 1
+
+
 class Outbox:
     """Records of one node on their way to a stream.
 
@@ -50,19 +82,11 @@
         log: The platform's log.
         stream: Name of the stream.
         rng: Source of the jitter.
-        interval: Returns the shortest time between the starts of two appends, in seconds. The
-            first record after a pause does not wait.
+        pace: Spaces the appends.
     """
 
-    def __init__(
-        self,
-        log: Log,
-        stream: str,
-        rng: random.Random,
-        interval: Callable[[], float] = lambda: 0.0,
-    ) -> None:
-        self._interval = interval
-        self._started = float("-inf")
+    def __init__(self, log: Log, stream: str, rng: random.Random, pace: Pace | None = None) -> None:
+        self._pace = pace or Pace()
         self._log = log
         self._stream = stream
         self._random = rng
@@ -94,7 +118,7 @@
         backoff = Backoff(self._random)
         while True:
             await self._filled.wait()
-            await self._pace()
+            await self._pace.turn()
             batch = self._batch()
             if not batch:
                 self._filled.clear()
@@ -123,13 +147,6 @@
                 await asyncio.sleep(BACKOFF_MAX_S * self._random.uniform(0.2, 1.0))
         return False
 
-    async def _pace(self) -> None:
-        loop = asyncio.get_running_loop()
-        left = self._started + self._interval() - loop.time()
-        if left > 0:
-            await asyncio.sleep(max(MIN_PAUSE_S, left))
-        self._started = loop.time()
-
     def _batch(self) -> list[Item]:
         limit = BATCH_RECORDS if self._log_works else PROBE_RECORDS
         batch: list[Item] = []
--- a/lacewinghub/claim.py
+++ b/lacewinghub/claim.py
@@ -12,7 +12,7 @@
 from loguru import logger
 
 from ._backoff import Backoff
-from ._outbox import Item, Outbox
+from ._outbox import Item, Outbox, Pace
 from ._refresh import RefreshTimer
 from .claim_index import (
     CLAIM_STREAM,
@@ -90,6 +90,8 @@
         clock: Wall clock in seconds.
         history: Receives an event for each claim that was won.
         seed: Seed of the jitter; defaults to the node identifier.
+        stream: Name of the stream that holds the claims.
+        pace: Spaces the appends of this node, if it makes claims in several streams.
 
     Attributes:
         index: Owners of the keys.
@@ -108,6 +110,8 @@
         clock: Callable[[], float] = time.time,
         history: History | None = None,
         seed: int | str | None = None,
+        stream: str = CLAIM_STREAM,
+        pace: Pace | None = None,
     ) -> None:
         self.index = ClaimIndex(window_s, self._on_claim, self._wake)
         self.ready = False
@@ -124,7 +128,9 @@
         self._attempts: dict[bytes, _Attempt] = {}
         self._undecided: dict[str, _Attempt] = {}
         self._waiters: dict[bytes, list[asyncio.Future[None]]] = {}
-        self._outbox = Outbox(log, CLAIM_STREAM, self._random, self._append_interval)
+        self._stream = stream
+        self._pace = pace or append_pace(members)
+        self._outbox = Outbox(log, stream, self._random, self._pace)
         self._refresh_timer = RefreshTimer(self._random)
         self._copying: asyncio.Task[None] | None = None
         self._log_time = 0.0
@@ -189,6 +195,11 @@
             if reply is not None:
                 return reply
 
+    @property
+    def idle(self) -> bool:
+        """True if no claim is undecided or in progress and no record waits to be appended."""
+        return not self._tasks and self._outbox.idle
+
     async def flush(self, timeout_s: float) -> bool:
         """Wait until the pending records are in the log.
 
@@ -200,7 +211,7 @@
         """
         try:
             async with asyncio.timeout(timeout_s):
-                while self._tasks or not self._outbox.idle:
+                while not self.idle:
                     await asyncio.sleep(0.02)
         except TimeoutError:
             return False
@@ -236,7 +247,7 @@
     async def _execute(self, attempt: _Attempt, req: Request, send: Send) -> Reply | None:
         try:
             left = req.arrived + req.patience_s - asyncio.get_running_loop().time()
-            timeout_s = self._claim_timeout_s + self._append_interval()
+            timeout_s = self._claim_timeout_s + self._pace.longest_s
             if not await self._claim(attempt, min(timeout_s, max(0.0, left))):
                 return None
             if self._history is not None:
@@ -298,7 +309,7 @@
         """Read to the tail, so that the index holds every claim made before this call."""
         try:
             async with asyncio.timeout(VERIFY_TIMEOUT_S):
-                page = await self._log.read(CLAIM_STREAM, self.index.next, limit=1)
+                page = await self._log.read(self._stream, self.index.next, limit=1)
                 while self.index.next < page.next:
                     await asyncio.sleep(0.02)
         except (TimeoutError, LogUnavailable):
@@ -345,7 +356,7 @@
         return self._enqueue(ReleaseRecord(attempt.key.hex(), attempt.id))
 
     async def _settled(self, item: Item) -> None:
-        timeout_s = SETTLE_WAIT_S + self._append_interval()
+        timeout_s = SETTLE_WAIT_S + self._pace.longest_s
         await asyncio.wait([item.confirmed], timeout=timeout_s)
 
     async def _await_change(self, key: bytes, entry: Entry | None, deadline: float) -> None:
@@ -398,10 +409,6 @@
     def _log_now(self) -> float:
         return self._log_time + asyncio.get_running_loop().time() - self._log_time_at
 
-    def _append_interval(self) -> float:
-        nodes = len(self._members.live()) if self._members is not None else 1
-        return nodes / APPENDS_PER_S
-
     def _enqueue(self, record: ClaimRecord | ReleaseRecord | ResultRecord, size: int = 256) -> Item:
         return self._outbox.add(asdict(record), size)
 
@@ -410,7 +417,7 @@
         wait_s = 0.0
         while True:
             try:
-                page = await self._log.read(CLAIM_STREAM, self.index.next, wait_s=wait_s)
+                page = await self._log.read(self._stream, self.index.next, wait_s=wait_s)
             except LogUnavailable:
                 await backoff.pause()
                 continue
@@ -445,6 +452,13 @@
                 return
 
 
+def append_pace(members: Members | None) -> Pace:
+    """Return the spacing of a node's appends, which depends on the number of live nodes."""
+    if members is None:
+        return Pace(lambda: 1 / APPENDS_PER_S)
+    return Pace(lambda: len(members.live()) / APPENDS_PER_S)
+
+
 def _stored(entry: Entry) -> Reply:
     if entry.status is Status.UNKNOWN:
         raise OutcomeUnknown("the outcome of the earlier request with this key is unknown")
--- a/lacewinghub/claim_index.py
+++ b/lacewinghub/claim_index.py
@@ -406,6 +406,21 @@
         return None
 
 
+def partition_of(key: bytes, partitions: int) -> int:
+    """Return the partition that the claims of a key belong to.
+
+    Args:
+        key: Hash from ``key_hash``.
+        partitions: Number of partitions.
+    """
+    return int.from_bytes(key, "big") % partitions
+
+
+def stream_of(partition: int, partitions: int) -> str:
+    """Return the name of the stream that holds the claims of a partition."""
+    return CLAIM_STREAM if partitions == 1 else f"{CLAIM_STREAM}-{partition}"
+
+
 def key_hash(workspace: str, key: str) -> bytes:
     """Return the 16-byte hash under which an idempotency key of a workspace is claimed."""
     return xxhash.xxh3_128_digest(f"{workspace}\0{key}".encode())
--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -291,6 +291,64 @@
     node: str
 
 
+@dataclass(slots=True)
+class Forward:
+    """A keyed call on its way to an owner of its partition.
+
+    Attributes:
+        call: Unique identifier of this message.
+        request: Identifier of the request.
+        workspace: Name of the caller's workspace.
+        request_class: Class of the request.
+        tier: Tier of the request.
+        pool: Name of the pool that serves it.
+        key: Idempotency key.
+        body: JSON body.
+        patience_ms: Remaining patience in milliseconds.
+        weight: Fair-share weight of the workspace.
+        fingerprint: Hash of workspace, pool and body.
+    """
+
+    CODE: ClassVar[int] = 20
+
+    call: str
+    request: str
+    workspace: str
+    request_class: str
+    tier: int
+    pool: str
+    key: str
+    body: bytes
+    patience_ms: int
+    weight: float
+    fingerprint: int
+
+
+@dataclass(slots=True)
+class ForwardReply:
+    """End of a forwarded call.
+
+    Attributes:
+        call: Identifier from ``Forward``.
+        status: HTTP status of the answer or of the error.
+        body: JSON body of the answer; details of the error as a JSON object.
+        code: Code of the error, empty if the call was answered.
+        text: Message of the error.
+        run: What the error says about the execution.
+        retry_after_ms: When a retry makes sense, in milliseconds; -1 if that is not known.
+    """
+
+    CODE: ClassVar[int] = 21
+
+    call: str
+    status: int
+    body: bytes
+    code: str = ""
+    text: str = ""
+    run: str = ""
+    retry_after_ms: int = -1
+
+
 Message = (
     Hello
     | Heartbeat
@@ -302,6 +360,8 @@
     | Addresses
     | Rumours
     | Parting
+    | Forward
+    | ForwardReply
 )
 
 _TYPES: dict[int, type] = {cls.CODE: cls for cls in get_args(Message)}
--- a/lacewinghub/node.py
+++ b/lacewinghub/node.py
@@ -13,10 +13,11 @@
 
 from . import logs
 from .brokered import BrokeredScheduler
-from .claim import Claimer
+from .claim import Claimer, append_pace
 from .config import ConfigReplica
 from .endpoint import HttpEndpoint
 from .errors import AddressUnavailable
+from .forward import Forwarder
 from .gateway import Gateway, GatewayParts, Phase
 from .health import EndpointHealth, HealthMonitor, HealthyPools, LeavingMarks
 from .history import History
@@ -28,6 +29,7 @@
 from .metrics import Metrics
 from .naive import NaiveScheduler
 from .observe import Observer
+from .partition import Partitions
 from .peer import PeerServer, PeerTls
 from .poll import EndpointPoller
 from .quarantine import Quarantine
@@ -84,12 +86,14 @@
             sup.on_stop(self._hosts.close)
             sup.start("hosts", self._hosts.run)
         sup.start("config", self._config.run)
-        sup.start("claims", self._claimer.run)
+        sup.start("claims", self._claims.run)
+        sup.start("forward", self._forwarder.run)
         sup.start("scheduler", self._scheduler.run)
         sup.start("observer", self._observer.run)
         sup.start("poll", self._poller.run)
         sup.on_stop(self._flush_claims)
         sup.on_stop(self._router.close)
+        sup.on_stop(self._forwarder.close)
         host, _, port = self.cfg.listen.rpartition(":")
         try:
             self.port = await self._gateway.start(host.strip("[]"), int(port))
@@ -154,12 +158,18 @@
         self._health = EndpointHealth()
         self._stalls = StallLimits()
         self._quarantine = Quarantine(cfg.node, self._membership, self._membership.beat)
-        self._claimer = Claimer(
+        make = partial(
+            Claimer,
             cfg.node,
             self._log,
             self._membership,
             incarnation=identity.incarnation,
             history=self._history,
+            pace=append_pace(self._membership),
+        )
+        self._forwarder = Forwarder(self._peers)
+        self._claims = Partitions(
+            cfg.node, cfg.availability_zone, self._membership, make, self._forwarder
         )
         self._scheduler = self._build_scheduler()
         for part in (self._config, LeavingMarks(self._health), self._quarantine):
@@ -177,10 +187,11 @@
                 budget=PoolBudgets(),
                 guard=self._quarantine,
                 monitors=[HealthMonitor(self._health), self._stalls],
-                claims=self._claimer,
+                claims=self._claims,
                 watch=partial(StallWatch, self._stalls),
             )
         )
+        self._forwarder.serve = self._router.serve
         self._gateway = Gateway(
             GatewayParts(
                 node=cfg.node,
@@ -192,7 +203,8 @@
                     "members": self._member_states,
                     "endpoints": self._endpoint_states,
                     "quarantine": self._quarantine.status,
-                    "claims_ready": lambda: self._claimer.ready,
+                    "claims_ready": lambda: self._claims.ready,
+                    "claim_partitions": lambda: self._claims.owned,
                     "task_restarts": lambda: self._supervisor.restarts,
                 },
                 body_bytes=cfg.limits.body_bytes,
@@ -218,6 +230,7 @@
         return self._config.tables
 
     def _on_tables(self, tables: Tables) -> None:
+        self._claims.divide(tables.claims.partitions)
         names = {item.name for pool in tables.pools.values() for item in pool.endpoints}
         self._health.retain(names)
         self._stalls.retain(tables.pools)
@@ -250,7 +263,7 @@
         return found
 
     async def _flush_claims(self) -> None:
-        if not await self._claimer.flush(FLUSH_S):
+        if not await self._claims.flush(FLUSH_S):
             logger.warning("results of calls could not be written to the log before the stop")
 
     def _in_flight(self) -> float:
--- a/lacewinghub/request.py
+++ b/lacewinghub/request.py
@@ -40,6 +40,7 @@
         avoid: Names of endpoints that already failed this request.
         sent_tokens: Tokens already received, for a resume.
         moves: Number of silent endpoints that were given up for this request.
+        forwarded: True if another node received it and passed it on to this one.
     """
 
     id: str
@@ -59,6 +60,7 @@
     avoid: set[str] = field(default_factory=set)
     sent_tokens: int = 0
     moves: int = 0
+    forwarded: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/lacewinghub/router.py
+++ b/lacewinghub/router.py
@@ -295,6 +295,28 @@
         self._record(EventKind.FINISHED, req, **Stopwatch(req.arrived, req.target).finish())
         return reply
 
+    async def serve(self, req: Request) -> Reply:
+        """Execute a keyed call that another node received and forwarded to this one.
+
+        The other node records its arrival and its end.
+
+        Args:
+            req: The call with its key.
+
+        Returns:
+            The reply of the service.
+
+        Raises:
+            LacewingError: One coded error.
+        """
+        if self._parts.budget is not None:
+            self._parts.budget.earn(req.pool)
+        try:
+            return await self._call_keyed(req)
+        except LacewingError:
+            self._drop(req)
+            raise
+
     async def close(self) -> None:
         """Wait for keyed calls whose callers left and for cancellations at runners."""
         while self._keyed or self._cancels:
