Test partitions of the claims with faults, in simulated time and with processes

Cause: partitions and forwarding must keep at most once and true refusals when owners stop. Change: tests of partitions with the log faults and crash points of test_claim, views that differ, lost and late replies, replacement of all nodes; 6 processes with 8 partitions whose owners are killed and frozen.

--- a/lacewinghub/partition.py
+++ b/lacewinghub/partition.py
@@ -139,7 +139,9 @@
     def ready(self) -> bool:
         """True while the claims of all partitions that this node owns are complete."""
         held = [self._held.get(number) for number in self._wanted]
-        return self._count is not None and all(item and item.claimer.ready for item in held)
+        if self._count is None or (self._count > 1 and self._live is None):
+            return False
+        return all(item and item.claimer.ready for item in held)
 
     @property
     def owned(self) -> list[int]:
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -21,6 +21,7 @@
 WORKERS = 4
 MODULE_TIMEOUT_S = 300
 SERIAL = (
+    "tests.test_claim_failure",
     "tests.test_counterpart",
     "tests.test_failure",
     "tests.test_overlay",
--- a/tests/claim_cluster.py
+++ b/tests/claim_cluster.py
@@ -82,12 +82,13 @@
     def __init__(self, name: str, cluster: "Cluster", kind: type[Claimer], **options: Any) -> None:
         self.name = name
         self.log = NodeLog(cluster.log)
-        self.claimer = kind(name, self.log, cluster, clock=wall, **options)
+        self.held: list[Callable[[], Any]] = []
         self.before_use: Hook | None = None
         self.after_use: Hook | None = None
         self.after_run: Hook | None = None
         self.dead = False
         self._cluster = cluster
+        self.claimer = cluster.build(self, kind, **options)
         self._task = asyncio.ensure_future(self.claimer.run())
 
     async def ask(self, req: Request) -> str:
@@ -107,6 +108,10 @@
             await stop_forever()
         return f"ok {reply.body['slot']}"
 
+    async def serve(self, req: Request) -> Reply:
+        """Execute a call that another node forwarded."""
+        return await self.claimer.execute(req, lambda check: self.send(check, req))
+
     async def send(self, check: Check, req: Request) -> Reply:
         """Call the service, as the router does."""
         await _run(self.before_use)
@@ -123,12 +128,16 @@
 
     def thaw(self) -> None:
         self.log.running.set()
+        held, self.held = self.held, []
+        for work in held:
+            work()
 
     async def kill(self) -> None:
         """Stop for good, at once; nothing of this node has an effect after the call."""
         self.dead = True
         self.freeze()
         self._task.cancel()
+        self._cluster.detach(self)
 
     async def die(self) -> None:
         """Kill the node from one of its own steps, which never ends."""
@@ -148,6 +157,13 @@
         self._kind = kind
         self._requests = 0
 
+    def build(self, node: Node, kind: type[Claimer], **options: Any) -> Any:
+        """Build the part of a node that executes requests under claims."""
+        return kind(node.name, node.log, self, clock=wall, **options)
+
+    def detach(self, node: Node) -> None:
+        """End the connections of a node that was killed."""
+
     def add(self, kind: type[Claimer] | None = None, **options: Any) -> Node:
         """Start a node."""
         name = f"n{len(self.nodes) + 1}"
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -125,6 +125,7 @@
         limits: Member ``limits`` of the nodes' settings.
         runner_args: Further arguments of the runners.
         service_args: Further arguments of the service.
+        tables: Further members of the tables.
     """
 
     def __init__(
@@ -134,7 +135,9 @@
         limits: dict[str, Any] | None = None,
         runner_args: list[str] | None = None,
         service_args: list[str] | None = None,
+        tables: dict[str, Any] | None = None,
     ) -> None:
+        self.tables = tables or {}
         self._dir = tempfile.TemporaryDirectory()
         self.path = Path(self._dir.name)
         self.limits = limits or {}
@@ -189,7 +192,7 @@
             {"name": f"r{i}", "address": item.address} | zone for i, item in enumerate(self.runners)
         ]
         service = {"name": "s0", "address": self.service.address} | zone
-        return {
+        return self.tables | {
             "pools": [
                 {"name": "assistant", "endpoints": runners},
                 {"name": "booking", "kind": "service", "repeatable": False, "endpoints": [service]},
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -14,7 +14,7 @@
 from lacewinghub.errors import NotRun, OutcomeUnknown, Overloaded
 from lacewinghub.permit import Permit
 from lacewinghub.router import Check
-from tests.claim_cluster import Cluster, Node, stop_forever
+from tests.claim_cluster import Cluster, Hook, Node, stop_forever
 from tests.claim_variants import (
     HandsOver,
     NoCopies,
@@ -143,23 +143,24 @@
 
 def die_at(point: str, node: Node) -> None:
     """Kill a node at a step of its next execution."""
+    stop_at(point, node, node.die)
 
-    async def die() -> None:
-        await node.die()
 
+def stop_at(point: str, node: Node, stop: Hook) -> None:
+    """Run a hook at a step of a node's next execution."""
     if point == "before append":
-        node.log.before_append["claim"] = die
+        node.log.before_append["claim"] = stop
     elif point == "after append":
-        node.log.after_append["claim"] = die
-        node.before_use = die
+        node.log.after_append["claim"] = stop
+        node.before_use = stop
     elif point == "after read-back":
-        node.before_use = die
+        node.before_use = stop
     elif point == "after dispatch":
-        node.after_run = die
+        node.after_run = stop
     elif point == "before result":
-        node.log.before_append["result"] = die
+        node.log.before_append["result"] = stop
     elif point == "before answer":
-        node.log.after_append["result"] = die
+        node.log.after_append["result"] = stop
 
 
 class CrashPointTest(unittest.TestCase):
@@ -217,6 +218,38 @@
                         self.assertEqual(answers, [[expected, expected]] * 2)
 
 
+async def race(
+    make: Callable[[], Cluster], faults: dict[str, Any], step: str, count: int = 3, hooked: int = 1
+) -> tuple[Cluster, list[str]]:
+    """Repeat a request at all nodes while the log fails from a step on, then without.
+
+    Args:
+        make: Returns a cluster without nodes.
+        faults: Faults of the log.
+        step: ``arrival``, ``dispatch`` or ``result``.
+        count: Number of nodes.
+        hooked: Number of nodes that break the log at the step.
+    """
+    cluster = make()
+    nodes = await cluster.add_ready(count)
+
+    async def break_log() -> None:
+        cluster.log.set_faults(**faults)
+
+    if step == "arrival":
+        await break_log()
+    for node in nodes[:hooked]:
+        node.before_use = break_log if step == "dispatch" else None
+        node.after_run = break_log if step == "result" else None
+    for pause in (0.0, 1.0, 8.0):
+        await asyncio.sleep(pause)
+        await asyncio.gather(*(node.ask(cluster.request("k")) for node in nodes))
+    cluster.log.set_faults()
+    await asyncio.sleep(20.0)
+    last = await asyncio.gather(*(node.ask(cluster.request("k")) for node in nodes))
+    return cluster, last
+
+
 class LogFaultTest(unittest.TestCase):
     """Guards against a second execution when the log fails at any step."""
 
@@ -238,7 +271,7 @@
         for faults in self.FAULTS:
             for step in ("arrival", "dispatch", "result"):
                 with self.subTest(step=step, **faults):
-                    cluster, last = simulate(lambda f=faults, s=step: self._race(Claimer, f, s))
+                    cluster, last = simulate(lambda f=faults, s=step: race(Cluster, f, s))
                     self.assertEqual(cluster.faults(), [])
                     self.assertEqual(cluster.service.by_key["k"], 1)
                     self.assertEqual(len(set(last)), 1)
@@ -248,32 +281,12 @@
         failed = [
             faults
             for faults in self.FAULTS
-            if simulate(lambda f=faults: self._race(NoReadBack, f, "arrival"))[0].faults()
+            if simulate(lambda f=faults: race(lambda: Cluster(NoReadBack), f, "arrival"))[
+                0
+            ].faults()
         ]
         self.assertGreater(len(failed), len(self.FAULTS) // 2)
 
-    async def _race(
-        self, kind: type[Claimer], faults: dict[str, Any], step: str
-    ) -> tuple[Cluster, list[str]]:
-        """Repeat a request at three nodes while the log fails from a step on, then without."""
-        cluster = Cluster(kind)
-        nodes = await cluster.add_ready(3)
-
-        async def break_log() -> None:
-            cluster.log.set_faults(**faults)
-
-        if step == "arrival":
-            await break_log()
-        nodes[0].before_use = break_log if step == "dispatch" else None
-        nodes[0].after_run = break_log if step == "result" else None
-        for pause in (0.0, 1.0, 8.0):
-            await asyncio.sleep(pause)
-            await asyncio.gather(*(node.ask(cluster.request("k")) for node in nodes))
-        cluster.log.set_faults()
-        await asyncio.sleep(20.0)
-        last = await asyncio.gather(*(node.ask(cluster.request("k")) for node in nodes))
-        return cluster, last
-
     def test_log_down_is_refused_without_a_statement_about_the_key(self) -> None:
         async def main() -> Cluster:
             cluster = Cluster()
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -74,7 +74,7 @@
         return offsets
 
 
-class _Deployment(Cluster):
+class Deployment(Cluster):
     """Nodes with claims and tables, and operators."""
 
     def __init__(
@@ -125,14 +125,19 @@
     STATE: ClassVar[type[ConfigState]] = ConfigState
     RETENTION_S: ClassVar[float] = 600.0
     WINDOW_S: ClassVar[float] = 1e6
+    DEPLOYMENT: ClassVar[type[Deployment]] = Deployment
+    START_NODES: ClassVar[int] = 3
+    PATCHES: ClassVar[tuple[Any, ...]] = (
+        (claim, "READ_WAIT_S", READ_WAIT_S),
+        (config, "READ_WAIT_S", READ_WAIT_S),
+    )
 
     def __init__(self) -> None:
         super().__init__()
         self.loop = looptime.new_event_loop(start=0.0, end=1e7)
         asyncio.set_event_loop(self.loop)
         self.patches = [
-            mock.patch.object(claim, "READ_WAIT_S", READ_WAIT_S),
-            mock.patch.object(config, "READ_WAIT_S", READ_WAIT_S),
+            mock.patch.object(module, name, value) for module, name, value in self.PATCHES
         ]
         for patch in self.patches:
             patch.start()
@@ -154,8 +159,8 @@
     @initialize()
     def start(self) -> None:
         async def main() -> None:
-            self.cluster = _Deployment(self.KIND, self.STATE, self.RETENTION_S, self.WINDOW_S)
-            for _ in range(3):
+            self.cluster = self.DEPLOYMENT(self.KIND, self.STATE, self.RETENTION_S, self.WINDOW_S)
+            for _ in range(self.START_NODES):
                 self.cluster.start()
             await asyncio.sleep(0.1)
 
