--- a/lacewinghub/claim.py
+++ b/lacewinghub/claim.py
@@ -129,7 +129,7 @@
         self._undecided: dict[str, _Attempt] = {}
         self._waiters: dict[bytes, list[asyncio.Future[None]]] = {}
         self._stream = stream
-        self._pace = pace or append_pace(members)
+        self._pace = pace or Pace(self._append_interval)
         self._outbox = Outbox(log, stream, self._random, self._pace)
         self._refresh_timer = RefreshTimer(self._random)
         self._copying: asyncio.Task[None] | None = None
@@ -409,6 +409,10 @@
     def _log_now(self) -> float:
         return self._log_time + asyncio.get_running_loop().time() - self._log_time_at
 
+    def _append_interval(self) -> float:
+        nodes = len(self._members.live()) if self._members is not None else 1
+        return nodes / APPENDS_PER_S
+
     def _enqueue(self, record: ClaimRecord | ReleaseRecord | ResultRecord, size: int = 256) -> Item:
         return self._outbox.add(asdict(record), size)
 
@@ -452,13 +456,6 @@
                 return
 
 
-def append_pace(members: Members | None) -> Pace:
-    """Return the spacing of a node's appends, which depends on the number of live nodes."""
-    if members is None:
-        return Pace(lambda: 1 / APPENDS_PER_S)
-    return Pace(lambda: len(members.live()) / APPENDS_PER_S)
-
-
 def _stored(entry: Entry) -> Reply:
     if entry.status is Status.UNKNOWN:
         raise OutcomeUnknown("the outcome of the earlier request with this key is unknown")
--- a/lacewinghub/errors.py
+++ b/lacewinghub/errors.py
@@ -149,7 +149,10 @@
 
 
 class KeyUnverified(LacewingError):
-    """The log cannot be read, so an earlier request with this key may have been executed."""
+    """The log cannot be read or no owner of the key accepted the call.
+
+    An earlier request with this key may have been executed.
+    """
 
     code, status, run = "key_unverified", 503, Run.UNKNOWN
 
--- a/lacewinghub/node.py
+++ b/lacewinghub/node.py
@@ -13,7 +13,7 @@
 
 from . import logs
 from .brokered import BrokeredScheduler
-from .claim import Claimer, append_pace
+from .claim import Claimer
 from .config import ConfigReplica
 from .endpoint import HttpEndpoint
 from .errors import AddressUnavailable
@@ -165,7 +165,6 @@
             self._membership,
             incarnation=identity.incarnation,
             history=self._history,
-            pace=append_pace(self._membership),
         )
         self._forwarder = Forwarder(self._peers)
         self._claims = Partitions(
--- a/lacewinghub/partition.py
+++ b/lacewinghub/partition.py
@@ -8,7 +8,8 @@
 import xxhash
 from loguru import logger
 
-from .claim import Claimer
+from ._outbox import Pace
+from .claim import APPENDS_PER_S, Claimer
 from .claim_index import key_hash, partition_of, stream_of
 from .endpoint import Reply
 from .errors import KeyMissing, KeyUnverified, NotReady, Run
@@ -136,7 +137,7 @@
         node: Identifier of this node.
         zone: Availability zone of this node.
         members: The live nodes.
-        make: Returns a claimer for the stream given by the keyword argument ``stream``.
+        make: Returns a claimer for the keyword arguments ``stream`` and ``pace``.
         forwarder: Sends calls to other nodes.
     """
 
@@ -158,6 +159,7 @@
         self._held: dict[int, _Held] = {}
         self._wanted: set[int] = {0}
         self._live: list[Member] | None = None
+        self._pace = Pace(self._append_interval)
 
     @property
     def ready(self) -> bool:
@@ -290,11 +292,21 @@
                 # The supervisor counts the failure and starts all claimers again.
                 held.task.result()
 
+    def _append_interval(self) -> float:
+        """Return the spacing of this node's appends, in seconds.
+
+        The nodes share the appends of the log by the number of partitions that they own, because
+        the node that owns most has twice the claims of the mean.
+        """
+        live, count = len(self._members.live()), self._count or 1
+        owners = live if count == 1 else min(live, OWNERS)
+        return count * owners / max(1, len(self._wanted)) / APPENDS_PER_S
+
     def _keep(self, number: int) -> None:
         held = self._held.get(number)
         if held is None:
             held = self._held[number] = _Held(
-                self._make(stream=stream_of(number, self._count or 1))
+                self._make(stream=stream_of(number, self._count or 1), pace=self._pace)
             )
             logger.info("partition {} of the claims is read", number)
         held.dropped_at = None
--- a/tests/partition_cluster.py
+++ b/tests/partition_cluster.py
@@ -4,7 +4,7 @@
 from functools import partial
 from typing import Any
 
-from lacewinghub.claim import Claimer, append_pace
+from lacewinghub.claim import Claimer
 from lacewinghub.claim_index import key_hash, partition_of
 from lacewinghub.forward import Forwarder
 from lacewinghub.membership import Member, Members, MemberState
@@ -67,9 +67,7 @@
         forwarder = self._forwarder(transport)
         forwarder.serve = node.serve
         view = _View(self, node.name)
-        make = partial(
-            kind, node.name, node.log, view, clock=wall, pace=append_pace(view), **options
-        )
+        make = partial(kind, node.name, node.log, view, clock=wall, **options)
         partitions = Partitions(node.name, zone, view, make, forwarder)
         partitions.divide(self.partitions)
         self._watches[node.name] = asyncio.ensure_future(forwarder.run())
--- a/tests/test_claim_partition.py
+++ b/tests/test_claim_partition.py
@@ -265,6 +265,35 @@
         self.assertEqual(cluster.service.by_key["k"], 1)
 
 
+class SpacingTest(unittest.TestCase):
+    """Guards against more appends than the log takes, and against owners that cannot keep up."""
+
+    def test_all_streams_of_a_node_share_its_spacing(self) -> None:
+        async def main(partitions: int, count: int) -> tuple[int, float, list[float]]:
+            cluster = PartitionedCluster(partitions=partitions, append_limit=1e6)
+            nodes = await cluster.add_ready(count)
+            await asyncio.sleep(1.0)
+            keys = [f"k{n}" for n in range(150)]
+            appends, start = cluster.log.appends, asyncio.get_running_loop().time()
+            await asyncio.gather(
+                *(nodes[n % count].ask(cluster.request(key)) for n, key in enumerate(keys))
+            )
+            self.assertEqual(set(cluster.service.by_key.values()), {1})
+            self.assertEqual(cluster.faults(), [])
+            spent = asyncio.get_running_loop().time() - start
+            intervals = [node.claimer._append_interval() for node in nodes]
+            return cluster.log.appends - appends, spent, intervals
+
+        for partitions, count in ((1, 6), (8, 3), (32, 6), (64, 9)):
+            with self.subTest(partitions=partitions, nodes=count):
+                appends, spent, intervals = simulate(lambda p=partitions, n=count: main(p, n))
+                # The first append of each node does not wait, the last one ends the time.
+                self.assertLessEqual(appends, 2 * count + 200.0 * spent)
+                self.assertAlmostEqual(sum(1 / item for item in intervals), 200.0)
+                if partitions == 1:
+                    self.assertEqual(set(intervals), {count / 200.0})
+
+
 class FaultTest(unittest.TestCase):
     """Guards against a second execution when owners, nodes or the log fail at any step."""
 
