--- a/tests/claim_cluster.py
+++ b/tests/claim_cluster.py
@@ -216,6 +216,38 @@
         return MemberState.LIVE if alive else MemberState.DEAD
 
 
+async def race(
+    make: Callable[[], Cluster], faults: dict[str, Any], step: str, count: int = 3, hooked: int = 1
+) -> tuple[Cluster, list[str]]:
+    """Repeat a request at all nodes while the log fails from a step on, then without.
+
+    Args:
+        make: Returns a cluster without nodes.
+        faults: Faults of the log.
+        step: ``arrival``, ``dispatch`` or ``result``.
+        count: Number of nodes.
+        hooked: Number of nodes that break the log at the step.
+    """
+    cluster = make()
+    nodes = await cluster.add_ready(count)
+
+    async def break_log() -> None:
+        cluster.log.set_faults(**faults)
+
+    if step == "arrival":
+        await break_log()
+    for node in nodes[:hooked]:
+        node.before_use = break_log if step == "dispatch" else None
+        node.after_run = break_log if step == "result" else None
+    for pause in (0.0, 1.0, 8.0):
+        await asyncio.sleep(pause)
+        await asyncio.gather(*(node.ask(cluster.request("k")) for node in nodes))
+    cluster.log.set_faults()
+    await asyncio.sleep(20.0)
+    last = await asyncio.gather(*(node.ask(cluster.request("k")) for node in nodes))
+    return cluster, last
+
+
 async def _run(hook: Hook | None) -> None:
     if hook is not None:
         await hook()
--- a/tests/test_claim_partition.py
+++ b/tests/test_claim_partition.py
@@ -17,7 +17,7 @@
 from lacewinghub.message import Forward
 from lacewinghub.partition import GRACE_S, OWNERS, Owners
 from tests import test_claim
-from tests.claim_cluster import Node, stop_forever
+from tests.claim_cluster import Node, race, stop_forever
 from tests.claim_variants import NoReplay
 from tests.clock import simulate
 from tests.partition_cluster import ZONES, PartitionedCluster
@@ -302,7 +302,7 @@
             for step in ("arrival", "dispatch", "result"):
                 with self.subTest(step=step, **faults):
                     cluster, last = simulate(
-                        lambda f=faults, s=step: test_claim.race(PartitionedCluster, f, s, 6, 6)
+                        lambda f=faults, s=step: race(PartitionedCluster, f, s, 6, 6)
                     )
                     self.assertEqual(cluster.faults(), [])
                     self.assertEqual(cluster.service.by_key["k"], 1)
