Let a leaving node append the results of its calls

Cause: a node that owns no partition, as during its planned stop, spaced its appends as for one partition: 15 s at 1024 partitions and 200 appends per second, longer than the flush at its stop. Change: without ownerships the partitions that it still reads count. Check: python -m tests test_claim_partition: 20 passed; the new test fails without the change.

--- a/lacewinghub/partition.py
+++ b/lacewinghub/partition.py
@@ -300,7 +300,9 @@
         """
         live, count = len(self._members.live()), self._count or 1
         owners = live if count == 1 else min(live, OWNERS)
-        return count * owners / max(1, len(self._wanted)) / APPENDS_PER_S
+        # A leaving node owns nothing but still appends the results of its calls.
+        owned = len(self._wanted) or len(self._held) or 1
+        return count * owners / owned / APPENDS_PER_S
 
     def _keep(self, number: int) -> None:
         held = self._held.get(number)
--- a/tests/test_claim_partition.py
+++ b/tests/test_claim_partition.py
@@ -293,6 +293,20 @@
                 if partitions == 1:
                     self.assertEqual(set(intervals), {count / 200.0})
 
+    def test_leaving_node_still_appends_its_results(self) -> None:
+        """Guards against results that are lost because a node that owns nothing may not append."""
+
+        async def main() -> None:
+            cluster = PartitionedCluster(partitions=64)
+            node = (await cluster.add_ready(6))[0]
+            before = node.claimer._append_interval()
+            cluster.hidden.add((node.name, node.name))
+            await asyncio.sleep(1.0)
+            self.assertEqual(node.claimer.owned, [])
+            self.assertLessEqual(node.claimer._append_interval(), before)
+
+        simulate(main)
+
 
 class FaultTest(unittest.TestCase):
     """Guards against a second execution when owners, nodes or the log fail at any step."""
