--- a/lacewinghub/document.py
+++ b/lacewinghub/document.py
@@ -18,7 +18,7 @@
 from ._steps import Steps, at_once
 from ._validation import invalid
 from .errors import TablesInvalid
-from .tables import TABLE_NAMES, Draft, Pool, Route, Tables, Workspace
+from .tables import CLAIMS, TABLE_NAMES, ClaimSettings, Draft, Pool, Route, Tables, Workspace
 
 # Tables of 13,000 workspaces with a route each have 5 MB.
 MAX_DOCUMENT_BYTES = 64 * 1024 * 1024
@@ -35,6 +35,8 @@
     "routes": TypeAdapter(list[Route]),
     "pools": TypeAdapter(list[Pool]),
     "workspaces": TypeAdapter(list[Workspace]),
+    # A list of one entry, so that the reader meets lists only; left out for the default.
+    CLAIMS: TypeAdapter(list[ClaimSettings]),
 }
 _SPACE = re.compile(r"[ \t\n\r]*")
 _START = re.compile(r"\{")
@@ -74,7 +76,7 @@
         TablesInvalid: If the document is damaged, incomplete or too large, or the tables are wrong.
     """
     source, text, draft = _Source(data), _Text(), Draft(Tables())
-    counts = dict.fromkeys(TABLE_NAMES, 0)
+    counts = dict.fromkeys(_LISTS, 0)
     while not source.ended:
         if len(data) < THREAD_BYTES:
             yield None
@@ -83,8 +85,14 @@
             piece = yield source.read
         text.add(piece, source.ended)
         while items := text.take():
-            draft.insert(text.table, _validate(text.table, items, counts[text.table]))
+            entries = _validate(text.table, items, counts[text.table])
             counts[text.table] += len(items)
+            if text.table != CLAIMS:
+                draft.insert(text.table, entries)
+            elif counts[CLAIMS] > 1:
+                raise TablesInvalid(f"{CLAIMS}: more than one entry", place=CLAIMS)
+            else:
+                draft.set_claims(entries[0])
             yield None
     text.check_end()
     for _ in draft.check(SLICE_ENTRIES):
@@ -107,8 +115,11 @@
 
 
 def _slices(tables: Tables) -> Iterator[bytes]:
-    for number, table in enumerate(TABLE_NAMES):
-        entries = iter(getattr(tables, table).values())
+    lists = [(table, list(getattr(tables, table).values())) for table in TABLE_NAMES]
+    if tables.claims != ClaimSettings():
+        lists.append((CLAIMS, [tables.claims]))
+    for number, (table, items_of) in enumerate(lists):
+        entries = iter(items_of)
         head = f'{", " if number else "{"}"{table}": ['
         while items := list(islice(entries, SLICE_ENTRIES)):
             yield (head + json.dumps(_LISTS[table].dump_python(items))[1:-1]).encode()
@@ -218,7 +229,7 @@
         return True
 
     def _open(self, table: str, comma: bool) -> None:
-        if table not in TABLE_NAMES or table in self._seen or comma != bool(self._seen):
+        if table not in _LISTS or table in self._seen or comma != bool(self._seen):
             raise TablesInvalid(f"{table}: unexpected member of the document", place=table)
         self._seen.add(table)
         self.table = table
--- a/lacewinghub/node.py
+++ b/lacewinghub/node.py
@@ -17,6 +17,7 @@
 from .config import ConfigReplica
 from .endpoint import HttpEndpoint
 from .errors import AddressUnavailable
+from .forward import Forwarder
 from .gateway import Gateway, GatewayParts, Phase
 from .health import EndpointHealth, HealthMonitor, HealthyPools, LeavingMarks
 from .history import History
@@ -29,6 +30,7 @@
 from .observe import Observer
 from .ondemand import OnDemand
 from .overlay import Overlay
+from .partition import Partitions
 from .peer import PeerServer, PeerTls
 from .poll import EndpointPoller
 from .quarantine import Quarantine
@@ -85,12 +87,14 @@
             sup.on_stop(self._hosts.close)
             sup.start("hosts", self._hosts.run)
         sup.start("config", self._config.run)
-        sup.start("claims", self._claimer.run)
+        sup.start("claims", self._claims.run)
+        sup.start("forward", self._forwarder.run)
         sup.start("scheduler", self._scheduler.run)
         sup.start("observer", self._observer.run)
         sup.start("poll", self._poller.run)
         sup.on_stop(self._flush_claims)
         sup.on_stop(self._router.close)
+        sup.on_stop(self._forwarder.close)
         host, _, port = self.cfg.listen.rpartition(":")
         try:
             self.port = await self._gateway.start(host.strip("[]"), int(port))
@@ -157,13 +161,19 @@
         self._quarantine = Quarantine(
             cfg.node, self._membership, self._membership.beat, forward=self._membership.forward
         )
-        self._claimer = Claimer(
+        make = partial(
+            Claimer,
             cfg.node,
             self._log,
             self._membership,
             incarnation=identity.incarnation,
             history=self._history,
         )
+        self._reach = OnDemand(self._peers, self._membership)
+        self._forwarder = Forwarder(self._reach)
+        self._claims = Partitions(
+            cfg.node, cfg.availability_zone, self._membership, make, self._forwarder
+        )
         self._scheduler = self._build_scheduler()
         marks = LeavingMarks(self._health, self._membership.forward)
         for part in (self._config, marks, self._quarantine):
@@ -181,10 +191,11 @@
                 budget=PoolBudgets(),
                 guard=self._quarantine,
                 monitors=[HealthMonitor(self._health), self._stalls],
-                claims=self._claimer,
+                claims=self._claims,
                 watch=partial(StallWatch, self._stalls),
             )
         )
+        self._forwarder.serve = self._router.serve
         self._gateway = Gateway(
             GatewayParts(
                 node=cfg.node,
@@ -197,7 +208,8 @@
                     "connections": self._connections,
                     "endpoints": self._endpoint_states,
                     "quarantine": self._quarantine.status,
-                    "claims_ready": lambda: self._claimer.ready,
+                    "claims_ready": lambda: self._claims.ready,
+                    "claim_partitions": lambda: self._claims.owned,
                     "task_restarts": lambda: self._supervisor.restarts,
                 },
                 body_bytes=cfg.limits.body_bytes,
@@ -212,8 +224,7 @@
             return NaiveScheduler(view, reports, history=self._history)
         if self.cfg.scheduler == "local":
             return LocalScheduler(view, reports, self._live_count, self._history)
-        transport = OnDemand(self._peers, self._membership)
-        scheduler = BrokeredScheduler(view, reports, transport, self._membership, self._history)
+        scheduler = BrokeredScheduler(view, reports, self._reach, self._membership, self._history)
         self._membership.add(scheduler)
         self._poller = EndpointPoller(
             self._tables, reports, self._health, scheduler.prefixes, scheduler.broker.endpoints
@@ -224,6 +235,7 @@
         return self._config.tables
 
     def _on_tables(self, tables: Tables) -> None:
+        self._claims.divide(tables.claims.partitions)
         names = {item.name for pool in tables.pools.values() for item in pool.endpoints}
         self._health.retain(names)
         self._stalls.retain(tables.pools)
@@ -259,7 +271,7 @@
         return found
 
     async def _flush_claims(self) -> None:
-        if not await self._claimer.flush(FLUSH_S):
+        if not await self._claims.flush(FLUSH_S):
             logger.warning("results of calls could not be written to the log before the stop")
 
     def _in_flight(self) -> float:
--- a/lacewinghub/tables.py
+++ b/lacewinghub/tables.py
@@ -4,110 +4,52 @@
 keeps an entry for each of thousands of workspaces.
 """
 
-import ipaddress
 from collections.abc import Iterable, Iterator
 from dataclasses import asdict, dataclass, field
-from typing import Annotated, Any, ClassVar, Literal
-
-from pydantic import AfterValidator, ConfigDict, Field, TypeAdapter, ValidationError
-
+from typing import Any, ClassVar
+
+from pydantic import ConfigDict, TypeAdapter, ValidationError
+
+from ._entries import (
+    ANY,
+    MAX_PARTITIONS,
+    MAX_TIER,
+    Address,
+    ClaimSettings,
+    Endpoint,
+    Name,
+    Pool,
+    Route,
+    Sha256,
+    Target,
+    Workspace,
+)
 from ._validation import invalid
 from .errors import TablesInvalid, UnknownModel, UnknownPool
 
-ANY = "*"
-MAX_TIER = 8
-TABLE_NAMES = ("routes", "pools", "workspaces")
-
-Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
-Match = Annotated[str, Field(pattern=r"^(\*|[A-Za-z0-9][A-Za-z0-9._-]{0,63})$")]
-Sha256 = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
-
-
-def _check_address(value: str) -> str:
-    host, _, port = value.rpartition(":")
-    ipaddress.ip_address(host.strip("[]"))
-    if not 0 < int(port) < 65536:
-        raise ValueError("port must be from 1 to 65535")
-    return value
-
-
-Address = Annotated[str, AfterValidator(_check_address)]
-
-
-@dataclass(frozen=True, slots=True)
-class Target:
-    """Latency targets of a class, in seconds; None means no target."""
-
-    __pydantic_config__: ClassVar = ConfigDict(extra="forbid")
+__all__ = [
+    "ANY",
+    "CLAIMS",
+    "MAX_PARTITIONS",
+    "MAX_TIER",
+    "TABLE_NAMES",
+    "Address",
+    "Change",
+    "ClaimSettings",
+    "Draft",
+    "Endpoint",
+    "Name",
+    "Pool",
+    "Route",
+    "Sha256",
+    "Tables",
+    "Target",
+    "Workspace",
+]
 
-    first_token_s: Annotated[float, Field(gt=0)] | None = None
-    between_tokens_s: Annotated[float, Field(gt=0)] | None = None
-    completion_s: Annotated[float, Field(gt=0)] | None = None
 
-
-@dataclass(frozen=True, slots=True)
-class Route:
-    """Sends requests of a workspace, class and model to a pool at a tier.
-
-    ``*`` matches everything. The route with the most exact matches wins; workspace outranks class,
-    class outranks model.
-    """
-
-    __pydantic_config__: ClassVar = ConfigDict(extra="forbid")
-
-    name: Name
-    pool: Name
-    tier: Annotated[int, Field(ge=1, le=MAX_TIER)]
-    workspace: Match = ANY
-    request_class: Match = ANY
-    model: Match = ANY
-    patience_s: Annotated[float, Field(gt=0, le=3600)] = 30.0
-    target: Target = Target()
-
-
-@dataclass(frozen=True, slots=True)
-class Endpoint:
-    """A runner or plain service of a pool."""
-
-    __pydantic_config__: ClassVar = ConfigDict(extra="forbid")
-
-    name: Name
-    address: Address
-    availability_zone: Name
-    slots: Annotated[int, Field(ge=1, le=4096)] = 8
-    cache_blocks: Annotated[int, Field(ge=0)] = 4096
-
-
-@dataclass(frozen=True, slots=True)
-class Pool:
-    """Endpoints that serve under one name.
-
-    ``kind`` is ``model`` for runners and ``service`` for plain services. Calls to a service that is
-    not ``repeatable`` need an idempotency key and run at most once.
-    """
-
-    __pydantic_config__: ClassVar = ConfigDict(extra="forbid")
-
-    name: Name
-    endpoints: list[Endpoint]
-    kind: Literal["model", "service"] = "model"
-    repeatable: bool = True
-    queue_limit: Annotated[int, Field(ge=1)] = 256
-
-    def endpoint(self, name: str) -> Endpoint | None:
-        """Return the endpoint with this name, or None."""
-        return next((item for item in self.endpoints if item.name == name), None)
-
-
-@dataclass(frozen=True, slots=True)
-class Workspace:
-    """A workspace, the SHA-256 digests of its keys in hex, and its fair-share weight."""
-
-    __pydantic_config__: ClassVar = ConfigDict(extra="forbid")
-
-    name: Name
-    keys: list[Sha256] = field(default_factory=list)
-    weight: Annotated[float, Field(gt=0, le=1000)] = 1.0
+TABLE_NAMES = ("routes", "pools", "workspaces")
+CLAIMS = "claims"
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,6 +59,7 @@
     routes: list[Route]
     pools: list[Pool]
     workspaces: list[Workspace]
+    claims: ClaimSettings = field(default_factory=ClaimSettings)
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,8 +67,8 @@
     """One operation on a table entry.
 
     Attributes:
-        table: ``routes``, ``pools`` or ``workspaces``.
-        name: Name of the entry.
+        table: ``routes``, ``pools``, ``workspaces`` or ``claims``.
+        name: Name of the entry; the only entry of ``claims`` is named ``claims``.
         value: The new entry as a JSON object, or None to delete it.
     """
 
@@ -145,6 +88,7 @@
         pools: Pools by name.
         workspaces: Workspaces by name.
         version: Version number; 0 means that nothing was published yet.
+        claims: How the claims are divided.
 
     Raises:
         TablesInvalid: If the tables are inconsistent.
@@ -156,8 +100,10 @@
         pools: Iterable[Pool] = (),
         workspaces: Iterable[Workspace] = (),
         version: int = 0,
+        claims: ClaimSettings = ClaimSettings(),  # noqa: B008
     ) -> None:
         self.version = version
+        self.claims = claims
         self.routes: dict[str, Route] = {}
         self.pools: dict[str, Pool] = {}
         self.workspaces: dict[str, Workspace] = {}
@@ -187,14 +133,20 @@
             doc = _DOCUMENT.validate_python(document)
         except ValidationError as exc:
             raise invalid(exc) from exc
-        return cls(doc.routes, doc.pools, doc.workspaces, version)
+        return cls(doc.routes, doc.pools, doc.workspaces, version, doc.claims)
 
-    def to_document(self) -> dict[str, list[dict[str, Any]]]:
+    def to_document(self) -> dict[str, Any]:
         """Return the tables as a JSON document that ``parse`` accepts."""
         doc = _Document(
-            [*self.routes.values()], [*self.pools.values()], [*self.workspaces.values()]
+            [*self.routes.values()],
+            [*self.pools.values()],
+            [*self.workspaces.values()],
+            self.claims,
         )
-        return _DOCUMENT.dump_python(doc)
+        document = _DOCUMENT.dump_python(doc)
+        if self.claims == ClaimSettings():
+            del document[CLAIMS]
+        return document
 
     def diff(self, other: "Tables") -> list[Change]:
         """Return the operations that turn these tables into the other ones."""
@@ -207,6 +159,8 @@
                 for name, item in new.items()
                 if old.get(name) != item
             ]
+        if self.claims != other.claims:
+            changes.append(Change(CLAIMS, CLAIMS, asdict(other.claims)))
         return changes
 
     def apply(self, changes: Iterable[Change], version: int) -> "Tables":
@@ -302,6 +256,8 @@
         self._maps: dict[str, dict[Any, Any]] = {
             name: getattr(tables, name) for name in TABLE_NAMES
         } | {name: getattr(tables._index, name) for name in _Index.__slots__}
+        self._maps[CLAIMS] = {CLAIMS: tables.claims}
+        self._is_new = tables.version == 0
         self._owned: set[str] = set()
         self._journal: list[tuple[str, Any, Any]] = []
 
@@ -318,6 +274,9 @@
             touched: dict[tuple[str, str], Any] = {}
             for change in changes:
                 entry = _parse_change(change)
+                if change.table == CLAIMS:
+                    self.set_claims(entry)
+                    continue
                 old = self._maps[change.table].get(change.name)
                 touched.setdefault((change.table, change.name), old)
                 self._set(change.table, change.name, entry)
@@ -335,6 +294,8 @@
             for table, key, value in reversed(self._journal):
                 self._put(table, key, value)
             raise
+        else:
+            self._is_new = False
         finally:
             # It is as large as the tables after the first change.
             self._journal.clear()
@@ -347,6 +308,7 @@
         """
         tables = Tables.__new__(Tables)
         tables.version = version
+        tables.claims = self._maps[CLAIMS][CLAIMS]
         for name in TABLE_NAMES:
             setattr(tables, name, self._maps[name])
         tables._index = _Index(**{name: self._maps[name] for name in _Index.__slots__})
@@ -379,6 +341,21 @@
                     yield
         self._journal.clear()
 
+    def set_claims(self, claims: ClaimSettings | None) -> None:
+        """Set how the claims are divided; None for the default.
+
+        Raises:
+            TablesInvalid: If there is a version with another number of partitions.
+        """
+        claims = claims or ClaimSettings()
+        # With another number a key would be looked up in a stream that does not hold its claim.
+        if claims != self._maps[CLAIMS][CLAIMS] and not self._is_new:
+            raise TablesInvalid(
+                "only the change that creates version 1 can set the number of partitions",
+                place="claims.partitions",
+            )
+        self._set(CLAIMS, CLAIMS, claims)
+
     def _set(self, table: str, key: Any, value: Any) -> None:
         self._journal.append((table, key, self._maps[table].get(key)))
         self._put(table, key, value)
@@ -479,6 +456,7 @@
     "routes": TypeAdapter(Route),
     "pools": TypeAdapter(Pool),
     "workspaces": TypeAdapter(Workspace),
+    CLAIMS: TypeAdapter(ClaimSettings),
 }
 
 
@@ -493,6 +471,7 @@
         entry: Any = adapter.validate_python(change.value)
     except ValidationError as exc:
         raise invalid(exc, change.table, change.name) from exc
-    if entry.name != change.name:
-        raise TablesInvalid(f"entry {change.name!r} carries the name {entry.name!r}")
+    name = CLAIMS if change.table == CLAIMS else entry.name
+    if name != change.name:
+        raise TablesInvalid(f"entry {change.name!r} carries the name {name!r}")
     return entry
--- a/tests/claim_cluster.py
+++ b/tests/claim_cluster.py
@@ -82,12 +82,14 @@
     def __init__(self, name: str, cluster: "Cluster", kind: type[Claimer], **options: Any) -> None:
         self.name = name
         self.log = NodeLog(cluster.log)
-        self.claimer = kind(name, self.log, cluster, clock=wall, **options)
+        self.held: list[Callable[[], Any]] = []
+        self._loop = asyncio.get_running_loop()
         self.before_use: Hook | None = None
         self.after_use: Hook | None = None
         self.after_run: Hook | None = None
         self.dead = False
         self._cluster = cluster
+        self.claimer = cluster.build(self, kind, **options)
         self._task = asyncio.ensure_future(self.claimer.run())
 
     async def ask(self, req: Request) -> str:
@@ -107,6 +109,10 @@
             await stop_forever()
         return f"ok {reply.body['slot']}"
 
+    async def serve(self, req: Request) -> Reply:
+        """Execute a call that another node forwarded."""
+        return await self.claimer.execute(req, lambda check: self.send(check, req))
+
     async def send(self, check: Check, req: Request) -> Reply:
         """Call the service, as the router does."""
         await _run(self.before_use)
@@ -123,12 +129,16 @@
 
     def thaw(self) -> None:
         self.log.running.set()
+        held, self.held = self.held, []
+        for work in held:
+            self._loop.call_soon(work)
 
     async def kill(self) -> None:
         """Stop for good, at once; nothing of this node has an effect after the call."""
         self.dead = True
         self.freeze()
         self._task.cancel()
+        self._cluster.detach(self)
 
     async def die(self) -> None:
         """Kill the node from one of its own steps, which never ends."""
@@ -148,6 +158,13 @@
         self._kind = kind
         self._requests = 0
 
+    def build(self, node: Node, kind: type[Claimer], **options: Any) -> Any:
+        """Build the part of a node that executes requests under claims."""
+        return kind(node.name, node.log, self, clock=wall, **options)
+
+    def detach(self, node: Node) -> None:
+        """End the connections of a node that was killed."""
+
     def add(self, kind: type[Claimer] | None = None, **options: Any) -> Node:
         """Start a node."""
         name = f"n{len(self.nodes) + 1}"
@@ -201,23 +218,56 @@
 
 def die_at(point: str, node: Node) -> None:
     """Kill a node at a step of its next execution."""
+    stop_at(point, node, node.die)
 
-    async def die() -> None:
-        await node.die()
 
+def stop_at(point: str, node: Node, stop: Hook) -> None:
+    """Run a hook at a step of a node's next execution."""
     if point == "before append":
-        node.log.before_append["claim"] = die
+        node.log.before_append["claim"] = stop
     elif point == "after append":
-        node.log.after_append["claim"] = die
-        node.before_use = die
+        node.log.after_append["claim"] = stop
+        node.before_use = stop
     elif point == "after read-back":
-        node.before_use = die
+        node.before_use = stop
     elif point == "after dispatch":
-        node.after_run = die
+        node.after_run = stop
     elif point == "before result":
-        node.log.before_append["result"] = die
+        node.log.before_append["result"] = stop
     elif point == "before answer":
-        node.log.after_append["result"] = die
+        node.log.after_append["result"] = stop
+
+
+async def race(
+    make: Callable[[], Cluster], faults: dict[str, Any], step: str, count: int = 3, hooked: int = 1
+) -> tuple[Cluster, list[str]]:
+    """Repeat a request at all nodes while the log fails from a step on, then without.
+
+    Args:
+        make: Returns a cluster without nodes.
+        faults: Faults of the log.
+        step: ``arrival``, ``dispatch`` or ``result``.
+        count: Number of nodes.
+        hooked: Number of nodes that break the log at the step.
+    """
+    cluster = make()
+    nodes = await cluster.add_ready(count)
+
+    async def break_log() -> None:
+        cluster.log.set_faults(**faults)
+
+    if step == "arrival":
+        await break_log()
+    for node in nodes[:hooked]:
+        node.before_use = break_log if step == "dispatch" else None
+        node.after_run = break_log if step == "result" else None
+    for pause in (0.0, 1.0, 8.0):
+        await asyncio.sleep(pause)
+        await asyncio.gather(*(node.ask(cluster.request("k")) for node in nodes))
+    cluster.log.set_faults()
+    await asyncio.sleep(20.0)
+    last = await asyncio.gather(*(node.ask(cluster.request("k")) for node in nodes))
+    return cluster, last
 
 
 async def _run(hook: Hook | None) -> None:
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -129,6 +129,7 @@
         members: Settings of all nodes that differ from those of ``add_node``.
         without: Mechanism that the nodes lack, see ``node_without``.
         services: Number of services.
+        tables: Further members of the tables.
     """
 
     def __init__(
@@ -141,7 +142,9 @@
         members: dict[str, Any] | None = None,
         without: str = "",
         services: int = 1,
+        tables: dict[str, Any] | None = None,
     ) -> None:
+        self.tables = tables or {}
         self._dir = tempfile.TemporaryDirectory()
         self.path = Path(self._dir.name)
         self.limits = limits or {}
@@ -227,7 +230,7 @@
             {"name": f"s{i}", "address": item.address} | zone
             for i, item in enumerate(self.services)
         ]
-        return {
+        return self.tables | {
             "pools": [
                 {"name": "assistant", "endpoints": runners},
                 {"name": "booking", "kind": "service", "repeatable": False, "endpoints": services},
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -14,7 +14,7 @@
 from lacewinghub.errors import NotRun, OutcomeUnknown, Overloaded
 from lacewinghub.permit import Permit
 from lacewinghub.router import Check
-from tests.claim_cluster import Cluster, die_at, stop_forever
+from tests.claim_cluster import Cluster, die_at, race, stop_forever
 from tests.claim_variants import (
     HandsOver,
     NoCopies,
@@ -217,7 +217,7 @@
         for faults in self.FAULTS:
             for step in ("arrival", "dispatch", "result"):
                 with self.subTest(step=step, **faults):
-                    cluster, last = simulate(lambda f=faults, s=step: self._race(Claimer, f, s))
+                    cluster, last = simulate(lambda f=faults, s=step: race(Cluster, f, s))
                     self.assertEqual(cluster.faults(), [])
                     self.assertEqual(cluster.service.by_key["k"], 1)
                     self.assertEqual(len(set(last)), 1)
@@ -227,32 +227,12 @@
         failed = [
             faults
             for faults in self.FAULTS
-            if simulate(lambda f=faults: self._race(NoReadBack, f, "arrival"))[0].faults()
+            if simulate(lambda f=faults: race(lambda: Cluster(NoReadBack), f, "arrival"))[
+                0
+            ].faults()
         ]
         self.assertGreater(len(failed), len(self.FAULTS) // 2)
 
-    async def _race(
-        self, kind: type[Claimer], faults: dict[str, Any], step: str
-    ) -> tuple[Cluster, list[str]]:
-        """Repeat a request at three nodes while the log fails from a step on, then without."""
-        cluster = Cluster(kind)
-        nodes = await cluster.add_ready(3)
-
-        async def break_log() -> None:
-            cluster.log.set_faults(**faults)
-
-        if step == "arrival":
-            await break_log()
-        nodes[0].before_use = break_log if step == "dispatch" else None
-        nodes[0].after_run = break_log if step == "result" else None
-        for pause in (0.0, 1.0, 8.0):
-            await asyncio.sleep(pause)
-            await asyncio.gather(*(node.ask(cluster.request("k")) for node in nodes))
-        cluster.log.set_faults()
-        await asyncio.sleep(20.0)
-        last = await asyncio.gather(*(node.ask(cluster.request("k")) for node in nodes))
-        return cluster, last
-
     def test_log_down_is_refused_without_a_statement_about_the_key(self) -> None:
         async def main() -> Cluster:
             cluster = Cluster()
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -74,6 +74,18 @@
                     self.assertEqual(found.to_document(), tables.to_document())
                     self.assertEqual(found._index, tables._index)
 
+    def test_number_of_claim_partitions_is_kept(self) -> None:
+        """Guards against a node that starts from a snapshot and looks keys up in other streams."""
+        for count in (1, 8):
+            with self.subTest(count):
+                tables = Tables.parse(_many() | {"claims": {"partitions": count}}, 3)
+                found = unpack_document(pack_document(tables), 3)
+                self.assertEqual((found.claims.partitions, found.version), (count, 3))
+                state = ConfigState()
+                state.synced = False
+                state.adopt(3, pack_document(tables), 5)
+                self.assertEqual(state.tables.claims.partitions, count)
+
     def test_damaged_documents_are_refused(self) -> None:
         good = json.dumps(_many(3))
         data = _pack(good)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -92,7 +92,7 @@
 
     async def ledger(self) -> dict[str, Any]:
         """Return the runs of the service."""
-        async with self.http.get(f"http://{self.deployment.service.address}/ledger") as resp:
+        async with self.http.get(f"http://{self.deployment.services[0].address}/ledger") as resp:
             return await resp.json()
 
     async def wait_claims(self) -> None:
