Wait for settled connections before their mean is checked

Cause: the test waited until no node had more than 12 peers and then asked at once for a mean of at most 8. A run on a busy machine saw a mean of 10.1, since unneeded connections are closed only after 3 s. The bound stays; the time to reach it is that of the other conditions, 20 s.

--- a/tests/test_overlay_nodes.py
+++ b/tests/test_overlay_nodes.py
@@ -30,8 +30,12 @@
         await self.until(cluster, FORM_S, lambda item: item["connections"]["peers"] <= MESH_LIMIT)
         await self.assert_served(cluster)
         found = [item["connections"] for item in await self.statuses(cluster)]
-        self.assertLessEqual(statistics.mean(item["peers"] for item in found), DEGREE)
         self.assertTrue(any(item["on_demand"] for item in found))
+        # Unneeded connections are closed one after the other while the choices settle.
+        async with asyncio.timeout(FORM_S):
+            while statistics.mean(item["peers"] for item in found) > DEGREE:
+                await asyncio.sleep(0.1)
+                found = [item["connections"] for item in await self.statuses(cluster)]
         self.assertLessEqual(max(item["on_demand"] for item in found), MAX_ON_DEMAND)
 
         cluster.kill("n5")
