--- a/lacewinghub/capacity.py
+++ b/lacewinghub/capacity.py
@@ -28,8 +28,8 @@
 from .fake_log import MemoryLog
 from .log import Page, Record
 from .membership import Member, Members, MemberState
+from .parts import Check
 from .request import Request
-from .router import Check
 from .tables import Change, Tables, Target
 
 WORKSPACES = (10, 1_000, 5_000, 9_000, 13_000)
--- a/lacewinghub/claim.py
+++ b/lacewinghub/claim.py
@@ -44,9 +44,9 @@
 from .history import EventKind, History
 from .log import Log, Page
 from .membership import Members, MemberState
+from .parts import Claims, Send
 from .permit import Permit
 from .request import Request
-from .router import Claims, Send
 
 READ_WAIT_S = 2.0
 CLAIM_TIMEOUT_S = 3.0
--- /dev/null
+++ b/lacewinghub/codec.py
@@ -0,0 +1,120 @@
+"""CBOR encoding of the messages between nodes.
+
+A message is encoded as an array of its type code and its fields in order, which keeps a heartbeat
+several times smaller than a map with member names.
+"""
+
+from dataclasses import fields
+from functools import cache
+from typing import Any, get_args
+
+import cbor2
+from pydantic import TypeAdapter, ValidationError
+
+from .errors import PeerRejected
+from .message import (
+    MAX_MESSAGE_BYTES,
+    Demand,
+    FreeElsewhere,
+    GrantItem,
+    Grants,
+    GroupFree,
+    Heartbeat,
+    Held,
+    Mark,
+    Message,
+    Pressure,
+    Relayed,
+    Release,
+    ReleaseItem,
+    Rumour,
+    Rumours,
+    Suspect,
+    Trial,
+    Trials,
+    Waiting,
+)
+
+_TYPES: dict[int, type] = {cls.CODE: cls for cls in get_args(Message)}
+_NESTED: dict[tuple[type, str], type] = {
+    (Heartbeat, "pressure"): Pressure,
+    (Heartbeat, "free"): GroupFree,
+    (Heartbeat, "suspects"): Suspect,
+    (Heartbeat, "marks"): Mark,
+    (Heartbeat, "relayed"): Relayed,
+    (Heartbeat, "free_elsewhere"): FreeElsewhere,
+    (Heartbeat, "trials"): Trials,
+    (Trials, "items"): Trial,
+    (Rumours, "items"): Rumour,
+    (Demand, "waiting"): Waiting,
+    (Demand, "taken"): Held,
+    (Grants, "items"): GrantItem,
+    (Release, "items"): ReleaseItem,
+}
+_ADAPTERS: dict[type, TypeAdapter[Any]] = {cls: TypeAdapter(cls) for cls in _TYPES.values()}
+
+
+def encode(message: Message) -> bytes:
+    """Encode a message as CBOR.
+
+    Args:
+        message: One of the message classes.
+
+    Returns:
+        The encoded bytes.
+    """
+    return cbor2.dumps([message.CODE, *_values(_TYPES[message.CODE], message)])
+
+
+def decode(data: bytes) -> Message:
+    """Decode and check a message.
+
+    Args:
+        data: Bytes from ``encode``.
+
+    Returns:
+        The message.
+
+    Raises:
+        PeerRejected: If the bytes are not a valid message.
+    """
+    if len(data) > MAX_MESSAGE_BYTES:
+        raise PeerRejected(f"message has {len(data)} bytes, more than {MAX_MESSAGE_BYTES}")
+    try:
+        code, *values = cbor2.loads(data)
+        cls = _TYPES[code]
+        return _ADAPTERS[cls].validate_python(_members(cls, values))
+    except (ValidationError, cbor2.CBORError, KeyError, TypeError, ValueError) as exc:
+        raise PeerRejected(f"invalid message: {exc}") from exc
+
+
+def _values(cls: type, item: Any) -> list[Any]:
+    values = [getattr(item, name) for name in _names(cls)]
+    for index, nested in _nested_indexes(cls):
+        values[index] = [_values(nested, part) for part in values[index]]
+    return values
+
+
+@cache
+def _names(cls: type) -> tuple[str, ...]:
+    return tuple(member.name for member in fields(cls))
+
+
+@cache
+def _nested(cls: type) -> tuple[tuple[str, type], ...]:
+    return tuple((name, _NESTED[cls, name]) for name in _names(cls) if (cls, name) in _NESTED)
+
+
+@cache
+def _nested_indexes(cls: type) -> tuple[tuple[int, type], ...]:
+    return tuple((_names(cls).index(name), nested) for name, nested in _nested(cls))
+
+
+def _members(cls: type, values: list[Any]) -> dict[str, Any]:
+    names = _names(cls)
+    if len(values) != len(names):
+        raise ValueError(f"{cls.__name__} has {len(names)} fields, not {len(values)}")
+    members = dict(zip(names, values, strict=True))
+    for name, nested in _nested(cls):
+        members[name] = [_members(nested, part) for part in members[name]]
+    return members
--- a/lacewinghub/footprint.py
+++ b/lacewinghub/footprint.py
@@ -7,7 +7,6 @@
 import asyncio
 import contextlib
 import itertools
-import random
 import time
 from collections.abc import AsyncIterator, Callable, Coroutine, Sequence
 from functools import partial
@@ -19,34 +18,21 @@
 from .broker import START_S, Broker
 from .brokered import BrokeredScheduler
 from .capacity import Slope, fit
+from .codec import encode
 from .group import Groups, Split, broker_of, split
 from .health import EndpointHealth
 from .lease import HeldSet
 from .membership import Member, Members, MemberState
 from .memory_transport import MemoryNetwork
-from .mesh import MESH_SIZES, SampleState, measure_mesh
-from .message import (
-    Demand,
-    GrantItem,
-    Grants,
-    GroupFree,
-    Heartbeat,
-    Held,
-    Message,
-    Rumour,
-    Rumours,
-    encode,
-)
+from .mesh import MESH_SIZES, SampleState, measure_mesh, measure_overlay
+from .message import Demand, GrantItem, Grants, Heartbeat, Held, Message, Rumour, Rumours
 from .model import new_loop
-from .overlay import Overlay
 from .poll import MAX_POLLED, SPREAD_POLL_S, EndpointPoller
 from .prefix import PrefixMap
-from .relay import FreeSlots
 from .request import Observation, Request
 from .scheduler import TablesView
 from .selection import LoadReports
 from .tables import Pool, Tables, Target
-from .transport import Peer
 
 GROUP = 18
 GROUPS = (1, 5, 10, 20, 40, 80)
@@ -64,31 +50,6 @@
 _EVENTS = b'{"events": [{"op": "evict", "block": 1}], "next": 1}'
 
 
-class BrokerState(SampleState):
-    """State of a node at the target size that is broker of one group and relays those of others.
-
-    Args:
-        node: Identifier of the node.
-        floor: Lowest tier that it admits.
-    """
-
-    def __init__(self, node: str, floor: int) -> None:
-        super().__init__(floor=floor)
-        self._group = f"model-0/{node.removeprefix('node-')}"
-        self._random = random.Random(node)
-        self._slots = FreeSlots()
-
-    def fill(self, heartbeat: Heartbeat) -> None:
-        """Write the state with a number of free slots that changes at every heartbeat."""
-        super().fill(heartbeat)
-        heartbeat.free = [GroupFree(self._group, self._random.randint(0, 17))]
-        self._slots.write(heartbeat, heartbeat.free, asyncio.get_running_loop().time())
-
-    def observe(self, heartbeat: Heartbeat) -> None:
-        """Take over the free slots of other brokers."""
-        self._slots.take(heartbeat, asyncio.get_running_loop().time())
-
-
 class FixedMembers(Members):
     """Live nodes that change only by ``replace``."""
 
@@ -230,7 +191,7 @@
         rows = []
         for count in sizes:
             with asyncio.Runner(loop_factory=new_loop) as runner:
-                rows.append((float(count), *runner.run(_overlay(count, seconds, floor))))
+                rows.append((float(count), *runner.run(measure_overlay(count, seconds, floor))))
         found += [
             fit(f"overlay payload per second and node{label}", "bytes/s", [r[:2] for r in rows]),
             fit(f"overlay messages per second and node{label}", "1/s", [r[::2] for r in rows]),
@@ -455,36 +416,6 @@
     return first, _seconds(change, 10)
 
 
-async def _overlay(count: int, seconds: float, floor: int) -> tuple[float, float, float]:
-    """Return bytes, messages and processor seconds per node and second."""
-    network = MemoryNetwork(0.005, mesh=False)
-    names = [f"node-{n:03}" for n in range(count)]
-    members, transports = [], []
-    for at, name in enumerate(names):
-        identity = Peer(name, 1, f"zone-{at % 11}", f"memory:{name}")
-        transport = network.transport(identity)
-        transports.append(transport)
-        member = Overlay(identity, transport, [f"memory:{item}" for item in names[:3]])
-        member.add(BrokerState(name, floor))
-        members.append(member)
-    tasks = [asyncio.create_task(member.run()) for member in members]
-    await asyncio.sleep(12.0)
-    if any(len(member.live()) < count for member in members):
-        raise TimeoutError("the overlay did not form")
-    before = [t.traffic.total() for t in transports]
-    start = time.process_time()
-    await asyncio.sleep(seconds)
-    spent = time.process_time() - start
-    after = [t.traffic.total() for t in transports]
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
-    share = 1 / seconds / count
-    size = sum(b.sent_bytes - a.sent_bytes for a, b in zip(before, after, strict=True))
-    sent = sum(b.sent - a.sent for a, b in zip(before, after, strict=True))
-    return size * share, sent * share, spent * share
-
-
 class _Answering(asyncio.Protocol):
     """Endpoint that answers polls and counts bytes."""
 
--- a/lacewinghub/health.py
+++ b/lacewinghub/health.py
@@ -14,8 +14,8 @@
 
 from .membership import Contributor
 from .message import Heartbeat, Mark
+from .parts import Monitor
 from .request import Observation
-from .router import Monitor
 from .scheduler import TablesView
 from .tables import Endpoint, Pool, Tables
 
--- a/lacewinghub/memory_transport.py
+++ b/lacewinghub/memory_transport.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from .message import Message, decode, encode
+from .codec import decode, encode
+from .message import Message
 from .traffic import Traffic
 from .transport import MAX_ON_DEMAND, ON_DEMAND_IDLE_S, Peer, Transport
 
--- a/lacewinghub/mesh.py
+++ b/lacewinghub/mesh.py
@@ -5,14 +5,18 @@
 """
 
 import asyncio
+import random
 import statistics
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass
 
 from .membership import HEARTBEAT_S, Contributor, Membership
+from .memory_transport import MemoryNetwork
 from .message import GroupFree, Heartbeat, Pressure
+from .overlay import Overlay
 from .peer import PeerServer
+from .relay import FreeSlots
 from .transport import Peer
 
 MESH_SIZES = (3, 5, 9, 17, 33)
@@ -20,6 +24,7 @@
 ZONES = 11
 SEEDS = 9
 FORM_TIMEOUT_S = 20.0
+OVERLAY_SETTLE_S = 12.0  # Until unneeded connections are closed.
 # Header of a websocket frame with mask, of TCP with time stamps and of IPv4 (RFC 6455, 9293, 791).
 FRAME_BYTES = 8 + 32 + 20
 
@@ -100,6 +105,31 @@
         self._seen += 1
 
 
+class BrokerState(SampleState):
+    """State of a node at the target size that is broker of one group and relays those of others.
+
+    Args:
+        node: Identifier of the node.
+        floor: Lowest tier that it admits.
+    """
+
+    def __init__(self, node: str, floor: int) -> None:
+        super().__init__(floor=floor)
+        self._group = f"model-0/{node.removeprefix('node-')}"
+        self._random = random.Random(node)
+        self._slots = FreeSlots()
+
+    def fill(self, heartbeat: Heartbeat) -> None:
+        """Write the state with a number of free slots that changes at every heartbeat."""
+        super().fill(heartbeat)
+        heartbeat.free = [GroupFree(self._group, self._random.randint(0, 17))]
+        self._slots.write(heartbeat, heartbeat.free, asyncio.get_running_loop().time())
+
+    def observe(self, heartbeat: Heartbeat) -> None:
+        """Take over the free slots of other brokers."""
+        self._slots.take(heartbeat, asyncio.get_running_loop().time())
+
+
 async def measure_mesh(
     nodes: int,
     seconds: float = 4.0,
@@ -145,6 +175,48 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
+async def measure_overlay(count: int, seconds: float, floor: int) -> tuple[float, float, float]:
+    """Run nodes of the overlay on a network in one process.
+
+    Args:
+        count: Number of nodes, spread over ``ZONES`` availability zones.
+        seconds: Length of the measurement after the nodes have found each other.
+        floor: Lowest tier that each node admits; below 8 all pools are under pressure.
+
+    Returns:
+        Payload bytes sent, messages sent and processor seconds, each per node and second.
+
+    Raises:
+        TimeoutError: If the nodes do not find each other.
+    """
+    network = MemoryNetwork(0.005, mesh=False)
+    names = [f"node-{n:03}" for n in range(count)]
+    members, transports = [], []
+    for at, name in enumerate(names):
+        identity = Peer(name, 1, f"zone-{at % ZONES}", f"memory:{name}")
+        transport = network.transport(identity)
+        transports.append(transport)
+        member = Overlay(identity, transport, [f"memory:{item}" for item in names[:3]])
+        member.add(BrokerState(name, floor))
+        members.append(member)
+    tasks = [asyncio.create_task(member.run()) for member in members]
+    await asyncio.sleep(OVERLAY_SETTLE_S)
+    if any(len(member.live()) < count for member in members):
+        raise TimeoutError("the overlay did not form")
+    before = [t.traffic.total() for t in transports]
+    start = time.process_time()
+    await asyncio.sleep(seconds)
+    spent = time.process_time() - start
+    after = [t.traffic.total() for t in transports]
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    share = 1 / seconds / count
+    size = sum(b.sent_bytes - a.sent_bytes for a, b in zip(before, after, strict=True))
+    sent = sum(b.sent - a.sent for a, b in zip(before, after, strict=True))
+    return size * share, sent * share, spent * share
+
+
 async def _measure(servers: Sequence[PeerServer], seconds: float) -> MeshCost:
     before = [server.traffic.total() for server in servers]
     beats = [server.traffic.of("Heartbeat").sent_bytes for server in servers]
--- a/lacewinghub/model.py
+++ b/lacewinghub/model.py
@@ -10,8 +10,9 @@
 
 import looptime
 
+from .codec import encode
 from .membership import Contributor, Member, Members, MemberState
-from .message import Heartbeat, Message, encode
+from .message import Heartbeat, Message
 from .tables import Endpoint
 from .transport import Transport
 
--- a/lacewinghub/node.py
+++ b/lacewinghub/node.py
@@ -31,10 +31,11 @@
 from .ondemand import OnDemand
 from .overlay import Overlay
 from .partition import Partitions
+from .parts import Parts, PoolBudgets
 from .peer import PeerServer, PeerTls
 from .poll import EndpointPoller
 from .quarantine import Quarantine
-from .router import Parts, PoolBudgets, Router
+from .router import Router
 from .scheduler import Scheduler
 from .selection import LoadReports
 from .settings import Settings, load
--- a/lacewinghub/partition.py
+++ b/lacewinghub/partition.py
@@ -15,8 +15,8 @@
 from .errors import KeyMissing, KeyUnverified, NotReady, Run
 from .forward import Forwarder
 from .membership import Member, Members
+from .parts import Claims, Send
 from .request import Request
-from .router import Claims, Send
 
 OWNERS = 3
 # Covers calls and results in progress and views of the owners that change back.
--- a/lacewinghub/peer.py
+++ b/lacewinghub/peer.py
@@ -20,9 +20,10 @@
 from websockets.exceptions import ConnectionClosed, InvalidHandshake, InvalidMessage
 
 from ._backoff import Backoff
+from .codec import decode, encode
 from .errors import PeerRejected
 from .link import PeerLink, PeerTls
-from .message import MAX_MESSAGE_BYTES, Hello, Message, decode, encode
+from .message import MAX_MESSAGE_BYTES, Hello, Message
 from .traffic import Traffic
 from .transport import MAX_ON_DEMAND, ON_DEMAND_IDLE_S, SPARE_S, Peer, Transport
 
--- a/lacewinghub/quarantine.py
+++ b/lacewinghub/quarantine.py
@@ -26,9 +26,9 @@
 from .errors import Quarantined, QuarantinedAfterRun
 from .membership import Contributor, Members, MemberState, rendezvous
 from .message import Heartbeat, Suspect
+from .parts import Guard
 from .relay import TrialRelay
 from .request import Observation, Request
-from .router import Guard
 
 CRASH_LIMIT = 2
 # Nodes notice the same crash at slightly different times; a runner takes longer to start again.
--- a/lacewinghub/router.py
+++ b/lacewinghub/router.py
@@ -1,16 +1,14 @@
 """The way of a request through a node: slot, endpoint, answer, retry and resume."""
 
 import asyncio
-from abc import ABC, abstractmethod
-from collections.abc import AsyncGenerator, Awaitable, Callable, Iterable
+from collections.abc import AsyncGenerator
 from contextlib import aclosing
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from .answer import Answer
 from .endpoint import (
     Chunk,
     ConnectFailed,
-    EndpointClient,
     EndpointCrashed,
     EndpointError,
     EndpointLeaving,
@@ -28,12 +26,11 @@
     OutcomeUnknown,
     Overloaded,
 )
-from .history import EventKind, History
-from .limit import RetryBudget
+from .history import EventKind
 from .observe import Stopwatch
+from .parts import Check, Parts
 from .request import Grant, Observation, Request
-from .scheduler import Scheduler
-from .tables import Endpoint, Tables
+from .tables import Endpoint
 
 MAX_ATTEMPTS = 6
 # Moves away from silent endpoints; a runner that is only slow must not be left again and again.
@@ -43,127 +40,6 @@
 # Statuses with which an endpoint refuses the request itself; another endpoint would do the same.
 REFUSAL_STATUSES = (400, 404, 405, 413, 415, 422)
 
-Check = Callable[[], None]
-Send = Callable[[Check], Awaitable[Reply]]
-
-
-class Budget(ABC):
-    """Limits the retries of a pool to a share of its requests."""
-
-    @abstractmethod
-    def earn(self, pool: str) -> None:
-        """Count a request of a pool."""
-
-    @abstractmethod
-    def spend(self, pool: str) -> bool:
-        """Take one retry; False if none is left."""
-
-
-class PoolBudgets(Budget):
-    """A retry budget for each pool."""
-
-    def __init__(self) -> None:
-        self._budgets: dict[str, RetryBudget] = {}
-
-    def earn(self, pool: str) -> None:
-        """Count a request of a pool."""
-        self._of(pool).note_request()
-
-    def spend(self, pool: str) -> bool:
-        """Take one retry; False if none is left."""
-        return self._of(pool).take(asyncio.get_running_loop().time())
-
-    def _of(self, pool: str) -> RetryBudget:
-        return self._budgets.setdefault(pool, RetryBudget())
-
-
-class Guard(ABC):
-    """Learns which requests were in flight when endpoints crashed, and refuses poison requests."""
-
-    @abstractmethod
-    def check(self, req: Request) -> None:
-        """Check a request before it is queued or retried.
-
-        Raises:
-            Quarantined: If identical requests crashed several endpoints.
-        """
-
-    async def hold(self, req: Request, endpoints: Iterable[str]) -> None:
-        """Wait until a request may be queued, and add endpoints to ``req.avoid``.
-
-        Args:
-            req: The request.
-            endpoints: Names of the endpoints of its pool.
-
-        Raises:
-            Quarantined: If identical requests crashed several endpoints.
-        """
-        return None
-
-    @abstractmethod
-    def started(self, req: Request, endpoint: str) -> None:
-        """Note that the request is being sent to an endpoint."""
-
-    @abstractmethod
-    def ended(self, req: Request, endpoint: str, seen: Observation) -> None:
-        """Note that the request no longer is at the endpoint."""
-
-    def dropped(self, req: Request) -> None:  # noqa: B027
-        """Note that the request is given up, possibly while it was waiting."""
-
-
-class Monitor(ABC):
-    """Learns how endpoints behave."""
-
-    @abstractmethod
-    def observe(self, pool: str, endpoint: str, seen: Observation) -> None:
-        """Note what was measured during one attempt."""
-
-    @abstractmethod
-    def leaving(self, endpoint: str) -> None:
-        """Note that the endpoint announced that it is leaving."""
-
-
-class Claims(ABC):
-    """Lets a keyed call be executed at most once."""
-
-    @abstractmethod
-    async def execute(self, req: Request, send: Send) -> Reply:
-        """Execute a keyed call, or return the stored reply of an earlier one.
-
-        Args:
-            req: The request with its key.
-            send: Sends the call. Its argument is called directly before anything is sent and raises
-                ``NotRun`` if sending is no longer permitted. It raises an error with ``run`` equal
-                to ``not_run`` if nothing was sent, otherwise ``OutcomeUnknown``.
-
-        Returns:
-            The reply.
-
-        Raises:
-            LacewingError: ``KeyReused``, ``InProgress``, ``OutcomeUnknown``, ``NotRun``,
-                ``NotReady`` or the error of ``send``.
-        """
-
-
-@dataclass(slots=True)
-class Parts:
-    """What a router works with; parts that are None are left out.
-
-    ``watch`` returns what decides when a silent endpoint is given up, from the name of the pool and
-    a function that takes one move to another endpoint if it is permitted.
-    """
-
-    scheduler: Scheduler
-    client: EndpointClient
-    tables: Callable[[], Tables]
-    history: History
-    budget: Budget | None = None
-    guard: Guard | None = None
-    monitors: list[Monitor] = field(default_factory=list)
-    claims: Claims | None = None
-    watch: Callable[[str, Callable[[], bool]], Silence] | None = None
-
 
 @dataclass(slots=True)
 class _Attempt:
--- a/lacewinghub/stall.py
+++ b/lacewinghub/stall.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass, field
 
 from .endpoint import Silence
+from .parts import Monitor
 from .request import Observation
-from .router import Monitor
 
 # Three times the target of 1.6 s to the first token, and 33 times that of 61 ms between tokens.
 FIRST_TOKEN_FLOOR_S = 5.0
--- a/tests/claim_cluster.py
+++ b/tests/claim_cluster.py
@@ -11,8 +11,8 @@
 from lacewinghub.fake_log import MemoryLog
 from lacewinghub.log import Log, Page
 from lacewinghub.membership import Member, Members, MemberState
+from lacewinghub.parts import Check
 from lacewinghub.request import Request
-from lacewinghub.router import Check
 from lacewinghub.tables import Target
 from tests.clock import wall
 
--- a/tests/node_without.py
+++ b/tests/node_without.py
@@ -10,8 +10,8 @@
 from lacewinghub.claim import Claimer
 from lacewinghub.endpoint import Reply
 from lacewinghub.node import serve
+from lacewinghub.parts import PoolBudgets, Send
 from lacewinghub.request import Request
-from lacewinghub.router import PoolBudgets, Send
 
 
 async def _send_unclaimed(self: Claimer, req: Request, send: Send) -> Reply:
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -12,8 +12,8 @@
 from lacewinghub.claim import Claimer
 from lacewinghub.endpoint import ConnectFailed, EndpointCrashed, Reply
 from lacewinghub.errors import NotRun, OutcomeUnknown, Overloaded
+from lacewinghub.parts import Check
 from lacewinghub.permit import Permit
-from lacewinghub.router import Check
 from tests.claim_cluster import Cluster, die_at, race, stop_forever
 from tests.claim_variants import (
     HandsOver,
--- a/tests/test_claim_http.py
+++ b/tests/test_claim_http.py
@@ -9,8 +9,8 @@
 from lacewinghub.errors import LacewingError, Run
 from lacewinghub.fake_log import LogServer, MemoryLog
 from lacewinghub.log import HttpLog
+from lacewinghub.parts import Check
 from lacewinghub.request import Request
-from lacewinghub.router import Check
 from lacewinghub.tables import Target
 from tests import clock  # noqa: F401  Silences the log lines.
 
--- a/tests/test_message.py
+++ b/tests/test_codec.py
@@ -7,8 +7,9 @@
 from hypothesis import strategies as st
 
 from lacewinghub import message
+from lacewinghub.codec import decode, encode
 from lacewinghub.errors import PeerRejected
-from lacewinghub.message import Heartbeat, decode, encode
+from lacewinghub.message import Heartbeat
 
 CLASSES = sorted(message._TYPES.values(), key=lambda cls: cls.__name__)
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from lacewinghub._steps import Steps
+from lacewinghub.codec import decode, encode
 from lacewinghub.config import (
     CONFIG_STREAM,
     ChangeRecord,
@@ -23,7 +24,7 @@
 from lacewinghub.fake_log import MemoryLog
 from lacewinghub.log import Log, Page, Record
 from lacewinghub.memory_transport import MemoryNetwork
-from lacewinghub.message import ConfigReply, Heartbeat, decode, encode
+from lacewinghub.message import ConfigReply, Heartbeat
 from lacewinghub.publish import publish
 from lacewinghub.tables import Change, Tables
 from lacewinghub.transport import Transport
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -7,12 +7,13 @@
 from typing import Any
 
 from lacewinghub.brokered import BrokeredScheduler
+from lacewinghub.codec import encode
 from lacewinghub.footprint import FixedMembers
 from lacewinghub.grant import RENEW_S
 from lacewinghub.group import broker_of, split
 from lacewinghub.lease import LEASE_S, HeldSet, Leases
 from lacewinghub.memory_transport import MemoryNetwork, MemoryTransport
-from lacewinghub.message import Demand, Grants, GroupFree, Heartbeat, Held, Message, encode
+from lacewinghub.message import Demand, Grants, GroupFree, Heartbeat, Held, Message
 from lacewinghub.request import Grant, Observation, Request
 from lacewinghub.scheduler import TablesView
 from lacewinghub.selection import LoadReports
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -10,10 +10,11 @@
 from websockets.asyncio.client import connect
 
 from lacewinghub import peer as peer_module
+from lacewinghub.codec import encode
 from lacewinghub.errors import PeerRejected, SettingsInvalid
 from lacewinghub.link import QUEUE_BYTES
 from lacewinghub.membership import Membership, MemberState
-from lacewinghub.message import ConfigReply, ConfigRequest, Demand, Heartbeat, encode
+from lacewinghub.message import ConfigReply, ConfigRequest, Demand, Heartbeat
 from lacewinghub.peer import PeerServer, PeerTls
 from lacewinghub.transport import Peer
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -29,8 +29,9 @@
     Quarantined,
 )
 from lacewinghub.history import EventKind, History
+from lacewinghub.parts import Budget, Claims, Guard, Monitor, Parts, Send
 from lacewinghub.request import Grant, Observation, Request
-from lacewinghub.router import Budget, Claims, Guard, Monitor, Parts, Router, Send
+from lacewinghub.router import Router
 from lacewinghub.scheduler import Scheduler
 from lacewinghub.stall import StallLimits, StallWatch
 from lacewinghub.tables import Endpoint, Tables, Target
