--- a/lacewinghub/brokered.py
+++ b/lacewinghub/brokered.py
@@ -32,7 +32,7 @@
 NEAR_BOUND = 2.0
 # A request that still waits moves to a random group if none has more free slots, since its own may
 # be out of order. A move takes two messages, so this is rare.
-WANDER_S = 2.0
+RANDOM_MOVE_S = 2.0
 MEDIAN = 0.5
 
 
@@ -171,7 +171,7 @@
             waited = now - waiter.since
             if waiter.group not in names:
                 self._move(waiter, self._choose_group(name).name)
-            elif len(groups) > 1 and waited >= WANDER_S and waited % WANDER_S < TICK_S:
+            elif len(groups) > 1 and waited >= RANDOM_MOVE_S and waited % RANDOM_MOVE_S < TICK_S:
                 self._move(waiter, self._rng.choice(groups).name)
             elif len(groups) > 1 and waited > REGROUP_S:
                 chosen = self._choose_group(name).name
--- a/lacewinghub/reserve.py
+++ b/lacewinghub/reserve.py
@@ -18,7 +18,7 @@
 # Standard deviations of the arrivals within the horizon that are covered. Uses differ in length, so
 # that 2, enough for Poisson arrivals alone, gained little for tier 2.
 DEVIATIONS = 4.0
-MAX_SHARE = 0.25  # Of the slots of a group, at most; chosen, not measured.
+MAX_SHARE = 0.25  # Largest part of the slots of a group that is reserved.
 
 
 class Headroom(ABC):
