--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -6,12 +6,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lacewinghub import message
+from lacewinghub import codec, message
 from lacewinghub.codec import decode, encode
 from lacewinghub.errors import PeerRejected
 from lacewinghub.message import Heartbeat
 
-CLASSES = sorted(message._TYPES.values(), key=lambda cls: cls.__name__)
+CLASSES = sorted(codec._TYPES.values(), key=lambda cls: cls.__name__)
 
 
 class TestMessage(unittest.TestCase):
