Connect the nodes on the platform and let them share what they know

Cause: nothing passed between nodes. The retry budget was divided for 12 nodes whatever their number, so 85 nodes could exceed it sevenfold; a node that the store turned away kept old routes, keys and runners; a node that started during an outage answered 503 until its end; each node saw too few answers to notice a runner that fails a part of its requests.

Ruled out: polling the list of nodes (one write and one read per start connect every pair, because the later one of two finds the record of the earlier one); a group of the store (a member without a partition is not listed, and there are fewer partitions than nodes).

Change: NodeList announces a node in a topic of our own, Overlay and PeerServer of the product connect the nodes, SharedTopic reads records from peers, FailureBoard ejects by the failures of all nodes, SharedBudgets divides the retry rule by the largest number of nodes seen, LoadBoard sums what nodes have under way (not used for placing yet). The test of imports now permits websockets and cbor2 and instead forbids the modules of the product's own way in; decoded records carry offsets.

--- a/lacewinghub/fakes/platform_store.py
+++ b/lacewinghub/fakes/platform_store.py
@@ -174,9 +174,21 @@
             if await self._fails(out):
                 return
             out.send(410 if data is None else 200, [], data or b"{}")
+        elif path == "/v1/log-append":
+            self._append(args["topic"], incoming.take())
+            out.send(200, [(b"content-type", b"application/json")], b"{}")
         else:
             out.send(404, [], b"")
 
+    def _append(self, topic: str, data: bytes) -> None:
+        at = 0
+        while at < len(data):
+            (length,) = struct.unpack_from(">I", data, at)
+            record = data[at + 4 : at + 4 + length]
+            key_end = 1 + record[0]
+            self._store.put_raw(topic, record[1:key_end].decode(), record[key_end:])
+            at += 4 + length
+
     async def _fails(self, out: Responder) -> bool:
         if self.fault is StoreFault.SLOW:
             await asyncio.sleep(self.slow_s)
--- a/lacewinghub/follower.py
+++ b/lacewinghub/follower.py
@@ -25,6 +25,7 @@
 
     key: str
     value: bytes | None
+    offset: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/lacewinghub/health.py
+++ b/lacewinghub/health.py
@@ -163,6 +163,20 @@
         if status.failures >= FAILURE_LIMIT and not status.is_ejected(now):
             self._eject(endpoint, f"{status.failures} consecutive failures", now)
 
+    def eject(self, endpoint: str, reason: str) -> None:
+        """Leave an endpoint out for a while.
+
+        Args:
+            endpoint: Name of the endpoint.
+            reason: What was seen, for the log.
+        """
+        self._eject(endpoint, reason, _now())
+
+    def forget(self, endpoint: str) -> None:
+        """Drop what is known of an endpoint, which has started anew."""
+        self._status.pop(endpoint, None)
+        self._generation += 1
+
     def leaving(self, endpoint: str) -> None:
         """Mark an endpoint that itself refused work because it is leaving.
 
--- a/lacewinghub/limit.py
+++ b/lacewinghub/limit.py
@@ -99,6 +99,12 @@
         self._tokens = burst
         self._time: float | None = None
 
+    def resize(self, like: "RetryBudget") -> None:
+        """Take over the rates of another budget; tokens beyond its size are lost."""
+        self._share, self._min_per_s = like._share, like._min_per_s
+        self._burst = like._burst
+        self._tokens = min(self._tokens, self._burst)
+
     def note_request(self) -> None:
         """Count a request that is not a retry."""
         self._tokens = min(self._burst, self._tokens + self._share)
--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -148,6 +148,46 @@
     admit_age_ms: list[int] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class EndpointLoad:
+    """What a node has under way at an endpoint.
+
+    Attributes:
+        endpoint: Name of the endpoint.
+        in_flight: Requests that it was sent and that have not ended.
+        unread_tokens: Prompt tokens of those whose answers have not begun.
+        unread_long: Number of long prompts among these.
+    """
+
+    endpoint: str
+    in_flight: int = 0
+    unread_tokens: int = 0
+    unread_long: int = 0
+
+
+@dataclass(slots=True)
+class EndpointOutcomes:
+    """How the latest requests of a node at an endpoint ended.
+
+    Attributes:
+        endpoint: Name of the endpoint.
+        succeeded: Number of answers without a fault of the endpoint.
+        failed: Number of answers that the endpoint failed or broke off.
+    """
+
+    endpoint: str
+    succeeded: int = 0
+    failed: int = 0
+
+
+@dataclass(slots=True)
+class TopicEnd:
+    """Offset up to which a node has read a topic of the log; -1 if it has not."""
+
+    topic: str
+    end: int
+
+
 @dataclass(slots=True)
 class Heartbeat:
     """Periodic state of a node; complete, so that a lost one does no harm.
@@ -170,6 +210,9 @@
     relayed: list[Relayed] = field(default_factory=list)
     free_elsewhere: list[FreeElsewhere] = field(default_factory=list)
     trials: list[Trials] = field(default_factory=list)
+    loads: list[EndpointLoad] = field(default_factory=list)
+    outcomes: list[EndpointOutcomes] = field(default_factory=list)
+    ends: list[TopicEnd] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -423,6 +466,48 @@
     retry_after_ms: int = -1
 
 
+@dataclass(slots=True)
+class RecordsRequest:
+    """Asks a peer for the records of a topic from an offset on; -1 asks for all."""
+
+    CODE: ClassVar[int] = 22
+
+    topic: str
+    start: int
+
+
+@dataclass(slots=True)
+class RecordItem:
+    """The newest record of a key; a value of None drops the key."""
+
+    key: str
+    value: bytes | None
+    offset: int
+
+
+@dataclass(slots=True)
+class RecordsReply:
+    """Records of a topic that a node holds.
+
+    Attributes:
+        topic: Name of the topic.
+        start: Offset that was asked for.
+        whole: True if the items are all keys, False if they are the changes from ``start`` on.
+        fresh: True if the sender has read the log itself lately and up to ``start`` at least.
+        end: Offset that follows the records.
+        items: The records, in no particular order.
+    """
+
+    CODE: ClassVar[int] = 23
+
+    topic: str
+    start: int
+    whole: bool
+    fresh: bool
+    end: int
+    items: list[RecordItem]
+
+
 Message = (
     Hello
     | Heartbeat
@@ -436,4 +521,6 @@
     | Parting
     | Forward
     | ForwardReply
+    | RecordsRequest
+    | RecordsReply
 )
--- /dev/null
+++ b/lacewinghub/nodelist.py
@@ -0,0 +1,99 @@
+"""The nodes of a deployment, announced in a topic that the platform keeps.
+
+Each node writes a record of itself and then reads those of the others. Of two nodes the one that
+wrote later finds the record of the other, so one pass connects them in whatever order they start.
+Whether a node lives is known from its heartbeats; the list only names addresses to try.
+"""
+
+import asyncio
+import json
+import random
+import time
+from abc import abstractmethod
+from collections.abc import Callable
+
+from loguru import logger
+
+from ._backoff import Backoff
+from .errors import LogUnavailable
+from .follower import KeyedRecord, KeyedTopic
+from .transport import Peer
+
+# A record is renewed this often, so that the records of hosts that are gone can be told apart.
+RENEW_S = 60.0
+# A record that was not renewed for this long names a host that is gone.
+STALE_S = 200.0
+BACKOFF_FIRST_S = 0.3
+BACKOFF_LIMIT_S = 3.0
+
+
+class KeyedTable(KeyedTopic):
+    """A keyed topic to which nodes may write."""
+
+    @abstractmethod
+    async def put(self, key: str, value: bytes | None) -> None:
+        """Append a record; None drops the key.
+
+        Raises:
+            LogUnavailable: If the log did not answer; the record may have been written.
+        """
+
+
+class NodeList:
+    """Announces this node and learns the addresses of the others.
+
+    Args:
+        identity: This node.
+        table: Topic that holds one record per node.
+        listener: Called with the addresses of the other nodes after each look.
+        wall: Returns the wall time in seconds.
+    """
+
+    def __init__(
+        self,
+        identity: Peer,
+        table: KeyedTable,
+        listener: Callable[[list[str]], None],
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self._identity = identity
+        self._table = table
+        self._listener = listener
+        self._wall = wall
+
+    async def run(self) -> None:
+        """Announce and look again from time to time, until cancelled."""
+        backoff = Backoff(random.Random(), BACKOFF_FIRST_S, BACKOFF_LIMIT_S)
+        while True:
+            try:
+                await self._exchange()
+            except LogUnavailable as exc:
+                logger.bind(reason=exc.message).info("nodes not announced")
+                await backoff.pause()
+                continue
+            backoff.reset()
+            await asyncio.sleep(RENEW_S * random.uniform(0.8, 1.0))
+
+    async def withdraw(self) -> None:
+        """Drop the record of this node; without the log it lapses later."""
+        try:
+            await self._table.put(self._identity.node, None)
+        except LogUnavailable as exc:
+            logger.bind(reason=exc.message).info("record of this node not withdrawn")
+
+    async def _exchange(self) -> None:
+        own = self._identity
+        value = {"address": own.address, "announced": self._wall()}
+        await self._table.put(own.node, json.dumps(value).encode())
+        page = await self._table.newest()
+        found = [self._address(item) for item in page.records if item.key != own.node]
+        self._listener([address for address in found if address is not None])
+
+    def _address(self, record: KeyedRecord) -> str | None:
+        try:
+            value = json.loads(record.value or b"")
+            age_s = self._wall() - float(value["announced"])
+            return str(value["address"]) if age_s < STALE_S else None
+        except (ValueError, KeyError, TypeError) as exc:
+            logger.bind(key=record.key).warning("record names no node: {!r}", exc)
+            return None
--- a/lacewinghub/platform/boot.py
+++ b/lacewinghub/platform/boot.py
@@ -19,14 +19,12 @@
     Attributes:
         front: For callers.
         ready: For the balancer's readiness checks.
-        control: For other nodes; not used yet.
     """
 
     model_config = _OPEN
 
     front: str
     ready: str
-    control: str | None = None
 
 
 class Bounds(BaseModel):
@@ -57,6 +55,7 @@
         node_name: Name of the machine.
         zone: Availability zone.
         internal_ports: First and last port for traffic between nodes.
+        seeds: Addresses of at most three machines, which may be gone.
     """
 
     model_config = _OPEN
@@ -67,6 +66,7 @@
     platform: Store
     bounds: Bounds = Bounds()
     internal_ports: tuple[int, int] = (0, 0)
+    seeds: list[str] = []
 
 
 def path_of_settings() -> Path:
--- a/lacewinghub/platform/names.py
+++ b/lacewinghub/platform/names.py
@@ -39,14 +39,20 @@
 )
 
 READY_PATH = b"/v1/ready"
+LOG_APPEND_PATH = "/v1/log-append"
 LOG_NEWEST_PATH = "/v1/log-newest"
 LOG_READ_PATH = "/v1/log-read"
 
 OPERATOR_TOPIC = "keyed.op"
 RUNNERS_TOPIC = "keyed.servers"
+# A topic of the system's own.
+NODES_TOPIC = "keyed.nodes"
 CONFIG_KEY = "config"
 
 SETTINGS_VARIABLE = "LACEWINGHUB_BOOT"
 SETTINGS_PATH = "/etc/lacewinghub/boot.toml"
 
 LOWEST_URGENCY = 9
+
+# Nodes find each other within the platform's own network, which gives them no secret to share.
+PEER_KEY = b"lacewinghub nodes of one platform"
--- a/lacewinghub/platform/node.py
+++ b/lacewinghub/platform/node.py
@@ -15,6 +15,7 @@
 from ..httpclient import ConnectionPool
 from ..httpserver import HttpHandler
 from ..limit import RetryRule
+from ..nodelist import KeyedTable
 from ..rawgateway import RawCodec
 from ..rawnode import Adapter, RawNode, RawSettings, Source
 from ..rawrelay import RawClient
@@ -48,16 +49,21 @@
         """Read the settings of the process."""
         boot = self._boot or load(path_of_settings())
         bounds = boot.bounds
+        host = boot.listen.ready.rpartition(":")[0]
         return RawSettings(
             node=boot.node_name,
             availability_zone=boot.zone,
             front=boot.listen.front,
             ready=boot.listen.ready,
-            metrics=f"{boot.listen.ready.rpartition(':')[0]}:{self._metrics_port}",
+            metrics=f"{host}:{self._metrics_port}",
             grace_s=bounds.grace_s,
             retries=RetryRule(
                 bounds.retry_budget_ratio, bounds.budget_min_retries, bounds.budget_window_s
             ),
+            peer=f"{host}:{boot.internal_ports[0]}",
+            seeds=tuple(
+                f"{seed.rpartition(':')[0]}:{boot.internal_ports[0]}" for seed in boot.seeds
+            ),
         )
 
     def settings_path(self) -> Path:
@@ -80,6 +86,14 @@
         """Return the runners' records."""
         return Source(StoreTopic(self._store, names.RUNNERS_TOPIC), Registry(directory))
 
+    def nodes(self) -> KeyedTable:
+        """Return the topic in which the nodes announce themselves."""
+        return StoreTopic(self._store, names.NODES_TOPIC)
+
+    def peer_key(self) -> bytes:
+        """Return a constant: the platform gives its processes no secret of their own."""
+        return names.PEER_KEY
+
     def readiness(self, is_ready: Callable[[], bool]) -> HttpHandler:
         """Return what answers the platform's balancer."""
         return ReadyHandler(is_ready)
--- a/lacewinghub/platform/store.py
+++ b/lacewinghub/platform/store.py
@@ -8,8 +8,9 @@
 import aiohttp
 
 from ..errors import LogUnavailable
-from ..follower import Expired, KeyedPage, KeyedRecord, KeyedTopic
-from .names import LOG_NEWEST_PATH, LOG_READ_PATH
+from ..follower import Expired, KeyedPage, KeyedRecord
+from ..nodelist import KeyedTable
+from .names import LOG_APPEND_PATH, LOG_NEWEST_PATH, LOG_READ_PATH
 
 CONNECT_TIMEOUT_S = 0.5
 # A slow store answers within a quarter of a second; a silent connection is given up after this.
@@ -51,6 +52,23 @@
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             raise LogUnavailable(f"the store did not answer: {exc!r}") from exc
 
+    async def post(self, path: str, query: dict[str, Any], body: bytes) -> None:
+        """Make a writing call.
+
+        Raises:
+            LogUnavailable: If the store refused, or did not answer; it may then have written.
+        """
+        timeout = aiohttp.ClientTimeout(total=ANSWER_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
+        try:
+            async with self._session().post(
+                self._base + path, params=query, data=body, timeout=timeout
+            ) as resp:
+                await resp.read()
+                if resp.status != 200:
+                    raise LogUnavailable(f"the store answered {resp.status}")
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            raise LogUnavailable(f"the store did not answer: {exc!r}") from exc
+
     async def close(self) -> None:
         """Release the connections."""
         if self._session_or_none is not None:
@@ -62,7 +80,7 @@
         return self._session_or_none
 
 
-class StoreTopic(KeyedTopic):
+class StoreTopic(KeyedTable):
     """A topic that keeps the newest record of each key.
 
     Args:
@@ -88,7 +106,10 @@
             # The pages are no snapshot: later changes are read again from the first page's end.
             end = int(page["end"]) if end is None else end
             items = page["items"]
-            records += [KeyedRecord(item["key"], base64.b64decode(item["value"])) for item in items]
+            records += [
+                KeyedRecord(item["key"], base64.b64decode(item["value"]), int(item["offset"]))
+                for item in items
+            ]
             if not page["has_more"] or not items:
                 return KeyedPage(records, end)
             after = items[-1]["key"]
@@ -99,6 +120,13 @@
         data = await self._client.get(LOG_READ_PATH, query, wait_s + ANSWER_TIMEOUT_S)
         return _decode_records(data, start)
 
+    async def put(self, key: str, value: bytes | None) -> None:
+        """Append a record; None drops the key."""
+        name = key.encode()
+        record = bytes([len(name)]) + name + (value or b"")
+        query = {"topic": self._topic, "part": PART}
+        await self._client.post(LOG_APPEND_PATH, query, _LENGTH.pack(len(record)) + record)
+
 
 def _json(data: bytes) -> dict[str, Any]:
     try:
@@ -113,7 +141,8 @@
         _, first = _ENDS.unpack_from(data)
         if first > start:
             raise Expired(f"records before offset {first} are gone")
-        at, records = _ENDS.size, []
+        at = _ENDS.size
+        records: list[KeyedRecord] = []
         while at < len(data):
             (length,) = _LENGTH.unpack_from(data, at)
             at += _LENGTH.size
@@ -122,7 +151,8 @@
                 raise ValueError("a record is cut short")
             at += length
             key_end = 1 + record[0]
-            records.append(KeyedRecord(record[1:key_end].decode(), record[key_end:] or None))
+            key, value = record[1:key_end].decode(), record[key_end:] or None
+            records.append(KeyedRecord(key, value, start + len(records)))
     except (struct.error, ValueError, IndexError) as exc:
         raise LogUnavailable(f"the store's answer cannot be read: {exc}") from exc
     return KeyedPage(records, start + len(records))
--- a/lacewinghub/promptsplit.py
+++ b/lacewinghub/promptsplit.py
@@ -68,6 +68,10 @@
         """Note that its prompt was read, or that it ended before."""
         self._unread[endpoint] = self._unread.get(endpoint, 0) - prompt_tokens(req)
 
+    def unread(self, endpoint: str) -> int:
+        """Return the prompt tokens that this node sent and whose answers have not begun."""
+        return self._unread.get(endpoint, 0)
+
     def side(self, req: Request, candidates: Sequence[Endpoint]) -> Sequence[Endpoint]:
         """Return the runners that serve prompts of the request's kind."""
         if len(candidates) < 2:
--- a/lacewinghub/rawnode.py
+++ b/lacewinghub/rawnode.py
@@ -1,10 +1,10 @@
 """A node that passes requests on unchanged: its parts, their supervision and its planned stop."""
 
 import asyncio
+import time
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass, replace
-from functools import partial
 from pathlib import Path
 
 from loguru import logger
@@ -12,7 +12,9 @@
 from .decisionlog import log_event
 from .deployment import Deployment, Deployments
 from .directory import Directory
+from .endpointload import LoadBoard
 from .errors import AddressUnavailable, SettingsInvalid
+from .failureshare import FailureBoard, FailureMonitor
 from .follower import Follower, KeyedSink, KeyedTopic, Pace
 from .health import EndpointHealth, HealthMonitor, HealthyPools
 from .history import History
@@ -20,14 +22,20 @@
 from .httpserver import HttpHandler, HttpServer
 from .limit import RetryRule
 from .metricpage import MetricPage
-from .parts import DispatchParts, PoolBudgets
+from .nodelist import KeyedTable, NodeList
+from .overlay import Overlay
+from .parts import DispatchParts
+from .peer import PeerServer
 from .phase import Phase
 from .rawgateway import RawCodec, RawGateway
 from .rawrelay import RawClient, RawRelay
 from .rawscheduler import RawScheduler
+from .retryshare import SharedBudgets
 from .selection import LoadReports
+from .sharedtopic import SharedTopic
 from .supervisor import Supervisor
 from .tables import Endpoint, Tables
+from .transport import Peer
 
 # A change reaches the node at once while a read waits for it; the wait bounds the time for which a
 # silent connection goes unnoticed.
@@ -36,8 +44,6 @@
 ENDPOINTS_PACE = Pace(wait_s=1.0, pause_s=0.5)
 # The balancer takes a node out after two misses of a check per second.
 LEAVE_S = 2.8
-# Nodes that share the retry budget; a deployment of more needs news between them.
-NODES = 12
 # The process ends this long before it would be killed.
 MARGIN_S = 0.4
 STOP_POLL_S = 0.05
@@ -56,6 +62,8 @@
         metrics: Address of the metrics page.
         grace_s: Time between the request to stop and the end of the process, in seconds.
         retries: Retries that all nodes together may send.
+        peer: Address for other nodes.
+        seeds: Addresses of some other nodes, which may be gone.
     """
 
     node: str
@@ -65,6 +73,8 @@
     metrics: str
     grace_s: float
     retries: RetryRule
+    peer: str
+    seeds: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +116,14 @@
     def endpoints(self, directory: Directory) -> Source:
         """Return the source of the endpoints."""
 
+    @abstractmethod
+    def nodes(self) -> KeyedTable:
+        """Return the topic in which the nodes announce themselves."""
+
+    @abstractmethod
+    def peer_key(self) -> bytes:
+        """Return the secret that the nodes share."""
+
     @abstractmethod
     def readiness(self, is_ready: Callable[[], bool]) -> HttpHandler:
         """Return what answers the balancer's readiness checks."""
@@ -168,6 +186,7 @@
     async def _start(self) -> None:
         sup = self._supervisor
         sup.on_stop(self._adapter.close)
+        await self._start_peers()
         sup.start("config", self._config.run)
         sup.start("endpoints", self._endpoints.run)
         sup.start("scheduler", self._scheduler.run)
@@ -180,6 +199,20 @@
         logger.bind(availability_zone=zone, front=self.cfg.front).info("node started")
         self.started.set()
 
+    async def _start_peers(self) -> None:
+        sup = self._supervisor
+        try:
+            await self._peers.start()
+        except OSError as exc:
+            address = self.cfg.peer
+            raise AddressUnavailable(f"cannot listen on peer {address}: {exc}", key="peer") from exc
+        self.ports["peer"] = int(self._peers.identity.address.rpartition(":")[2])
+        nodes = NodeList(self._peers.identity, self._adapter.nodes(), self._on_nodes)
+        self._withdraw = nodes.withdraw
+        sup.start("peers", self._peers.run)
+        sup.start("membership", self._members.run)
+        sup.start("nodes", nodes.run)
+
     async def _listen(self, key: str, address: str, handler: HttpHandler) -> HttpServer:
         host, _, port = address.rpartition(":")
         server = HttpServer(handler)
@@ -195,6 +228,8 @@
         loop = asyncio.get_running_loop()
         begun = loop.time()
         self._gateway.phase = Phase.LEAVING
+        self._members.leave()
+        self._supervisor.start("withdraw", self._withdraw, restart=False)
         logger.bind(in_flight=self._gateway.in_flight).info("node is leaving")
         await asyncio.sleep(LEAVE_S)
         self._gateway.ends_at = begun + self.cfg.grace_s - MARGIN_S
@@ -207,6 +242,24 @@
             await asyncio.sleep(STOP_POLL_S)
         logger.bind(in_flight=self._gateway.in_flight).info("node ends")
 
+    def _build_peers(self) -> None:
+        cfg = self.cfg
+        started_ms = int(time.time() * 1000)
+        identity = Peer(cfg.node, started_ms, cfg.availability_zone, cfg.peer)
+        self._peers = PeerServer(identity, self._adapter.peer_key())
+        self._members = Overlay(identity, self._peers, cfg.seeds)
+        self._known_nodes = 1
+        self._loads = LoadBoard(self._members, lambda: self._scheduler.loads())
+        self._failures = FailureBoard(self._health, lambda: self._tables().pools.values())
+        for part in (self._loads, self._failures):
+            self._members.add(part)
+
+    def _shared(self, name: str, source: Source) -> SharedTopic:
+        """Let the nodes read a topic from each other while the log turns some of them away."""
+        topic = SharedTopic(name, source.topic, self._peers)
+        self._members.add(topic)
+        return topic
+
     def _build(self) -> None:
         adapter = self._adapter
         self._page = MetricPage()
@@ -219,6 +272,7 @@
         self._directory.listen(self._on_tables)
         self._directory.on_restart(self._on_restart)
         self._health = EndpointHealth()
+        self._build_peers()
         self._connections = ConnectionPool()
         reports = LoadReports()
         self._scheduler = RawScheduler(HealthyPools(self._tables, self._health), reports, history)
@@ -226,15 +280,17 @@
             scheduler=self._scheduler,
             tables=self._tables,
             history=history,
-            budget=PoolBudgets(partial(self.cfg.retries.of_node, NODES)),
-            monitors=[HealthMonitor(self._health)],
+            budget=SharedBudgets(self.cfg.retries, self._node_count),
+            monitors=[HealthMonitor(self._health), FailureMonitor(self._failures)],
         )
         relay = RawRelay(parts, adapter.client(self._connections, reports))
         self._gateway = RawGateway(adapter.codec(), self._deployments, relay)
         config = adapter.config(self._deployments)
-        self._config = Follower("config", config.topic, config.sink, CONFIG_PACE)
+        topic = self._shared("config", config)
+        self._config = Follower("config", topic, config.sink, CONFIG_PACE)
         found = adapter.endpoints(self._directory)
-        self._endpoints = Follower("endpoints", found.topic, found.sink, ENDPOINTS_PACE)
+        topic = self._shared("endpoints", found)
+        self._endpoints = Follower("endpoints", topic, found.sink, ENDPOINTS_PACE)
 
     def _tables(self) -> Tables:
         return self._directory.tables
@@ -251,6 +307,15 @@
 
     def _on_restart(self, endpoint: Endpoint) -> None:
         self._connections.forget(endpoint.address)
+        self._health.forget(endpoint.name)
+        self._failures.forget(endpoint.name)
+
+    def _on_nodes(self, addresses: list[str]) -> None:
+        self._known_nodes = len(addresses) + 1
+        self._members.discovered(addresses)
+
+    def _node_count(self) -> int:
+        return max(self._known_nodes, len(self._members.live()))
 
     async def _watch_settings(self) -> None:
         """Read the settings again when their file changes without a signal."""
@@ -268,6 +333,7 @@
             self._page.set("in_flight", self._gateway.in_flight)
             self._page.set("endpoints", self._directory.size)
             self._page.set("config_version", self._deployments.current.version)
+            self._page.set("live_nodes", len(self._members.live()))
             self._page.set("endpoint_connections_opened", self._connections.opened)
             await asyncio.sleep(SETTINGS_POLL_S)
 
--- a/lacewinghub/rawscheduler.py
+++ b/lacewinghub/rawscheduler.py
@@ -8,6 +8,7 @@
 from .admission import NaiveAdmission
 from .history import History
 from .local import DirectScheduler, PoolState
+from .message import EndpointLoad
 from .promptgate import PromptGate
 from .promptsplit import PromptSplit, is_hurried, is_long
 from .queue import Fits, TierQueue, Waiter, WaitQueue
@@ -186,6 +187,18 @@
             self._gate.ended(use.req.request_class, use.events)
         super().release(grant, seen)
 
+    def loads(self) -> list[EndpointLoad]:
+        """Return what this node has under way, by endpoint."""
+        found: dict[str, EndpointLoad] = {}
+        for state in self._pools.values():
+            for name, count in state.in_flight.items():
+                if count:
+                    found.setdefault(name, EndpointLoad(name)).in_flight += count
+        for name, load in found.items():
+            load.unread_tokens = self._split.unread(name)
+            load.unread_long = self._gate.unread(name)
+        return list(found.values())
+
     def _read(self, endpoint: str, use: _Use, first_s: float | None) -> None:
         self._split.began(endpoint, use.req)
         if is_long(use.req):
--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import socket
 import unittest
 from dataclasses import dataclass, field
 from typing import Any
@@ -86,6 +87,7 @@
 
     async def asyncSetUp(self) -> None:
         self.store = FakeStore()
+        self.peer_port = _free_port()
         self.gates: list[StoreGate] = []
         self.models = [FakeRunner(f"m-{n}", "models") for n in range(self.runners)]
         self.apps = [FakeRunner(f"a-{n}", "apps") for n in range(self.runners)]
@@ -108,15 +110,18 @@
         await self.store.stop()
 
     async def start_node(self, fault: StoreFault = StoreFault.NONE) -> RawNode:
-        """Start a node with a gate of its own to the store."""
+        """Start a node on a loopback address of its own, with a gate of its own to the store."""
         gate = await self.store.gate()
         gate.fail(fault)
         self.gates.append(gate)
+        host = f"127.0.0.{len(self.gates)}"
         boot = Boot.model_validate(
             {
                 "node_name": f"node-{len(self.gates)}",
                 "zone": "zone-a",
-                "listen": {"front": "127.0.0.1:0", "ready": "127.0.0.1:0"},
+                "listen": {"front": "127.0.0.1:0", "ready": f"{host}:0"},
+                "internal_ports": [self.peer_port, self.peer_port],
+                "seeds": ["127.0.0.1:1", "127.0.0.2:1"],
                 "platform": {"address": gate.address},
                 # A node gets a twelfth; faults here fail a large part of few requests.
                 "bounds": {"budget_min_retries": 1200},
@@ -145,7 +150,8 @@
 
     async def is_ready(self, node: RawNode) -> bool:
         """Ask a node whether it is ready."""
-        url = f"http://127.0.0.1:{node.ports['ready']}/v1/ready"
+        host = node.cfg.ready.rpartition(":")[0]
+        url = f"http://{host}:{node.ports['ready']}/v1/ready"
         async with self.session.get(url) as resp:
             return resp.status == 200
 
@@ -191,3 +197,9 @@
                 return Answer(resp.status, body, found)
         except aiohttp.ClientError:
             return Answer(0, complete=False)
+
+
+def _free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -57,8 +57,9 @@
         code = (
             "import sys, lacewinghub.platform.node\n"
             "print([name for name in sys.modules if name.split('.')[0] in"
-            " ('sanic', 'websockets', 'matplotlib', 'rich', 'fire', 'numpy', 'cbor2')"
-            " or name.startswith('lacewinghub.fake')])"
+            " ('sanic', 'matplotlib', 'rich', 'fire', 'numpy')"
+            " or name.startswith('lacewinghub.fake') or name in {'lacewinghub.' + part for part in"
+            " ('brokered', 'claim', 'config', 'gateway', 'publish', 'poll', 'router')}])"
         )
         done = subprocess.run(
             [sys.executable, "-c", code], capture_output=True, cwd=ROOT, check=True
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -156,7 +156,7 @@
         page = await task
         rest = await self.topic.read(page.end, 0.0)
         records = page.records + rest.records
-        self.assertEqual(records, [KeyedRecord("k", b'{"a": 1}'), KeyedRecord("k", None)])
+        self.assertEqual(records, [KeyedRecord("k", b'{"a": 1}', 0), KeyedRecord("k", None, 1)])
 
     async def test_deleted_records_are_told(self) -> None:
         self.store.put("keyed.t", "k", 1)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -99,3 +99,64 @@
         answer = await self.ask("/once/a", node=1)
         self.assertEqual(answer.status, 503)
         self.assertGreater(float(answer.headers["retry-after"]), 0)
+
+
+class TestTurnedAway(PlatformCase):
+    """Guards against a node that serves old routes, keys or runners while others know better."""
+
+    nodes = 3
+    APPLY_S = 2.0  # Bound of the platform for a new version.
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+
+        async def connected() -> bool:
+            return all(len(node._peers.peers()) == self.nodes - 1 for node in self.members)
+
+        await self.until(connected)
+
+    async def test_changes_reach_a_node_that_the_store_turns_away(self) -> None:
+        version = 1
+        for fault in (StoreFault.BUSY, StoreFault.MANY, StoreFault.RESET, StoreFault.SILENT):
+            with self.subTest(fault):
+                version += 1
+                self.gates[0].fail(fault)
+                await asyncio.sleep(0.3)
+                routes = [*ROUTES, route(f"new-{version}", "apps", "idempotent")]
+                self.store.put("keyed.op", "config", config(version, routes))
+                await self.until_version(version, self.APPLY_S)
+                self.assertEqual((await self.ask(f"/new-{version}/a")).status, 200)
+                self.gates[0].fail(StoreFault.NONE)
+                await asyncio.sleep(0.5)
+
+    async def test_a_revoked_key_is_refused_by_a_node_that_the_store_turns_away(self) -> None:
+        self.gates[0].fail(StoreFault.BUSY)
+        await asyncio.sleep(0.3)
+        tenants = [{"name": "tenant-a", "api_keys": ["another-key"]}]
+        self.store.put("keyed.op", "config", config(2, ROUTES, tenants=tenants))
+        await self.until_version(2, self.APPLY_S)
+        self.assertEqual((await self.ask("/once/a")).status, 401)
+
+    async def test_a_leaving_runner_is_left_by_a_node_that_the_store_turns_away(self) -> None:
+        for fault in (StoreFault.MANY, StoreFault.SILENT):
+            with self.subTest(fault):
+                leaving = self.apps[0]
+                self.gates[0].fail(fault)
+                await asyncio.sleep(0.3)
+                leaving.draining = True
+                leaving.announce(self.store)
+                await asyncio.sleep(DRAIN_S)
+                before = len(leaving.runs)
+                for _ in range(8):
+                    self.assertEqual((await self.ask("/once/a")).status, 200)
+                self.assertEqual(len(leaving.runs), before)
+                self.gates[0].fail(StoreFault.NONE)
+                leaving.draining = False
+                leaving.announce(self.store)
+                await asyncio.sleep(1.0)
+
+    async def test_a_node_that_starts_turned_away_serves_by_its_seeds(self) -> None:
+        # Guards against a restart during an outage that answers 503 until the store is back.
+        self.members.append(await self.start_node(StoreFault.BUSY))
+        await self.until(lambda: self.is_ready(self.members[-1]))
+        self.assertEqual((await self.ask("/once/a", node=self.nodes)).status, 200)
--- /dev/null
+++ b/tests/test_shared_news.py
@@ -0,0 +1,372 @@
+"""What nodes tell each other: loads and failures of endpoints, records of the log, retry budget."""
+
+import asyncio
+import random
+import unittest
+from collections.abc import Callable
+
+from lacewinghub.endpointload import LoadBoard
+from lacewinghub.errors import LogUnavailable
+from lacewinghub.failureshare import MIN_FAILED, FailureBoard
+from lacewinghub.follower import Expired, KeyedPage, KeyedRecord, KeyedTopic
+from lacewinghub.health import EndpointHealth
+from lacewinghub.limit import RetryRule
+from lacewinghub.membership import Member, Members, MemberState
+from lacewinghub.memory_transport import MemoryNetwork
+from lacewinghub.message import EndpointLoad, Heartbeat
+from lacewinghub.nodelist import STALE_S, KeyedTable, NodeList
+from lacewinghub.retryshare import ASSUMED_NODES, SharedBudgets
+from lacewinghub.sharedtopic import SharedTopic
+from lacewinghub.tables import Endpoint, Pool
+from lacewinghub.transport import Peer
+
+from .clock import simulate, wall
+
+POOL = Pool("models", [Endpoint(f"r{n}", f"127.0.0.1:{n + 1}", "zone-a", 8) for n in range(6)])
+
+
+class FixedMembers(Members):
+    """A deployment of a fixed number of live nodes."""
+
+    def __init__(self, count: int) -> None:
+        self.count = count
+
+    def live(self) -> list[Member]:
+        return [
+            Member(f"n{n}", f"127.0.0.1:{n + 1}", "zone-a", 1, MemberState.LIVE)
+            for n in range(self.count)
+        ]
+
+    def state(self, node: str) -> MemberState:
+        return MemberState.LIVE
+
+
+class MemoryTable(KeyedTable):
+    """A topic in memory that may turn its readers away, or keep them waiting for good."""
+
+    def __init__(self, records: list[KeyedRecord] | None = None) -> None:
+        self.log = records if records is not None else []
+        self.first = 0
+        self.away = False
+        self.silent = False
+        self.reads = 0
+
+    async def put(self, key: str, value: bytes | None) -> None:
+        await self._answer()
+        self.log.append(KeyedRecord(key, value, len(self.log)))
+
+    async def newest(self) -> KeyedPage:
+        await self._answer()
+        found = {item.key: item for item in self.log}
+        return KeyedPage([item for item in found.values() if item.value], len(self.log))
+
+    async def read(self, start: int, wait_s: float) -> KeyedPage:
+        self.reads += 1
+        await self._answer()
+        if start < self.first:
+            raise Expired("gone")
+        if start >= len(self.log):
+            await asyncio.sleep(wait_s)
+        await self._answer()
+        return KeyedPage(self.log[start:], len(self.log))
+
+    async def _answer(self) -> None:
+        if self.silent:
+            await asyncio.sleep(2.0)
+            raise LogUnavailable("no answer")
+        if self.away:
+            raise LogUnavailable("turned away")
+
+
+class Pair:
+    """Two nodes that follow one topic; the second one's way to it may be closed."""
+
+    def __init__(self) -> None:
+        network = MemoryNetwork(delay_s=0.001)
+        self.log: list[KeyedRecord] = []
+        self.tables = [MemoryTable(self.log) for _ in range(2)]
+        self.topics = []
+        for number, table in enumerate(self.tables):
+            transport = network.transport(
+                Peer(f"n{number}", 1, "zone-a", f"127.0.0.1:{number + 1}")
+            )
+            self.topics.append(SharedTopic("config", table, transport, random.Random(number)))
+
+    async def put(self, key: str, value: bytes | None) -> None:
+        self.log.append(KeyedRecord(key, value, len(self.log)))
+        await self.topics[0].read(len(self.log) - 1, 0.0)
+
+    def beat(self) -> None:
+        heartbeat = Heartbeat("n0", 1, 1, "live")
+        self.topics[0].fill(heartbeat)
+        self.topics[1].observe(heartbeat)
+
+
+class TestSharedTopic(unittest.TestCase):
+    """Guards against a node that keeps old keys or tables because the log turns it away."""
+
+    def test_a_node_that_is_turned_away_reads_from_a_peer(self) -> None:
+        async def main() -> None:
+            pair = Pair()
+            await pair.topics[0].newest()
+            start = (await pair.topics[1].newest()).end
+            pair.tables[1].away = True
+            await pair.put("config", b"2")
+            page = await pair.topics[1].read(start, 1.0)
+            self.assertEqual([item.value for item in page.records], [b"2"])
+            self.assertEqual(page.end, 1)
+
+        simulate(main)
+
+    def test_a_read_that_hangs_gives_way_to_a_peer_that_is_ahead(self) -> None:
+        async def main() -> None:
+            pair = Pair()
+            await pair.topics[0].newest()
+            start = (await pair.topics[1].newest()).end
+            pair.tables[1].silent = True
+            read = asyncio.create_task(pair.topics[1].read(start, 1.0))
+            await pair.put("config", b"2")
+            pair.beat()
+            async with asyncio.timeout(1.2):
+                page = await read
+            self.assertEqual([item.value for item in page.records], [b"2"])
+
+        simulate(main)
+
+    def test_a_node_starts_from_a_peer(self) -> None:
+        async def main() -> None:
+            pair = Pair()
+            await pair.put("a", b"1")
+            await pair.put("b", b"2")
+            await pair.put("a", None)
+            await pair.topics[0].newest()
+            pair.tables[1].away = True
+            page = await pair.topics[1].newest()
+            self.assertEqual([(item.key, item.value) for item in page.records], [("b", b"2")])
+
+        simulate(main)
+
+    def test_changes_before_the_peers_own_start_are_read_as_a_whole(self) -> None:
+        # Guards against a runner that was removed meanwhile and would be used for ever.
+        async def main() -> None:
+            pair = Pair()
+            await pair.put("gone", b"1")
+            start = (await pair.topics[1].newest()).end
+            await pair.put("gone", None)
+            await pair.topics[0].newest()
+            pair.tables[1].away = True
+            with self.assertRaises(Expired):
+                await pair.topics[1].read(start, 1.0)
+            self.assertEqual((await pair.topics[1].newest()).records, [])
+
+        simulate(main)
+
+    def test_an_outage_for_all_is_told_as_such(self) -> None:
+        # Guards against runners that are dropped because a peer seemed to vouch for the log.
+        async def main() -> None:
+            pair = Pair()
+            await pair.put("a", b"1")
+            await pair.topics[0].newest()
+            start = (await pair.topics[1].newest()).end
+            for table in pair.tables:
+                table.away = True
+            await asyncio.sleep(3.0)
+            with self.assertRaises(LogUnavailable):
+                await pair.topics[1].read(start, 1.0)
+
+        simulate(main)
+
+
+class TestFailureBoard(unittest.TestCase):
+    """Guards against endpoints that fail a part of their requests and are never left out."""
+
+    def _ejected(self, play: Callable[[list[FailureBoard]], None]) -> set[str]:
+        async def main() -> set[str]:
+            healths = [EndpointHealth() for _ in range(3)]
+            boards = [FailureBoard(item, lambda: [POOL]) for item in healths]
+            play(boards)
+            for number, board in enumerate(boards):
+                heartbeat = Heartbeat(f"n{number}", 1, 1, "live")
+                board.fill(heartbeat)
+                for other in boards:
+                    if other is not board:
+                        other.observe(heartbeat)
+            boards[0].evaluate()
+            return {item.name for item in POOL.endpoints if healths[0].is_ejected(item.name)}
+
+        return simulate(main)
+
+    def test_outliers_over_all_nodes(self) -> None:
+        def grey(boards: list[FailureBoard]) -> None:
+            for board in boards:
+                for endpoint in POOL.endpoints:
+                    for number in range(5):
+                        fails = endpoint.name == "r2" and number % 2 == 1
+                        board.note(endpoint.name, not fails)
+
+        def all_fail(boards: list[FailureBoard]) -> None:
+            for board in boards:
+                for endpoint in POOL.endpoints:
+                    for number in range(4):
+                        board.note(endpoint.name, number % 2 == 1)
+
+        def few(boards: list[FailureBoard]) -> None:
+            for number in range(MIN_FAILED - 1):
+                boards[number % 3].note("r1", False)
+
+        cases = [("grey", grey, {"r2"}), ("all fail", all_fail, set()), ("few", few, set())]
+        for name, play, expected in cases:
+            with self.subTest(name):
+                self.assertEqual(self._ejected(play), expected)
+
+    def test_a_restarted_endpoint_starts_clean(self) -> None:
+        async def main() -> None:
+            health = EndpointHealth()
+            board = FailureBoard(health, lambda: [POOL])
+            for _ in range(MIN_FAILED):
+                board.note("r1", False)
+            self.assertTrue(health.is_ejected("r1"))
+            board.forget("r1")
+            health.forget("r1")
+            board.evaluate()
+            self.assertFalse(health.is_ejected("r1"))
+
+        simulate(main)
+
+
+class TestLoadBoard(unittest.TestCase):
+    """Guards against nodes that all send to the endpoint that each of them finds idle."""
+
+    def test_loads_of_others(self) -> None:
+        cases = [("all heard", 3, 2, 8), ("half heard", 5, 2, 16), ("none heard", 3, 0, 0)]
+        for name, nodes, heard, expected in cases:
+            with self.subTest(name):
+
+                async def main(nodes: int = nodes, heard: int = heard) -> int:
+                    board = LoadBoard(FixedMembers(nodes), lambda: [])
+                    for number in range(heard):
+                        heartbeat = Heartbeat(f"n{number + 1}", 1, 1, "live")
+                        heartbeat.loads.append(EndpointLoad("r1", 4, 1000, 1))
+                        board.observe(heartbeat)
+                    return board.others("r1").in_flight
+
+                self.assertEqual(simulate(main), expected)
+
+    def test_silent_nodes_do_not_count(self) -> None:
+        async def main() -> None:
+            board = LoadBoard(FixedMembers(1), lambda: [])
+            heartbeat = Heartbeat("n1", 1, 1, "live", loads=[EndpointLoad("r1", 4)])
+            board.observe(heartbeat)
+            self.assertEqual(board.others("r1").in_flight, 4)
+            await asyncio.sleep(2.0)
+            board.fill(Heartbeat("n0", 1, 1, "live"))
+            self.assertEqual(board.others("r1").in_flight, 0)
+
+        simulate(main)
+
+
+class TestNodeList(unittest.TestCase):
+    """Guards against nodes that never find each other, and addresses of hosts long gone."""
+
+    def test_each_pair_is_connected_by_the_later_one(self) -> None:
+        async def main() -> None:
+            table = MemoryTable()
+            found: dict[str, list[str]] = {}
+            tasks = []
+            for number in range(3):
+                identity = Peer(f"n{number}", 1, "zone-a", f"10.0.0.{number}:1")
+                nodes = NodeList(
+                    identity,
+                    table,
+                    lambda seen, name=identity.node: found.update({name: seen}),
+                    wall,
+                )
+                tasks.append(asyncio.create_task(nodes.run()))
+            await asyncio.sleep(1.0)
+            known = {frozenset((node, f"n{a[7]}")) for node, items in found.items() for a in items}
+            self.assertEqual(len(known), 3)
+
+        simulate(main)
+
+    def test_records(self) -> None:
+        cases = [
+            ("live", b'{"address": "10.0.0.9:1", "announced": %d}', 0.0, ["10.0.0.9:1"]),
+            ("stale", b'{"address": "10.0.0.9:1", "announced": %d}', STALE_S, []),
+            ("malformed", b"[%d", 0.0, []),
+        ]
+        for name, value, age_s, expected in cases:
+            with self.subTest(name):
+
+                async def main(value: bytes = value, age_s: float = age_s) -> list[str]:
+                    table = MemoryTable()
+                    await table.put("n9", value % (wall() - age_s))
+                    found: list[str] = []
+                    identity = Peer("n1", 1, "zone-a", "10.0.0.1:1")
+                    nodes = NodeList(identity, table, found.extend, wall)
+                    task = asyncio.create_task(nodes.run())
+                    await asyncio.sleep(1.0)
+                    task.cancel()
+                    return found
+
+                self.assertEqual(simulate(main), expected)
+
+    def test_a_node_announces_itself_once_the_log_returns(self) -> None:
+        async def main() -> None:
+            table = MemoryTable()
+            table.away = True
+            nodes = NodeList(Peer("n1", 1, "zone-a", "10.0.0.1:1"), table, lambda _: None, wall)
+            task = asyncio.create_task(nodes.run())
+            await asyncio.sleep(10.0)
+            table.away = False
+            await asyncio.sleep(4.0)
+            self.assertEqual([item.key for item in table.log], ["n1"])
+            await nodes.withdraw()
+            self.assertIsNone(table.log[-1].value)
+            task.cancel()
+
+        simulate(main)
+
+
+class TestSharedBudgets(unittest.TestCase):
+    """Guards against nodes that together send more retries than their rule permits."""
+
+    RULE = RetryRule(ratio=0.2, minimum=210, window_s=10.0)
+
+    def _retries(self, nodes: int, seen: int, requests: int) -> int:
+        """Return what all nodes send in one window that each begins with a full bucket."""
+
+        async def main() -> int:
+            sent = 0
+            budgets = [SharedBudgets(self.RULE, lambda: seen) for _ in range(nodes)]
+            for _ in range(100):
+                for budget in budgets:
+                    for _ in range(requests // 100 // nodes):
+                        budget.earn("models")
+                    while budget.spend("models"):
+                        sent += 1
+                await asyncio.sleep(0.1)
+            return sent
+
+        return simulate(main)
+
+    def test_the_sum_keeps_the_rule(self) -> None:
+        for nodes, seen in ((9, 9), (9, 1), (12, 1), (85, 85), (85, 300)):
+            with self.subTest(nodes=nodes, seen=seen):
+                self.assertLessEqual(self._retries(nodes, seen, 17_000), 210 + 0.2 * 17_000)
+
+    def test_a_share_survives_the_sight_of_fewer_nodes(self) -> None:
+        async def main() -> None:
+            seen = 85
+            budget = SharedBudgets(self.RULE, lambda: seen)
+            budget.earn("models")
+            seen = 1
+            taken = 0
+            while budget.spend("models"):
+                taken += 1
+            self.assertLess(taken, 210 / ASSUMED_NODES / 2)
+
+        simulate(main)
+
+
+if __name__ == "__main__":
+    unittest.main()
