Divide the runners by the demand of all nodes; spare full runners; tell the truth after a failed repeat

A repeat that was refused in the queue answered 503 although the runner before may have run the request.

Change: DemandBoundary divides the runners by the work of all nodes; ReportShare hands load reports on; RunnerRoom keeps requests from runners that are full; short prompts wait a share of their aim and then return later; an interrupted answer waits as long as its caller; reads of the configuration wait 2.5 s while there are peers; RawRelay turns a refusal into 502 if a runner may have run it.

--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -149,20 +149,22 @@
 
 
 @dataclass(slots=True)
-class EndpointLoad:
-    """What a node has under way at an endpoint.
+class EndpointReport:
+    """Load that an endpoint stated.
 
     Attributes:
         endpoint: Name of the endpoint.
-        in_flight: Requests that it was sent and that have not ended.
-        unread_tokens: Prompt tokens of those whose answers have not begun.
-        unread_long: Number of long prompts among these.
+        running: Requests in its batch.
+        waiting: Requests in its own queue.
+        age_ms: Time since it was stated, in milliseconds.
+        hops: Number of nodes that have passed it on.
     """
 
     endpoint: str
-    in_flight: int = 0
-    unread_tokens: int = 0
-    unread_long: int = 0
+    running: int
+    waiting: int
+    age_ms: int
+    hops: int
 
 
 @dataclass(slots=True)
@@ -180,6 +182,19 @@
     failed: int = 0
 
 
+@dataclass(slots=True)
+class PromptWork:
+    """Work of the requests that reach a node, in prompt tokens per second.
+
+    Attributes:
+        long: Work of long prompts.
+        short: Work of all others.
+    """
+
+    long: int
+    short: int
+
+
 @dataclass(slots=True)
 class TopicEnd:
     """Offset up to which a node has read a topic of the log; -1 if it has not."""
@@ -210,9 +225,10 @@
     relayed: list[Relayed] = field(default_factory=list)
     free_elsewhere: list[FreeElsewhere] = field(default_factory=list)
     trials: list[Trials] = field(default_factory=list)
-    loads: list[EndpointLoad] = field(default_factory=list)
+    reports: list[EndpointReport] = field(default_factory=list)
     outcomes: list[EndpointOutcomes] = field(default_factory=list)
     ends: list[TopicEnd] = field(default_factory=list)
+    work: list[PromptWork] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/lacewinghub/promptgate.py
+++ b/lacewinghub/promptgate.py
@@ -99,10 +99,6 @@
         """Note that a long prompt goes to a runner."""
         self._of(endpoint).unread += 1
 
-    def unread(self, endpoint: str) -> int:
-        """Return the long prompts that this node sent and whose answers have not begun."""
-        return self._of(endpoint).unread
-
     def read(self, endpoint: str, first_s: float | None) -> None:
         """Note that a long prompt was read or given up.
 
--- a/lacewinghub/promptsplit.py
+++ b/lacewinghub/promptsplit.py
@@ -11,6 +11,7 @@
 
 import xxhash
 
+from .promptdemand import Boundary, FixedBoundary
 from .request import Request
 from .selection import LoadReports, Selection
 from .tables import Endpoint
@@ -18,9 +19,6 @@
 LONG_PROMPT_TOKENS = 4_000
 # Longest time of a route whose requests cannot wait for several long prompts to be read.
 HURRY_S = 5.0
-# Share of the runners of a pool that serve long prompts. It is fixed: a boundary that each node
-# moved by the demand that it sees itself would put both kinds on the runners in the middle.
-LONG_SHARE = 0.5
 # A report is older than the requests that this node sent since; it is then ignored.
 REPORT_AGE_S = 1.0
 # Cost of a running request, in prompt tokens: it slows the prefill of others a little.
@@ -36,10 +34,12 @@
 
     Args:
         reports: Reported loads.
+        boundary: Divides the runners between long and short prompts.
     """
 
-    def __init__(self, reports: LoadReports) -> None:
+    def __init__(self, reports: LoadReports, boundary: Boundary | None = None) -> None:
         self._reports = reports
+        self._boundary = boundary or FixedBoundary()
         # Prompt tokens of requests whose answers have not begun, by endpoint.
         self._unread: dict[str, int] = {}
 
@@ -60,6 +60,10 @@
             return preferred[0]
         return best
 
+    def arrived(self, req: Request) -> None:
+        """Note a request that asks for a runner."""
+        self._boundary.arrived(is_long(req), prompt_tokens(req), req.max_tokens)
+
     def sent(self, endpoint: str, req: Request) -> None:
         """Note that a request goes to an endpoint."""
         self._unread[endpoint] = self._unread.get(endpoint, 0) + prompt_tokens(req)
@@ -68,17 +72,12 @@
         """Note that its prompt was read, or that it ended before."""
         self._unread[endpoint] = self._unread.get(endpoint, 0) - prompt_tokens(req)
 
-    def unread(self, endpoint: str) -> int:
-        """Return the prompt tokens that this node sent and whose answers have not begun."""
-        return self._unread.get(endpoint, 0)
-
     def side(self, req: Request, candidates: Sequence[Endpoint]) -> Sequence[Endpoint]:
         """Return the runners that serve prompts of the request's kind."""
         if len(candidates) < 2:
             return candidates
         ordered = sorted(candidates, key=lambda item: _rank("side", item.name))
-        count = round(len(ordered) * LONG_SHARE)
-        count = min(len(ordered) - 1, max(1, count))
+        count = self._boundary.long_count(len(ordered))
         return ordered[:count] if is_long(req) else ordered[count:]
 
     def _cost(self, item: Endpoint, in_flight: Mapping[str, int]) -> float:
--- a/lacewinghub/rawnode.py
+++ b/lacewinghub/rawnode.py
@@ -12,7 +12,6 @@
 from .decisionlog import log_event
 from .deployment import Deployment, Deployments
 from .directory import Directory
-from .endpointload import LoadBoard
 from .errors import AddressUnavailable, SettingsInvalid
 from .failureshare import FailureBoard, FailureMonitor
 from .follower import Follower, KeyedSink, KeyedTopic, Pace
@@ -27,9 +26,11 @@
 from .parts import DispatchParts
 from .peer import PeerServer
 from .phase import Phase
+from .promptdemand import DemandBoundary
 from .rawgateway import RawCodec, RawGateway
 from .rawrelay import RawClient, RawRelay
 from .rawscheduler import RawScheduler
+from .reportshare import ReportShare
 from .retryshare import SharedBudgets
 from .selection import LoadReports
 from .sharedtopic import SharedTopic
@@ -249,9 +250,11 @@
         self._peers = PeerServer(identity, self._adapter.peer_key())
         self._members = Overlay(identity, self._peers, cfg.seeds)
         self._known_nodes = 1
-        self._loads = LoadBoard(self._members, lambda: self._scheduler.loads())
+        self._reports = LoadReports()
+        shared = ReportShare(self._members, self._reports, lambda: self._scheduler.refresh())
         self._failures = FailureBoard(self._health, lambda: self._tables().pools.values())
-        for part in (self._loads, self._failures):
+        self._boundary = DemandBoundary(self._members)
+        for part in (shared, self._failures, self._boundary):
             self._members.add(part)
 
     def _shared(self, name: str, source: Source) -> SharedTopic:
@@ -274,8 +277,9 @@
         self._health = EndpointHealth()
         self._build_peers()
         self._connections = ConnectionPool()
-        reports = LoadReports()
-        self._scheduler = RawScheduler(HealthyPools(self._tables, self._health), reports, history)
+        reports = self._reports
+        view = HealthyPools(self._tables, self._health)
+        self._scheduler = RawScheduler(view, reports, history, boundary=self._boundary)
         parts = DispatchParts(
             scheduler=self._scheduler,
             tables=self._tables,
--- a/lacewinghub/rawrelay.py
+++ b/lacewinghub/rawrelay.py
@@ -15,7 +15,7 @@
 
 from .dispatch import MAX_ATTEMPTS, Attempt, Dispatcher
 from .endpoint import ConnectFailed, EndpointCrashed, EndpointError
-from .errors import AnswerIncomplete, DeadlineExceeded, EndpointFailed, LacewingError, NotRun
+from .errors import AnswerIncomplete, DeadlineExceeded, EndpointFailed, LacewingError, NotRun, Run
 from .eventstream import EventCutter
 from .history import EventKind
 from .httpmessage import Headers
@@ -139,8 +139,9 @@
                     break
                 self._prepare_repeat(req, endpoint, failure, attempt, progress)
         except LacewingError as exc:
-            self._fail(req, exc, 0)
-            raise
+            error = _truthful(raw, exc, progress)
+            self._fail(req, error, 0)
+            raise error from exc
         except (asyncio.CancelledError, GeneratorExit):
             if asyncio.get_running_loop().time() >= raw.expires:
                 self._record(EventKind.FAILED, req, code=DeadlineExceeded.code)
@@ -267,6 +268,15 @@
     return req.raw
 
 
+def _truthful(raw: RawState, exc: LacewingError, progress: _Progress) -> LacewingError:
+    """Replace an error that says "not run" if an endpoint may have run the request before."""
+    if exc.run is not Run.NOT_RUN or not raw.may_have_run:
+        return exc
+    if progress.headed:
+        return AnswerIncomplete(f"the answer broke off: {exc.message}")
+    return EndpointFailed(f"no endpoint completed the request: {exc.message}")
+
+
 def _final(raw: RawState, exc: EndpointError, progress: _Progress) -> LacewingError:
     if progress.headed:
         return AnswerIncomplete(f"the answer broke off: {exc.message}")
--- a/lacewinghub/rawscheduler.py
+++ b/lacewinghub/rawscheduler.py
@@ -8,11 +8,12 @@
 from .admission import NaiveAdmission
 from .history import History
 from .local import DirectScheduler, PoolState
-from .message import EndpointLoad
+from .promptdemand import Boundary
 from .promptgate import PromptGate
 from .promptsplit import PromptSplit, is_hurried, is_long
 from .queue import Fits, TierQueue, Waiter, WaitQueue
-from .request import Grant, Observation, Request
+from .request import Grant, Observation, RawState, Request
+from .runnerroom import RunnerRoom
 from .scheduler import PoolView
 from .selection import LoadReports, TwoChoices
 from .tables import Endpoint
@@ -27,6 +28,12 @@
 RETURNED_SHARE = 0.95
 # Refused callers come back spread over this time, in seconds.
 RETRY_SPREAD_S = (1.5, 4.0)
+# The same for short prompts, whose runners have a free slot again sooner.
+SHORT_SPREAD_S = (0.4, 1.5)
+# Share of the target to the first token that a short prompt waits before it is refused; an answer
+# that is late is worth more than none to a caller that will not come back.
+SHORT_FIRST_SHARE = 0.5
+SHORT_RETURN_SHARE = 4.0
 
 
 class LaneQueue(WaitQueue):
@@ -104,6 +111,7 @@
         reports: Reported loads.
         history: Receives the events ``admitted`` and ``shed``.
         rng: Source of randomness.
+        boundary: Divides the runners between long and short prompts.
     """
 
     def __init__(
@@ -112,9 +120,11 @@
         reports: LoadReports,
         history: History | None = None,
         rng: random.Random | None = None,
+        boundary: Boundary | None = None,
     ) -> None:
-        self._split = PromptSplit(reports)
+        self._split = PromptSplit(reports, boundary)
         self._gate = PromptGate()
+        self._room = RunnerRoom(reports)
         self._rng = rng or random.Random()
         self._uses: dict[int, _Use] = {}
         super().__init__(
@@ -128,15 +138,20 @@
 
     async def acquire(self, req: Request) -> Grant:
         """Queue the request and wait for an endpoint."""
-        if is_long(req):
-            req.patience_s = min(req.patience_s, _patience_s(req))
+        if req.raw is not None and req.raw.prompt_tokens:
+            if not req.raw.sent:
+                self._split.arrived(req)
+            req.patience_s = _patience_s(req, req.raw, asyncio.get_running_loop().time())
         return await super().acquire(req)
 
+    def refresh(self) -> None:
+        """Look for waiters that may go on after news of the endpoints."""
+        for pool in list(self._pools):
+            self.pump(pool)
+
     def retry_after_s(self, waiter: Waiter) -> float:
         """Return when a request that is shed should come back, in seconds."""
-        if not is_long(waiter.req):
-            return super().retry_after_s(waiter)
-        return self._rng.uniform(*RETRY_SPREAD_S)
+        return self._rng.uniform(*(RETRY_SPREAD_S if is_long(waiter.req) else SHORT_SPREAD_S))
 
     def pump(self, pool: str) -> None:
         """Dispatch waiters while an endpoint may receive them."""
@@ -160,6 +175,7 @@
             now = asyncio.get_running_loop().time()
             self._uses[grant.id] = _Use(req, now)
             self._split.sent(grant.endpoint, req)
+            self._room.sent(grant.endpoint)
             if is_long(req):
                 self._gate.sent(grant.endpoint)
         super().give(waiter, grant)
@@ -187,18 +203,6 @@
             self._gate.ended(use.req.request_class, use.events)
         super().release(grant, seen)
 
-    def loads(self) -> list[EndpointLoad]:
-        """Return what this node has under way, by endpoint."""
-        found: dict[str, EndpointLoad] = {}
-        for state in self._pools.values():
-            for name, count in state.in_flight.items():
-                if count:
-                    found.setdefault(name, EndpointLoad(name)).in_flight += count
-        for name, load in found.items():
-            load.unread_tokens = self._split.unread(name)
-            load.unread_long = self._gate.unread(name)
-        return list(found.values())
-
     def _read(self, endpoint: str, use: _Use, first_s: float | None) -> None:
         self._split.began(endpoint, use.req)
         if is_long(use.req):
@@ -208,14 +212,21 @@
         """Return the endpoints that may receive a request now."""
         if req.raw is None or not req.raw.prompt_tokens:
             return list(free)
+        in_flight = self.state(req.pool).in_flight
         side = self._split.side(req, free)
+        roomy = [item for item in side if self._room.is_free(item, in_flight)]
+        others = [item for item in free if item not in side]
         if not is_long(req):
-            return list(side)
+            # Beside long prompts its answer may be late, but it is not refused for their sake.
+            return roomy or [item for item in others if self._room.is_free(item, in_flight)]
+        if req.raw.may_have_run:
+            # Its caller has waited and holds a part of the answer.
+            return roomy or others or list(side)
         now = asyncio.get_running_loop().time()
-        found = self._gate.open_runners(side, req, now)
+        found = self._gate.open_runners(roomy, req, now)
         if not found and is_hurried(req):
             # Waiting would lose the request, while less urgent ones with more time go on.
-            return [item for item in free if item not in side] or list(side)
+            return others or list(side)
         return found
 
     def _fits(self, free: Sequence[Endpoint]) -> Fits:
@@ -228,11 +239,18 @@
         return self._selection.choose(req, candidates, state.in_flight)
 
 
-def _patience_s(req: Request) -> float:
-    """Return how long a long prompt may wait for a runner, in seconds."""
-    raw = req.raw
-    if raw is None or req.target.first_token_s is None:
-        return req.patience_s
+def _patience_s(req: Request, raw: RawState, now: float) -> float:
+    """Return how long after its arrival a prompt may wait for a runner, in seconds.
+
+    An answer that was interrupted waits as long as its caller does.
+    """
+    limit_s = raw.expires - req.arrived
+    if raw.may_have_run or req.target.first_token_s is None:
+        return limit_s
     left_s = raw.caller_expires - req.arrived
     returned = left_s < RETURNED_SHARE * raw.route_s
-    return req.target.first_token_s * (RETURN_WAIT_SHARE if returned else FIRST_WAIT_SHARE)
+    if is_long(req):
+        share = RETURN_WAIT_SHARE if returned else FIRST_WAIT_SHARE
+    else:
+        share = SHORT_RETURN_SHARE if returned else SHORT_FIRST_SHARE
+    return min(limit_s, now - req.arrived + req.target.first_token_s * share)
--- a/lacewinghub/sharedtopic.py
+++ b/lacewinghub/sharedtopic.py
@@ -30,6 +30,9 @@
 BEHIND_S = 0.6
 # A peer that read the log within this time knows its newest records.
 FRESH_S = 2.0
+# A read waits this long for a change while there are peers, in seconds. A connection that is silent
+# for good goes unnoticed for as long if those of the peers are silent as well.
+LONG_WAIT_S = 2.5
 MAX_HELD = 4096
 
 Read = Callable[[], Coroutine[Any, Any, KeyedPage]]
@@ -77,7 +80,9 @@
         return page
 
     async def read(self, start: int, wait_s: float) -> KeyedPage:
-        """Read records from an offset on."""
+        """Read records from an offset on; with peers a read may wait for longer."""
+        if self._transport.peers():
+            wait_s = max(wait_s, LONG_WAIT_S)
         page = await self._or_peers(lambda: self._topic.read(start, wait_s), start)
         for item in page.records:
             self._held[item.key] = item
--- /dev/null
+++ b/tests/test_rawrelay.py
@@ -0,0 +1,85 @@
+"""What a caller is told of a raw request that no endpoint completed."""
+
+import unittest
+from collections.abc import AsyncGenerator
+
+from lacewinghub.endpoint import ConnectFailed, EndpointCrashed, EndpointError
+from lacewinghub.errors import LacewingError, Overloaded
+from lacewinghub.history import History
+from lacewinghub.parts import DispatchParts
+from lacewinghub.rawrelay import EndpointBusy, RawClient, RawHead, RawRelay
+from lacewinghub.request import Grant, Observation, Request
+from lacewinghub.scheduler import Scheduler
+from lacewinghub.tables import Endpoint, Pool, Tables
+
+from .clock import simulate
+from .test_promptsplit import RUNNERS, prompt
+
+
+class OneGrant(Scheduler):
+    """Grants the first request for a slot and refuses all further ones."""
+
+    def __init__(self) -> None:
+        self.granted = False
+
+    async def acquire(self, req: Request) -> Grant:
+        if self.granted:
+            raise Overloaded("no slot", retry_after_s=1.0)
+        self.granted = True
+        return Grant(1, req.pool, RUNNERS[0].name, brokered=False)
+
+    def release(self, grant: Grant, seen: Observation) -> None:
+        return None
+
+    async def run(self) -> None:
+        return None
+
+
+class FailingClient(RawClient):
+    """Fails each request, before or after the begin of the answer."""
+
+    def __init__(self, failure: type[EndpointError], headed: bool) -> None:
+        self.failure = failure
+        self.headed = headed
+
+    async def relay(
+        self, endpoint: Endpoint, req: Request
+    ) -> AsyncGenerator[RawHead | bytes, None]:
+        if self.headed:
+            yield RawHead(200, [])
+            yield b"id: 1\ndata: x\n\n"
+        raise self.failure("failed", endpoint=endpoint.name)
+
+
+class TestRefusalsAreTrue(unittest.TestCase):
+    def test_a_refused_repeat_is_no_refusal_of_a_request_that_may_have_run(self) -> None:
+        # Guards against status 503, which promises "not run", after a runner may have run it.
+        cases: list[tuple[str, type[EndpointError], bool, str, int]] = [
+            ("never reached", ConnectFailed, False, "overloaded", 503),
+            ("refused by the runner", EndpointBusy, False, "overloaded", 503),
+            ("crashed before the answer", EndpointCrashed, False, "endpoint_failed", 502),
+            ("crashed in the answer", EndpointCrashed, True, "answer_incomplete", 502),
+        ]
+        for name, failure, headed, code, status in cases:
+            with self.subTest(name):
+                exc = simulate(lambda f=failure, h=headed: self._error(f, h))
+                self.assertEqual((exc.code, exc.status), (code, status))
+
+    async def _error(self, failure: type[EndpointError], headed: bool) -> LacewingError:
+        tables = Tables(version=1)
+        tables.pools = {"p": Pool("p", RUNNERS)}
+        parts = DispatchParts(scheduler=OneGrant(), tables=lambda: tables, history=History("node"))
+        req = prompt(800)
+        assert req.raw is not None
+        req.raw.repeatable = req.raw.resumable = True
+        req.raw.max_attempts = 3
+        try:
+            async for _ in RawRelay(parts, FailingClient(failure, headed)).relay(req):
+                pass
+        except LacewingError as exc:
+            return exc
+        raise AssertionError("the request was answered")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_shared_news.py
+++ b/tests/test_shared_news.py
@@ -5,15 +5,14 @@
 import unittest
 from collections.abc import Callable
 
-from lacewinghub.endpointload import LoadBoard
 from lacewinghub.errors import LogUnavailable
 from lacewinghub.failureshare import MIN_FAILED, FailureBoard
-from lacewinghub.follower import Expired, KeyedPage, KeyedRecord, KeyedTopic
+from lacewinghub.follower import Expired, KeyedPage, KeyedRecord
 from lacewinghub.health import EndpointHealth
 from lacewinghub.limit import RetryRule
 from lacewinghub.membership import Member, Members, MemberState
 from lacewinghub.memory_transport import MemoryNetwork
-from lacewinghub.message import EndpointLoad, Heartbeat
+from lacewinghub.message import Heartbeat
 from lacewinghub.nodelist import STALE_S, KeyedTable, NodeList
 from lacewinghub.retryshare import ASSUMED_NODES, SharedBudgets
 from lacewinghub.sharedtopic import SharedTopic
@@ -234,37 +233,6 @@
         simulate(main)
 
 
-class TestLoadBoard(unittest.TestCase):
-    """Guards against nodes that all send to the endpoint that each of them finds idle."""
-
-    def test_loads_of_others(self) -> None:
-        cases = [("all heard", 3, 2, 8), ("half heard", 5, 2, 16), ("none heard", 3, 0, 0)]
-        for name, nodes, heard, expected in cases:
-            with self.subTest(name):
-
-                async def main(nodes: int = nodes, heard: int = heard) -> int:
-                    board = LoadBoard(FixedMembers(nodes), lambda: [])
-                    for number in range(heard):
-                        heartbeat = Heartbeat(f"n{number + 1}", 1, 1, "live")
-                        heartbeat.loads.append(EndpointLoad("r1", 4, 1000, 1))
-                        board.observe(heartbeat)
-                    return board.others("r1").in_flight
-
-                self.assertEqual(simulate(main), expected)
-
-    def test_silent_nodes_do_not_count(self) -> None:
-        async def main() -> None:
-            board = LoadBoard(FixedMembers(1), lambda: [])
-            heartbeat = Heartbeat("n1", 1, 1, "live", loads=[EndpointLoad("r1", 4)])
-            board.observe(heartbeat)
-            self.assertEqual(board.others("r1").in_flight, 4)
-            await asyncio.sleep(2.0)
-            board.fill(Heartbeat("n0", 1, 1, "live"))
-            self.assertEqual(board.others("r1").in_flight, 0)
-
-        simulate(main)
-
-
 class TestNodeList(unittest.TestCase):
     """Guards against nodes that never find each other, and addresses of hosts long gone."""
 
