Share kept parts and refusals of full runners between nodes; cache events by a clock that the test advances

The estimate leaves out runners that keep the parts of a prompt.

Change: CacheShare tells the other nodes which parts were sent where, and the choice counts what a runner has still to read.

--- a/lacewinghub/fake_runner.py
+++ b/lacewinghub/fake_runner.py
@@ -101,6 +101,7 @@
         load_lag_s: Age of the state that ``GET /load`` reports, in seconds.
         event_delay_s: Delay after which a cache event becomes visible, in seconds.
         event_gap: Probability that a cache event is lost.
+        event_clock: Clock of the delay, in seconds; the loop's if left out.
         poison_down_s: How long a poisoned request keeps the runner down, in seconds; None until
             ``restart``.
         seed: Seed of the random faults.
@@ -115,6 +116,7 @@
         load_lag_s: float = 0.0,
         event_delay_s: float = 0.0,
         event_gap: float = 0.0,
+        event_clock: Callable[[], float] | None = None,
         poison_down_s: float | None = 1.0,
         seed: int = 1,
     ) -> None:
@@ -125,6 +127,7 @@
         self.poison_down_s = poison_down_s
         self._event_delay_s = event_delay_s
         self._event_gap = event_gap
+        self._event_clock = event_clock or (lambda: asyncio.get_running_loop().time())
         self._random = random.Random(f"{seed}:{name}")
         self._samples: deque[tuple[float, dict[str, Any]]] = deque()
         self._sampler: asyncio.Task[None] | None = None
@@ -277,7 +280,7 @@
         await self._thawed.wait()
         self._collect_events()
         start = int(request.args.get("from", 0))
-        now = asyncio.get_running_loop().time()
+        now = self._event_clock()
         visible = [item for item in self._events if item.visible <= now and item.seq >= start]
         events = [{"seq": item.seq, "op": item.op, "block": item.block} for item in visible]
         # A number below the one asked for tells that the runner has restarted.
@@ -285,7 +288,7 @@
         return self._reply({"events": events, "next": following})
 
     def _collect_events(self) -> None:
-        now = asyncio.get_running_loop().time()
+        now = self._event_clock()
         for op, block in self.engine.cache.take_changes():
             seq, self._next_event = self._next_event, self._next_event + 1
             if not self._hits(self._event_gap):
--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -148,25 +148,6 @@
     admit_age_ms: list[int] = field(default_factory=list)
 
 
-@dataclass(slots=True)
-class EndpointReport:
-    """Load that an endpoint stated.
-
-    Attributes:
-        endpoint: Name of the endpoint.
-        running: Requests in its batch.
-        waiting: Requests in its own queue.
-        age_ms: Time since it was stated, in milliseconds.
-        hops: Number of nodes that have passed it on.
-    """
-
-    endpoint: str
-    running: int
-    waiting: int
-    age_ms: int
-    hops: int
-
-
 @dataclass(slots=True)
 class EndpointOutcomes:
     """How the latest requests of a node at an endpoint ended.
@@ -182,6 +163,14 @@
     failed: int = 0
 
 
+@dataclass(slots=True)
+class EndpointParts:
+    """Ids of the parts of prompts that a node has sent to an endpoint."""
+
+    endpoint: str
+    parts: list[str]
+
+
 @dataclass(slots=True)
 class PromptWork:
     """Work of the requests that reach a node, in prompt tokens per second.
@@ -225,10 +214,11 @@
     relayed: list[Relayed] = field(default_factory=list)
     free_elsewhere: list[FreeElsewhere] = field(default_factory=list)
     trials: list[Trials] = field(default_factory=list)
-    reports: list[EndpointReport] = field(default_factory=list)
+    full: list[str] = field(default_factory=list)
     outcomes: list[EndpointOutcomes] = field(default_factory=list)
     ends: list[TopicEnd] = field(default_factory=list)
     work: list[PromptWork] = field(default_factory=list)
+    parts: list[EndpointParts] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/lacewinghub/promptsplit.py
+++ b/lacewinghub/promptsplit.py
@@ -11,6 +11,7 @@
 
 import xxhash
 
+from .promptcache import PromptCache
 from .promptdemand import Boundary, FixedBoundary
 from .request import Request
 from .selection import LoadReports, Selection
@@ -23,8 +24,10 @@
 REPORT_AGE_S = 1.0
 # Cost of a running request, in prompt tokens: it slows the prefill of others a little.
 RUNNING_COST_TOKENS = 150.0
-# Cost that a cached part saves is given up when the preferred runner is busier by this much.
-AFFINITY_SLACK_TOKENS = 9_000.0
+# Costs by which the first and the second runner of a shared part may exceed the least one, in
+# prompt tokens. While no runner keeps the part, they make all nodes choose the same one.
+FIRST_BONUS_TOKENS = 4_500.0
+SECOND_BONUS_TOKENS = 2_000.0
 
 
 class PromptSplit(Selection):
@@ -35,10 +38,17 @@
     Args:
         reports: Reported loads.
         boundary: Divides the runners between long and short prompts.
+        cache: Parts of prompts that the runners keep.
     """
 
-    def __init__(self, reports: LoadReports, boundary: Boundary | None = None) -> None:
+    def __init__(
+        self,
+        reports: LoadReports,
+        boundary: Boundary | None = None,
+        cache: PromptCache | None = None,
+    ) -> None:
         self._reports = reports
+        self._cache = cache or PromptCache()
         self._boundary = boundary or FixedBoundary()
         # Prompt tokens of requests whose answers have not begun, by endpoint.
         self._unread: dict[str, int] = {}
@@ -46,19 +56,16 @@
     def choose(
         self, req: Request, candidates: Sequence[Endpoint], in_flight: Mapping[str, int]
     ) -> Endpoint:
-        """Choose among the runners of one side by cached part and by work under way."""
+        """Choose among the runners of one side by kept parts and by work under way."""
         if len(candidates) == 1:
             return candidates[0]
-        costs = {item.name: self._cost(item, in_flight) for item in candidates}
-        ranked = sorted(candidates, key=lambda item: _rank(affinity_key(req), item.name))
-        preferred = ranked[:2]
-        best = min(preferred, key=lambda item: costs[item.name])
-        least = min(candidates, key=lambda item: costs[item.name])
-        if costs[best.name] - costs[least.name] > AFFINITY_SLACK_TOKENS:
-            return least
-        if costs[preferred[0].name] - costs[best.name] <= AFFINITY_SLACK_TOKENS / 2:
-            return preferred[0]
-        return best
+        key = affinity_key(req)
+        ranked = sorted(candidates, key=lambda item: _rank(key, item.name))
+        bonus = {ranked[0].name: FIRST_BONUS_TOKENS, ranked[1].name: SECOND_BONUS_TOKENS}
+        return min(
+            ranked,
+            key=lambda item: self._cost(req, item, in_flight) - bonus.get(item.name, 0.0),
+        )
 
     def arrived(self, req: Request) -> None:
         """Note a request that asks for a runner."""
@@ -80,12 +87,15 @@
         count = self._boundary.long_count(len(ordered))
         return ordered[:count] if is_long(req) else ordered[count:]
 
-    def _cost(self, item: Endpoint, in_flight: Mapping[str, int]) -> float:
+    def _cost(self, req: Request, item: Endpoint, in_flight: Mapping[str, int]) -> float:
+        """Return what a runner reads before its answer begins, in prompt tokens."""
         report = self._reports.get(item.name)
         running = in_flight.get(item.name, 0)
         if asyncio.get_running_loop().time() - report.time < REPORT_AGE_S:
             running = max(running, report.running + report.waiting)
-        return self._unread.get(item.name, 0) + RUNNING_COST_TOKENS * running
+        kept = self._cache.kept_tokens(item.name, req.raw.parts) if req.raw else 0
+        unread = self._unread.get(item.name, 0) + prompt_tokens(req) - kept
+        return unread + RUNNING_COST_TOKENS * running
 
 
 def prompt_tokens(req: Request) -> int:
--- a/lacewinghub/rawnode.py
+++ b/lacewinghub/rawnode.py
@@ -15,6 +15,7 @@
 from .errors import AddressUnavailable, SettingsInvalid
 from .failureshare import FailureBoard, FailureMonitor
 from .follower import Follower, KeyedSink, KeyedTopic, Pace
+from .fullrunner import FullRunners
 from .health import EndpointHealth, HealthMonitor, HealthyPools
 from .history import History
 from .httpclient import ConnectionPool
@@ -26,11 +27,11 @@
 from .parts import DispatchParts
 from .peer import PeerServer
 from .phase import Phase
+from .promptcache import CacheShare, PromptCache
 from .promptdemand import DemandBoundary
 from .rawgateway import RawCodec, RawGateway
 from .rawrelay import RawClient, RawRelay
 from .rawscheduler import RawScheduler
-from .reportshare import ReportShare
 from .retryshare import SharedBudgets
 from .selection import LoadReports
 from .sharedtopic import SharedTopic
@@ -250,11 +251,11 @@
         self._peers = PeerServer(identity, self._adapter.peer_key())
         self._members = Overlay(identity, self._peers, cfg.seeds)
         self._known_nodes = 1
-        self._reports = LoadReports()
-        shared = ReportShare(self._members, self._reports, lambda: self._scheduler.refresh())
+        self._full = FullRunners()
         self._failures = FailureBoard(self._health, lambda: self._tables().pools.values())
         self._boundary = DemandBoundary(self._members)
-        for part in (shared, self._failures, self._boundary):
+        self._cached = CacheShare(PromptCache())
+        for part in (self._full, self._failures, self._boundary, self._cached):
             self._members.add(part)
 
     def _shared(self, name: str, source: Source) -> SharedTopic:
@@ -277,9 +278,16 @@
         self._health = EndpointHealth()
         self._build_peers()
         self._connections = ConnectionPool()
-        reports = self._reports
+        reports = LoadReports()
         view = HealthyPools(self._tables, self._health)
-        self._scheduler = RawScheduler(view, reports, history, boundary=self._boundary)
+        self._scheduler = RawScheduler(
+            view,
+            reports,
+            history,
+            boundary=self._boundary,
+            cached=self._cached,
+            full=self._full,
+        )
         parts = DispatchParts(
             scheduler=self._scheduler,
             tables=self._tables,
@@ -312,6 +320,7 @@
     def _on_restart(self, endpoint: Endpoint) -> None:
         self._connections.forget(endpoint.address)
         self._health.forget(endpoint.name)
+        self._cached.cache.forget(endpoint.name)
         self._failures.forget(endpoint.name)
 
     def _on_nodes(self, addresses: list[str]) -> None:
--- a/lacewinghub/rawrelay.py
+++ b/lacewinghub/rawrelay.py
@@ -197,6 +197,8 @@
             failure = exc
             if isinstance(exc, ConnectFailed):
                 raw.sent -= 1
+            if isinstance(exc, EndpointBusy):
+                self._dispatch.scheduler.refused(grant)
             if isinstance(exc, ConnectFailed | EndpointBusy):
                 raw.may_have_run = before
             raise
--- a/lacewinghub/rawscheduler.py
+++ b/lacewinghub/rawscheduler.py
@@ -6,14 +6,15 @@
 from dataclasses import dataclass
 
 from .admission import NaiveAdmission
+from .fullrunner import FullRunners
 from .history import History
 from .local import DirectScheduler, PoolState
+from .promptcache import CacheShare, PromptCache
 from .promptdemand import Boundary
 from .promptgate import PromptGate
 from .promptsplit import PromptSplit, is_hurried, is_long
 from .queue import Fits, TierQueue, Waiter, WaitQueue
 from .request import Grant, Observation, RawState, Request
-from .runnerroom import RunnerRoom
 from .scheduler import PoolView
 from .selection import LoadReports, TwoChoices
 from .tables import Endpoint
@@ -112,6 +113,8 @@
         history: Receives the events ``admitted`` and ``shed``.
         rng: Source of randomness.
         boundary: Divides the runners between long and short prompts.
+        cached: Parts of prompts that the runners keep.
+        full: Runners that refused a request lately.
     """
 
     def __init__(
@@ -121,10 +124,13 @@
         history: History | None = None,
         rng: random.Random | None = None,
         boundary: Boundary | None = None,
+        cached: CacheShare | None = None,
+        full: FullRunners | None = None,
     ) -> None:
-        self._split = PromptSplit(reports, boundary)
+        self._cached = cached or CacheShare(PromptCache())
+        self._split = PromptSplit(reports, boundary, self._cached.cache)
         self._gate = PromptGate()
-        self._room = RunnerRoom(reports)
+        self._full = full or FullRunners()
         self._rng = rng or random.Random()
         self._uses: dict[int, _Use] = {}
         super().__init__(
@@ -144,10 +150,9 @@
             req.patience_s = _patience_s(req, req.raw, asyncio.get_running_loop().time())
         return await super().acquire(req)
 
-    def refresh(self) -> None:
-        """Look for waiters that may go on after news of the endpoints."""
-        for pool in list(self._pools):
-            self.pump(pool)
+    def refused(self, grant: Grant) -> None:
+        """Leave a runner that is full to those it serves, for a moment."""
+        self._full.refused(grant.endpoint)
 
     def retry_after_s(self, waiter: Waiter) -> float:
         """Return when a request that is shed should come back, in seconds."""
@@ -175,7 +180,7 @@
             now = asyncio.get_running_loop().time()
             self._uses[grant.id] = _Use(req, now)
             self._split.sent(grant.endpoint, req)
-            self._room.sent(grant.endpoint)
+            self._cached.sent(grant.endpoint, req.raw.parts)
             if is_long(req):
                 self._gate.sent(grant.endpoint)
         super().give(waiter, grant)
@@ -212,13 +217,12 @@
         """Return the endpoints that may receive a request now."""
         if req.raw is None or not req.raw.prompt_tokens:
             return list(free)
-        in_flight = self.state(req.pool).in_flight
         side = self._split.side(req, free)
-        roomy = [item for item in side if self._room.is_free(item, in_flight)]
+        roomy = [item for item in side if not self._full.is_full(item.name)]
         others = [item for item in free if item not in side]
         if not is_long(req):
             # Beside long prompts its answer may be late, but it is not refused for their sake.
-            return roomy or [item for item in others if self._room.is_free(item, in_flight)]
+            return roomy or [item for item in others if not self._full.is_full(item.name)]
         if req.raw.may_have_run:
             # Its caller has waited and holds a part of the answer.
             return roomy or others or list(side)
--- a/lacewinghub/scheduler.py
+++ b/lacewinghub/scheduler.py
@@ -128,6 +128,14 @@
             seen: What was measured while it was used.
         """
 
+    def refused(self, grant: Grant) -> None:
+        """Note that the endpoint had no place for the request.
+
+        Args:
+            grant: The grant with which the request was sent.
+        """
+        return None
+
     def advanced(self, grant: Grant) -> None:
         """Note that a piece of an answer arrived.
 
--- a/lacewinghub/selection.py
+++ b/lacewinghub/selection.py
@@ -2,7 +2,7 @@
 
 import random
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 from .prefix import PrefixMap
@@ -32,11 +32,6 @@
 
     def __init__(self) -> None:
         self._reports: dict[str, LoadReport] = {}
-        self._listeners: list[Callable[[str], None]] = []
-
-    def listen(self, listener: Callable[[str], None]) -> None:
-        """Call a function with the name of each endpoint whose report is replaced."""
-        self._listeners.append(listener)
 
     def update(self, endpoint: str, running: int, waiting: int, time: float) -> None:
         """Keep a report unless a newer one is known.
@@ -50,8 +45,6 @@
         known = self._reports.get(endpoint)
         if known is None or known.time <= time:
             self._reports[endpoint] = LoadReport(running, waiting, time)
-            for listener in self._listeners:
-                listener(endpoint)
 
     def get(self, endpoint: str) -> LoadReport:
         """Return the latest report, or an empty one."""
--- a/tests/test_fakes.py
+++ b/tests/test_fakes.py
@@ -188,15 +188,20 @@
         task.cancel()
 
     async def test_cache_events_are_late_and_have_gaps(self) -> None:
-        runner = FakeRunner("r2", FAST, event_delay_s=0.2, event_gap=0.5)
+        clock = [0.0]
+        runner = FakeRunner(
+            "r2", FAST, event_delay_s=0.2, event_gap=0.5, event_clock=lambda: clock[0]
+        )
         await runner.start()
         words = " ".join(f"w{n}" for n in range(64 * 20))
         async with aiohttp.ClientSession(f"http://{runner.address}") as client:
             async with client.post("/v1/chat/completions", json=_body(words)) as reply:
                 await reply.read()
-            async with client.get("/cache_events?from=0") as reply:
-                early = await reply.json()
-            await asyncio.sleep(0.3)
+            early = []
+            for clock[0] in (0.0, 0.199):
+                async with client.get("/cache_events?from=0") as reply:
+                    early.append(await reply.json())
+            clock[0] = 0.2
             async with client.get("/cache_events?from=0") as reply:
                 late = await reply.json()
             runner.crash()
@@ -204,7 +209,7 @@
             async with client.get(f"/cache_events?from={late['next']}") as reply:
                 restarted = await reply.json()
         await runner.stop()
-        self.assertEqual(early, {"events": [], "next": 0})
+        self.assertEqual(early, [{"events": [], "next": 0}] * 2)
         self.assertEqual(restarted, {"events": [], "next": 0})
         self.assertTrue(0 < len(late["events"]) < 20)
         blocks = prefix_blocks("colour", words.split())
--- a/tests/test_promptdemand.py
+++ b/tests/test_promptdemand.py
@@ -1,18 +1,20 @@
-"""The boundary between runners of long and short prompts, free places and shared load reports."""
+"""Long and short prompts: the boundary between their runners, full runners, kept parts."""
 
 import asyncio
 import unittest
 from collections.abc import Sequence
 
 from lacewinghub.errors import Overloaded
-from lacewinghub.message import EndpointReport, Heartbeat
+from lacewinghub.fullrunner import FULL_S, FullRunners
+from lacewinghub.message import Heartbeat
+from lacewinghub.promptcache import KEPT_S, CacheShare, PromptCache
 from lacewinghub.promptdemand import LEAST_SHARE, MOST_SHARE, DemandBoundary
+from lacewinghub.promptsplit import PromptSplit
 from lacewinghub.rawscheduler import RawScheduler
-from lacewinghub.reportshare import MAX_HOPS, ReportShare
-from lacewinghub.runnerroom import RunnerRoom
+from lacewinghub.request import PromptPart
 from lacewinghub.scheduler import TablesView
 from lacewinghub.selection import LoadReports
-from lacewinghub.tables import Endpoint, Pool, Tables, Target
+from lacewinghub.tables import Pool, Tables, Target
 
 from .clock import simulate
 from .test_promptsplit import RUNNERS, prompt
@@ -90,51 +92,16 @@
         self.assertEqual(len(simulate(main)), 1)
 
 
-class TestRunnerRoom(unittest.TestCase):
-    """Guards against requests that full runners refuse, at the cost of attempts and budget."""
-
-    def test_taken(self) -> None:
-        item = Endpoint("r1", "127.0.0.1:1", "z", 12)
-        # Report (running, waiting) and its age, requests sent since, own requests; expected.
-        cases = [
-            ("nothing known", None, 0.0, 0, 3, 3),
-            ("report", (8, 2), 0.2, 0, 1, 10),
-            ("report and sent since", (8, 2), 0.2, 3, 4, 13),
-            ("old report", (12, 4), 5.0, 0, 2, 2),
-            ("own count larger", (1, 0), 0.2, 0, 7, 7),
-        ]
-        for name, report, age_s, sent, own, expected in cases:
-            with self.subTest(name):
-
-                async def main(
-                    report: tuple[int, int] | None = report,
-                    age_s: float = age_s,
-                    sent: int = sent,
-                    own: int = own,
-                ) -> int:
-                    await asyncio.sleep(10.0)
-                    reports = LoadReports()
-                    now = asyncio.get_running_loop().time()
-                    if report is not None:
-                        reports.update("r1", *report, now - age_s)
-                    room = RunnerRoom(reports)
-                    for _ in range(sent):
-                        room.sent("r1")
-                    return room.taken(item, {"r1": own})
-
-                self.assertEqual(simulate(main), expected)
-
-
 class TestFullRunners(unittest.TestCase):
-    """The load: every runner of one side, or of both, has stated that its slots are taken."""
+    """The load: every runner of one side, or of both, refuses requests because it is full."""
 
     async def play(self, full: str, tokens: int, interrupted: bool = False) -> str:
         """Return where a request goes, or how it is refused."""
         await asyncio.sleep(10.0)
         loop = asyncio.get_running_loop()
-        tables, reports = Tables(version=1), LoadReports()
+        tables, runners = Tables(version=1), FullRunners()
         tables.pools = {"p": Pool("p", RUNNERS)}
-        scheduler = RawScheduler(TablesView(lambda: tables), reports)
+        scheduler = RawScheduler(TablesView(lambda: tables), LoadReports(), full=runners)
         sides = {
             "long": {item.name for item in scheduler._split.side(prompt(9_000), RUNNERS)},
             "short": {item.name for item in scheduler._split.side(prompt(800), RUNNERS)},
@@ -150,7 +117,7 @@
             while True:
                 for side, names in sides.items():
                     for name in names if full in (side, "both") else ():
-                        reports.update(name, 64, 3, loop.time())
+                        runners.refused(name)
                 await asyncio.sleep(0.2)
 
         task = asyncio.create_task(keep_full())
@@ -202,47 +169,75 @@
         self.assertAlmostEqual(simulate(main), 15.0, places=1)
 
 
-class TestReportShare(unittest.TestCase):
-    """Guards against nodes that know only the runners which they used last."""
-
-    async def _chain(self, nodes: int, hops: int) -> list[int]:
-        """Pass a report along a line of nodes; return what each of them knows."""
-        boards, reports = [], []
-        for _ in range(nodes):
-            reports.append(LoadReports())
-            members = FixedMembers(100)
-            members.beyond_mesh = lambda: hops > 1  # type: ignore[method-assign]
-            boards.append(ReportShare(members, reports[-1]))
-        await asyncio.sleep(1.0)
-        reports[0].update("r1", 7, 1, asyncio.get_running_loop().time())
-        for _ in range(nodes):
-            heartbeats = []
-            for number, board in enumerate(boards):
-                heartbeat = Heartbeat(f"n{number}", 1, 1, "live")
-                board.fill(heartbeat)
-                heartbeats.append(heartbeat)
-            await asyncio.sleep(0.01)
-            for number in range(nodes - 1):
-                boards[number + 1].observe(heartbeats[number])
-                boards[number].observe(heartbeats[number + 1])
-        return [item.load("r1") for item in reports]
-
-    def test_reports_travel(self) -> None:
-        cases = [("full mesh", 1, [8, 8, 0, 0]), ("overlay", 4, [8, 8, 8, 8])]
-        for name, hops, expected in cases:
+class TestFullNews(unittest.TestCase):
+    """Guards against requests that every node offers to the same full runner."""
+
+    def test_a_refusal_is_told_and_forgotten(self) -> None:
+        async def main() -> list[bool]:
+            await asyncio.sleep(10.0)
+            own, other = FullRunners(), FullRunners()
+            own.refused("r1")
+            heartbeat = Heartbeat("n1", 1, 1, "live")
+            own.fill(heartbeat)
+            other.observe(heartbeat)
+            seen = [own.is_full("r1"), other.is_full("r1"), other.is_full("r2")]
+            await asyncio.sleep(2 * FULL_S)
+            later = Heartbeat("n1", 1, 2, "live")
+            own.fill(later)
+            return [*seen, own.is_full("r1"), other.is_full("r1"), bool(later.full)]
+
+        self.assertEqual(simulate(main), [True, True, False, False, False, False])
+
+
+class TestPromptCache(unittest.TestCase):
+    """Guards against parts of prompts that are read again because another node sent them before."""
+
+    PARTS = (PromptPart("sys", 10), PromptPart("shared", 5_000), PromptPart("own", 900))
+
+    def test_kept_tokens(self) -> None:
+        cases = [
+            ("nothing", (), 0.0, 0),
+            ("all", ("sys", "shared", "own"), 0.0, 5_910),
+            ("shared parts", ("sys", "shared"), 0.0, 5_010),
+            ("a part without those before it", ("shared",), 0.0, 0),
+            ("too long ago", ("sys", "shared"), 2 * KEPT_S, 0),
+        ]
+        for name, parts, age_s, expected in cases:
             with self.subTest(name):
-                self.assertEqual(simulate(lambda h=hops: self._chain(4, h)), expected)
 
-    def test_a_report_does_not_circulate(self) -> None:
+                async def main(parts: tuple[str, ...] = parts, age_s: float = age_s) -> int:
+                    cache = PromptCache()
+                    for part in parts:
+                        cache.note("r1", part)
+                    await asyncio.sleep(age_s)
+                    return cache.kept_tokens("r1", self.PARTS)
+
+                self.assertEqual(simulate(main), expected)
+
+    def test_a_request_finds_what_another_node_sent(self) -> None:
+        async def main() -> tuple[str, str]:
+            shares = [CacheShare(PromptCache()) for _ in range(2)]
+            splits = [PromptSplit(LoadReports(), cache=item.cache) for item in shares]
+            req = prompt(9_000, "shared")
+            assert req.raw is not None
+            req.raw.parts = (PromptPart("sys", 10), PromptPart("s", 6_000), PromptPart("x", 2_990))
+            preferred = splits[1].choose(req, RUNNERS, {}).name
+            keeper = next(item.name for item in RUNNERS if item.name != preferred)
+            shares[0].sent(keeper, req.raw.parts)
+            heartbeat = Heartbeat("n0", 1, 1, "live")
+            shares[0].fill(heartbeat)
+            shares[1].observe(heartbeat)
+            return splits[1].choose(req, RUNNERS, {}).name, keeper
+
+        found, keeper = simulate(main)
+        self.assertEqual(found, keeper)
+
+    def test_a_restarted_runner_keeps_nothing(self) -> None:
         async def main() -> int:
-            board = ReportShare(FixedMembers(2), LoadReports())
-            await asyncio.sleep(1.0)
-            heartbeat = Heartbeat("n1", 1, 1, "live")
-            heartbeat.reports.append(EndpointReport("r1", 1, 0, 0, MAX_HOPS))
-            board.observe(heartbeat)
-            own = Heartbeat("n0", 1, 1, "live")
-            board.fill(own)
-            return len(own.reports)
+            cache = PromptCache()
+            cache.note("r1", "sys")
+            cache.forget("r1")
+            return cache.kept_tokens("r1", self.PARTS)
 
         self.assertEqual(simulate(main), 0)
 
