--- a/lacewinghub/cli.py
+++ b/lacewinghub/cli.py
@@ -173,6 +173,20 @@
         nodes = [_address("status", item.strip()) for item in status.split(",") if item.strip()]
         return _Job(lambda: _report(list(files), nodes, _key(key), options))
 
+    @_text_arguments
+    def explain(self, request: str, *files: str) -> _Job:
+        """Tell what became of a request, from the logs of the nodes.
+
+        Example: lacewinghub explain 9c41d07be2a35f68 node-1.log node-2.log
+
+        Args:
+            request: Id of the request, as its caller sent it.
+            files: Logs of the nodes (JSON lines).
+        """
+        if not files:
+            raise BadArguments("name the log files of the nodes")
+        return _Job(lambda: _explain(request, list(files)))
+
     @_text_arguments
     def load(
         self, scenario: str, *, node: str = "", embedded: bool = False, remote: bool = False
@@ -375,6 +389,18 @@
         return await asyncio.gather(*(client.status(item, key) for item in addresses))
 
 
+def _explain(request: str, files: list[str]) -> None:
+    from .explain import explain
+
+    lines: list[str] = []
+    for name in files:
+        try:
+            lines += Path(name).read_text(encoding="utf-8", errors="replace").splitlines()
+        except OSError as exc:
+            raise BadArguments(f"cannot read {name}: {exc.strerror or exc}") from exc
+    print(explain(request, lines).text())
+
+
 class _ReportOptions:
     def __init__(self, objective: str, windows: str, period: str, html: str, json: bool) -> None:
         from .report import parse_duration, parse_objectives
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -40,6 +40,7 @@
             "bench",
             "check",
             "demo",
+            "explain",
             "load",
             "node",
             "platform",
