Count an endpoint's own failures against it; grow the retry budget through the first window

Cause: a runner that answers 500 counted as sound when the answer was passed on, and as neutral when it was repeated, so that a runner which fails part of its requests was never left out. A restarted node had its whole part of the retry budget again within the same window.

Change: a status from 500 on, but for 504 at the end of the time, counts against the runner; a process may use a quarter of its part of the minimum at its start. Tests: test_rawrelay (failed first), test_limit.

--- a/lacewinghub/limit.py
+++ b/lacewinghub/limit.py
@@ -8,6 +8,7 @@
 DECREASE = 0.8
 DECREASE_EVERY_S = 1.0  # Several answers report the same overload; only the first one counts.
 ROUNDING = 1e-9
+START_SHARE = 0.25  # Part of the minimum that a process may use at its start.
 RATIO_PART = 0.75  # Part of a ratio of retries that one node uses up.
 
 
@@ -85,7 +86,8 @@
 class RetryWindow:
     """Limits the retries of any window to a share of its requests and a minimum.
 
-    The retries that a crash of one endpoint causes come all at once; within a window they may.
+    The retries that a crash of one endpoint causes come all at once; within a window they may. The
+    minimum grows through the first window, since a process before this one may have used it.
 
     Args:
         share: Retries per request.
@@ -99,9 +101,12 @@
         self._window_s = window_s
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
+        self._started: float | None = None
 
     def note_request(self, now: float) -> None:
         """Count a request that is not a retry, at a loop time in seconds."""
+        if self._started is None:
+            self._started = now
         self._requests.append(now)
         self._forget(now)
 
@@ -115,7 +120,9 @@
             False if no retry is left in the window.
         """
         self._forget(now)
-        limit = self._share * len(self._requests) + self.minimum
+        age_s = now - self._started if self._started is not None else 0.0
+        minimum = self.minimum * min(1.0, START_SHARE + age_s / self._window_s)
+        limit = self._share * len(self._requests) + minimum
         if len(self._retries) + 1 > limit + ROUNDING:
             return False
         self._retries.append(now)
--- a/lacewinghub/rawrelay.py
+++ b/lacewinghub/rawrelay.py
@@ -24,6 +24,7 @@
 from .request import Grant, RawState, Request
 from .tables import Endpoint
 
+GATEWAY_TIMEOUT = 504
 RETRY_AFTER_S = 1.0  # Told to callers when no endpoint took the request.
 
 
@@ -53,6 +54,11 @@
         """True if the endpoint ran the request and failed."""
         return self.status >= 500
 
+    @property
+    def faulty(self) -> bool:
+        """True if that speaks against the endpoint; the end of the request's time does not."""
+        return self.failed and self.status != GATEWAY_TIMEOUT
+
 
 class RawClient(ABC):
     """Sends raw requests to endpoints."""
@@ -203,7 +209,8 @@
                 raw.may_have_run = before
             raise
         finally:
-            self._end(req, grant, use, failure is None, failure)
+            faulty = head is not None and head.faulty
+            self._end(req, grant, use, failure is None and not faulty, failure)
 
     def _take_head(
         self, req: Request, endpoint: Endpoint, head: RawHead, progress: _Progress
@@ -217,7 +224,8 @@
                 )
             return
         if head.failed and raw.repeatable and raw.sent < raw.max_attempts and self._spend(req):
-            raise _Failed(f"endpoint {endpoint.name!r} answered {head.status}", paid=True)
+            failed = _Failed if head.faulty else _TimedOut
+            raise failed(f"endpoint {endpoint.name!r} answered {head.status}", paid=True)
         if raw.resumable and head.status == 200:
             progress.cutter = EventCutter(raw.last_event)
 
@@ -262,6 +270,11 @@
     """The endpoint ran the request and answered with a failure; a repeat was taken already."""
 
     code = "endpoint_answered_failure"
+
+
+class _TimedOut(_Failed):
+    """The endpoint ran the request until its time was over."""
+
     neutral = True
 
 
--- a/tests/test_rawrelay.py
+++ b/tests/test_rawrelay.py
@@ -1,12 +1,13 @@
 """What a caller is told of a raw request that no endpoint completed."""
 
+import contextlib
 import unittest
 from collections.abc import AsyncGenerator
 
 from lacewinghub.endpoint import ConnectFailed, EndpointCrashed, EndpointError
 from lacewinghub.errors import LacewingError, Overloaded
 from lacewinghub.history import History
-from lacewinghub.parts import DispatchParts
+from lacewinghub.parts import DispatchParts, Monitor
 from lacewinghub.rawrelay import EndpointBusy, RawClient, RawHead, RawRelay
 from lacewinghub.request import Grant, Observation, Request
 from lacewinghub.scheduler import Scheduler
@@ -81,5 +82,61 @@
         raise AssertionError("the request was answered")
 
 
+class StatusClient(RawClient):
+    """Answers each request with one status."""
+
+    def __init__(self, status: int) -> None:
+        self.status = status
+
+    async def relay(
+        self, endpoint: Endpoint, req: Request
+    ) -> AsyncGenerator[RawHead | bytes, None]:
+        yield RawHead(self.status, [])
+        yield b"body"
+
+
+class Recorder(Monitor):
+    """Keeps what the relay says of the endpoints."""
+
+    def __init__(self) -> None:
+        self.seen: list[bool] = []
+
+    def observe(self, pool: str, endpoint: str, seen: Observation) -> None:
+        self.seen.append(seen.ok)
+
+    def leaving(self, endpoint: str) -> None:
+        return None
+
+
+class TestFailuresCount(unittest.TestCase):
+    """Guards against an endpoint that answers 500 and counts as sound."""
+
+    def test_statuses(self) -> None:
+        cases = [
+            ("success", 200, False, [True]),
+            ("caller's fault", 404, False, [True]),
+            ("failure, may run once", 500, False, [False]),
+            ("failure, repeated in vain", 500, True, [False]),
+            ("time over", 504, True, []),
+        ]
+        for name, status, repeatable, expected in cases:
+            with self.subTest(name):
+                found = simulate(lambda s=status, r=repeatable: self._seen(s, r))
+                self.assertEqual(found, expected)
+
+    async def _seen(self, status: int, repeatable: bool) -> list[bool]:
+        tables, recorder = Tables(version=1), Recorder()
+        tables.pools = {"p": Pool("p", RUNNERS)}
+        parts = DispatchParts(scheduler=OneGrant(), tables=lambda: tables, history=History("node"))
+        parts.monitors.append(recorder)
+        req = prompt(800)
+        assert req.raw is not None
+        req.raw.repeatable, req.raw.max_attempts = repeatable, 2
+        with contextlib.suppress(LacewingError):
+            async for _ in RawRelay(parts, StatusClient(status)).relay(req):
+                pass
+        return recorder.seen
+
+
 if __name__ == "__main__":
     unittest.main()
