--- a/lacewinghub/follower.py
+++ b/lacewinghub/follower.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from loguru import logger
@@ -102,10 +103,12 @@
         name: Name used in log lines.
         topic: The topic.
         sink: Receives the records.
-        pace: How often to read.
+        pace: Returns how often to read.
     """
 
-    def __init__(self, name: str, topic: KeyedTopic, sink: KeyedSink, pace: Pace) -> None:
+    def __init__(
+        self, name: str, topic: KeyedTopic, sink: KeyedSink, pace: Callable[[], Pace]
+    ) -> None:
         self.name = name
         self.reachable = False
         self._topic = topic
@@ -134,13 +137,14 @@
             self._note_returned()
             self._sink.replace(page.records)
         else:
-            page = await self._topic.read(self._next, self._pace.wait_s)
+            page = await self._topic.read(self._next, self._pace().wait_s)
             self._note_returned()
             for record in page.records:
                 self._sink.change(record)
         self._next = page.end
-        if self._pace.pause_s:
-            await asyncio.sleep(self._pace.pause_s)
+        pause_s = self._pace().pause_s
+        if pause_s:
+            await asyncio.sleep(pause_s)
 
     def _note_lost(self, exc: LacewingError) -> None:
         if self.reachable:
--- a/lacewinghub/platform/node.py
+++ b/lacewinghub/platform/node.py
@@ -60,6 +60,7 @@
             retries=RetryRule(
                 bounds.retry_budget_ratio, bounds.budget_min_retries, bounds.budget_window_s
             ),
+            drain_s=bounds.drain_ms / 1000,
             peer=f"{host}:{boot.internal_ports[0]}",
             seeds=tuple(
                 f"{seed.rpartition(':')[0]}:{boot.internal_ports[0]}" for seed in boot.seeds
--- a/lacewinghub/rawnode.py
+++ b/lacewinghub/rawnode.py
@@ -45,6 +45,10 @@
 CONFIG_PACE = Pace(wait_s=1.0)
 # Heartbeats of endpoints would end each read at once; the pause collects them.
 ENDPOINTS_PACE = Pace(wait_s=1.0, pause_s=0.5)
+# Calls to the store are priced and grow with the nodes: many of them read as seldom as the time
+# permits within which a leaving endpoint must get no more requests.
+MANY_NODES = 20
+PAUSE_SHARE = 0.4
 # The balancer takes a node out after two misses of a check per second.
 LEAVE_S = 2.8
 # The process ends this long before it would be killed.
@@ -65,6 +69,7 @@
         metrics: Address of the metrics page.
         grace_s: Time between the request to stop and the end of the process, in seconds.
         retries: Retries that all nodes together may send.
+        drain_s: Time after which an endpoint that leaves gets no new requests, in seconds.
         peer: Address for other nodes.
         seeds: Addresses of some other nodes, which may be gone.
     """
@@ -76,6 +81,7 @@
     metrics: str
     grace_s: float
     retries: RetryRule
+    drain_s: float
     peer: str
     seeds: tuple[str, ...] = ()
 
@@ -305,10 +311,10 @@
         self._suspend.listen(lambda _: self._connections.close())
         config = adapter.config(self._deployments)
         topic = self._shared("config", config)
-        self._config = Follower("config", topic, config.sink, CONFIG_PACE)
+        self._config = Follower("config", topic, config.sink, lambda: CONFIG_PACE)
         found = adapter.endpoints(self._directory)
         topic = self._shared("endpoints", found)
-        self._endpoints = Follower("endpoints", topic, found.sink, ENDPOINTS_PACE)
+        self._endpoints = Follower("endpoints", topic, found.sink, self._endpoints_pace)
 
     def _tables(self) -> Tables:
         return self._directory.tables
@@ -333,6 +339,12 @@
         self._known_nodes = len(addresses) + 1
         self._members.discovered(addresses)
 
+    def _endpoints_pace(self) -> Pace:
+        if self._node_count() <= MANY_NODES:
+            return ENDPOINTS_PACE
+        pause_s = max(ENDPOINTS_PACE.pause_s, PAUSE_SHARE * self.cfg.drain_s)
+        return replace(ENDPOINTS_PACE, pause_s=pause_s)
+
     def _node_count(self) -> int:
         return max(self._known_nodes, len(self._members.live()))
 
