--- a/lacewinghub/promptsplit.py
+++ b/lacewinghub/promptsplit.py
@@ -2,8 +2,9 @@
 
 A runner prefills a long prompt in chunks between the tokens of its other requests, whose pauses
 grow with each chunk. Under a load of long and short prompts the runners of a pool are therefore
-divided: long prompts go to one side, short ones to the other. All nodes order the runners alike,
-without exchanging messages. This answers bursts of long prompts beside interactive traffic.
+divided: long prompts go to one side, short ones to the other. All nodes order the runners alike by
+a hash of their names, and agree on their numbers by the news of ``promptdemand``. This answers
+bursts of long prompts beside interactive traffic.
 """
 
 import asyncio
