Take every number of the platform as a whole number or as a fraction

Cause: the settings model took budget_min_retries, drain_ms and config_apply_ms as integers. Counts of routes and limits were integers as well, and one malformed route made a node refuse the whole version. Headers with superscript digits, infinite or very long numbers raised ValueError or OverflowError in the decoder, which closed the client's connection.

Change: bounds are numbers, strictly (no text, no truth values, finite); whole members of the configuration accept fractions; routes, services and tenants are checked one by one, and a malformed one is left out with an error line; a route without a service is malformed (it raised IndexError on each of its requests before); token counts are ASCII digits of at most nine places. The error line names file, field and value.

--- a/lacewinghub/platform/boot.py
+++ b/lacewinghub/platform/boot.py
@@ -3,7 +3,7 @@
 import os
 import tomllib
 from pathlib import Path
-from typing import Any
+from typing import Annotated, Any
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
@@ -12,6 +12,11 @@
 
 _IGNORE_EXTRA = ConfigDict(extra="ignore", frozen=True)
 
+# The platform states any of its limits as an integer or as a fraction.
+_Number = Annotated[float, Field(strict=True, allow_inf_nan=False, ge=0)]
+_Positive = Annotated[float, Field(strict=True, allow_inf_nan=False, gt=0)]
+_Port = Annotated[int, Field(ge=0, le=65535)]
+
 
 class Listen(BaseModel):
     """Addresses to serve on, as ``IP:port``.
@@ -32,12 +37,12 @@
 
     model_config = _IGNORE_EXTRA
 
-    grace_s: float = Field(default=8.0, gt=0)
-    drain_ms: int = Field(default=2000, ge=0)
-    config_apply_ms: int = Field(default=2000, gt=0)
-    retry_budget_ratio: float = Field(default=0.2, ge=0)
-    budget_window_s: float = Field(default=10.0, gt=0)
-    budget_min_retries: int = Field(default=10, ge=0)
+    grace_s: _Positive = 8.0
+    drain_ms: _Number = 2000
+    config_apply_ms: _Positive = 2000
+    retry_budget_ratio: _Number = 0.2
+    budget_window_s: _Positive = 10.0
+    budget_min_retries: _Number = 10
 
 
 class Store(BaseModel):
@@ -68,7 +73,7 @@
     listen: Listen
     platform: Store
     bounds: Bounds = Bounds()
-    internal_ports: tuple[int, int] = (0, 0)
+    internal_ports: tuple[_Port, _Port] = (0, 0)
     seeds: list[str] = []
 
 
@@ -91,6 +96,7 @@
     try:
         return Boot.model_validate(document)
     except ValidationError as exc:
-        first = exc.errors(include_url=False, include_input=False)[0]
+        first = exc.errors(include_url=False)[0]
         key = ".".join(str(part) for part in first["loc"])
-        raise SettingsInvalid(f"{path}: {key}: {first['msg']}", key=key) from exc
+        value = "" if first["type"] == "missing" else f", got {first['input']!r}"
+        raise SettingsInvalid(f"{path}: {key}: {first['msg']}{value}", key=key) from exc
--- a/lacewinghub/platform/caller.py
+++ b/lacewinghub/platform/caller.py
@@ -1,5 +1,6 @@
 """Decodes the requests of the platform's clients and the operator's configuration records."""
 
+import math
 import random
 
 from loguru import logger
@@ -13,6 +14,8 @@
 from ..request import DEFAULT_MAX_TOKENS, HttpRequest, PromptPart, ProxyState, Request
 from . import config, names
 
+MAX_COUNT_DIGITS = 9  # More tokens than any prompt has.
+
 
 class PlatformCodec(ProxyCodec):
     """Decodes requests with the platform's headers.
@@ -95,7 +98,7 @@
         client_deadline=client_deadline,
         route_timeout_s=route.timeout_s,
         parts=_prompt_parts(incoming),
-        prompt_tokens=int(_token_counts(incoming)[0]),
+        prompt_tokens=_token_counts(incoming)[0],
     )
 
 
@@ -109,30 +112,40 @@
     parts = []
     for item in _header_text(incoming, names.PROMPT_PREFIX).split(","):
         part_id, _, tokens = item.strip().partition(":")
-        if tokens.isdigit():
-            parts.append(PromptPart(part_id, int(tokens)))
+        count = _count(tokens)
+        if count is not None:
+            parts.append(PromptPart(part_id, count))
     return tuple(parts)
 
 
-def _token_counts(incoming: Incoming) -> tuple[float, float]:
+def _token_counts(incoming: Incoming) -> tuple[int, int]:
     """Decode the length of the prompt and the longest output, in tokens; 0 if absent."""
     prompt, _, output = _header_text(incoming, names.TOKEN_COUNT).partition(",")
-    return float(prompt) if prompt.isdigit() else 0.0, float(output) if output.isdigit() else 0.0
+    return _count(prompt) or 0, _count(output) or 0
+
+
+def _count(text: str) -> int | None:
+    """Decode a number of tokens; None if the text is not a number that a prompt could have."""
+    text = text.strip()
+    if not (text.isascii() and text.isdigit() and len(text) <= MAX_COUNT_DIGITS):
+        return None
+    return int(text)
 
 
 def _output_tokens(incoming: Incoming) -> int:
     """Return the expected output length: the client's estimate, the upper bound or the default."""
     most = _token_counts(incoming)[1]
-    hint = _header_number(incoming, names.LENGTH_HINT)
-    return int(hint or most or DEFAULT_MAX_TOKENS)
+    hint = _count(_header_text(incoming, names.LENGTH_HINT))
+    return hint or most or DEFAULT_MAX_TOKENS
 
 
 def _header_number(incoming: Incoming, name: bytes) -> float:
     text = _header_text(incoming, name)
     try:
-        return max(0.0, float(text)) if text else 0.0
+        number = float(text) if text else 0.0
     except ValueError:
         return 0.0
+    return number if math.isfinite(number) and number > 0 else 0.0
 
 
 def _header_text(incoming: Incoming, name: bytes) -> str:
--- a/lacewinghub/platform/config.py
+++ b/lacewinghub/platform/config.py
@@ -1,9 +1,19 @@
 """Decodes the operator's configuration into a deployment."""
 
-from typing import Literal
-
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
-
+import math
+from typing import Annotated, Any, Literal, Self, TypeVar
+
+from loguru import logger
+from pydantic import (
+    BaseModel,
+    BeforeValidator,
+    ConfigDict,
+    Field,
+    ValidationError,
+    model_validator,
+)
+
+from .._validation import tables_invalid
 from ..deployment import DeploymentConfig
 from ..directory import PoolSpec
 from ..errors import TablesInvalid
@@ -15,11 +25,20 @@
 _IGNORE_EXTRA = ConfigDict(extra="ignore", frozen=True)
 
 
+def _truncate(value: Any) -> Any:
+    return int(value) if isinstance(value, float) and math.isfinite(value) else value
+
+
+# The platform may state an integer as a fraction where it scales a deployment.
+_Whole = Annotated[int, BeforeValidator(_truncate)]
+_Finite = Annotated[float, Field(allow_inf_nan=False)]
+
+
 class _Weight(BaseModel):
     model_config = _IGNORE_EXTRA
 
     service: str
-    weight: float = 1.0
+    weight: Annotated[_Finite, Field(ge=0)] = 1.0
 
 
 class _Route(BaseModel):
@@ -29,17 +48,23 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float = Field(gt=0)
-    target_latency_ms: float | None = None
+    timeout_ms: Annotated[_Finite, Field(gt=0)]
+    target_latency_ms: _Finite | None = None
     # Priority of its requests; 0 is the highest.
-    priority: int = 0
+    priority: _Whole = 0
     service: str | None = None
     traffic_split: list[_Weight] = []
-    max_attempts: int = Field(default=1, ge=1)
+    max_attempts: _Whole = 1
     public: bool = False
     resumable: bool = False
     # Latency target for the time between two events.
-    gap_aim_ms: float | None = None
+    gap_aim_ms: _Finite | None = None
+
+    @model_validator(mode="after")
+    def _check_services(self) -> Self:
+        if self.service is None and not any(item.weight > 0 for item in self.traffic_split):
+            raise ValueError("no service")
+        return self
 
 
 class _Service(BaseModel):
@@ -53,10 +78,10 @@
 class _Limits(BaseModel):
     model_config = _IGNORE_EXTRA
 
-    max_header_bytes: int = 16 * 1024
-    max_body_bytes: int = 4 * 1024 * 1024
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15000
+    max_header_bytes: _Whole = 16 * 1024
+    max_body_bytes: _Whole = 4 * 1024 * 1024
+    header_timeout_ms: _Finite = 3000
+    idle_timeout_ms: _Finite = 15000
 
 
 class _Tenant(BaseModel):
@@ -65,41 +90,48 @@
     name: str
     api_keys: list[str] = []
     # Takes precedence over the priority of the routes; see ``DeploymentConfig.tier``.
-    priority: int | None = None
+    priority: _Whole | None = None
 
 
 class _Config(BaseModel):
+    """The whole configuration; the entries of its lists are checked one by one."""
+
     model_config = _IGNORE_EXTRA
 
     version: int
-    routes: list[_Route]
-    services: list[_Service]
+    routes: list[Any]
+    services: list[Any]
     limits: _Limits = _Limits()
-    tenants: list[_Tenant] = []
+    tenants: list[Any] = []
+
+
+_Item = TypeVar("_Item", _Route, _Service, _Tenant)
 
 
 def decode(data: bytes) -> DeploymentConfig:
-    """Decode a configuration.
+    """Decode a configuration; a malformed route, service or tenant is left out.
 
     Args:
         data: JSON as the operator wrote it.
 
     Raises:
-        TablesInvalid: If the configuration is malformed.
+        TablesInvalid: If the configuration is malformed as a whole, or if none of its routes or
+            none of its services is valid.
     """
     try:
         config = _Config.model_validate_json(data)
     except ValidationError as exc:
-        first = exc.errors(include_url=False, include_input=False)[0]
-        place = ".".join(str(part) for part in first["loc"])
-        raise TablesInvalid(f"{place}: {first['msg']}", place=place) from exc
+        raise tables_invalid(exc) from exc
+    routes = _valid_items(_Route, config.routes, "routes")
+    services = _valid_items(_Service, config.services, "services")
+    tenants = _valid_items(_Tenant, config.tenants, "tenants")
     return DeploymentConfig(
         version=config.version,
-        routes=PathRoutes([_route(item) for item in config.routes]),
-        pools=tuple(PoolSpec(item.name, _kind(item)) for item in config.services),
+        routes=PathRoutes([_route(item) for item in routes]),
+        pools=tuple(PoolSpec(item.name, _kind(item)) for item in services),
         workspaces={
             key_digest(key): Workspace(item.name, tier=_tier(item.priority))
-            for item in config.tenants
+            for item in tenants
             for key in item.api_keys
         },
         limits=HttpLimits(
@@ -112,8 +144,29 @@
     )
 
 
+def _valid_items(model: type[_Item], items: list[Any], table: str) -> list[_Item]:
+    """Return the valid entries of a list.
+
+    Raises:
+        TablesInvalid: If there are entries and none of them is valid.
+    """
+    found: list[_Item] = []
+    error: TablesInvalid | None = None
+    for number, item in enumerate(items):
+        try:
+            found.append(model.model_validate(item))
+        except ValidationError as exc:
+            error = tables_invalid(exc, table, str(number))
+            logger.bind(place=error.details["place"]).error("entry left out: {}", error.message)
+    if error is not None and not found:
+        raise error
+    return found
+
+
 def _route(item: _Route) -> PathRoute:
-    pools = tuple(WeightedPool(part.service, part.weight) for part in item.traffic_split)
+    pools = tuple(
+        WeightedPool(part.service, part.weight) for part in item.traffic_split if part.weight > 0
+    )
     if not pools and item.service is not None:
         pools = (WeightedPool(item.service),)
     streaming = item.kind == "streaming"
@@ -125,7 +178,7 @@
         tier=_tier(item.priority) or MAX_TIER,
         timeout_s=item.timeout_ms / 1000,
         target=_target(item, streaming),
-        max_attempts=item.max_attempts,
+        max_attempts=max(1, item.max_attempts),
         public=item.public,
         streaming=streaming,
         repeatable=item.kind == "idempotent" or (streaming and item.resumable),
