Bound every byte that belongs to no answer or request

Cause: the parser keeps a header, a reason, a chunk extension or a trailer until it is complete, however long it grows; bodies of other requests' answers, refusals and buffered responses were read to their end; a kept connection went on to read while it was idle; an event without end was searched from its start with each piece; answers of the store had no limit.

Change: one count of the bytes outside bodies (MessageReceiver) ends the exchange beyond 64 KB plus 16 times the body, for runners and clients; at most 8 interim responses; a body that is not passed on is skipped up to 64 KB or 0.5 s (a refusal is believed by its head); bytes on an idle connection close it; at most 64 KB of unread body per connection, over all its responses; responses that are no streams are passed on as they arrive beyond 256 KB, and are then no longer retried; events up to 256 KB; answers of the store up to 8 MB. An unexpected error in a request is answered (503 if it was not sent, otherwise 502) and logged.

A runner that sends such bytes counts as crashed for its health; requests that may run once get 502.

Not yet bounded: the sum over all connections of a process.

--- a/lacewinghub/eventstream.py
+++ b/lacewinghub/eventstream.py
@@ -1,6 +1,14 @@
 """Splits a stream of server-sent events, so that another endpoint can continue it."""
 
+from .endpoint import EndpointCrashed
+
+MAX_EVENT_BYTES = 256 * 1024
 _TERMINATORS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+_LONGEST_TERMINATOR = max(map(len, _TERMINATORS))
+
+
+class EventTooLarge(EndpointCrashed):
+    """An endpoint sent an event without end."""
 
 
 class EventSplitter:
@@ -22,10 +30,15 @@
 
         Returns:
             The events that they complete and that the client has not received yet.
+
+        Raises:
+            EventTooLarge: If an event is larger than ``MAX_EVENT_BYTES``.
         """
+        searched = max(0, len(self._buffer) - _LONGEST_TERMINATOR)
         self._buffer += data
         found = []
-        while (end := _end_of_event(self._buffer)) > 0:
+        while (end := _end_of_event(self._buffer, searched)) > 0:
+            searched = 0
             event, self._buffer = self._buffer[:end], self._buffer[end:]
             event_id = _event_id(event)
             if event_id is not None and _is_received(event_id, self.last_event_id):
@@ -33,6 +46,8 @@
             if event_id is not None:
                 self.last_event_id = event_id
             found.append(event)
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise EventTooLarge(f"an event has more than {MAX_EVENT_BYTES} bytes")
         return b"".join(found)
 
     def take_remainder(self) -> bytes:
@@ -41,10 +56,12 @@
         return data
 
 
-def _end_of_event(data: bytes) -> int:
-    """Return the position after the first event, or 0 if it is incomplete."""
+def _end_of_event(data: bytes, start: int) -> int:
+    """Return the position after the first event, or 0 if it does not end at or after ``start``."""
     ends = [
-        at + len(terminator) for terminator in _TERMINATORS if (at := data.find(terminator)) >= 0
+        at + len(terminator)
+        for terminator in _TERMINATORS
+        if (at := data.find(terminator, start)) >= 0
     ]
     return min(ends, default=0)
 
--- a/lacewinghub/httpclient.py
+++ b/lacewinghub/httpclient.py
@@ -15,9 +15,11 @@
 from .httpmessage import Incoming, MessageReceiver
 
 # With this many unread bytes the connection pauses reading, which slows the endpoint down.
-HIGH_WATER_BYTES = 1024 * 1024
+HIGH_WATER_BYTES = 64 * 1024
 # A connection on which more responses than this wait to be read is closed.
 MAX_RESPONSES = 4
+# Largest number of interim responses (1xx) to one request.
+MAX_INTERIM = 8
 # Keep-alive probes detect a dead host within about four seconds.
 PROBE_AFTER_S = 1
 PROBE_EVERY_S = 1
@@ -59,6 +61,7 @@
         self._broken: str | None = None
         self._reading_paused = False
         self._closed = False
+        self._pooled = False
 
     # Callbacks of the parser.
     def on_message_begin(self) -> None:
@@ -92,15 +95,10 @@
 
     def data_received(self, data: bytes) -> None:
         if self._broken is None:
-            try:
-                self._parser.feed_data(data)
-            except httptools.HttpParserError as exc:
-                self._broken = f"invalid response: {exc}"
-        messages = self._receiver.messages
-        if len(messages) > MAX_RESPONSES and self._broken is None:
-            self._broken = "more responses than requests"
+            self._broken = "bytes without a request" if self._pooled else self._parse(data)
+        if self._broken is not None:
             self.close()
-        if messages and sum(map(len, messages[0].body)) > HIGH_WATER_BYTES:
+        elif self._receiver.buffered > HIGH_WATER_BYTES:
             self._pause_reading()
         self._changed.set()
 
@@ -146,7 +144,8 @@
         Raises:
             ConnectionBroken: If the connection ended early or carried an invalid response.
         """
-        while True:
+        interim = 0
+        while interim <= MAX_INTERIM:
             messages = self._receiver.messages
             first = messages[0] if messages else None
             if first is not None and first.headers_complete:
@@ -154,8 +153,10 @@
                     return first
                 if first.complete:
                     messages.popleft()
+                    interim += 1
                     continue
             await self._wait()
+        raise ConnectionBroken("too many interim responses")
 
     async def read_body(self, incoming: Incoming) -> bytes:
         """Wait for the next bytes of the body.
@@ -175,6 +176,19 @@
                 return b""
             await self._wait()
 
+    def park(self, idle_until: float) -> None:
+        """Keep the connection for another request; until ``unpark`` the endpoint may send nothing.
+
+        Args:
+            idle_until: Loop time until which it may be reused, in seconds.
+        """
+        self.idle_until = idle_until
+        self._pooled = True
+
+    def unpark(self) -> None:
+        """Prepare the connection for the next request."""
+        self._pooled = False
+
     def discard(self, response: Incoming) -> bool:
         """Remove a response that was read to its end.
 
@@ -192,6 +206,19 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _parse(self, data: bytes) -> str | None:
+        """Parse received bytes; return why they are no valid response, or None."""
+        self._receiver.count(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as exc:
+            return f"invalid response: {exc}"
+        if len(self._receiver.messages) > MAX_RESPONSES:
+            return "more responses than requests"
+        if self._receiver.has_excessive_framing:
+            return "headers, chunk extensions or trailers are too large"
+        return None
+
     async def _wait(self) -> None:
         if self._broken is not None:
             raise ConnectionBroken(self._broken)
@@ -277,7 +304,7 @@
         ):
             conn.close()
             return
-        conn.idle_until = asyncio.get_running_loop().time() + _idle_s(response)
+        conn.park(asyncio.get_running_loop().time() + _idle_s(response))
         idle.append(conn)
 
     def forget(self, address: str) -> None:
@@ -296,6 +323,7 @@
         while idle:
             conn = idle.pop()
             if conn.is_idle and now < conn.idle_until:
+                conn.unpark()
                 return conn
             conn.close()
         return None
--- a/lacewinghub/httpmessage.py
+++ b/lacewinghub/httpmessage.py
@@ -28,6 +28,10 @@
 )
 CRLF = b"\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
+# Largest size of the headers, chunk sizes, chunk extensions and trailers of a message, and the part
+# of it that may grow with the body: a stream of single bytes takes six bytes of framing for each.
+MAX_FRAMING_BYTES = 64 * 1024
+MAX_FRAMING_RATIO = 16
 
 
 def end_to_end(headers: Headers, without: frozenset[bytes] = frozenset()) -> Headers:
@@ -71,6 +75,7 @@
         status: Status of a response.
         body: Received pieces of the body that were not read yet.
         size: Number of bytes of the body received so far.
+        buffered: Number of bytes of the body that were not read yet.
         head_size: Number of bytes of target and headers received so far.
         headed: True once all headers were received.
         complete: True once the body ended according to its framing.
@@ -85,6 +90,7 @@
     status: int = 0
     body: deque[bytes] = field(default_factory=deque)
     size: int = 0
+    buffered: int = 0
     head_size: int = 0
     headers_complete: bool = False
     complete: bool = False
@@ -99,22 +105,49 @@
         """Remove and return the part of the body that has arrived."""
         data = b"".join(self.body)
         self.body.clear()
+        self.buffered = 0
         return data
 
 
 class MessageReceiver:
     """Collects messages from the callbacks of an httptools parser.
 
+    The parser keeps a header or a chunk extension until it is complete, without a limit. ``count``
+    and ``overhead`` tell how many bytes arrived that belong to no body.
+
     Attributes:
         messages: Messages in order of arrival; the last one may be incomplete.
     """
 
     def __init__(self) -> None:
         self.messages: deque[Incoming] = deque()
+        self._received = 0
+
+    @property
+    def overhead(self) -> int:
+        """Number of bytes of the last message that are not part of its body."""
+        return self._received - self.messages[-1].size if self.messages else self._received
+
+    @property
+    def has_excessive_framing(self) -> bool:
+        """True if the last message consists mostly of other bytes than its body."""
+        body = self.messages[-1].size if self.messages else 0
+        return self.overhead > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * body
+
+    @property
+    def buffered(self) -> int:
+        """Number of bytes of all bodies that were not read yet."""
+        return sum(item.buffered for item in self.messages)
+
+    def count(self, data: bytes) -> None:
+        """Count received bytes; called before they are parsed."""
+        self._received += len(data)
 
     def on_message_begin(self) -> None:
         """Start a message."""
         self.messages.append(Incoming())
+        # What arrived together with the end of the previous message is not counted.
+        self._received = 0
 
     def on_url(self, data: bytes) -> None:
         """Add a piece of the target."""
@@ -134,6 +167,7 @@
         last = self.messages[-1]
         last.body.append(bytes(data))
         last.size += len(data)
+        last.buffered += len(data)
 
     def on_message_complete(self) -> None:
         """Mark the message as complete."""
--- a/lacewinghub/httpserver.py
+++ b/lacewinghub/httpserver.py
@@ -19,7 +19,9 @@
 BACKLOG = 1024
 # While more pipelined requests than this wait, nothing more is read from the connection.
 MAX_PIPELINED = 2
-HIGH_WATER_BYTES = 256 * 1024
+HIGH_WATER_BYTES = 64 * 1024
+# Method, version and separators, which the limit on target and headers does not include.
+REQUEST_LINE_BYTES = 1024
 # A request may already be on the network for a connection that was opened or used this recently.
 IDLE_BEFORE_CLOSE_S = 0.5
 # Time for a client to read the error response to a request that was refused before its end.
@@ -193,6 +195,7 @@
         if self._malformed:
             return
         self._last_data = asyncio.get_running_loop().time()
+        self._receiver.count(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
@@ -324,9 +327,15 @@
             return 431
         if current.size > limits.body_bytes:
             return 413
-        if self._malformed and not current.complete:
+        if current.complete:
+            return None
+        if self._malformed:
             return 400
-        return None
+        # The message is the last one of the connection, since it is incomplete.
+        overhead = self._receiver.overhead
+        if not current.headers_complete and overhead > limits.header_bytes + REQUEST_LINE_BYTES:
+            return 431
+        return 400 if self._receiver.has_excessive_framing else None
 
     def _deadline(self, current: Incoming | None, limits: HttpLimits) -> float:
         if current is not None and not current.headers_complete:
@@ -335,6 +344,7 @@
 
     async def _refuse(self, status: int) -> None:
         self.server.handler.on_malformed_request(status)
+        self._malformed = True  # Whatever else arrives is dropped.
         out = Responder(self, keep_alive=False)
         out.send(status, [], b"")
         if self.transport is not None and self.transport.can_write_eof():
--- a/lacewinghub/platform/runner.py
+++ b/lacewinghub/platform/runner.py
@@ -1,6 +1,7 @@
 """Client for the platform's runners: encodes requests and validates responses."""
 
 import asyncio
+import contextlib
 from collections.abc import AsyncGenerator
 
 from ..endpoint import ConnectFailed, EndpointCrashed
@@ -18,6 +19,9 @@
 _NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 # Responses to other requests that are skipped before a connection is closed.
 MAX_FOREIGN = 2
+# A body that is not passed on is read so that its connection can be reused, up to these limits.
+MAX_SKIPPED_BYTES = 64 * 1024
+MAX_SKIP_S = 0.5
 _NO_BODY = frozenset((b"GET", b"HEAD", b"DELETE"))
 
 
@@ -76,8 +80,7 @@
                 raise ConnectionBroken("a response without the id of its request")
             if attempt_id.decode("latin-1") == req.id:
                 return response
-            while await conn.read_body(response):
-                pass
+            await _skip_body(conn, response)
             conn.discard(response)
         raise ConnectionBroken("only responses to other requests")
 
@@ -87,8 +90,8 @@
         """Raise an error for a response that must not be passed on."""
         status = response.status
         if _is_refusal(response):
-            while await conn.read_body(response):
-                pass
+            with contextlib.suppress(ConnectionBroken):
+                await _skip_body(conn, response)
             raise EndpointBusy(f"endpoint {endpoint.name!r} answered {status}", status=status)
         if status in _NOT_EXECUTED_STATUSES:
             raise ConnectionBroken(f"status {status} without the header that it was not executed")
@@ -105,6 +108,23 @@
             self._reports.update(endpoint.name, int(fields[0]), int(fields[1]), now)
 
 
+async def _skip_body(conn: HttpConnection, response: Incoming) -> None:
+    """Read the rest of a body that is not passed on.
+
+    Raises:
+        ConnectionBroken: If the body is too long or does not end in time.
+    """
+    skipped = 0
+    try:
+        async with asyncio.timeout(MAX_SKIP_S):
+            while data := await conn.read_body(response):
+                skipped += len(data)
+                if skipped > MAX_SKIPPED_BYTES:
+                    raise ConnectionBroken("the body of another response is too long")
+    except TimeoutError as exc:
+        raise ConnectionBroken("the body of another response does not end") from exc
+
+
 def _is_refusal(response: Incoming) -> bool:
     """Tell whether a runner states that it did not execute the request."""
     return response.header(names.NOT_EXECUTED) is not None or response.status == _MISDIRECTED
--- a/lacewinghub/platform/store.py
+++ b/lacewinghub/platform/store.py
@@ -15,6 +15,8 @@
 CONNECT_TIMEOUT_S = 0.5
 # A slow store answers within 0.25 s. A call without an answer times out after this.
 ANSWER_TIMEOUT_S = 1.0
+# A page of records has at most 1 MB, a read at most as much as this node asks for by default.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
 PARTITION = 0  # The keyed topics have one partition.
 _ENDS = struct.Struct(">QQ")
 _LENGTH = struct.Struct(">I")
@@ -43,7 +45,7 @@
             async with self._session().get(
                 self._base + path, params=query, timeout=timeout
             ) as resp:
-                data = await resp.read()
+                data = await _read_answer(resp)
                 if resp.status == 410:
                     raise RecordsExpired(f"{path} {query}")
                 if resp.status != 200:
@@ -64,7 +66,7 @@
             async with self._session().post(
                 self._base + path, params=query, data=body, timeout=timeout
             ) as resp:
-                await resp.read()
+                await _read_answer(resp)
                 if resp.status != 200:
                     raise LogUnavailable(f"the store answered {resp.status}")
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
@@ -81,6 +83,23 @@
         return self._session_or_none
 
 
+async def _read_answer(resp: aiohttp.ClientResponse) -> bytes:
+    """Read a body of at most ``MAX_ANSWER_BYTES``.
+
+    Raises:
+        LogUnavailable: If it is longer.
+    """
+    pieces: list[bytes] = []
+    size = 0
+    async for piece in resp.content.iter_any():
+        pieces.append(piece)
+        size += len(piece)
+        if size > MAX_ANSWER_BYTES:
+            resp.close()
+            raise LogUnavailable(f"the store's answer has more than {MAX_ANSWER_BYTES} bytes")
+    return b"".join(pieces)
+
+
 class StoreTopic(WritableKeyedTopic):
     """A topic that keeps the newest record of each key.
 
--- a/lacewinghub/proxygateway.py
+++ b/lacewinghub/proxygateway.py
@@ -9,7 +9,14 @@
 from loguru import logger
 
 from .deployment import CurrentConfig, DeploymentConfig
-from .errors import DeadlineExceeded, Draining, LacewingError, NotReady, NotRun
+from .errors import (
+    DeadlineExceeded,
+    Draining,
+    EndpointFailed,
+    LacewingError,
+    NotReady,
+    NotRun,
+)
 from .httpmessage import Headers, Incoming
 from .httpserver import HttpHandler, HttpLimits, Responder
 from .pathroute import PathRoute
@@ -160,6 +167,9 @@
             self._send_error(out, error, req.id)
         except LacewingError as exc:
             self._send_error(out, _limit_retry_delay(exc, req), req.id)
+        except Exception:
+            logger.bind(request_id=req.id).exception("unexpected error in a request")
+            self._send_error(out, _unexpected_error(req), req.id)
         finally:
             self._active.discard(active)
 
@@ -170,7 +180,7 @@
             async for piece in pieces:
                 if isinstance(piece, ResponseHead):
                     head = piece
-                    if req.proxy.streaming or not head.framed:
+                    if not head.whole or not head.framed:
                         out.start(head.status, head.headers, head.framed)
                 elif out.started:
                     await out.write(piece)
@@ -216,6 +226,13 @@
     return NotRun("no endpoint accepted the request before its deadline", retry_after_s=0.0)
 
 
+def _unexpected_error(req: Request) -> LacewingError:
+    assert req.proxy is not None
+    if req.proxy.may_have_run:
+        return EndpointFailed("an internal error interrupted the request")
+    return NotRun("an internal error occurred before the request was sent", retry_after_s=0.0)
+
+
 def _limit_retry_delay(exc: LacewingError, req: Request) -> LacewingError:
     """Limit the retry delay of an error to a share of the time that the client has left."""
     if exc.retry_after_s is not None and req.proxy is not None:
--- a/lacewinghub/proxyrouter.py
+++ b/lacewinghub/proxyrouter.py
@@ -9,7 +9,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import AsyncGenerator
 from contextlib import aclosing
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from loguru import logger
 
@@ -33,6 +33,9 @@
 
 GATEWAY_TIMEOUT = 504
 RETRY_AFTER_S = 1.0  # Sent to clients when no endpoint accepted the request.
+# A response that is not a stream is passed on when it is complete, so that a failed attempt can be
+# retried. A larger one is passed on as it arrives.
+MAX_BUFFERED_BYTES = 256 * 1024
 
 
 class EndpointBusy(EndpointError):
@@ -51,11 +54,13 @@
         headers: Headers to pass on, names in lower case.
         framed: False if the end of the connection ends the body, so that a truncated body cannot
             be recognized.
+        whole: True if the body follows in a single piece.
     """
 
     status: int
     headers: Headers
     framed: bool = True
+    whole: bool = False
 
     @property
     def failed(self) -> bool:
@@ -178,6 +183,7 @@
         attempt_timer = AttemptTimer(endpoint, loop.time())
         head: ResponseHead | None = None
         buffered: list[bytes] = []
+        buffered_bytes = 0
         state.sent += 1
         may_have_run_before, state.may_have_run = state.may_have_run, True
         self._report_start(req, endpoint, resumed=progress.head_sent)
@@ -195,7 +201,14 @@
                     self._dispatch_deps.scheduler.on_answer_event(grant)
                     if not progress.head_sent:
                         buffered.append(piece)
-                        continue
+                        buffered_bytes += len(piece)
+                        if buffered_bytes <= MAX_BUFFERED_BYTES:
+                            continue
+                        assert head is not None
+                        progress.head_sent = True
+                        yield head
+                        piece = b"".join(buffered)
+                        buffered.clear()
                     data = progress.splitter.feed(piece) if progress.splitter else piece
                     if progress.splitter is not None:
                         state.last_event = progress.splitter.last_event_id
@@ -205,7 +218,7 @@
                 # The whole response was buffered, so that a failed attempt could be retried.
                 assert head is not None
                 progress.head_sent = True
-                yield head
+                yield replace(head, whole=True)
                 yield b"".join(buffered)
             if progress.splitter is not None and (rest := progress.splitter.take_remainder()):
                 yield rest
@@ -259,7 +272,9 @@
         req.excluded_endpoints.add(endpoint.name)
         if progress.splitter is not None:
             progress.splitter.take_remainder()
-        retries = attempt < MAX_ATTEMPTS and self._may_retry(req, exc)
+        # Only a stream of events continues after the part that the client has received.
+        resumes = not progress.head_sent or progress.splitter is not None
+        retries = resumes and attempt < MAX_ATTEMPTS and self._may_retry(req, exc)
         logger.bind(
             request_id=req.id,
             endpoint=endpoint.name,
--- a/tests/test_proxyrouter.py
+++ b/tests/test_proxyrouter.py
@@ -8,7 +8,13 @@
 from lacewinghub.endpoint import ConnectFailed, EndpointCrashed, EndpointError
 from lacewinghub.errors import LacewingError, Overloaded
 from lacewinghub.history import History
-from lacewinghub.proxyrouter import EndpointBusy, ProxyClient, ProxyRouter, ResponseHead
+from lacewinghub.proxyrouter import (
+    MAX_BUFFERED_BYTES,
+    EndpointBusy,
+    ProxyClient,
+    ProxyRouter,
+    ResponseHead,
+)
 from lacewinghub.request import AttemptResult, Grant, Request
 from lacewinghub.scheduler import Scheduler
 from lacewinghub.tables import Endpoint, Pool, Tables
@@ -16,6 +22,8 @@
 from .clock import simulate
 from .test_promptsplit import RUNNERS, prompt
 
+PIECE_BYTES = 16 * 1024
+
 
 class SingleGrantScheduler(Scheduler):
     """Grants a slot to the first attempt and refuses all further ones."""
@@ -145,3 +153,64 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class LargeBodyClient(ProxyClient):
+    """Sends a body of a given size in pieces and then fails, or ends."""
+
+    def __init__(self, size: int, fails: bool) -> None:
+        self.size = size
+        self.fails = fails
+        self.calls = 0
+
+    async def stream(
+        self, endpoint: Endpoint, req: Request
+    ) -> AsyncGenerator[ResponseHead | bytes, None]:
+        self.calls += 1
+        yield ResponseHead(200, [])
+        for _ in range(self.size // PIECE_BYTES):
+            yield b"x" * PIECE_BYTES
+        if self.fails:
+            raise EndpointCrashed("failed", endpoint=endpoint.name)
+
+
+class TestLargeBodies(unittest.TestCase):
+    """Guards against a body that fills the memory, and against two bodies in one response."""
+
+    def test_a_large_body_is_passed_on_as_it_arrives(self) -> None:
+        small, large = MAX_BUFFERED_BYTES // 2, 4 * MAX_BUFFERED_BYTES
+        cases = [
+            ("small", small, False, small, 1, ""),
+            ("large", large, False, large, 1, ""),
+            ("small and broken", small, True, 0, 2, "endpoint_failed"),
+            ("large and broken", large, True, large, 1, "answer_incomplete"),
+        ]
+        for name, size, fails, passed_on, calls, code in cases:
+            with self.subTest(name):
+                client = LargeBodyClient(size, fails)
+                found = simulate(lambda client=client: self._play(client))
+                pieces, error = found
+                self.assertEqual(sum(map(len, pieces)), passed_on)
+                self.assertLessEqual(
+                    max(map(len, pieces), default=0), MAX_BUFFERED_BYTES + PIECE_BYTES
+                )
+                self.assertEqual(error, code)
+                self.assertLessEqual(client.calls, calls)
+
+    async def _play(self, client: ProxyClient) -> tuple[list[bytes], str]:
+        tables = Tables(version=1)
+        tables.pools = {"p": Pool("p", RUNNERS)}
+        dependencies = DispatcherDependencies(
+            scheduler=SingleGrantScheduler(), tables=lambda: tables, history=History("node")
+        )
+        req = prompt(800)
+        assert req.proxy is not None
+        req.proxy.streaming, req.proxy.repeatable, req.proxy.max_attempts = False, True, 3
+        pieces: list[bytes] = []
+        try:
+            async for piece in ProxyRouter(dependencies, client).stream(req):
+                if isinstance(piece, bytes):
+                    pieces.append(piece)
+        except LacewingError as exc:
+            return pieces, exc.code
+        return pieces, ""
