Let few nodes read the store in large deployments and hand changes on

Cause: every node read both topics itself.

Change: nodes rank themselves by a hash among the live ones (readturns). The first three read all the time; another one reads only when its knowledge is older than 0.45 of the time within which a change must be in force, later the lower it ranks. RelayedTopic tells the peers of a change at once and they fetch it; heartbeats carry the age of what the sender knows. Records that only renew their predecessor are not passed on. After a failed read a node pauses in proportion to the number of nodes; while it is connected to less than half of the announced nodes it counts as no reader. A page that comes from a peer within 2 s of an outage gives missing endpoints their grace period. With 20 nodes or fewer each one reads for itself, as before. Node records are renewed every 100 s instead of 60 s.

Ruled out: an election (state to repair when any number is lost at once); a longer pause of each node's reads (a change would come into force too late).

Peer messages changed; nodes of earlier builds do not connect.

Tests: tests/test_relayedtopic.py in simulated time: calls bounded in calm and outage; changes within the bound when the readers, or half of the nodes, are lost, when the log turns most nodes away or hangs, when a node has no peers, when the log forgets its history. tests/test_shared_news.py: the test of a peer that lacks changes let that peer read the deletion before; it now knows it from the complete list, so the test uses a peer that never saw the key, and a new one checks that such a deletion is passed on.

--- a/lacewinghub/codec.py
+++ b/lacewinghub/codec.py
@@ -37,6 +37,7 @@
     ReleaseItem,
     SuspectRequest,
     SuspectTrial,
+    TopicNews,
     TopicOffset,
     WaitingCount,
 )
@@ -55,6 +56,7 @@
     (Heartbeat, "work"): PromptTokenRate,
     (Heartbeat, "parts"): EndpointPromptParts,
     (RecordsReply, "items"): RecordItem,
+    (TopicNews, "offset"): TopicOffset,
     (NodeTrials, "items"): SuspectTrial,
     (MembershipGossip, "items"): MembershipUpdate,
     (Demand, "waiting"): WaitingCount,
@@ -95,7 +97,15 @@
         code, *values = cbor2.loads(data)
         cls = _TYPES[code]
         return _ADAPTERS[cls].validate_python(_to_mapping(cls, values))
-    except (ValidationError, cbor2.CBORError, KeyError, TypeError, ValueError) as exc:
+    except (
+        ValidationError,
+        cbor2.CBORError,
+        KeyError,
+        TypeError,
+        ValueError,
+        OverflowError,
+        RecursionError,
+    ) as exc:
         raise PeerRejected(f"invalid message: {exc}") from exc
 
 
--- a/lacewinghub/follower.py
+++ b/lacewinghub/follower.py
@@ -31,10 +31,17 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyedPage:
-    """Records in offset order, and the offset after the last one."""
+    """Records in offset order, and the offset after the last one.
+
+    Attributes:
+        records: The records.
+        end: Offset after the last record.
+        after_outage: True if they come from a peer that lost the topic and has just regained it.
+    """
 
     records: list[KeyedRecord] = field(default_factory=list)
     end: int = 0
+    after_outage: bool = False
 
 
 class KeyedTopic(ABC):
@@ -135,11 +142,11 @@
     async def _read_once(self) -> None:
         if self._next is None:
             page = await self._topic.newest()
-            self._on_success()
+            self._on_success(page)
             self._sink.replace_all(page.records)
         else:
             page = await self._topic.read(self._next, self._pace().wait_s)
-            self._on_success()
+            self._on_success(page)
             for record in page.records:
                 self._sink.apply_record(record)
         self._next = page.end
@@ -153,7 +160,10 @@
             self.reachable = False
         self._sink.on_topic_lost()
 
-    def _on_success(self) -> None:
+    def _on_success(self, page: KeyedPage) -> None:
+        if page.after_outage:
+            self._sink.on_topic_lost()
+            self._sink.on_topic_restored()
         if not self.reachable:
             logger.bind(topic=self.name).info("topic readable")
             self.reachable = True
--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -187,10 +187,19 @@
 
 @dataclass(slots=True)
 class TopicOffset:
-    """Offset up to which a node has read a topic of the log; -1 if it has not."""
+    """What a node knows of a topic of the log.
+
+    Attributes:
+        topic: Name of the topic.
+        end: Offset up to which the node knows the topic; -1 if it does not.
+        changed: Offset after the last record that changed anything; at most ``end``.
+        age_ms: Time since the log had this state, in milliseconds; -1 if unknown.
+    """
 
     topic: str
     end: int
+    changed: int = -1
+    age_ms: int = -1
 
 
 @dataclass(slots=True)
@@ -503,6 +512,9 @@
         fresh: True if the sender has recently read the log itself, at least up to ``start``.
         end: Offset after the last of the records.
         items: The records, in no particular order.
+        age_ms: Time since the log had this state, in milliseconds; -1 if unknown.
+        outage_ms: Time since the sender could read the log again after an outage, in milliseconds;
+            -1 if there was none.
     """
 
     CODE: ClassVar[int] = 23
@@ -513,6 +525,21 @@
     fresh: bool
     end: int
     items: list[RecordItem]
+    age_ms: int = -1
+    outage_ms: int = -1
+
+
+@dataclass(slots=True)
+class TopicNews:
+    """Tells a peer at once that a node knows a change of a topic, or that the log answers again.
+
+    Attributes:
+        offset: What the node knows; the only entry of the list.
+    """
+
+    CODE: ClassVar[int] = 24
+
+    offset: list[TopicOffset]
 
 
 Message = (
@@ -530,4 +557,5 @@
     | ForwardReply
     | RecordsRequest
     | RecordsReply
+    | TopicNews
 )
--- a/lacewinghub/nodelist.py
+++ b/lacewinghub/nodelist.py
@@ -20,9 +20,9 @@
 from .transport import Peer
 
 # A record is renewed this often, so that the records of hosts that are gone become stale.
-RENEW_S = 60.0
+RENEW_S = 100.0
 # A record that was not renewed for this long is of a host that is gone.
-STALE_S = 200.0
+STALE_S = 330.0
 BACKOFF_FIRST_S = 0.3
 BACKOFF_LIMIT_S = 3.0
 
--- a/lacewinghub/platform/node.py
+++ b/lacewinghub/platform/node.py
@@ -24,7 +24,7 @@
 from .boot import Boot, find_settings_path, load
 from .caller import ConfigSink, PlatformCodec
 from .entry import ReadyHandler
-from .registry import RunnerRegistry
+from .registry import RunnerRegistry, announcement_of
 from .runner import RunnerClient
 from .store import StoreClient, StoreTopic
 
@@ -61,6 +61,7 @@
                 bounds.retry_budget_ratio, bounds.budget_min_retries, bounds.budget_window_s
             ),
             drain_s=bounds.drain_ms / 1000,
+            config_s=bounds.config_apply_ms / 1000,
             peer=f"{host}:{boot.internal_ports[0]}",
             seeds=tuple(
                 f"{seed.rpartition(':')[0]}:{boot.internal_ports[0]}" for seed in boot.seeds
@@ -87,7 +88,8 @@
 
     def endpoints(self, directory: EndpointDirectory) -> TopicSource:
         """Return the topic with the announcements of the runners."""
-        return TopicSource(StoreTopic(self._store, names.RUNNERS_TOPIC), RunnerRegistry(directory))
+        topic = StoreTopic(self._store, names.RUNNERS_TOPIC)
+        return TopicSource(topic, RunnerRegistry(directory), announcement_of)
 
     def nodes(self) -> WritableKeyedTopic:
         """Return the topic to which the nodes announce themselves."""
--- a/lacewinghub/platform/registry.py
+++ b/lacewinghub/platform/registry.py
@@ -49,6 +49,11 @@
     )
 
 
+def announcement_of(record: KeyedRecord) -> Announcement | None:
+    """Return the announcement of a record; a runner that renews its record repeats it."""
+    return decode(record.key, record.value) if record.value is not None else None
+
+
 class RunnerRegistry(KeyedSink):
     """Updates a directory of endpoints from the records of the runners.
 
@@ -67,7 +72,7 @@
 
     def apply_record(self, record: KeyedRecord) -> None:
         """Apply one record; a deletion or a malformed record withdraws the runner."""
-        announcement = decode(record.key, record.value) if record.value is not None else None
+        announcement = announcement_of(record)
         if announcement is None:
             self._directory.withdraw(record.key)
         else:
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -32,9 +32,11 @@
 from .proxygateway import ProxyCodec, ProxyGateway
 from .proxyrouter import ProxyClient, ProxyRouter
 from .proxyscheduler import ProxyScheduler
+from .readturns import MANY_NODES, ReadTurns, TurnTiming
+from .relayedtopic import RelayedTopic
 from .runner_allocation import DemandAllocation
 from .selection import LoadReports
-from .sharedtopic import PeerFallbackTopic
+from .sharedtopic import Meaning
 from .supervisor import Supervisor
 from .suspend import SuspendWatch
 from .tables import Endpoint, Tables
@@ -43,14 +45,14 @@
 # A long poll returns at once when the configuration changes. The wait limits the time until a dead
 # connection is noticed.
 CONFIG_READ_TIMING = ReadTiming(wait_s=1.0)
+SHARED_CONFIG_WAIT_S = 0.7
 # Endpoints append heartbeats all the time, so that every long poll would return at once. The pause
 # batches them.
 ENDPOINTS_READ_TIMING = ReadTiming(wait_s=1.0, pause_s=0.5)
-# The store charges for calls, whose number grows with the nodes. In large deployments the nodes
-# therefore pause for this share of the time within which a leaving endpoint must stop receiving
-# requests.
-MANY_NODES = 20
-PAUSE_DRAIN_SHARE = 0.4
+SHARED_ENDPOINTS_INTERVAL_S = 0.5
+# In large deployments a node that hears of no read of the log reads it itself after this share of
+# the time within which a change must be in force.
+TAKEOVER_SHARE = 0.45
 # The load balancer checks once per second and removes a node after two failed checks.
 LEAVE_S = 2.8
 # The process ends this long before the platform would kill it.
@@ -72,6 +74,7 @@
         grace_s: Time between the request to stop and the end of the process, in seconds.
         retries: Retry budget of all nodes together.
         drain_s: Time within which a leaving endpoint must stop receiving requests, in seconds.
+        config_s: Time within which a new configuration must be in force, in seconds.
         peer: Address for other nodes.
         seeds: Addresses of some other nodes, which may no longer exist.
     """
@@ -84,16 +87,24 @@
     grace_s: float
     retries: RetryRule
     drain_s: float
+    config_s: float
     peer: str
     seeds: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class TopicSource:
-    """A topic of the log and the sink that processes its records."""
+    """A topic of the log and the sink that processes its records.
+
+    Attributes:
+        topic: The topic.
+        sink: Receives its records.
+        meaning: Returns what a record means; two records that mean the same change nothing.
+    """
 
     topic: KeyedTopic
     sink: KeyedSink
+    meaning: Meaning = lambda record: record.value
 
 
 class Adapter(ABC):
@@ -276,9 +287,12 @@
         ):
             self._overlay.add(contributor)
 
-    def _peer_fallback_topic(self, name: str, source: TopicSource) -> PeerFallbackTopic:
-        """Return a topic that the nodes read from each other while the log refuses some of them."""
-        topic = PeerFallbackTopic(name, source.topic, self._peers)
+    def _relayed_topic(self, name: str, source: TopicSource, timing: TurnTiming) -> RelayedTopic:
+        """Return a topic that the nodes read from each other."""
+        turns = ReadTurns(
+            name, self.cfg.node, self._overlay, lambda: self._announced_nodes, lambda: timing
+        )
+        topic = RelayedTopic(name, source.topic, self._peers, turns, source.meaning)
         self._overlay.add(topic)
         return topic
 
@@ -320,10 +334,16 @@
         # A pooled connection may have died during the suspension, which only its use would show.
         self._suspend.listen(lambda _: self._connections.close())
         config = adapter.config(self._current_config)
-        topic = self._peer_fallback_topic("config", config)
+        timing = TurnTiming(SHARED_CONFIG_WAIT_S, 0.0, TAKEOVER_SHARE * self.cfg.config_s)
+        topic = self._relayed_topic("config", config, timing)
         self._config = Follower("config", topic, config.sink, lambda: CONFIG_READ_TIMING)
         endpoints = adapter.endpoints(self._directory)
-        topic = self._peer_fallback_topic("endpoints", endpoints)
+        timing = TurnTiming(
+            ENDPOINTS_READ_TIMING.wait_s,
+            SHARED_ENDPOINTS_INTERVAL_S,
+            TAKEOVER_SHARE * self.cfg.drain_s,
+        )
+        topic = self._relayed_topic("endpoints", endpoints, timing)
         self._endpoints = Follower("endpoints", topic, endpoints.sink, self._endpoints_read_timing)
 
     def _tables(self) -> Tables:
@@ -352,8 +372,7 @@
     def _endpoints_read_timing(self) -> ReadTiming:
         if self._node_count() <= MANY_NODES:
             return ENDPOINTS_READ_TIMING
-        pause_s = max(ENDPOINTS_READ_TIMING.pause_s, PAUSE_DRAIN_SHARE * self.cfg.drain_s)
-        return replace(ENDPOINTS_READ_TIMING, pause_s=pause_s)
+        return replace(ENDPOINTS_READ_TIMING, pause_s=0.0)
 
     def _node_count(self) -> int:
         return max(self._announced_nodes, len(self._overlay.live()))
--- /dev/null
+++ b/lacewinghub/relayedtopic.py
@@ -0,0 +1,160 @@
+"""A topic of the log that few nodes of a large deployment read and hand on to the others.
+
+A node that learns of a change tells its peers at once; each of them fetches the records and tells
+its own peers. Between changes, heartbeats carry the age of what the sender knows, so that a node
+whose peers all became silent or outdated reads the log itself (see ``readturns``). With few nodes
+each one reads for itself, as in ``PeerFallbackTopic``.
+"""
+
+import asyncio
+import contextlib
+import random
+
+from .errors import LogUnavailable
+from .follower import KeyedPage, KeyedTopic, RecordsExpired
+from .message import TopicNews, TopicOffset
+from .readturns import ReadTurns
+from .sharedtopic import ALL_RECORDS, Meaning, PeerFallbackTopic
+from .transport import Transport
+
+# Knowledge that is older than this does not end an outage.
+CURRENT_S = 1.0
+# Number of peers that are asked for the records of a change.
+MAX_SOURCES = 2
+# The turn to read is checked at least this often, since it depends on the live nodes.
+MAX_WAIT_S = 0.5
+MIN_WAIT_S = 0.001  # About the resolution of timers.
+
+
+class RelayedTopic(PeerFallbackTopic):
+    """Reads a topic from the log in turns with the other nodes, and from peers between the turns.
+
+    Args:
+        name: Name of the topic in messages between nodes.
+        topic: The topic in the log.
+        transport: Connections to the other nodes.
+        turns: Decides when this node reads the log.
+        meaning: Returns what a record means.
+        rng: Source of randomness for the choice of peers.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        topic: KeyedTopic,
+        transport: Transport,
+        turns: ReadTurns,
+        meaning: Meaning = lambda record: record.value,
+        rng: random.Random | None = None,
+    ) -> None:
+        super().__init__(name, topic, transport, rng, meaning)
+        self._turns = turns
+        # Peers that know a change which this node does not know, the latest one last.
+        self._sources: dict[str, None] = {}
+        self._heard = asyncio.Event()
+        self._lost = False
+        transport.subscribe(TopicNews, self._on_news)
+
+    async def newest(self) -> KeyedPage:
+        """Read the newest record of each key, from peers if they know the current state."""
+        if self._turns.are_shared() and self._end != ALL_RECORDS:
+            with contextlib.suppress(RecordsExpired):
+                page = await self._read_from_peers(ALL_RECORDS)
+                if page is not None and page.end >= self._end:
+                    self._replace(page)
+                    return page
+        return await super().newest()
+
+    async def read(self, start: int, wait_s: float) -> KeyedPage:
+        """Read changes; returns when there is one, or when this node has read the log."""
+        if not self._turns.are_shared():
+            return await super().read(start, wait_s)
+        while True:
+            if self._sources:
+                page = await self._fetch_change()
+                return page if page is not None else await self._read_log()
+            if self._lost and self._turns.age_s() < CURRENT_S:
+                self._lost = False
+                return KeyedPage([], self._end)
+            delay_s = self._turns.due() - _now()
+            if delay_s < MIN_WAIT_S:
+                return await self._read_log()
+            self._heard.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(min(delay_s, MAX_WAIT_S)):
+                    await self._heard.wait()
+
+    def _on_offset(self, node: str, item: TopicOffset) -> None:
+        super()._on_offset(node, item)
+        if self._end == ALL_RECORDS or not self._turns.are_shared():
+            return
+        if item.changed > self._end:
+            self._sources.pop(node, None)
+            self._sources[node] = None
+            self._heard.set()
+        elif item.age_ms >= 0:
+            self._end = max(self._end, item.end)
+            self._on_age(item.age_ms)
+
+    def _on_age(self, age_ms: int) -> None:
+        """Record that a peer knows the state of the log of some time ago, and this node as well."""
+        self._turns.on_news(_now() - age_ms / 1000)
+        self._last_read = max(self._last_read, self._turns.fresh_at)
+        if self._lost and self._turns.age_s() < CURRENT_S:
+            self._heard.set()
+
+    def _on_news(self, sender: str, message: TopicNews) -> None:
+        for item in message.offset:
+            if item.topic == self.name:
+                self._on_offset(sender, item)
+
+    async def _fetch_change(self) -> KeyedPage | None:
+        """Fetch the change that peers told of; None if none of them answers."""
+        sources = [peer for peer in self._transport.peers() if peer.node in self._sources]
+        latest_first = list(reversed(self._sources))
+        sources.sort(key=lambda peer: latest_first.index(peer.node))
+        self._sources.clear()
+        start = self._end
+        reply = await self._best_reply(start, sources[:MAX_SOURCES])
+        if reply is None or reply.end <= start:
+            return None
+        merged = self._merge(self._page_of(reply, start), start)
+        if reply.age_ms >= 0:
+            self._on_age(reply.age_ms)
+        self._lost = False
+        self._tell_peers()
+        return merged
+
+    async def _read_log(self) -> KeyedPage:
+        """Read the log; a node that it turns away asks its peers."""
+        end, changed = self._end, self._changed
+        was_lost = self._lost
+        try:
+            page = await self._read_or_ask_peers(
+                lambda: self._topic.read(end, self._turns.wait_s), end
+            )
+        except LogUnavailable:
+            self._lost = True
+            raise
+        self._lost = False
+        merged = self._merge(page, end)
+        if was_lost or self._changed > changed:
+            self._tell_peers()
+        return merged
+
+    def _on_log_read(self) -> None:
+        super()._on_log_read()
+        self._turns.on_read()
+        if self._lost:
+            self._restored_at = _now()
+
+    def _on_log_failed(self) -> None:
+        self._turns.on_failure()
+
+    def _tell_peers(self) -> None:
+        nodes = [peer.node for peer in self._transport.peers()]
+        self._transport.broadcast(nodes, TopicNews([self._offset()]))
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/lacewinghub/sharedtopic.py
+++ b/lacewinghub/sharedtopic.py
@@ -8,7 +8,8 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Hashable, Iterable
+from dataclasses import replace
 from typing import Any
 
 from loguru import logger
@@ -17,7 +18,7 @@
 from .follower import KeyedPage, KeyedRecord, KeyedTopic, RecordsExpired
 from .membership import HeartbeatContributor
 from .message import Heartbeat, RecordItem, RecordsReply, RecordsRequest, TopicOffset
-from .transport import Transport
+from .transport import Peer, Transport
 
 # Start offset that requests the records of all keys.
 ALL_RECORDS = -1
@@ -35,10 +36,14 @@
 # A read of the log waits this long for a change if there are peers, in seconds. A broken connection
 # that stays silent is detected only after this time if those of the peers are silent as well.
 READ_WAIT_S = 2.5
+# How long after an outage peers are told of it together with the records.
+OUTAGE_NEWS_S = 2.0
 # Number of stored records, including deleted keys, above which the deleted keys are dropped.
 MAX_STORED_RECORDS = 4096
 
 ReadLog = Callable[[], Coroutine[Any, Any, KeyedPage]]
+# Returns what a record means, so that records that only renew their predecessor can be recognized.
+Meaning = Callable[[KeyedRecord], Hashable]
 
 
 class PeerFallbackTopic(KeyedTopic, HeartbeatContributor):
@@ -49,6 +54,7 @@
         topic: The topic in the log.
         transport: Connections to the other nodes.
         rng: Source of randomness for the choice of peers.
+        meaning: Returns what a record means; by default its value.
     """
 
     def __init__(
@@ -57,16 +63,23 @@
         topic: KeyedTopic,
         transport: Transport,
         rng: random.Random | None = None,
+        meaning: Meaning = lambda record: record.value,
     ) -> None:
         self.name = name
         self._topic = topic
         self._transport = transport
         self._rng = rng or random.Random()
+        self._meaning = meaning
+        # The record of each key with which its meaning last changed.
         self._records: dict[str, KeyedRecord] = {}
+        self._meanings: dict[str, Hashable] = {}
         # All changes from this offset on are stored.
-        self._base = 0
+        self._base = float("inf")
+        # All changes before this offset are known.
         self._end = ALL_RECORDS
+        self._changed = ALL_RECORDS
         self._last_read = float("-inf")
+        self._restored_at = float("-inf")
         self._behind_since: float | None = None
         self._replies: asyncio.Queue[RecordsReply] = asyncio.Queue()
         transport.subscribe(RecordsRequest, self._on_request)
@@ -78,8 +91,7 @@
             page = await self._read_or_ask_peers(self._topic.newest, ALL_RECORDS)
         except RecordsExpired as exc:
             raise LogUnavailable(f"topic {self.name!r}: {exc.message}") from exc
-        self._records = {item.key: item for item in page.records}
-        self._base = self._end = page.end
+        self._replace(page)
         return page
 
     async def read(self, start: int, wait_s: float) -> KeyedPage:
@@ -87,21 +99,57 @@
         if self._transport.peers():
             wait_s = max(wait_s, READ_WAIT_S)
         page = await self._read_or_ask_peers(lambda: self._topic.read(start, wait_s), start)
-        for item in page.records:
-            self._records[item.key] = item
-        self._end = page.end
-        self._drop_deleted_keys()
-        return page
+        return self._merge(page, start)
 
     def fill_heartbeat(self, heartbeat: Heartbeat) -> None:
-        """Add the offset up to which this node has read."""
-        heartbeat.ends.append(TopicOffset(self.name, self._end))
+        """Add what this node knows of the topic."""
+        heartbeat.ends.append(self._offset())
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> None:
-        """Record since when a peer has read further than this node."""
+        """Store what a peer knows of the topic."""
         for item in heartbeat.ends:
-            if item.topic == self.name and item.end > self._end and self._behind_since is None:
-                self._behind_since = _now()
+            if item.topic == self.name:
+                self._on_offset(heartbeat.node, item)
+
+    def _on_offset(self, node: str, item: TopicOffset) -> None:
+        """Record since when a peer has known a change that this node does not know."""
+        if item.changed > self._end and self._behind_since is None:
+            self._behind_since = _now()
+
+    def _offset(self) -> TopicOffset:
+        return TopicOffset(self.name, self._end, self._changed, _age_ms(self._last_read))
+
+    def _replace(self, page: KeyedPage) -> None:
+        """Store the newest record of each key."""
+        if self._end == ALL_RECORDS:
+            # What was deleted before is not known.
+            self._base = page.end
+        known = {item.key for item in page.records}
+        gone = [key for key, item in self._records.items() if item.value and key not in known]
+        records = [KeyedRecord(key, None, max(0, page.end - 1)) for key in gone]
+        self._store([*page.records, *records])
+        self._end = max(self._end, page.end)
+
+    def _merge(self, page: KeyedPage, start: int) -> KeyedPage:
+        """Store changes and return the page without the records that change nothing."""
+        self._base = min(self._base, start)
+        changes = self._store(page.records)
+        self._end = max(self._end, page.end)
+        self._drop_deleted_keys()
+        return replace(page, records=changes, end=self._end)
+
+    def _store(self, records: Iterable[KeyedRecord]) -> list[KeyedRecord]:
+        """Store records and return those that change the meaning of their keys."""
+        changes: list[KeyedRecord] = []
+        for item in records:
+            meaning = None if item.value is None else self._meaning(item)
+            if item.key in self._records and meaning == self._meanings.get(item.key):
+                continue
+            self._records[item.key] = item
+            self._meanings[item.key] = meaning
+            self._changed = max(self._changed, item.offset + 1)
+            changes.append(item)
+        return changes
 
     async def _read_or_ask_peers(self, read: ReadLog, start: int) -> KeyedPage:
         """Read from the log, or from peers if it does not answer or this node lags behind."""
@@ -115,6 +163,7 @@
                         return page
             page = task.result()
         except LogUnavailable:
+            self._on_log_failed()
             await asyncio.sleep(CHECK_INTERVAL_S * self._rng.random())
             found = await self._read_from_peers(start)
             if found is None:
@@ -124,9 +173,17 @@
             task.cancel()
             with contextlib.suppress(asyncio.CancelledError, LogUnavailable, RecordsExpired):
                 await task
+        self._on_log_read()
+        return page
+
+    def _on_log_read(self) -> None:
+        """Record that the log answered this node."""
         self._last_read = _now()
         self._behind_since = None
-        return page
+
+    def _on_log_failed(self) -> None:
+        """Handle that the log did not answer this node."""
+        return None
 
     def _lags_behind(self) -> bool:
         return (
@@ -142,9 +199,15 @@
         Raises:
             RecordsExpired: If the peer no longer has all changes from this offset on.
         """
-        reply = await self._best_reply(start)
-        if reply is None:
-            return None
+        reply = await self._best_reply(start, self._transport.peers())
+        return None if reply is None else self._page_of(reply, start)
+
+    def _page_of(self, reply: RecordsReply, start: int) -> KeyedPage:
+        """Return the page of a peer's reply.
+
+        Raises:
+            RecordsExpired: If the peer no longer has all changes from the offset ``start`` on.
+        """
         self._behind_since = None
         if reply.whole and start != ALL_RECORDS:
             raise RecordsExpired(f"records from offset {start} on are gone at the peers")
@@ -152,10 +215,12 @@
             "records taken from a peer"
         )
         records = [KeyedRecord(item.key, item.value, item.offset) for item in reply.items]
-        return KeyedPage(records, reply.end)
+        if reply.outage_ms >= 0:
+            self._restored_at = max(self._restored_at, _now() - reply.outage_ms / 1000)
+        after_outage = _now() - self._restored_at < OUTAGE_NEWS_S
+        return KeyedPage(records, reply.end, after_outage)
 
-    async def _best_reply(self, start: int) -> RecordsReply | None:
-        peers = self._transport.peers()
+    async def _best_reply(self, start: int, peers: list[Peer]) -> RecordsReply | None:
         self._replies = asyncio.Queue()
         asked = 0
         for peer in self._rng.sample(peers, min(MAX_PEERS_ASKED, len(peers))):
@@ -181,7 +246,16 @@
             if (whole and item.value is not None) or (not whole and item.offset >= request.start)
         ]
         fresh = _now() - self._last_read < RECENT_READ_S and self._end >= request.start
-        reply = RecordsReply(self.name, request.start, whole, fresh, self._end, items)
+        reply = RecordsReply(
+            self.name,
+            request.start,
+            whole,
+            fresh,
+            self._end,
+            items,
+            _age_ms(self._last_read),
+            _age_ms(self._restored_at),
+        )
         self._transport.send(sender, reply)
 
     def _on_reply(self, sender: str, reply: RecordsReply) -> None:
@@ -195,7 +269,12 @@
         gone = [item for item in self._records.values() if item.value is None]
         self._base = max([self._base, *(item.offset + 1 for item in gone)])
         for item in gone:
-            del self._records[item.key]
+            del self._records[item.key], self._meanings[item.key]
+
+
+def _age_ms(at: float) -> int:
+    """Return the time since a loop time in milliseconds, or -1 if it is not set."""
+    return -1 if at == float("-inf") else max(0, round((_now() - at) * 1000))
 
 
 def _now() -> float:
