Refuse requests that runners refused instead of holding them to their deadline

Cause: a request that a full runner had refused counted as resumed, which is never shed.

Change: on the proxied path only a request that a runner may have run is protected from shedding; one that was refused waits as long as a new one and is then told when to come back.

--- a/lacewinghub/proxyscheduler.py
+++ b/lacewinghub/proxyscheduler.py
@@ -166,6 +166,17 @@
             req.patience_s = _patience_s(req, req.proxy, asyncio.get_running_loop().time())
         return await super().acquire(req)
 
+    def make_waiter(self, req: Request, fut: asyncio.Future[Grant]) -> Waiter:
+        """Return the queue entry of a request.
+
+        Only a request that may have run is never shed: its client may have received a part of the
+        answer and will not return. One that runners refused can still return in time.
+        """
+        resumed = bool(req.excluded_endpoints)
+        if req.proxy is not None and req.proxy.prompt_tokens:
+            resumed = req.proxy.may_have_run
+        return Waiter(req, fut, resumed=resumed)
+
     def on_endpoint_full(self, grant: Grant) -> None:
         """Send no further prompts to a full runner for a short time."""
         self._full.record_refusal(grant.endpoint)
--- a/tests/test_proxyscheduler.py
+++ b/tests/test_proxyscheduler.py
@@ -165,6 +165,44 @@
         return "long" if grant.endpoint in long_side else "short"
 
 
+class TestRefusedByARunner(unittest.TestCase):
+    """Guards against a request that nobody ran and that waits until its client has given up."""
+
+    def test_a_request_that_did_not_run_is_refused_while_its_client_can_return(self) -> None:
+        cases = [
+            ("new", False, False, FIRST_TOKEN_S),
+            ("refused by a runner", True, False, FIRST_TOKEN_S),
+            ("may have run", True, True, DEADLINE_S),
+        ]
+        for name, refused, may_have_run, longest_s in cases:
+            with self.subTest(name):
+                waited_s = simulate(lambda r=refused, m=may_have_run: self._waited_s(r, m))
+                self.assertLessEqual(waited_s, longest_s)
+                self.assertEqual(waited_s == DEADLINE_S, may_have_run)
+
+    async def _waited_s(self, refused: bool, may_have_run: bool) -> float:
+        """Return how long a request waits while all runners are taken."""
+        tables = Tables(version=1)
+        tables.pools = {"p": Pool("p", [RUNNERS[0]])}
+        scheduler = ProxyScheduler(TablesView(lambda: tables), LoadReports())
+        state = scheduler.state("p")
+        state.in_flight[RUNNERS[0].name] = 10_000
+        req = prompt(9_000)
+        assert req.proxy is not None
+        req.target = Target(FIRST_TOKEN_S)
+        req.proxy.deadline = req.proxy.client_deadline = DEADLINE_S
+        req.proxy.route_timeout_s = DEADLINE_S
+        if refused:
+            req.excluded_endpoints.add(RUNNERS[0].name)
+            req.proxy.sent, req.proxy.may_have_run = 1, may_have_run
+        try:
+            async with asyncio.timeout_at(DEADLINE_S):
+                await scheduler.acquire(req)
+        except (Overloaded, TimeoutError):
+            return asyncio.get_running_loop().time()
+        raise AssertionError("the request got a slot")
+
+
 class TestLaneQueue(unittest.TestCase):
     def test_a_kind_that_must_wait_does_not_block_the_others(self) -> None:
         from lacewinghub.queue import Waiter
