--- a/lacewinghub/platform/store.py
+++ b/lacewinghub/platform/store.py
@@ -40,19 +40,7 @@
             RecordsExpired: If the store answered that the records have expired.
             LogUnavailable: If the store refused or did not answer.
         """
-        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
-        try:
-            async with self._session().get(
-                self._base + path, params=query, timeout=timeout
-            ) as resp:
-                data = await _read_answer(resp)
-                if resp.status == 410:
-                    raise RecordsExpired(f"{path} {query}")
-                if resp.status != 200:
-                    raise LogUnavailable(f"the store answered {resp.status}")
-                return data
-        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
-            raise LogUnavailable(f"the store did not answer: {exc!r}") from exc
+        return await self._call("GET", path, query, timeout_s)
 
     async def post(self, path: str, query: dict[str, Any], body: bytes) -> None:
         """Send a POST request.
@@ -61,22 +49,30 @@
             LogUnavailable: If the store refused or did not answer. Without an answer the data may
                 have been written.
         """
-        timeout = aiohttp.ClientTimeout(total=ANSWER_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
+        await self._call("POST", path, query, ANSWER_TIMEOUT_S, body)
+
+    async def close(self) -> None:
+        """Release the connections."""
+        if self._session_or_none is not None:
+            await self._session_or_none.close()
+
+    async def _call(
+        self, method: str, path: str, query: dict[str, Any], timeout_s: float, body: bytes = b""
+    ) -> bytes:
+        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
         try:
-            async with self._session().post(
-                self._base + path, params=query, data=body, timeout=timeout
+            async with self._session().request(
+                method, self._base + path, params=query, data=body or None, timeout=timeout
             ) as resp:
-                await _read_answer(resp)
+                data = await _read_answer(resp)
+                if resp.status == 410 and method == "GET":
+                    raise RecordsExpired(f"{path} {query}")
                 if resp.status != 200:
                     raise LogUnavailable(f"the store answered {resp.status}")
+                return data
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             raise LogUnavailable(f"the store did not answer: {exc!r}") from exc
 
-    async def close(self) -> None:
-        """Release the connections."""
-        if self._session_or_none is not None:
-            await self._session_or_none.close()
-
     def _session(self) -> aiohttp.ClientSession:
         if self._session_or_none is None:
             self._session_or_none = aiohttp.ClientSession()
