Count the time of a suspension to the age of what a node knows, and keep the shedding of interrupted answers

- The loop's clock stands still while a host is suspended, so that a node which wakes would pass off what it knew as current.
Test: test_a_suspended_node_does_not_pass_off_old_knowledge_as_current.
The change of who is protected from shedding had also protected requests that may have run and were never sent back by a runner; they are shed at their deadline again, as before.

--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -336,6 +336,7 @@
         config = adapter.config(self._current_config)
         timing = TurnTiming(SHARED_CONFIG_WAIT_S, 0.0, TAKEOVER_SHARE * self.cfg.config_s)
         topic = self._relayed_topic("config", config, timing)
+        self._suspend.listen(topic.on_resume)
         self._config = Follower("config", topic, config.sink, lambda: CONFIG_READ_TIMING)
         endpoints = adapter.endpoints(self._directory)
         timing = TurnTiming(
@@ -344,6 +345,7 @@
             TAKEOVER_SHARE * self.cfg.drain_s,
         )
         topic = self._relayed_topic("endpoints", endpoints, timing)
+        self._suspend.listen(topic.on_resume)
         self._endpoints = Follower("endpoints", topic, endpoints.sink, self._endpoints_read_timing)
 
     def _tables(self) -> Tables:
--- a/lacewinghub/proxyscheduler.py
+++ b/lacewinghub/proxyscheduler.py
@@ -174,7 +174,7 @@
         """
         resumed = bool(req.excluded_endpoints)
         if req.proxy is not None and req.proxy.prompt_tokens:
-            resumed = req.proxy.may_have_run
+            resumed = resumed and req.proxy.may_have_run
         return Waiter(req, fut, resumed=resumed)
 
     def on_endpoint_full(self, grant: Grant) -> None:
--- a/lacewinghub/readturns.py
+++ b/lacewinghub/readturns.py
@@ -126,6 +126,11 @@
         """Record that this node knows the state of the log of a loop time, from a peer."""
         self.fresh_at = max(self.fresh_at, read_at)
 
+    def on_resume(self, suspended_s: float) -> None:
+        """Count the time for which the host was suspended; the loop's clock stood still."""
+        self.fresh_at -= suspended_s
+        self._last_read -= suspended_s
+
     def age_s(self) -> float:
         """Return the age of this node's knowledge of the log, in seconds."""
         return _now() - self.fresh_at
--- a/lacewinghub/relayedtopic.py
+++ b/lacewinghub/relayedtopic.py
@@ -21,9 +21,10 @@
 CURRENT_S = 1.0
 # Number of peers that are asked for the records of a change.
 MAX_SOURCES = 1
-# The turn to read is checked at least this often, since it depends on the live nodes.
+# The turn to read is checked at least this often, since it depends on the live nodes, and counts as
+# reached a little earlier, since timers are not exact.
 MAX_WAIT_S = 0.5
-MIN_WAIT_S = 0.001  # About the resolution of timers.
+MIN_WAIT_S = 0.001
 
 
 class RelayedTopic(PeerFallbackTopic):
@@ -93,6 +94,11 @@
                 async with asyncio.timeout(min(delay_s, MAX_WAIT_S)):
                     await self._heard.wait()
 
+    def on_resume(self, suspended_s: float) -> None:
+        """Count the time for which the host was suspended to the age of this node's knowledge."""
+        self._turns.on_resume(suspended_s)
+        self._last_read -= suspended_s
+
     async def _read_in_turn(self) -> KeyedPage:
         if self._peers_ahead():
             raise RecordsExpired(f"topic {self.name!r}: the peers know a later state")
--- a/tests/test_relayedtopic.py
+++ b/tests/test_relayedtopic.py
@@ -301,6 +301,19 @@
 
         simulate(main)
 
+    def test_a_suspended_node_does_not_pass_off_old_knowledge_as_current(self) -> None:
+        async def main() -> None:
+            nodes = ThreeNodes()
+            nodes.append("k", b"1")
+            await nodes.topics[0].newest()
+            await asyncio.sleep(0.2)
+            nodes.topics[0].on_resume(8.0)
+            self.assertEqual(nodes.topics[0]._offset().age_ms, 8_200)
+            # It reads at once, whatever its rank.
+            self.assertLess(nodes.topics[0]._turns.due(), asyncio.get_running_loop().time())
+
+        simulate(main)
+
     def test_the_late_reply_to_an_earlier_request_is_not_the_complete_list(self) -> None:
         async def main() -> None:
             nodes = ThreeNodes()
