Let the platform's test cluster fail when a node ends at its start, instead of waiting for ever

Repeated five times at once with a dump of the tasks, one run hung: asyncSetUp waited for node.started although the node had ended ('node stopped'). A node ends at its start if it cannot listen; the peer port was taken from the range of outgoing connections, was tried on one of the nodes' addresses only, and other runs on the machine could take it meanwhile. Which error ended the node was not shown.

No assertion changed.

--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import random
 import socket
 import unittest
 from dataclasses import dataclass, field
@@ -18,6 +19,7 @@
 
 HOST = "shop.example"
 KEY = "key-of-a"
+HOSTS = [f"127.0.0.{number}" for number in range(1, 9)]
 _attempts = itertools.count(1)
 
 
@@ -133,7 +135,11 @@
         if not hasattr(self, "tasks"):
             self.tasks: list[asyncio.Task[None]] = []
         self.tasks.append(task)
-        await node.started.wait()
+        started = asyncio.create_task(node.started.wait())
+        await asyncio.wait({task, started}, return_when=asyncio.FIRST_COMPLETED)
+        if task.done():
+            started.cancel()
+            task.result()  # Raises the error with which the node ended.
         return node
 
     async def until_ready(self) -> None:
@@ -201,6 +207,19 @@
 
 
 def _free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """Return a port that is free on the loopback addresses of all nodes of a test.
+
+    It is below those that the kernel gives to outgoing connections, which could otherwise take it
+    before a node listens.
+    """
+    while True:
+        port = random.randrange(15_000, 30_000)
+        with contextlib.ExitStack() as stack:
+            try:
+                for host in HOSTS:
+                    sock = stack.enter_context(socket.socket())
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    sock.bind((host, port))
+            except OSError:
+                continue
+            return port
