Build on the shared queue entry instead of deciding again who counts as resumed

Found on the last read: ProxyScheduler.make_waiter repeated the condition of QueueScheduler.make_waiter. It calls it now and only adds that a prompt must possibly have run.

--- a/lacewinghub/proxyscheduler.py
+++ b/lacewinghub/proxyscheduler.py
@@ -172,10 +172,10 @@
         Only a request that may have run is never shed: its client may have received a part of the
         answer and will not return. One that runners refused can still return in time.
         """
-        resumed = bool(req.excluded_endpoints)
+        waiter = super().make_waiter(req, fut)
         if req.proxy is not None and req.proxy.prompt_tokens:
-            resumed = resumed and req.proxy.may_have_run
-        return Waiter(req, fut, resumed=resumed)
+            waiter.resumed = waiter.resumed and req.proxy.may_have_run
+        return waiter
 
     def on_endpoint_full(self, grant: Grant) -> None:
         """Send no further prompts to a full runner for a short time."""
