Log the shared prompt parts of requests and how far a broken answer was

The log could not tell whether the crashes of different runners have a prompt part in common. Now 'request received' names the shared parts and 'attempt failed' for how long the endpoint was answering.

--- a/lacewinghub/proxygateway.py
+++ b/lacewinghub/proxygateway.py
@@ -256,4 +256,5 @@
         version=deployment.version,
         expires_s=round(req.proxy.deadline - req.arrived, 3),
         prompt_tokens=req.proxy.prompt_tokens,
+        shared_parts=[part.id for part in req.proxy.shared_parts],
     ).info("request received")
--- a/lacewinghub/proxyrouter.py
+++ b/lacewinghub/proxyrouter.py
@@ -185,6 +185,7 @@
         buffered: list[bytes] = []
         buffered_bytes = 0
         state.sent += 1
+        state.answering_since = None
         may_have_run_before, state.may_have_run = state.may_have_run, True
         self._report_start(req, endpoint, resumed=progress.head_sent)
         failure: BaseException | None = None
@@ -198,6 +199,8 @@
                             progress.head_sent = True
                             yield head
                         continue
+                    if state.answering_since is None:
+                        state.answering_since = loop.time()
                     self._dispatch_deps.scheduler.on_answer_event(grant)
                     if not progress.head_sent:
                         buffered.append(piece)
@@ -282,6 +285,7 @@
             sent=state.sent,
             max_attempts=state.max_attempts,
             may_have_run=state.may_have_run,
+            answering_s=_answering_s(state),
             outcome="repeat" if retries else "give up",
         ).info("attempt failed: {}", exc.message)
         if not retries:
@@ -315,6 +319,13 @@
     return req.proxy
 
 
+def _answering_s(state: ProxyState) -> float | None:
+    """Return for how long the current endpoint has been answering, in seconds."""
+    if state.answering_since is None:
+        return None
+    return round(asyncio.get_running_loop().time() - state.answering_since, 3)
+
+
 def _correct_run(state: ProxyState, exc: LacewingError, progress: _Progress) -> LacewingError:
     """Replace an error that states "not run" if an earlier attempt may have been executed."""
     if exc.run is not ExecutionStatus.NOT_RUN or not state.may_have_run:
--- a/lacewinghub/request.py
+++ b/lacewinghub/request.py
@@ -63,6 +63,8 @@
         may_have_run: True unless every endpoint to which it was sent stated that it did not execute
             it.
         last_event: Id of the last event that was passed on, or None.
+        answering_since: Loop time of the first bytes of the body at the current endpoint, in
+            seconds; None before them.
     """
 
     request: HttpRequest
@@ -78,6 +80,12 @@
     sent: int = 0
     may_have_run: bool = False
     last_event: bytes | None = None
+    answering_since: float | None = None
+
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Parts of the prompt that other requests may have; the last one is the request's own."""
+        return self.parts[:-1]
 
 
 @dataclass(slots=True, eq=False)
