--- a/lacewinghub/fakes/platform_runner.py
+++ b/lacewinghub/fakes/platform_runner.py
@@ -59,6 +59,8 @@
         work_s: Time between two events, or until the response to a plain call, in seconds.
 
     Attributes:
+        deadly_part: Part of a prompt that crashes this runner when it begins to answer.
+        crashed: Set once the runner has crashed.
         runs: Executed requests, in order.
         cancelled: Ids of attempts whose client disconnected during execution.
     """
@@ -73,6 +75,8 @@
         self.address = ""
         self.born = int(time.time() * 1000)
         self.draining = False
+        self.deadly_part = ""
+        self.crashed = asyncio.Event()
         self._faults: deque[RunnerFault] = deque()
         self._server = HttpServer(self)
         self._sequence = 0
@@ -87,6 +91,11 @@
             conn.abort()
         await self._server.close()
 
+    async def crash(self) -> None:
+        """End like a process that dies: connections break, and the record stays."""
+        self.crashed.set()
+        await self.stop()
+
     def fail(self, *faults: RunnerFault) -> None:
         """Inject faults into the next requests, one fault per request."""
         self._faults.extend(faults)
@@ -129,6 +138,10 @@
             out.send(503, [*base_headers, (b"lacewinghub-not-executed", b"1")], b"")
             return
         self.runs.append(_received_request(incoming, attempt))
+        if self.deadly_part and self.deadly_part in _part_ids(incoming):
+            await asyncio.sleep(self.work_s)
+            asyncio.get_running_loop().create_task(self.crash())
+            await asyncio.Event().wait()
         try:
             await self._run(incoming, out, base_headers, fault)
         except asyncio.CancelledError:
@@ -214,5 +227,10 @@
     return b"HTTP/1.1 200 OK\r\n" + encode_headers([*headers, *framing]) + CRLF
 
 
+def _part_ids(incoming: Incoming) -> list[str]:
+    text = _header_text(incoming, b"lacewinghub-prompt-prefix")
+    return [item.strip().partition(":")[0] for item in text.split(",")]
+
+
 def _header_text(incoming: Incoming, name: bytes) -> str:
     return (incoming.header(name) or b"").decode("latin-1")
