Refuse requests that have in common what crashed several runners

Callers saw: drafts and chats broken off in the middle of their answers, runner after runner, for as long as anyone sent prompts with one part; half of the sound requests beside them found no runner.

Cause: a crash counted against the runner only. No node knew that the requests at different crashes had a part in common, and the retry of a broken stream carried the crash to the next runner.

Ruled out: crashes by load (the first one had 8 requests at the runner).

Change: nodes exchange which requests were at a runner without an answer when its connections broke (crash_guard), derive the trait that accounts for the crashes (crash_evidence), and refuse it from the third crash on; waiting attempts are withdrawn. An answered request clears its parts. The evidence of a cause is kept in a topic of the store, for the loss of all nodes (crash_records).

Why it works: a part that crashes each runner has no answered request, while those it shares a prompt with have; and all nodes derive the same from the same facts in any order.

--- a/lacewinghub/codec.py
+++ b/lacewinghub/codec.py
@@ -14,6 +14,8 @@
 from .errors import PeerRejected
 from .message import (
     MAX_MESSAGE_BYTES,
+    ClearedTrait,
+    CrashSuspect,
     Demand,
     EndpointLeaveState,
     EndpointOutcomes,
@@ -55,6 +57,8 @@
     (Heartbeat, "ends"): TopicOffset,
     (Heartbeat, "work"): PromptTokenRate,
     (Heartbeat, "parts"): EndpointPromptParts,
+    (Heartbeat, "crash_suspects"): CrashSuspect,
+    (Heartbeat, "cleared"): ClearedTrait,
     (RecordsReply, "items"): RecordItem,
     (TopicNews, "offset"): TopicOffset,
     (NodeTrials, "items"): SuspectTrial,
--- a/lacewinghub/dependencies.py
+++ b/lacewinghub/dependencies.py
@@ -78,6 +78,9 @@
     def on_dispatched(self, req: Request, endpoint: str) -> None:
         """Record that the request is being sent to an endpoint."""
 
+    def on_answer_began(self, req: Request, endpoint: str) -> None:  # noqa: B027
+        """Record that the first bytes of an answer have arrived."""
+
     @abstractmethod
     def on_attempt_ended(self, req: Request, endpoint: str, seen: AttemptResult) -> None:
         """Record that an attempt at an endpoint has ended."""
--- a/lacewinghub/directory.py
+++ b/lacewinghub/directory.py
@@ -74,6 +74,11 @@
         """Number of known endpoints."""
         return len(self._known)
 
+    def started(self, name: str) -> float | None:
+        """Return the start time of an endpoint that accepts requests, in seconds, or None."""
+        item = self._known.get(name)
+        return None if item is None or item.leaving else item.started
+
     def configure(self, specs: Iterable[PoolSpec]) -> None:
         """Replace the configured pools."""
         self._specs = {item.name: item for item in specs}
--- a/lacewinghub/dispatch.py
+++ b/lacewinghub/dispatch.py
@@ -1,7 +1,7 @@
 """Base class of the routers: acquires slots, records events and reports how attempts end."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from .dependencies import DispatcherDependencies
 from .endpoint import EndpointCrashed, EndpointError, EndpointLeaving, EndpointRejected
@@ -101,6 +101,10 @@
         if self._dispatch_deps.guard is not None:
             self._dispatch_deps.guard.on_dispatched(req, endpoint.name)
 
+    def _report_answer(self, req: Request, endpoint: Endpoint) -> None:
+        if self._dispatch_deps.guard is not None:
+            self._dispatch_deps.guard.on_answer_began(req, endpoint.name)
+
     def _report_end(
         self,
         req: Request,
@@ -113,6 +117,8 @@
         endpoint = timer.endpoint.name
         crashed = isinstance(failure, EndpointCrashed) and not failure.details.get("timeout")
         seen = timer.result(ok, crashed)
+        if isinstance(failure, EndpointError):
+            seen = replace(seen, ended=crashed and bool(failure.details.get("ended")))
         self._dispatch_deps.scheduler.release(grant, seen)
         if self._dispatch_deps.guard is not None:
             self._dispatch_deps.guard.on_attempt_ended(req, endpoint, seen)
--- a/lacewinghub/errors.py
+++ b/lacewinghub/errors.py
@@ -187,6 +187,12 @@
     run = ExecutionStatus.UNKNOWN
 
 
+class CrashesEndpoints(LacewingError):
+    """Requests with the same part of a prompt, or identical ones, crashed several endpoints."""
+
+    code, status, run = "crashes_endpoints", 503, ExecutionStatus.NOT_RUN
+
+
 class EndpointFailed(LacewingError):
     """No endpoint completed a repeatable request."""
 
--- a/lacewinghub/httpclient.py
+++ b/lacewinghub/httpclient.py
@@ -59,6 +59,7 @@
         self._changed = asyncio.Event()
         self._ended = False
         self._broken: str | None = None
+        self._peer_ended = False
         self._reading_paused = False
         self._closed = False
         self._pooled = False
@@ -108,6 +109,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._ended = True
+        self._peer_ended = not self._closed and not isinstance(exc, TimeoutError)
         messages = self._receiver.messages
         last = messages[-1] if messages else None
         if (
@@ -221,7 +223,7 @@
 
     async def _wait(self) -> None:
         if self._broken is not None:
-            raise ConnectionBroken(self._broken)
+            raise ConnectionBroken(self._broken, ended=self._peer_ended)
         self._changed.clear()
         await self._changed.wait()
 
--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -128,6 +128,29 @@
     trial: str = ""
 
 
+@dataclass(slots=True)
+class CrashSuspect:
+    """A request whose answer had not begun at an endpoint when that crashed.
+
+    Attributes:
+        crash: Identifier of the crash.
+        request: Hash of the request as a whole.
+        parts: Hashes of the shared parts of its prompt, in order.
+    """
+
+    crash: str
+    request: int
+    parts: list[int]
+
+
+@dataclass(slots=True)
+class ClearedTrait:
+    """A part of a prompt, or a request, that is not the cause of some crashes."""
+
+    trait: int
+    crashes: list[str]
+
+
 @dataclass(slots=True)
 class RelayedPressure:
     """Load shedding and admissions of one pool at other nodes than the sender.
@@ -231,6 +254,9 @@
     ends: list[TopicOffset] = field(default_factory=list)
     work: list[PromptTokenRate] = field(default_factory=list)
     parts: list[EndpointPromptParts] = field(default_factory=list)
+    crash_suspects: list[CrashSuspect] = field(default_factory=list)
+    cleared: list[ClearedTrait] = field(default_factory=list)
+    refuted: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/lacewinghub/platform/names.py
+++ b/lacewinghub/platform/names.py
@@ -47,6 +47,8 @@
 RUNNERS_TOPIC = "keyed.servers"
 # The topic to which the nodes themselves write, to announce their addresses.
 NODES_TOPIC = "keyed.nodes"
+# The topic to which the nodes write the evidence of what crashes runners.
+CRASHES_TOPIC = "keyed.crashes"
 CONFIG_KEY = "config"
 
 SETTINGS_VARIABLE = "LACEWINGHUB_BOOT"
--- a/lacewinghub/platform/node.py
+++ b/lacewinghub/platform/node.py
@@ -95,6 +95,10 @@
         """Return the topic to which the nodes announce themselves."""
         return StoreTopic(self._store, names.NODES_TOPIC)
 
+    def crashes(self) -> WritableKeyedTopic:
+        """Return the topic for the evidence of what crashes runners."""
+        return StoreTopic(self._store, names.CRASHES_TOPIC)
+
     def peer_key(self) -> bytes:
         """Return a constant, because the platform provides no secret to its processes."""
         return names.PEER_KEY
--- a/lacewinghub/platform/runner.py
+++ b/lacewinghub/platform/runner.py
@@ -48,6 +48,7 @@
         except ConnectionFailed as exc:
             raise ConnectFailed(exc.message, endpoint=endpoint.name) from exc
         response: Incoming | None = None
+        state.abort = conn.close
         try:
             conn.send(_encode(endpoint, req, state))
             response = await self._matching_response(conn, req)
@@ -59,7 +60,9 @@
         except ConnectionBroken as exc:
             response = None
             raise EndpointCrashed(
-                f"endpoint {endpoint.name!r}: {exc.message}", endpoint=endpoint.name
+                f"endpoint {endpoint.name!r}: {exc.message}",
+                endpoint=endpoint.name,
+                ended=exc.details.get("ended", False),
             ) from exc
         finally:
             if response is not None and response.complete and conn.discard(response):
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -9,6 +9,8 @@
 
 from loguru import logger
 
+from .crash_guard import CrashGuard
+from .crash_records import CrashRecords
 from .decisionlog import log_event
 from .dependencies import DispatcherDependencies
 from .deployment import CurrentConfig, DeploymentConfig
@@ -142,6 +144,10 @@
     def nodes(self) -> WritableKeyedTopic:
         """Return the topic to which the nodes announce themselves."""
 
+    @abstractmethod
+    def crashes(self) -> WritableKeyedTopic:
+        """Return the topic for the evidence of what crashes endpoints."""
+
     @abstractmethod
     def peer_key(self) -> bytes:
         """Return the shared secret of the nodes."""
@@ -236,6 +242,7 @@
         supervisor.start("peers", self._peers.run)
         supervisor.start("membership", self._overlay.run)
         supervisor.start("nodes", nodes.run)
+        supervisor.start("crashes", self._crash_records.run)
 
     async def _listen(self, key: str, address: str, handler: HttpHandler) -> HttpServer:
         host, _, port = address.rpartition(":")
@@ -279,7 +286,17 @@
         )
         self._runner_allocation = DemandAllocation(self._overlay)
         self._cache_sync = PromptCacheSync(PromptCacheIndex())
+        self._crash_guard = CrashGuard(
+            self._overlay,
+            self._directory.started,
+            self._overlay.send_heartbeat,
+            self._overlay.schedule_relay,
+        )
+        self._crash_records = CrashRecords(
+            cfg.node, self._overlay, self._adapter.crashes(), self._crash_guard
+        )
         for contributor in (
+            self._crash_guard,
             self._full_runners,
             self._failure_detector,
             self._runner_allocation,
@@ -325,6 +342,7 @@
             tables=self._tables,
             history=history,
             budget=NodeRetryBudgets(self.cfg.retries, self._node_count),
+            guard=self._crash_guard,
             monitors=[HealthMonitor(self._health), FailureMonitor(self._failure_detector)],
         )
         router = ProxyRouter(dependencies, adapter.client(self._connections, reports))
@@ -395,6 +413,7 @@
             self._metrics.set("in_flight", self._gateway.in_flight)
             self._metrics.set("endpoints", self._directory.size)
             self._metrics.set("config_version", self._current_config.current.version)
+            self._metrics.set("crash_causes", len(self._crash_guard.causes))
             self._metrics.set("live_nodes", len(self._overlay.live()))
             self._metrics.set("endpoint_connections_opened", self._connections.opened)
             await asyncio.sleep(SETTINGS_POLL_S)
--- a/lacewinghub/proxyrouter.py
+++ b/lacewinghub/proxyrouter.py
@@ -45,6 +45,13 @@
     neutral = True
 
 
+class AttemptWithdrawn(EndpointError):
+    """This node closed the connection because the request could crash the endpoint."""
+
+    code = "attempt_withdrawn"
+    neutral = True
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Status and headers of an endpoint's response.
@@ -185,7 +192,7 @@
         buffered: list[bytes] = []
         buffered_bytes = 0
         state.sent += 1
-        state.answering_since = None
+        state.answering_since, state.withdrawn = None, False
         may_have_run_before, state.may_have_run = state.may_have_run, True
         self._report_start(req, endpoint, resumed=progress.head_sent)
         failure: BaseException | None = None
@@ -201,6 +208,7 @@
                         continue
                     if state.answering_since is None:
                         state.answering_since = loop.time()
+                        self._report_answer(req, endpoint)
                     self._dispatch_deps.scheduler.on_answer_event(grant)
                     if not progress.head_sent:
                         buffered.append(piece)
@@ -227,6 +235,9 @@
                 yield rest
         except BaseException as exc:
             failure = exc
+            if state.withdrawn and isinstance(exc, EndpointCrashed):
+                failure = AttemptWithdrawn(f"withdrawn from endpoint {endpoint.name!r}")
+                raise failure from exc
             if isinstance(exc, ConnectFailed):
                 state.sent -= 1
             if isinstance(exc, EndpointBusy):
@@ -235,6 +246,7 @@
                 state.may_have_run = may_have_run_before
             raise
         finally:
+            state.abort = None
             counts_as_failure = head is not None and head.counts_as_failure
             self._report_end(
                 req, grant, attempt_timer, failure is None and not counts_as_failure, failure
--- a/lacewinghub/request.py
+++ b/lacewinghub/request.py
@@ -1,6 +1,7 @@
 """Requests, slot grants and attempt results, and the classification of request bodies."""
 
 import json
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -65,6 +66,8 @@
         last_event: Id of the last event that was passed on, or None.
         answering_since: Loop time of the first bytes of the body at the current endpoint, in
             seconds; None before them.
+        abort: Closes the connection to the current endpoint; None without one.
+        withdrawn: True once the current attempt was aborted because the request is refused.
     """
 
     request: HttpRequest
@@ -81,6 +84,8 @@
     may_have_run: bool = False
     last_event: bytes | None = None
     answering_since: float | None = None
+    abort: Callable[[], None] | None = None
+    withdrawn: bool = False
 
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
@@ -162,6 +167,7 @@
         between_tokens_s: Mean time between tokens in seconds, or None.
         tokens: Number of tokens received.
         crashed: True if the connection to the endpoint broke.
+        ended: True if it broke because the endpoint closed or reset it.
     """
 
     ok: bool
@@ -169,6 +175,7 @@
     between_tokens_s: float | None = None
     tokens: int = 0
     crashed: bool = False
+    ended: bool = False
 
 
 class _Message(BaseModel):
