Treat a stream without framing that ends inside an event as broken off

Callers saw such a stream end as if it were complete when its runner broke off inside an event, or before the first one; nothing resumed it.

Cause: without framing the end of the connection was always taken for the end of the answer. Now a stream of a streaming route that ends elsewhere than after an event counts as a broken connection: it is resumed if it may be, and otherwise the caller's connection is reset.

--- a/lacewinghub/eventstream.py
+++ b/lacewinghub/eventstream.py
@@ -56,6 +56,27 @@
         return data
 
 
+class EventEnd:
+    """Tells whether a stream that was passed on so far ends with a complete event."""
+
+    def __init__(self) -> None:
+        self._tail = b""
+
+    def feed(self, data: bytes) -> None:
+        """Add bytes of the stream."""
+        self._tail = (self._tail + data)[-_LONGEST_TERMINATOR:]
+
+    @property
+    def has_data(self) -> bool:
+        """True if the stream has any bytes."""
+        return bool(self._tail)
+
+    @property
+    def is_complete(self) -> bool:
+        """True if the last event is complete."""
+        return self._tail.endswith(_TERMINATORS)
+
+
 def _end_of_event(data: bytes, start: int) -> int:
     """Return the position after the first event, or 0 if it does not end at or after ``start``."""
     ends = [
--- a/lacewinghub/fakes/platform_runner.py
+++ b/lacewinghub/fakes/platform_runner.py
@@ -30,6 +30,8 @@
     ENCODED = "encoded"  # Claims a content encoding.
     UNFRAMED = "unframed"  # No content length; the end of the connection ends the body.
     UNFRAMED_RESET = "unframed-reset"  # The same, but the connection is reset.
+    UNFRAMED_CUT = "unframed-cut"  # An unframed stream that ends inside an event.
+    UNFRAMED_EMPTY = "unframed-empty"  # An unframed stream that ends before its first event.
     FALSE_PROMISE = "false-promise"  # 503 without the statement that it was not executed.
     HANG = "hang"  # Never responds.
 
@@ -201,10 +203,16 @@
         after = int(_header_text(incoming, b"last-event-id") or 0)
         body = b"".join(event(number) for number in range(1, self.events + 1))
         sealed = [*base_headers, (b"lacewinghub-response-seal", response_seal(body).encode())]
-        framed = fault is not RunnerFault.UNFRAMED
+        unframed = (RunnerFault.UNFRAMED, RunnerFault.UNFRAMED_CUT, RunnerFault.UNFRAMED_EMPTY)
+        framed = fault not in unframed
         out.start(200, [*sealed, (b"content-type", b"text/event-stream")], framed)
         for number in range(after + 1, self.events + 1):
             await asyncio.sleep(self.work_s)
+            if fault is RunnerFault.UNFRAMED_EMPTY:
+                break
+            if fault is RunnerFault.UNFRAMED_CUT and number == after + 3:
+                await out.write(event(number)[:5])
+                break
             if fault is RunnerFault.CUT and number == after + 3:
                 out.conn.write(chunk(event(number)[:5]))
                 return
--- a/lacewinghub/proxyrouter.py
+++ b/lacewinghub/proxyrouter.py
@@ -24,7 +24,7 @@
     LacewingError,
     NotRun,
 )
-from .eventstream import EventSplitter
+from .eventstream import EventEnd, EventSplitter
 from .history import EventKind
 from .httpmessage import Headers
 from .observer import LatencyTimer
@@ -191,6 +191,7 @@
         head: ResponseHead | None = None
         buffered: list[bytes] = []
         buffered_bytes = 0
+        event_end = EventEnd()
         state.sent += 1
         state.answering_since, state.withdrawn = None, False
         may_have_run_before, state.may_have_run = state.may_have_run, True
@@ -210,6 +211,7 @@
                         state.answering_since = loop.time()
                         self._report_answer(req, endpoint)
                     self._dispatch_deps.scheduler.on_answer_event(grant)
+                    event_end.feed(piece)
                     if not progress.head_sent:
                         buffered.append(piece)
                         buffered_bytes += len(piece)
@@ -225,6 +227,12 @@
                         state.last_event = progress.splitter.last_event_id
                     if data:
                         yield data
+            if head is not None and _is_broken_off(state, head, event_end):
+                raise EndpointCrashed(
+                    f"endpoint {endpoint.name!r}: the stream ended inside an event",
+                    endpoint=endpoint.name,
+                    ended=True,
+                )
             if not progress.head_sent:
                 # The whole response was buffered, so that a failed attempt could be retried.
                 assert head is not None
@@ -331,6 +339,15 @@
     return req.proxy
 
 
+def _is_broken_off(state: ProxyState, head: ResponseHead, event_end: EventEnd) -> bool:
+    """Tell whether a stream without framing ended before its last event was complete."""
+    if head.framed or not state.streaming or head.status != 200:
+        return False
+    # A resumed stream may have nothing to add.
+    may_be_empty = state.last_event is not None and not event_end.has_data
+    return not (event_end.is_complete or may_be_empty)
+
+
 def _answering_s(state: ProxyState) -> float | None:
     """Return for how long the current endpoint has been answering, in seconds."""
     if state.answering_since is None:
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -5,7 +5,7 @@
 
 from lacewinghub.fakes.platform_runner import RunnerFault, event, response_seal
 
-from .platform_cluster import KEY, ROUTES, PlatformCase, config, route
+from .platform_cluster import HOST, KEY, ROUTES, PlatformCase, config, route
 
 EVENTS = b"".join(event(number) for number in range(1, 5))
 
@@ -90,6 +90,10 @@
             ("/draft/a", fault.FULL, 200, 1),
             ("/draft/a", fault.RESET, 200, 2),
             ("/draft/a", fault.CUT, 200, 2),
+            ("/draft/a", fault.UNFRAMED, 200, 1),
+            ("/draft/a", fault.UNFRAMED_CUT, 200, 2),
+            ("/draft/a", fault.UNFRAMED_EMPTY, 200, 2),
+            ("/chat/a", fault.UNFRAMED, 200, 1),
             ("/chat/a", fault.FULL, 200, 1),
             ("/chat/a", fault.RESET, 502, 1),
         ]
@@ -119,6 +123,33 @@
         self.assertEqual(answer.status, 200)
         self.assertFalse(answer.complete)
 
+    async def test_an_unframed_stream_that_is_broken_off_is_not_ended_as_if_complete(self) -> None:
+        # The HTTP client of the other tests takes a reset for the end of such an answer.
+        for fault, whole in (
+            (RunnerFault.UNFRAMED, True),
+            (RunnerFault.UNFRAMED_CUT, False),
+            (RunnerFault.UNFRAMED_EMPTY, False),
+        ):
+            with self.subTest(fault):
+                for server in self.models:
+                    server._faults.clear()
+                    server.fail(fault)
+                self.assertEqual(await self._ends_normally("/chat/a"), whole)
+
+    async def _ends_normally(self, path: str) -> bool:
+        """Send a request; return whether its answer ends without a reset of the connection."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.members[0].ports["front"])
+        head = f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Token {KEY}\r\n"
+        head += "Lacewinghub-Attempt-Id: raw\r\nLacewinghub-Token-Count: 100,40\r\n"
+        writer.write(f"{head}Content-Length: 0\r\n\r\n".encode())
+        try:
+            answer = await reader.read(-1)
+        except ConnectionResetError:
+            return False
+        finally:
+            writer.close()
+        return answer.startswith(b"HTTP/1.1 200")
+
     async def test_not_run_is_stated_only_if_no_runner_executed_the_request(self) -> None:
         for server in self.apps:
             server.fail(RunnerFault.FULL, RunnerFault.FULL)
