Log the rates of requests that runners state

The header Server-Limit is decoded; each change is logged, nothing acts on it yet.

The flow to a capped runner does not change when its limit starts or ends.

--- a/lacewinghub/platform/caller.py
+++ b/lacewinghub/platform/caller.py
@@ -1,6 +1,5 @@
 """Decodes the requests of the platform's clients and the operator's configuration records."""
 
-import math
 import random
 
 from loguru import logger
@@ -13,6 +12,7 @@
 from ..proxygateway import DecodedRequest, ProxyCodec
 from ..request import DEFAULT_MAX_TOKENS, HttpRequest, PromptPart, ProxyState, Request
 from . import config, names
+from .fields import decimal
 
 MAX_COUNT_DIGITS = 9  # More tokens than any prompt has.
 
@@ -140,12 +140,7 @@
 
 
 def _header_number(incoming: Incoming, name: bytes) -> float:
-    text = _header_text(incoming, name)
-    try:
-        number = float(text) if text else 0.0
-    except ValueError:
-        return 0.0
-    return number if math.isfinite(number) and number > 0 else 0.0
+    return decimal(_header_text(incoming, name)) or 0.0
 
 
 def _header_text(incoming: Incoming, name: bytes) -> str:
--- a/lacewinghub/platform/node.py
+++ b/lacewinghub/platform/node.py
@@ -12,6 +12,7 @@
 from ..decisionlog import LineWriter
 from ..deployment import CurrentConfig
 from ..directory import EndpointDirectory
+from ..endpoint_quota import EndpointQuotas
 from ..httpclient import ConnectionPool
 from ..httpserver import HttpHandler
 from ..limit import RetryRule
@@ -76,9 +77,11 @@
         """Return the codec for the requests of the platform's clients."""
         return PlatformCodec()
 
-    def client(self, pool: ConnectionPool, reports: LoadReports) -> ProxyClient:
+    def client(
+        self, pool: ConnectionPool, reports: LoadReports, quotas: EndpointQuotas
+    ) -> ProxyClient:
         """Return the client for the platform's runners."""
-        return RunnerClient(pool, reports)
+        return RunnerClient(pool, reports, quotas)
 
     def config(self, current_config: CurrentConfig) -> TopicSource:
         """Return the topic with the operator's configuration."""
--- a/lacewinghub/platform/runner.py
+++ b/lacewinghub/platform/runner.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncGenerator
 
 from ..endpoint import ConnectFailed, EndpointCrashed
+from ..endpoint_quota import EndpointQuotas
 from ..httpclient import ConnectionBroken, ConnectionFailed, ConnectionPool, HttpConnection
 from ..httpmessage import CRLF, Incoming, encode_headers, end_to_end
 from ..proxyrouter import EndpointBusy, ProxyClient, ResponseHead
@@ -12,6 +13,7 @@
 from ..selection import LoadReports
 from ..tables import Endpoint
 from . import names
+from .fields import decimal
 
 # With this status a runner states that it did not execute the request, also without the header.
 _MISDIRECTED = 421
@@ -31,11 +33,13 @@
     Args:
         pool: Connections to runners.
         reports: Receives the loads that runners state in their responses.
+        quotas: Receives the rates of requests that they state.
     """
 
-    def __init__(self, pool: ConnectionPool, reports: LoadReports) -> None:
+    def __init__(self, pool: ConnectionPool, reports: LoadReports, quotas: EndpointQuotas) -> None:
         self._pool = pool
         self._reports = reports
+        self._quotas = quotas
 
     async def stream(
         self, endpoint: Endpoint, req: Request
@@ -53,6 +57,7 @@
             conn.send(_encode(endpoint, req, state))
             response = await self._matching_response(conn, req)
             self._report_load(endpoint, response)
+            self._report_limit(endpoint, response)
             await self._check_response(conn, endpoint, response)
             yield ResponseHead(response.status, end_to_end(response.headers), response.framed)
             while data := await conn.read_body(response):
@@ -110,6 +115,16 @@
             now = asyncio.get_running_loop().time()
             self._reports.update(endpoint.name, int(fields[0]), int(fields[1]), now)
 
+    def _report_limit(self, endpoint: Endpoint, response: Incoming) -> None:
+        """Record the stated rate of requests, a decimal number."""
+        text = response.header(names.SERVER_LIMIT)
+        if text is None:
+            self._quotas.record(endpoint.name, None)
+            return
+        per_s = decimal(text.decode("latin-1"))
+        if per_s is not None:
+            self._quotas.record(endpoint.name, per_s)
+
 
 async def _skip_body(conn: HttpConnection, response: Incoming) -> None:
     """Read the rest of a body that is not passed on.
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -15,6 +15,7 @@
 from .dependencies import DispatcherDependencies
 from .deployment import CurrentConfig, DeploymentConfig
 from .directory import EndpointDirectory
+from .endpoint_quota import EndpointQuotas
 from .errors import AddressUnavailable, SettingsInvalid
 from .failure_outliers import FailureMonitor, FailureOutlierDetector
 from .follower import Follower, KeyedSink, KeyedTopic, ReadTiming
@@ -129,7 +130,9 @@
         """Return the codec for the requests of clients."""
 
     @abstractmethod
-    def client(self, pool: ConnectionPool, reports: LoadReports) -> ProxyClient:
+    def client(
+        self, pool: ConnectionPool, reports: LoadReports, quotas: EndpointQuotas
+    ) -> ProxyClient:
         """Return the client for the endpoints."""
 
     @abstractmethod
@@ -281,6 +284,7 @@
         self._overlay = Overlay(identity, self._peers, cfg.seeds)
         self._announced_nodes = 1
         self._full_runners = FullRunners()
+        self._quotas = EndpointQuotas()
         self._failure_detector = FailureOutlierDetector(
             self._health, lambda: self._tables().pools.values()
         )
@@ -345,7 +349,7 @@
             guard=self._crash_guard,
             monitors=[HealthMonitor(self._health), FailureMonitor(self._failure_detector)],
         )
-        router = ProxyRouter(dependencies, adapter.client(self._connections, reports))
+        router = ProxyRouter(dependencies, adapter.client(self._connections, reports, self._quotas))
         self._gateway = ProxyGateway(adapter.codec(), self._current_config, router)
         self._suspend = SuspendWatch()
         self._suspend.listen(self._gateway.on_resume)
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator, Callable, Iterator
 
 from lacewinghub.endpoint import EndpointCrashed
+from lacewinghub.endpoint_quota import EndpointQuotas
 from lacewinghub.errors import LogUnavailable
 from lacewinghub.eventstream import EventSplitter, EventTooLarge
 from lacewinghub.httpclient import ConnectionPool
@@ -100,7 +101,7 @@
         """Read the head of an answer and wait until the connection to the flood is closed."""
         flood = Flood(pieces)
         address = await flood.start()
-        client = RunnerClient(ConnectionPool(), LoadReports())
+        client = RunnerClient(ConnectionPool(), LoadReports(), EndpointQuotas())
         endpoint = Endpoint("r", address, "z", 4)
         head: ResponseHead | None = None
         async with bounded_growth(self), asyncio.timeout(END_S):
