--- a/lacewinghub/fakes/platform_runner.py
+++ b/lacewinghub/fakes/platform_runner.py
@@ -63,6 +63,8 @@
     Attributes:
         deadly_part: Part of a prompt that crashes this runner when it begins to answer.
         crashed: Set once the runner has crashed.
+        limit_per_s: Requests per second that it states in its answers, or None.
+        arrivals: Loop times at which requests arrived, in seconds.
         runs: Executed requests, in order.
         cancelled: Ids of attempts whose client disconnected during execution.
     """
@@ -79,6 +81,8 @@
         self.draining = False
         self.deadly_part = ""
         self.crashed = asyncio.Event()
+        self.limit_per_s: float | None = None
+        self.arrivals: list[float] = []
         self._faults: deque[RunnerFault] = deque()
         self._server = HttpServer(self)
         self._sequence = 0
@@ -125,6 +129,7 @@
 
     async def handle(self, incoming: Incoming, out: Responder) -> None:
         """Serve one request, with the next fault if there is one."""
+        self.arrivals.append(asyncio.get_running_loop().time())
         attempt = _header_text(incoming, b"lacewinghub-attempt-id")
         wanted = _header_text(incoming, b"lacewinghub-expect-instance")
         if wanted and wanted != self.name:
@@ -136,6 +141,8 @@
             (b"lacewinghub-server-load", b"%d,0,%d" % (len(self._server.connections), SLOTS)),
             (b"keep-alive", b"timeout=4"),
         ]
+        if self.limit_per_s is not None:
+            base_headers.append((b"server-limit", f"{self.limit_per_s:g}".encode()))
         if fault is RunnerFault.FULL:
             out.send(503, [*base_headers, (b"lacewinghub-not-executed", b"1")], b"")
             return
