Keep the rate of requests that a runner states over all nodes together

Runners saw: as many requests as before they stated a limit, up to 39 in 4 s where 36 are allowed, from each burst on.

Cause: no node read what a runner states about its rate.

Change: what an answer states goes to all nodes with the heartbeats; for each limited runner a few nodes, chosen by hash among the live ones, divide the rate, one request at once each; the scheduler asks before it places a request, and dispatches waiting ones as soon as a part permits.

Why it works: the bursts of all senders and the rate together stay below 5.2 times the rate + 3 in any 4 s, for any number of nodes, where 6 times the rate + 5 are allowed.

--- a/lacewinghub/endpoint_quota.py
+++ b/lacewinghub/endpoint_quota.py
@@ -1,13 +1,71 @@
-"""Rates of requests that endpoints state in their answers."""
+"""Keeps the rates of requests that endpoints state in their answers, over all nodes together.
 
+A few of the nodes, chosen by hash, divide an endpoint's rate equally; the others send it nothing.
+How many depends on the rate: each may send one request at once, and with many nodes these bursts
+would exceed the rate by far. Nodes that disagree for a moment about who is alive choose almost the
+same ones. Nodes tell each other what endpoints state, so that those that send nothing know it, too.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import xxhash
 from loguru import logger
 
+from .membership import HeartbeatContributor, Members, MemberState
+from .message import Heartbeat, StatedRate
+
+# Number of nodes that divide a rate: a part that does not depend on it and one per request/s.
+FIXED_SENDERS = 3.0
+SENDERS_PER_RATE = 1.2
+BURST = 1.0  # Requests that a node may send at once.
+# An endpoint that takes no requests at all could not state any more that it takes them again.
+MIN_PER_S = 0.2
+# How long the end of a limit is told to peers, so that no older news of it lives on.
+ENDED_S = 5.0
+
+
+@dataclass(slots=True)
+class _Quota:
+    """The rate of an endpoint and this node's part of it.
+
+    Attributes:
+        per_s: Stated rate in requests per second, or None if the endpoint states none.
+        stated_at: Loop time of the newest answer that stated it, in seconds.
+        share: Part of the rate that this node may use, in requests per second.
+        tokens: Requests that this node may send now.
+        filled_at: Loop time up to which tokens were added, in seconds.
+    """
 
-class EndpointQuotas:
-    """The stated rates by endpoint."""
+    per_s: float | None
+    stated_at: float
+    share: float = 0.0
+    tokens: float = 0.0
+    filled_at: float = 0.0
 
-    def __init__(self) -> None:
-        self._per_s: dict[str, float] = {}
+    def fill(self, now: float) -> None:
+        """Add the tokens since the last call."""
+        self.tokens = min(BURST, self.tokens + self.share * (now - self.filled_at))
+        self.filled_at = now
+
+
+class EndpointQuotas(HeartbeatContributor):
+    """The stated rates by endpoint, and what this node may send.
+
+    Args:
+        node: Identifier of this node.
+        members: View of the live nodes.
+        forward: Passes news of a peer on without waiting for the next heartbeat.
+    """
+
+    def __init__(
+        self, node: str, members: Members, forward: Callable[[], None] = lambda: None
+    ) -> None:
+        self._node = node
+        self._members = members
+        self._forward = forward
+        self._quotas: dict[str, _Quota] = {}
 
     def record(self, endpoint: str, per_s: float | None) -> None:
         """Record what an answer states.
@@ -17,10 +75,98 @@
             per_s: Requests per second that it takes from all nodes together; None if it states no
                 limit.
         """
-        if per_s == self._per_s.get(endpoint):
-            return
+        if per_s is not None or endpoint in self._quotas:
+            self._update(endpoint, per_s, _now())
+
+    def forget(self, endpoint: str) -> None:
+        """End the limit of an endpoint that has restarted or is gone."""
+        self.record(endpoint, None)
+
+    def may_send(self, endpoint: str) -> bool:
+        """Return whether this node may send a request to an endpoint now."""
+        return self.wait_s(endpoint) <= 0.0
+
+    def wait_s(self, endpoint: str) -> float:
+        """Return how long until this node may send a request, in seconds; infinite if never."""
+        quota = self._quotas.get(endpoint)
+        if quota is None or quota.per_s is None:
+            return 0.0
+        quota.fill(_now())
+        if quota.tokens >= 1.0:
+            return 0.0
+        return (1.0 - quota.tokens) / quota.share if quota.share else float("inf")
+
+    def on_sent(self, endpoint: str) -> None:
+        """Record that a request is sent to an endpoint."""
+        quota = self._quotas.get(endpoint)
+        if quota is not None and quota.per_s is not None:
+            quota.fill(_now())
+            quota.tokens -= 1.0
+
+    def fill_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Add the stated rates, and those that have recently ended."""
+        now = _now()
+        self._divide(now)
+        for endpoint, quota in list(self._quotas.items()):
+            age_s = now - quota.stated_at
+            if quota.per_s is None and age_s > ENDED_S:
+                del self._quotas[endpoint]
+                continue
+            per_s = -1.0 if quota.per_s is None else quota.per_s
+            heartbeat.rates.append(StatedRate(endpoint, per_s, int(age_s * 1000)))
+
+    def on_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Store what endpoints stated to a peer, if it is newer."""
+        now, changed = _now(), False
+        for item in heartbeat.rates:
+            per_s = item.per_s if item.per_s >= 0 else None
+            changed |= self._update(item.endpoint, per_s, now - max(0, item.age_ms) / 1000)
+        if changed and self._members.is_partial_mesh():
+            self._forward()
+
+    def _update(self, endpoint: str, per_s: float | None, stated_at: float) -> bool:
+        """Store a stated rate unless a newer one is known; return whether the rate changed."""
+        quota = self._quotas.get(endpoint)
+        if quota is None:
+            quota = self._quotas[endpoint] = _Quota(None, float("-inf"))
+        if stated_at <= quota.stated_at:
+            return False
+        quota.stated_at = stated_at
+        if quota.per_s == per_s:
+            return False
+        quota.per_s = per_s
         logger.bind(endpoint=endpoint, per_s=per_s).info("the endpoint's stated limit changed")
-        if per_s is None:
-            del self._per_s[endpoint]
-        else:
-            self._per_s[endpoint] = per_s
+        self._divide(_now(), (endpoint,))
+        return True
+
+    def _divide(self, now: float, endpoints: Iterable[str] | None = None) -> None:
+        """Determine this node's part of the rate of some or all endpoints."""
+        limited = [
+            (endpoint, quota)
+            for endpoint, quota in self._quotas.items()
+            if quota.per_s is not None and (endpoints is None or endpoint in endpoints)
+        ]
+        names = self._senders() if limited else []
+        for endpoint, quota in limited:
+            quota.fill(now)
+            quota.share = self._share(endpoint, max(MIN_PER_S, quota.per_s or 0.0), names)
+
+    def _share(self, endpoint: str, per_s: float, names: list[str]) -> float:
+        """Return this node's part of a rate, in requests per second."""
+        count = min(len(names), int(FIXED_SENDERS + SENDERS_PER_RATE * per_s))
+        own = _rank(endpoint, self._node)
+        before = sum(_rank(endpoint, name) < own for name in names if name != self._node)
+        return per_s / count if before < count else 0.0
+
+    def _senders(self) -> list[str]:
+        """Return the nodes that send requests; those that are leaving still serve theirs."""
+        states = (MemberState.LIVE, MemberState.LEAVING)
+        return [item.node for item in self._members.members() if item.state in states]
+
+
+def _rank(endpoint: str, node: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{endpoint}|{node}".encode())
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/lacewinghub/membership.py
+++ b/lacewinghub/membership.py
@@ -50,6 +50,10 @@
     def live(self) -> list[Member]:
         """Return the nodes in state live, this one included, ordered by identifier."""
 
+    def members(self) -> list[Member]:
+        """Return all known nodes in any state, this one included, ordered by identifier."""
+        return self.live()
+
     @abstractmethod
     def state(self, node: str) -> MemberState:
         """Return the state of a node; an unknown one is dead."""
--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -128,6 +128,21 @@
     trial: str = ""
 
 
+@dataclass(slots=True)
+class StatedRate:
+    """What an endpoint stated about the requests that it takes from all nodes together.
+
+    Attributes:
+        endpoint: Name of the endpoint.
+        per_s: Requests per second; negative if it states no limit any more.
+        age_ms: Time since the newest answer that stated it, in milliseconds.
+    """
+
+    endpoint: str
+    per_s: float
+    age_ms: int
+
+
 @dataclass(slots=True)
 class CrashSuspect:
     """A request whose answer had not begun at an endpoint when that crashed.
@@ -257,6 +272,7 @@
     crash_suspects: list[CrashSuspect] = field(default_factory=list)
     cleared: list[ClearedTrait] = field(default_factory=list)
     refuted: list[str] = field(default_factory=list)
+    rates: list[StatedRate] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -284,7 +284,7 @@
         self._overlay = Overlay(identity, self._peers, cfg.seeds)
         self._announced_nodes = 1
         self._full_runners = FullRunners()
-        self._quotas = EndpointQuotas()
+        self._quotas = EndpointQuotas(cfg.node, self._overlay, self._overlay.schedule_relay)
         self._failure_detector = FailureOutlierDetector(
             self._health, lambda: self._tables().pools.values()
         )
@@ -302,6 +302,7 @@
         for contributor in (
             self._crash_guard,
             self._full_runners,
+            self._quotas,
             self._failure_detector,
             self._runner_allocation,
             self._cache_sync,
@@ -340,6 +341,7 @@
             allocation=self._runner_allocation,
             cached=self._cache_sync,
             full=self._full_runners,
+            quotas=self._quotas,
         )
         dependencies = DispatcherDependencies(
             scheduler=self._scheduler,
@@ -388,6 +390,7 @@
         self._health.forget(endpoint.name)
         self._cache_sync.cache.forget(endpoint.name)
         self._failure_detector.forget(endpoint.name)
+        self._quotas.forget(endpoint.name)
 
     def _on_nodes(self, addresses: list[str]) -> None:
         self._announced_nodes = len(addresses) + 1
--- a/lacewinghub/proxyscheduler.py
+++ b/lacewinghub/proxyscheduler.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from .admission import NaiveAdmission
+from .endpoint_quota import EndpointQuotas
 from .fullrunner import FullRunners
 from .history import History
 from .local import DirectScheduler, PoolState
@@ -131,6 +132,7 @@
         allocation: Decides how many runners serve long prompts.
         cached: Prompt parts that the runners have cached.
         full: Runners that recently refused a request because they were full.
+        quotas: Rates of requests that endpoints state; None if they state none.
     """
 
     def __init__(
@@ -142,11 +144,14 @@
         allocation: RunnerAllocation | None = None,
         cached: PromptCacheSync | None = None,
         full: FullRunners | None = None,
+        quotas: EndpointQuotas | None = None,
     ) -> None:
         self._cached = cached or PromptCacheSync(PromptCacheIndex())
         self._split = PromptSplit(reports, allocation, self._cached.cache)
         self._gate = PromptGate()
         self._full = full or FullRunners()
+        self._quotas = quotas
+        self._pump_timers: dict[str, asyncio.TimerHandle] = {}
         self._rng = rng or random.Random()
         self._attempts: dict[int, _Attempt] = {}
         super().__init__(
@@ -190,6 +195,11 @@
     def pump(self, pool: str) -> None:
         """Dispatch waiters as long as an endpoint may receive one."""
         state = self.state(pool)
+        self._dispatch_waiters(pool, state)
+        if len(state.queue):
+            self._pump_when_permitted(pool)
+
+    def _dispatch_waiters(self, pool: str, state: PoolState) -> None:
         while len(state.queue):
             free = self.free(pool, state)
             if not free:
@@ -204,9 +214,26 @@
             )
             self.assign(waiter, Grant(self.next_grant(), pool, chosen.name, brokered=False))
 
+    def _pump_when_permitted(self, pool: str) -> None:
+        """Dispatch waiters again once the stated rate of an endpoint permits another request."""
+        if self._quotas is None:
+            return
+        waits = [self._quotas.wait_s(item.name) for item in self.view.usable(pool)]
+        wait_s = min((item for item in waits if item > 0.0), default=float("inf"))
+        if wait_s == float("inf") or pool in self._pump_timers:
+            return
+        loop = asyncio.get_running_loop()
+        self._pump_timers[pool] = loop.call_later(wait_s, self._on_pump_timer, pool)
+
+    def _on_pump_timer(self, pool: str) -> None:
+        del self._pump_timers[pool]
+        self.pump(pool)
+
     def assign(self, waiter: Waiter, grant: Grant) -> None:
         """Hand a grant to a waiter that was removed from its queue."""
         req = waiter.req
+        if self._quotas is not None:
+            self._quotas.on_sent(grant.endpoint)
         if req.proxy is not None and req.proxy.prompt_tokens:
             now = asyncio.get_running_loop().time()
             self._attempts[grant.id] = _Attempt(req, now)
@@ -246,25 +273,35 @@
 
     def _open_endpoints(self, req: Request, free: Sequence[Endpoint]) -> list[Endpoint]:
         """Return those of the free endpoints that may receive a request now."""
+        permitted = self._permitted(free)
         if req.proxy is None or not req.proxy.prompt_tokens:
-            return list(free)
+            return permitted
         side = self._split.side(req, free)
-        not_full = [item for item in side if not self._full.is_full(item.name)]
-        others = [item for item in free if item not in side]
+        own_side = [item for item in side if item in permitted]
+        not_full = [item for item in own_side if not self._full.is_full(item.name)]
+        others = [item for item in permitted if item not in side]
         if not is_long(req):
             # A short prompt may go to a runner of long ones: its answer is slower there, but that
             # is better than a refusal.
             return not_full or [item for item in others if not self._full.is_full(item.name)]
         if req.proxy.may_have_run:
             # The client has already waited and may have received a part of the answer.
-            return not_full or others or list(side)
+            return not_full or others or own_side
         now = asyncio.get_running_loop().time()
         found = self._gate.open_runners(not_full, req, now)
+        if not found and len(own_side) < len(side):
+            # The rates that its runners state leave no other place for it.
+            found = self._gate.open_runners(others, req, now)
         if not found and is_urgent(req):
             # The request would expire while it waits for less urgent ones that have more time.
-            return others or list(side)
+            return others or own_side
         return found
 
+    def _permitted(self, endpoints: Sequence[Endpoint]) -> list[Endpoint]:
+        """Return the endpoints to which their stated rates permit a request now."""
+        quotas = self._quotas
+        return [item for item in endpoints if quotas is None or quotas.may_send(item.name)]
+
     def _fits(self, free: Sequence[Endpoint]) -> Fits:
         return lambda waiter: int(bool(self._open_endpoints(waiter.req, free)))
 
