Bound the work and the messages of the crash evidence

Suspects are now found by trait, causes are derived after changes only, unblamed crashes are forgotten after 10 minutes and beyond 128, and a node that joins hears of the causes and of the last minute.

--- a/lacewinghub/crash_evidence.py
+++ b/lacewinghub/crash_evidence.py
@@ -9,7 +9,7 @@
 All nodes add the same facts, in any order and repeatedly, and come to the same result.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass, field
 
 # Fewer crashes are too likely to be a coincidence.
@@ -17,7 +17,7 @@
 # A part is blamed only if this many different requests with it were suspects. Otherwise it may be
 # just that request.
 MIN_REQUESTS = 2
-MAX_CRASHES = 512
+MAX_CRASHES = 128
 MAX_SUSPECTS = 256  # Per crash.
 
 
@@ -68,10 +68,18 @@
 
 
 class CrashEvidence:
-    """Crashes, their suspects, and the facts that clear these."""
+    """Crashes, their suspects, and the facts that clear these.
+
+    Attributes:
+        version: Number of changes.
+        newest: Loop time at which the newest crash became known, in seconds.
+    """
 
     def __init__(self) -> None:
+        self.version = 0
+        self.newest = float("-inf")
         self._crashes: dict[str, _Crash] = {}
+        self._by_trait: dict[int, set[str]] = {}
         self._cleared: dict[int, set[str]] = {}
         self._refuted: set[str] = set()
 
@@ -91,9 +99,13 @@
         if found is None:
             self._make_room()
             found = self._crashes[crash] = _Crash(now)
+            self.newest = max(self.newest, now)
         if request in found.suspects or len(found.suspects) >= MAX_SUSPECTS:
             return False
         found.suspects[request] = tuple(parts)
+        for trait in (request, *found.suspects[request]):
+            self._by_trait.setdefault(trait, set()).add(crash)
+        self.version += 1
         return True
 
     def clear(self, trait: int, crashes: Iterable[str]) -> bool:
@@ -101,13 +113,17 @@
         known = self._cleared.setdefault(trait, set())
         before = len(known)
         known.update(crashes)
-        return len(known) > before
+        if len(known) == before:
+            return False
+        self.version += 1
+        return True
 
     def refute(self, crash: str) -> bool:
         """Record that an endpoint did not crash; return False if this was known."""
         if crash in self._refuted:
             return False
         self._refuted.add(crash)
+        self.version += 1
         return True
 
     def is_refuted(self, crash: str) -> bool:
@@ -121,34 +137,37 @@
 
     def crashes_of(self, trait: int) -> list[str]:
         """Return the crashes of which a trait is suspected and not cleared."""
-        cleared = self._cleared.get(trait, set())
-        return [
-            name
-            for name, crash in self._crashes.items()
-            if name not in cleared and name not in self._refuted and _has(crash, trait)
-        ]
+        suspected = self._by_trait.get(trait, set())
+        return sorted(suspected - self._cleared.get(trait, set()) - self._refuted)
+
+    def crashes_since(self, time: float) -> list[str]:
+        """Return the crashes that became known after a loop time, in seconds."""
+        return [name for name, crash in self._crashes.items() if crash.known_at > time]
 
     def suspects(
-        self, crashes: Iterable[str] | None = None, trait: int | None = None
+        self, crashes: Iterable[str], trait: int | None = None
     ) -> Iterator[tuple[str, int, tuple[int, ...]]]:
-        """Return crash, request and parts of the suspects of some or all crashes.
+        """Return crash, request and parts of the suspects of some crashes.
 
         Args:
-            crashes: The crashes, or None for all.
+            crashes: Known crashes.
             trait: Trait that the suspects have, or None for any.
         """
-        for name in list(self._crashes) if crashes is None else crashes:
+        for name in crashes:
             for request, parts in self._crashes[name].suspects.items():
                 if trait is None or trait == request or trait in parts:
                     yield name, request, parts
 
-    def cleared(self) -> Iterator[tuple[int, set[str]]]:
-        """Return the cleared traits, each with its crashes."""
-        return iter(self._cleared.items())
+    def cleared(self, crashes: Iterable[str]) -> Iterator[tuple[int, list[str]]]:
+        """Return the traits that are cleared of some of the crashes, each with these."""
+        wanted = set(crashes)
+        for trait, names in self._cleared.items():
+            if found := sorted(names & wanted):
+                yield trait, found
 
-    def refuted(self) -> Iterator[str]:
+    def refuted(self) -> list[str]:
         """Return the supposed crashes that were none."""
-        return iter(self._refuted)
+        return sorted(self._refuted)
 
     def causes(self, now: float, min_age_s: float) -> list[Cause]:
         """Return the causes of the crashes, that of the most crashes first.
@@ -173,10 +192,16 @@
                 del open_crashes[name]
         return found
 
-    def drop_before(self, limit: float) -> None:
-        """Forget the crashes that became known before a loop time, in seconds."""
-        for name in [name for name, crash in self._crashes.items() if crash.known_at < limit]:
-            self._drop(name)
+    def drop_before(self, limit: float, keep: Collection[str] = ()) -> None:
+        """Forget the crashes that became known before a loop time.
+
+        Args:
+            limit: Loop time, in seconds.
+            keep: Crashes that are not forgotten.
+        """
+        for name, crash in list(self._crashes.items()):
+            if crash.known_at < limit and name not in keep:
+                self._drop(name)
 
     def _tallies(self, crashes: dict[str, _Crash]) -> dict[int, _Tally]:
         found: dict[int, _Tally] = {}
@@ -210,16 +235,14 @@
         self._refuted &= self._crashes.keys()
 
     def _drop(self, crash: str) -> None:
-        self._crashes.pop(crash, None)
+        del self._crashes[crash]
         self._refuted.discard(crash)
-        for trait, crashes in list(self._cleared.items()):
-            crashes.discard(crash)
-            if not crashes:
-                del self._cleared[trait]
-
-
-def _has(crash: _Crash, trait: int) -> bool:
-    return trait in crash.suspects or any(trait in parts for parts in crash.suspects.values())
+        self.version += 1
+        for index in (self._cleared, self._by_trait):
+            for trait, crashes in list(index.items()):
+                crashes.discard(crash)
+                if not crashes:
+                    del index[trait]
 
 
 def _most_likely(tallies: Iterable[_Tally]) -> _Tally | None:
--- a/lacewinghub/crash_guard.py
+++ b/lacewinghub/crash_guard.py
@@ -35,8 +35,11 @@
 ALIVE_SPAN_S = (0.1, 1.5)
 NEW_S = 0.6  # How long a new fact is part of every heartbeat.
 FULL_EVERY = 20  # Number of heartbeats after which one contains the evidence of all causes again.
-MAX_SHARED = 512  # Facts of each kind in one heartbeat.
-RETENTION_S = 86_400.0  # How long crashes are remembered.
+MAX_SHARED = 512  # Facts in one heartbeat.
+CAUSE_RETENTION_S = 86_400.0  # How long the crashes of a cause are remembered.
+SUSPECT_RETENTION_S = 600.0  # How long other crashes are remembered.
+# A node that joins hears of the causes and of the crashes of this last span.
+RECENT_S = 60.0
 MAX_TRAITS = 8192  # Traits of which it is remembered when they were answered.
 
 
@@ -94,6 +97,8 @@
         self._attempts: dict[str, _Attempt] = {}
         self._answered: OrderedDict[int, float] = OrderedDict()
         self._causes: list[Cause] = []
+        self._evaluated_at = float("-inf")
+        self._evaluated_version = 0
         self._listeners: list[Callable[[Cause], None]] = []
         self._new: deque[tuple[float, CrashSuspect | ClearedTrait | str]] = deque()
         self._incarnations: dict[str, int] = {}
@@ -164,9 +169,14 @@
 
     def evaluate(self) -> None:
         """Find the causes of the known crashes, and withdraw requests that have one."""
-        relayed = self._members.is_partial_mesh()
+        now, evidence = _now(), self.evidence
+        confirm_s = RELAYED_CONFIRM_S if self._members.is_partial_mesh() else CONFIRM_S
+        is_settled = self._evaluated_at >= evidence.newest + confirm_s
+        if is_settled and self._evaluated_version == evidence.version:
+            return
+        self._evaluated_at, self._evaluated_version = now, evidence.version
         before = {item.trait: item for item in self._causes}
-        self._causes = self.evidence.causes(_now(), RELAYED_CONFIRM_S if relayed else CONFIRM_S)
+        self._causes = evidence.causes(now, confirm_s)
         after = {item.trait for item in self._causes}
         for trait in before.keys() - after:
             logger.bind(trait=f"{trait:x}").info("requests with a trait are accepted again")
@@ -192,17 +202,17 @@
         if self._full_due:
             facts = self._all_facts()
         elif self._heartbeat_count % FULL_EVERY == 0:
-            self.evidence.drop_before(_now() - RETENTION_S)
+            self._drop_old()
             facts += [item for cause in self._causes for item in self.evidence_of(cause)]
         self._full_due = False
-        for item in facts:
+        for item in facts[-MAX_SHARED:]:
             _add_fact(heartbeat, item)
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Add the facts that a peer sent."""
         if self._incarnations.get(heartbeat.node) != heartbeat.incarnation:
             self._incarnations[heartbeat.node] = heartbeat.incarnation
-            self._full_due = self._full_due or any(True for _ in self.evidence.suspects())
+            self._full_due = True
         new: list[CrashSuspect | ClearedTrait | str] = []
         for cleared in heartbeat.cleared[:MAX_SHARED]:
             if self.evidence.clear(cleared.trait, cleared.crashes):
@@ -225,11 +235,11 @@
 
     def _on_answered(self, attempt: _Attempt, now: float) -> None:
         """Record that a request was answered, which clears its traits of all known crashes."""
-        has_crashes = any(True for _ in self.evidence.suspects())
-        for trait in attempt.traits if has_crashes else attempt.parts:
+        traits = attempt.traits if self.evidence.newest > float("-inf") else attempt.parts
+        for trait in traits:
             self._answered[trait] = now
             self._answered.move_to_end(trait)
-            self._clear(trait, self.evidence.crashes_of(trait) if has_crashes else [])
+            self._clear(trait, self.evidence.crashes_of(trait))
         while len(self._answered) > MAX_TRAITS:
             self._answered.popitem(last=False)
 
@@ -285,9 +295,24 @@
                 state.abort()
 
     def _all_facts(self) -> list[CrashSuspect | ClearedTrait | str]:
-        suspects = [CrashSuspect(crash, req, list(p)) for crash, req, p in self.evidence.suspects()]
-        cleared = [ClearedTrait(trait, sorted(names)) for trait, names in self.evidence.cleared()]
-        return [*suspects[-MAX_SHARED:], *cleared[-MAX_SHARED:], *self.evidence.refuted()]
+        """Return what a node that joins needs to know."""
+        recent = self.evidence.crashes_since(_now() - RECENT_S)
+        crashes = sorted({*recent, *self._blamed()})
+        suspects = self.evidence.suspects(crashes)
+        return [
+            *[CrashSuspect(crash, request, list(parts)) for crash, request, parts in suspects],
+            *[ClearedTrait(trait, names) for trait, names in self.evidence.cleared(crashes)],
+            *self.evidence.refuted(),
+        ]
+
+    def _drop_old(self) -> None:
+        now = _now()
+        self.evidence.drop_before(now - SUSPECT_RETENTION_S, keep=self._blamed())
+        self.evidence.drop_before(now - CAUSE_RETENTION_S)
+
+    def _blamed(self) -> set[str]:
+        """Return the crashes that have a known cause."""
+        return {name for cause in self._causes for name in cause.crashes}
 
     def _share(self, fact: CrashSuspect | ClearedTrait | str) -> None:
         """Send a new fact to the peers, together with others of this iteration of the loop."""
--- a/lacewinghub/crash_records.py
+++ b/lacewinghub/crash_records.py
@@ -17,7 +17,7 @@
 
 from ._backoff import Backoff
 from .crash_evidence import Cause
-from .crash_guard import RETENTION_S, CrashGuard
+from .crash_guard import CAUSE_RETENTION_S, CrashGuard
 from .errors import LogUnavailable
 from .follower import KeyedRecord
 from .membership import Members, rendezvous
@@ -101,7 +101,7 @@
         """Return the suspects of a record; none if it is malformed or too old."""
         try:
             value = json.loads(record.value or b"")
-            if self._wall() - float(value["recorded"]) > RETENTION_S:
+            if self._wall() - float(value["recorded"]) > CAUSE_RETENTION_S:
                 return []
             return _SUSPECTS.validate_python(value["suspects"])
         except (ValueError, KeyError, TypeError, ValidationError) as exc:
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -120,8 +120,8 @@
         for number in range(3000):
             evidence.add_suspect(f"c{number}", number, (number,), 0.0)
             evidence.clear(number, [f"c{number}"])
-        self.assertLess(len(list(evidence.suspects())), 600)
-        self.assertLess(len(list(evidence.cleared())), 600)
+        self.assertLess(len(evidence.crashes_since(-1.0)), 600)
+        self.assertLess(len(list(evidence.cleared(f"c{n}" for n in range(3000)))), 600)
 
 
 def request(number: int, *parts: str) -> Request:
