Keep a cut-off node from taking the parts of a rate that others use

It now divides by all known nodes while it sees only a minority of them. The new test case failed before (one of four nodes waited 0.25 s for its next request, now 1 s). Parts are computed again only when the senders or a rate changed: with 195 nodes and 39 limited runners that were 7,605 hashes a heartbeat (counted).

--- a/lacewinghub/endpoint_quota.py
+++ b/lacewinghub/endpoint_quota.py
@@ -66,6 +66,7 @@
         self._members = members
         self._forward = forward
         self._quotas: dict[str, _Quota] = {}
+        self._senders: list[str] = []
 
     def record(self, endpoint: str, per_s: float | None) -> None:
         """Record what an answer states.
@@ -140,16 +141,22 @@
         return True
 
     def _divide(self, now: float, endpoints: Iterable[str] | None = None) -> None:
-        """Determine this node's part of the rate of some or all endpoints."""
-        limited = [
-            (endpoint, quota)
-            for endpoint, quota in self._quotas.items()
-            if quota.per_s is not None and (endpoints is None or endpoint in endpoints)
-        ]
-        names = self._senders() if limited else []
+        """Determine this node's part of the rate of some endpoints.
+
+        Args:
+            now: Loop time, in seconds.
+            endpoints: Names of the endpoints; None for all, if the senders have changed.
+        """
+        limited = [item for item in self._quotas.items() if item[1].per_s is not None]
+        names = self._find_senders() if limited else []
+        if endpoints is None and names == self._senders:
+            return
+        if endpoints is None:
+            self._senders = names
         for endpoint, quota in limited:
-            quota.fill(now)
-            quota.share = self._share(endpoint, max(MIN_PER_S, quota.per_s or 0.0), names)
+            if endpoints is None or endpoint in endpoints:
+                quota.fill(now)
+                quota.share = self._share(endpoint, max(MIN_PER_S, quota.per_s or 0.0), names)
 
     def _share(self, endpoint: str, per_s: float, names: list[str]) -> float:
         """Return this node's part of a rate, in requests per second."""
@@ -158,10 +165,14 @@
         before = sum(_rank(endpoint, name) < own for name in names if name != self._node)
         return per_s / count if before < count else 0.0
 
-    def _senders(self) -> list[str]:
-        """Return the nodes that send requests; those that are leaving still serve theirs."""
-        states = (MemberState.LIVE, MemberState.LEAVING)
-        return [item.node for item in self._members.members() if item.state in states]
+    def _find_senders(self) -> list[str]:
+        """Return the nodes between which rates are divided.
+
+        A node that sees only a minority is probably cut off from the others, which go on sending.
+        """
+        known = self._members.members()
+        alive = [item.node for item in known if item.state is not MemberState.DEAD]
+        return alive if 2 * len(alive) > len(known) else [item.node for item in known]
 
 
 def _rank(endpoint: str, node: str) -> int:
--- a/tests/test_endpoint_quota.py
+++ b/tests/test_endpoint_quota.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from lacewinghub.endpoint_quota import EndpointQuotas
+from lacewinghub.membership import Member, Members, MemberState
 from lacewinghub.memory_transport import MemoryNetwork
 from lacewinghub.overlay import Overlay
 from lacewinghub.transport import Peer
@@ -111,7 +112,37 @@
     return max((sum(at <= x < at + WINDOW_S for x in sent) for at in sent), default=0)
 
 
+class FixedMembers(Members):
+    """Nodes in fixed states."""
+
+    def __init__(self, live: int, dead: int) -> None:
+        states = [MemberState.LIVE] * live + [MemberState.DEAD] * dead
+        self.all = [Member(f"n{i}", "a", "z", 1, state) for i, state in enumerate(states)]
+
+    def live(self) -> list[Member]:
+        return [item for item in self.all if item.state is MemberState.LIVE]
+
+    def members(self) -> list[Member]:
+        return self.all
+
+    def state(self, node: str) -> MemberState:
+        return next(item.state for item in self.all if item.node == node)
+
+
 class TestEndpointQuotas(unittest.TestCase):
+    def test_a_node_that_sees_a_minority_does_not_take_the_parts_of_the_others(self) -> None:
+        cases = [("all", 4, 0, 4), ("one lost", 3, 1, 3), ("cut off", 1, 3, 4), ("alone", 1, 0, 1)]
+        for name, live, dead, parts in cases:
+            with self.subTest(name):
+
+                async def main(live: int = live, dead: int = dead) -> float:
+                    quotas = EndpointQuotas("n0", FixedMembers(live, dead))
+                    quotas.record(ENDPOINT, 8.0)
+                    quotas.on_sent(ENDPOINT)
+                    return quotas.wait_s(ENDPOINT)
+
+                self.assertAlmostEqual(simulate(main), 2 * parts / 8.0)
+
     def test_nodes_keep_a_stated_rate_together(self) -> None:
         for load in LOADS:
             with self.subTest(load):
