--- a/lacewinghub/endpoint_quota.py
+++ b/lacewinghub/endpoint_quota.py
@@ -22,6 +22,9 @@
 BURST = 1.0  # Requests that a node may send at once.
 # An endpoint that takes no requests at all could not state any more that it takes them again.
 MIN_PER_S = 0.2
+NEWS_S = 1.0  # How long a changed rate is part of every heartbeat.
+RENEW_EVERY = 8  # Number of heartbeats after which one contains all rates again.
+EPSILON = 1e-9
 # How long the end of a limit is told to peers, so that no older news of it lives on.
 ENDED_S = 5.0
 
@@ -33,6 +36,7 @@
     Attributes:
         per_s: Stated rate in requests per second, or None if the endpoint states none.
         stated_at: Loop time of the newest answer that stated it, in seconds.
+        changed_at: Loop time at which this node learned of the rate, in seconds.
         share: Part of the rate that this node may use, in requests per second.
         tokens: Requests that this node may send now.
         filled_at: Loop time up to which tokens were added, in seconds.
@@ -40,6 +44,7 @@
 
     per_s: float | None
     stated_at: float
+    changed_at: float = 0.0
     share: float = 0.0
     tokens: float = 0.0
     filled_at: float = 0.0
@@ -67,6 +72,9 @@
         self._forward = forward
         self._quotas: dict[str, _Quota] = {}
         self._senders: list[str] = []
+        self._incarnations: dict[str, int] = {}
+        self._heartbeat_count = 0
+        self._full_due = False
 
     def record(self, endpoint: str, per_s: float | None) -> None:
         """Record what an answer states.
@@ -93,7 +101,7 @@
         if quota is None or quota.per_s is None:
             return 0.0
         quota.fill(_now())
-        if quota.tokens >= 1.0:
+        if quota.tokens >= 1.0 - EPSILON:
             return 0.0
         return (1.0 - quota.tokens) / quota.share if quota.share else float("inf")
 
@@ -105,20 +113,26 @@
             quota.tokens -= 1.0
 
     def fill_heartbeat(self, heartbeat: Heartbeat) -> None:
-        """Add the stated rates, and those that have recently ended."""
+        """Add changed rates; all of them every ``RENEW_EVERY`` times or for a new peer."""
         now = _now()
         self._divide(now)
+        self._heartbeat_count += 1
+        full = self._full_due or self._heartbeat_count % RENEW_EVERY == 0
+        self._full_due = False
         for endpoint, quota in list(self._quotas.items()):
             age_s = now - quota.stated_at
             if quota.per_s is None and age_s > ENDED_S:
                 del self._quotas[endpoint]
-                continue
-            per_s = -1.0 if quota.per_s is None else quota.per_s
-            heartbeat.rates.append(StatedRate(endpoint, per_s, int(age_s * 1000)))
+            elif full or now - quota.changed_at <= NEWS_S:
+                per_s = -1.0 if quota.per_s is None else quota.per_s
+                heartbeat.rates.append(StatedRate(endpoint, per_s, int(age_s * 1000)))
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Store what endpoints stated to a peer, if it is newer."""
         now, changed = _now(), False
+        if self._incarnations.get(heartbeat.node) != heartbeat.incarnation:
+            self._incarnations[heartbeat.node] = heartbeat.incarnation
+            self._full_due = True
         for item in heartbeat.rates:
             per_s = item.per_s if item.per_s >= 0 else None
             changed |= self._update(item.endpoint, per_s, now - max(0, item.age_ms) / 1000)
@@ -135,7 +149,7 @@
         quota.stated_at = stated_at
         if quota.per_s == per_s:
             return False
-        quota.per_s = per_s
+        quota.per_s, quota.changed_at = per_s, _now()
         logger.bind(endpoint=endpoint, per_s=per_s).info("the endpoint's stated limit changed")
         self._divide(_now(), (endpoint,))
         return True
