--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -20,6 +20,8 @@
 from lacewinghub.selection import LoadReports
 from lacewinghub.tables import Endpoint, Target
 
+from .test_endpoint_quota import FixedMembers
+
 # An exchange that carries no answer must end within this time, although its peer goes on.
 END_S = 2.0
 # A node has 200 MB, of which 60 MB are libraries.
@@ -101,7 +103,9 @@
         """Read the head of an answer and wait until the connection to the flood is closed."""
         flood = Flood(pieces)
         address = await flood.start()
-        client = RunnerClient(ConnectionPool(), LoadReports(), EndpointQuotas())
+        client = RunnerClient(
+            ConnectionPool(), LoadReports(), EndpointQuotas("n", FixedMembers(1, 0))
+        )
         endpoint = Endpoint("r", address, "z", 4)
         head: ResponseHead | None = None
         async with bounded_growth(self), asyncio.timeout(END_S):
