Log reads out of turn and failed reads, and show the age of what a node knows

The logs could not tell the hypotheses on the late configuration apart: nothing said when a node reads out of turn, how old its knowledge is, or that a read failed while peers keep the topic readable. New: log lines 'topic read out of turn' and 'read of the topic failed', gauges config_age_s and endpoints_age_s.

--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -359,7 +359,7 @@
         self._suspend.listen(lambda _: self._connections.close())
         config = adapter.config(self._current_config)
         timing = TurnTiming(SHARED_CONFIG_WAIT_S, 0.0, TAKEOVER_SHARE * self.cfg.config_s)
-        topic = self._relayed_topic("config", config, timing)
+        topic = self._config_topic = self._relayed_topic("config", config, timing)
         self._suspend.listen(topic.on_resume)
         self._config = Follower("config", topic, config.sink, lambda: CONFIG_READ_TIMING)
         endpoints = adapter.endpoints(self._directory)
@@ -368,7 +368,7 @@
             SHARED_ENDPOINTS_INTERVAL_S,
             TAKEOVER_SHARE * self.cfg.drain_s,
         )
-        topic = self._relayed_topic("endpoints", endpoints, timing)
+        topic = self._endpoints_topic = self._relayed_topic("endpoints", endpoints, timing)
         self._suspend.listen(topic.on_resume)
         self._endpoints = Follower("endpoints", topic, endpoints.sink, self._endpoints_read_timing)
 
@@ -420,6 +420,8 @@
             self._metrics.set("in_flight", self._gateway.in_flight)
             self._metrics.set("endpoints", self._directory.size)
             self._metrics.set("config_version", self._current_config.current.version)
+            self._metrics.set("config_age_s", self._config_topic.age_s)
+            self._metrics.set("endpoints_age_s", self._endpoints_topic.age_s)
             self._metrics.set("crash_causes", len(self._crash_guard.causes))
             self._metrics.set("live_nodes", len(self._overlay.live()))
             self._metrics.set("endpoint_connections_opened", self._connections.opened)
--- a/lacewinghub/readturns.py
+++ b/lacewinghub/readturns.py
@@ -99,7 +99,7 @@
     def due(self) -> float:
         """Return the loop time at which this node reads next unless it hears of the log before."""
         timing = self._timing()
-        if len(self._members.live()) < FOUND_SHARE * self._announced():
+        if not self._has_found_peers():
             delay_s = self._start_delay_s
         elif (rank := self._current_rank()) < READERS:
             return max(self._last_read + timing.interval_s, self._retry_at)
@@ -107,6 +107,10 @@
             delay_s = min(MAX_RANK_DELAY_S, (rank - READERS) * RANK_STEP_S)
         return max(self.fresh_at + timing.takeover_s + delay_s, self._retry_at)
 
+    def is_reader(self) -> bool:
+        """Return whether this node reads all the time."""
+        return self._has_found_peers() and self._current_rank() < READERS
+
     def may_read(self) -> bool:
         """Return whether this node may read out of turn, because it knows that it is outdated."""
         return _now() >= self._retry_at
@@ -135,6 +139,9 @@
         """Return the age of this node's knowledge of the log, in seconds."""
         return _now() - self.fresh_at
 
+    def _has_found_peers(self) -> bool:
+        return len(self._members.live()) >= FOUND_SHARE * self._announced()
+
     def _current_rank(self) -> int:
         now = _now()
         if now - self._ranked_at > RANK_AGE_S:
--- a/lacewinghub/relayedtopic.py
+++ b/lacewinghub/relayedtopic.py
@@ -10,6 +10,8 @@
 import contextlib
 import random
 
+from loguru import logger
+
 from .errors import LogUnavailable
 from .follower import KeyedPage, KeyedTopic, RecordsExpired
 from .message import TopicNews, TopicOffset
@@ -99,9 +101,18 @@
         self._turns.on_resume(suspended_s)
         self._last_read -= suspended_s
 
+    @property
+    def age_s(self) -> float:
+        """Age of this node's knowledge of the log, in seconds; infinite if there is none."""
+        return self._turns.age_s()
+
     async def _read_in_turn(self) -> KeyedPage:
         if self._peers_ahead():
             raise RecordsExpired(f"topic {self.name!r}: the peers know a later state")
+        if not self._turns.is_reader():
+            logger.bind(topic=self.name, age_s=round(self.age_s, 2), end=self._end).info(
+                "topic read out of turn"
+            )
         return await self._read_log()
 
     def _on_offset(self, node: str, item: TopicOffset) -> None:
@@ -191,7 +202,8 @@
         if self._lost:
             self._restored_at = _now()
 
-    def _on_log_failed(self) -> None:
+    def _on_log_failed(self, exc: LogUnavailable) -> None:
+        super()._on_log_failed(exc)
         self._turns.on_failure()
 
     def _tell_peers(self) -> None:
--- a/lacewinghub/sharedtopic.py
+++ b/lacewinghub/sharedtopic.py
@@ -169,8 +169,8 @@
                     if page is not None and not task.done():
                         return page
             page = task.result()
-        except LogUnavailable:
-            self._on_log_failed()
+        except LogUnavailable as exc:
+            self._on_log_failed(exc)
             await asyncio.sleep(CHECK_INTERVAL_S * self._rng.random())
             found = await self._read_from_peers(start)
             if found is None:
@@ -188,9 +188,12 @@
         self._last_read = _now()
         self._behind_since = None
 
-    def _on_log_failed(self) -> None:
+    def _on_log_failed(self, exc: LogUnavailable) -> None:
         """Handle that the log did not answer this node."""
-        return None
+        age_ms = _age_ms(self._last_read)
+        logger.bind(topic=self.name, age_ms=age_ms, end=self._end, reason=exc.message).info(
+            "read of the topic failed"
+        )
 
     def _lags_behind(self) -> bool:
         return (
