--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -10,6 +10,11 @@
 DRAIN_S = 2.0  # Time within which a leaving runner must stop receiving requests.
 
 
+# Nodes are judged again once the store has been stable for this long.
+STABILITY_WINDOW_S = 3.0
+CHANGE_AFTER_S = 0.3
+
+
 class TestStoreFailures(PlatformCase):
     async def test_requests_are_served_while_the_store_is_unavailable(self) -> None:
         # Guards against nodes that lose their runners or keys when the store fails.
@@ -165,3 +170,25 @@
         self.members.append(await self.start_node(StoreFault.BUSY))
         await self.until(lambda: self.is_ready(self.members[-1]))
         self.assertEqual((await self.ask("/once/a", node=self.nodes)).status, 200)
+
+
+class TestSilentStore(PlatformCase):
+    """Guards against a read that hangs for longer than a change may take to be in force."""
+
+    nodes = 3
+
+    async def test_a_change_after_a_silent_outage_is_in_force_in_time(self) -> None:
+        # The shortest outage only breaks the connections of that moment.
+        for version, outage_s in enumerate((0.05, 1.0, 2.2, 4.2), start=2):
+            with self.subTest(outage_s=outage_s):
+                self.store.put("keyed.op", "config", config(10 * version, ROUTES))
+                await self.until_version(10 * version)
+                for listener in self.listeners:
+                    listener.fail(StoreFault.SILENT)
+                await asyncio.sleep(outage_s)
+                for listener in self.listeners:
+                    listener.fail(StoreFault.NONE)
+                await asyncio.sleep(CHANGE_AFTER_S)
+                self.store.put("keyed.op", "config", config(10 * version + 1, ROUTES))
+                await self.until_version(10 * version + 1, STABILITY_WINDOW_S - CHANGE_AFTER_S)
+                await asyncio.sleep(1.0)
--- a/tests/test_relayedtopic.py
+++ b/tests/test_relayedtopic.py
@@ -55,7 +55,7 @@
     ) -> None:
         peer = Peer(f"n{number}", 1, f"zone-{number % 3}", f"127.0.0.1:{number + 1}")
         transport = network.transport(peer)
-        overlay = Overlay(peer, transport, seeds)
+        overlay = self.overlay = Overlay(peer, transport, seeds)
         self.name = peer.node
         self.log = MemoryTopic(log)
         self.sink = RecordingSink()
@@ -77,8 +77,8 @@
 class Fleet:
     """Many nodes that follow one topic."""
 
-    def __init__(self) -> None:
-        self.network = MemoryNetwork(delay_s=0.002, mesh=False, encode_messages=False)
+    def __init__(self, delay_s: float = 0.002) -> None:
+        self.network = MemoryNetwork(delay_s=delay_s, mesh=False, encode_messages=False)
         self.records: list[KeyedRecord] = []
         seeds = [f"127.0.0.1:{number + 1}" for number in range(NODES)]
         self.nodes = [Node(n, self.network, self.records, seeds) for n in range(NODES)]
@@ -105,11 +105,11 @@
         return asyncio.get_running_loop().time() - started
 
 
-def play(scenario: Callable[[Fleet], Coroutine[Any, Any, None]]) -> None:
-    """Run a scenario with a deployment that has settled."""
+def play(scenario: Callable[[Fleet], Coroutine[Any, Any, None]], delay_s: float = 0.002) -> None:
+    """Run a scenario with a deployment that has settled; messages take ``delay_s``."""
 
     async def main() -> None:
-        fleet = Fleet()
+        fleet = Fleet(delay_s)
         fleet.append("k", b"1")
         await asyncio.sleep(SETTLE_S)
         await scenario(fleet)
@@ -203,6 +203,26 @@
 
         play(scenario)
 
+    def test_knowledge_grows_old_however_often_nodes_tell_each_other(self) -> None:
+        # Guards against nodes that keep each other from reading although nobody has read for long.
+        async def scenario(fleet: Fleet) -> None:
+            async def relay() -> None:
+                while True:
+                    for node in fleet.nodes:
+                        node.overlay.schedule_relay()
+                    await asyncio.sleep(0.01)
+
+            relaying = asyncio.create_task(relay())
+            for node in fleet.readers():
+                node.log.hangs = True
+            fleet.append("k", b"2")
+            self.assertLess(await fleet.seconds_until("k", b"2", fleet.nodes), IN_FORCE_S)
+            relaying.cancel()
+
+        for delay_s in (0.002, 0.03, 0.05, 0.1):
+            with self.subTest(delay_s=delay_s):
+                play(scenario, delay_s)
+
     def test_a_node_without_peers_reads_for_itself(self) -> None:
         async def scenario(fleet: Fleet) -> None:
             alone = next(node for node in fleet.nodes if node not in fleet.readers())
