--- a/lacewinghub/fakes/platform_runner.py
+++ b/lacewinghub/fakes/platform_runner.py
@@ -64,6 +64,8 @@
         deadly_part: Part of a prompt that crashes this runner when it begins to answer.
         crashed: Set once the runner has crashed.
         limit_per_s: Requests per second that it states in its answers, or None.
+        leaving: True if it states in its answers that it leaves.
+        refuse_for_s: Time for which its refusals ask for no further requests, or None.
         arrivals: Loop times at which requests arrived, in seconds.
         runs: Executed requests, in order.
         cancelled: Ids of attempts whose client disconnected during execution.
@@ -82,6 +84,8 @@
         self.deadly_part = ""
         self.crashed = asyncio.Event()
         self.limit_per_s: float | None = None
+        self.leaving = False
+        self.refuse_for_s: float | None = None
         self.arrivals: list[float] = []
         self._faults: deque[RunnerFault] = deque()
         self._server = HttpServer(self)
@@ -143,8 +147,13 @@
         ]
         if self.limit_per_s is not None:
             base_headers.append((b"server-limit", f"{self.limit_per_s:g}".encode()))
-        if fault is RunnerFault.FULL:
-            out.send(503, [*base_headers, (b"lacewinghub-not-executed", b"1")], b"")
+        if self.leaving:
+            base_headers.append((b"server-leaving", b"1"))
+        if fault is RunnerFault.FULL or self.refuse_for_s is not None:
+            refusal: Headers = [*base_headers, (b"lacewinghub-not-executed", b"1")]
+            if self.refuse_for_s is not None:
+                refusal.append((b"retry-after", f"{self.refuse_for_s:g}".encode()))
+            out.send(503, refusal, b"")
             return
         self.runs.append(_received_request(incoming, attempt))
         if self.deadly_part and self.deadly_part in _part_ids(incoming):
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -39,6 +39,7 @@
     "tests.test_region_cut",
     "tests.test_retry_storm",
     "tests.test_runner_failure",
+    "tests.test_runner_statements",
     "tests.test_stated_limits",
     "tests.test_suspend",
     "tests.test_zone_loss",
--- /dev/null
+++ b/tests/test_runner_statements.py
@@ -0,0 +1,89 @@
+"""Tests of runners that state that they leave, or that they want no requests for some time."""
+
+import asyncio
+
+from lacewinghub.fakes.platform_runner import FakeRunner
+from lacewinghub.fakes.platform_store import StoreFault
+
+from .platform_cluster import PlatformCase
+
+PAUSE_S = 2.0
+TOLERATED_S = 0.5  # Requests that were on their way may arrive for this long.
+TOLERATED_REQUESTS = 2
+
+
+class StatementCase(PlatformCase):
+    async def ask_for(self, seconds: float) -> list[int]:
+        """Send requests to both services for some time; return their statuses."""
+        tasks = []
+        for number in range(int(seconds * 40)):
+            path = ("/chat/a", "/lookup/a", "/once/a", "/draft/a")[number % 4]
+            headers = {"Lacewinghub-Prompt-Prefix": f"part{number}:60,own:40"}
+            tasks.append(asyncio.create_task(self.ask(path, headers=headers)))
+            await asyncio.sleep(1 / 40)
+        return [(await task).status for task in tasks]
+
+    async def runners_in_use(self) -> list[FakeRunner]:
+        """Send requests; return a runner and a service that received some of them."""
+        await self.ask_for(0.5)
+        return [next(item for item in group if item.arrivals) for group in (self.models, self.apps)]
+
+
+class TestLeaving(StatementCase):
+    async def test_a_runner_whose_answers_say_that_it_leaves_gets_no_new_requests(self) -> None:
+        leaving = await self.runners_in_use()
+        # Its record in the store says otherwise, or cannot be read.
+        for fault in (StoreFault.NONE, StoreFault.SILENT):
+            with self.subTest(fault=fault):
+                self.listeners[0].fail(fault)
+                for runner in leaving:
+                    runner.leaving = True
+                await self.ask_for(1.0)
+                for runner in leaving:
+                    runner.arrivals.clear()
+                    runner.announce(self.store)
+                statuses = await self.ask_for(1.0)
+                self.assertEqual([len(runner.arrivals) for runner in leaving], [0, 0])
+                self.assertEqual(set(statuses), {200})
+
+    async def test_a_refusal_says_that_the_runner_leaves(self) -> None:
+        leaving = await self.runners_in_use()
+        for runner in leaving:
+            runner.leaving, runner.refuse_for_s = True, 0.0
+        await self.ask_for(1.0)
+        for runner in leaving:
+            runner.arrivals.clear()
+        await self.ask_for(1.0)
+        self.assertEqual([len(runner.arrivals) for runner in leaving], [0, 0])
+
+    async def test_a_restarted_runner_gets_requests_again(self) -> None:
+        leaving = await self.runners_in_use()
+        for runner in leaving:
+            runner.leaving = True
+        await self.ask_for(1.0)
+        for runner in leaving:
+            runner.leaving = False
+            runner.born += 1000
+            runner.arrivals.clear()
+            runner.announce(self.store)
+        await self.ask_for(2.0)
+        self.assertTrue(all(runner.arrivals for runner in leaving))
+
+
+class TestRetryAfter(StatementCase):
+    async def test_a_runner_that_wants_no_requests_gets_none_for_that_time(self) -> None:
+        refusing = await self.runners_in_use()
+        for runner in refusing:
+            runner.refuse_for_s = PAUSE_S
+            runner.arrivals.clear()
+        statuses = await self.ask_for(PAUSE_S)
+        for runner in refusing:
+            with self.subTest(runner.service):
+                first = runner.arrivals[0]
+                late = [at for at in runner.arrivals if TOLERATED_S < at - first < PAUSE_S]
+                self.assertLessEqual(len(late), TOLERATED_REQUESTS)
+                runner.refuse_for_s = None
+                runner.arrivals.clear()
+        self.assertEqual(set(statuses), {200})
+        await self.ask_for(PAUSE_S)
+        self.assertTrue(all(runner.arrivals for runner in refusing))
