Count each read of the log once, so that what nodes tell each other grows old

Cause: beyond 20 nodes a node reads the store only when its knowledge is old. Heartbeats stated its age, and a receiver counted that age from the arrival, so each hop took the time on the way off it; the youngest of all statements counted, and nodes made each other's knowledge younger. With three silent readers nobody read. The more often nodes tell each other (crashes are relayed at once), the slower knowledge grew old. Change: heartbeats and replies name the read (reader, number) that their age belongs to; a node counts each read when it first hears of it (freshness.Freshness). The error is now the time of one fastest way, not of all.

--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -233,6 +233,8 @@
         changed: Offset after the last record from ``base`` on that changed anything; -1 if none.
         base: Offset from which on the node knows all changes, also those that others undid.
         age_ms: Time since the log had this state, in milliseconds; -1 if unknown.
+        reader: Identifier of the node whose read of the log showed this state; 0 if unknown.
+        read_no: Number of that read among those of its reader.
     """
 
     topic: str
@@ -240,6 +242,8 @@
     changed: int = -1
     base: int = 0
     age_ms: int = -1
+    reader: int = 0
+    read_no: int = 0
 
 
 @dataclass(slots=True)
@@ -567,6 +571,8 @@
         age_ms: Time since the log had this state, in milliseconds; -1 if unknown.
         outage_ms: Time since the sender could read the log again after an outage, in milliseconds;
             -1 if there was none.
+        reader: Identifier of the node whose read of the log showed this state; 0 if unknown.
+        read_no: Number of that read among those of its reader.
     """
 
     CODE: ClassVar[int] = 23
@@ -579,6 +585,8 @@
     items: list[RecordItem]
     age_ms: int = -1
     outage_ms: int = -1
+    reader: int = 0
+    read_no: int = 0
 
 
 @dataclass(slots=True)
--- a/lacewinghub/relayedtopic.py
+++ b/lacewinghub/relayedtopic.py
@@ -14,7 +14,8 @@
 
 from .errors import LogUnavailable
 from .follower import KeyedPage, KeyedTopic, RecordsExpired
-from .message import TopicNews, TopicOffset
+from .freshness import LogRead
+from .message import RecordsReply, TopicNews, TopicOffset
 from .readturns import ReadTurns
 from .sharedtopic import ALL_RECORDS, Meaning, PeerFallbackTopic
 from .transport import Peer, Transport
@@ -99,12 +100,12 @@
     def on_resume(self, suspended_s: float) -> None:
         """Count the time for which the host was suspended to the age of this node's knowledge."""
         self._turns.on_resume(suspended_s)
-        self._last_read -= suspended_s
+        self._freshness.on_resume(suspended_s)
 
     @property
     def age_s(self) -> float:
         """Age of this node's knowledge of the log, in seconds; infinite if there is none."""
-        return self._turns.age_s()
+        return self._freshness.age_s
 
     async def _read_in_turn(self) -> KeyedPage:
         if self._peers_ahead():
@@ -129,12 +130,14 @@
             self._heard.set()
         elif item.age_ms >= 0:
             self._end = max(self._end, item.end)
-            self._on_age(item.age_ms)
+            self._on_read_of_peer(item)
 
-    def _on_age(self, age_ms: int) -> None:
-        """Record that a peer knows the state of the log of some time ago, and this node as well."""
-        self._turns.on_news(_now() - age_ms / 1000)
-        self._last_read = max(self._last_read, self._turns.fresh_at)
+    def _on_read_of_peer(self, news: TopicOffset | RecordsReply) -> None:
+        """Record that this node knows the result of a read of the log that a peer tells of."""
+        read = LogRead(news.reader, news.read_no)
+        if news.age_ms < 0 or not self._freshness.on_news(read, news.age_ms):
+            return
+        self._turns.on_news(self._freshness.read_at)
         if self._lost and self._turns.age_s() < CURRENT_S:
             self._heard.set()
 
@@ -157,8 +160,7 @@
             return None
         page = self._page_of(reply, ALL_RECORDS)
         self._replace(page)
-        if reply.age_ms >= 0:
-            self._on_age(reply.age_ms)
+        self._on_read_of_peer(reply)
         return page
 
     async def _fetch_change(self) -> KeyedPage | None:
@@ -172,8 +174,7 @@
             return None
         changed = self._changed
         merged = self._merge(self._page_of(reply, start))
-        if reply.age_ms >= 0:
-            self._on_age(reply.age_ms)
+        self._on_read_of_peer(reply)
         self._lost = False
         if self._changed > changed:
             self._tell_peers()
--- a/lacewinghub/sharedtopic.py
+++ b/lacewinghub/sharedtopic.py
@@ -17,6 +17,7 @@
 
 from .errors import LogUnavailable
 from .follower import KeyedPage, KeyedRecord, KeyedTopic, RecordsExpired
+from .freshness import Freshness
 from .membership import HeartbeatContributor
 from .message import Heartbeat, RecordItem, RecordsReply, RecordsRequest, TopicOffset
 from .transport import Peer, Transport
@@ -86,7 +87,7 @@
         # All changes before this offset are known.
         self._end = ALL_RECORDS
         self._changed = ALL_RECORDS
-        self._last_read = float("-inf")
+        self._freshness = Freshness(self._rng)
         self._restored_at = float("-inf")
         self._behind_since: float | None = None
         self._replies: asyncio.Queue[RecordsReply] = asyncio.Queue()
@@ -125,8 +126,15 @@
             self._behind_since = _now()
 
     def _offset(self) -> TopicOffset:
+        fresh = self._freshness
         return TopicOffset(
-            self.name, self._end, self._changed, self._base, _age_ms(self._last_read)
+            self.name,
+            self._end,
+            self._changed,
+            self._base,
+            fresh.age_ms,
+            fresh.read.reader,
+            fresh.read.number,
         )
 
     def _replace(self, page: KeyedPage) -> None:
@@ -185,12 +193,12 @@
 
     def _on_log_read(self) -> None:
         """Record that the log answered this node."""
-        self._last_read = _now()
+        self._freshness.on_read()
         self._behind_since = None
 
     def _on_log_failed(self, exc: LogUnavailable) -> None:
         """Handle that the log did not answer this node."""
-        age_ms = _age_ms(self._last_read)
+        age_ms = self._freshness.age_ms
         logger.bind(topic=self.name, age_ms=age_ms, end=self._end, reason=exc.message).info(
             "read of the topic failed"
         )
@@ -257,7 +265,8 @@
             for item in self._records.values()
             if (whole and item.value is not None) or (not whole and item.offset >= request.start)
         ]
-        fresh = _now() - self._last_read < RECENT_READ_S and self._end >= request.start
+        known = self._freshness
+        fresh = known.age_s < RECENT_READ_S and self._end >= request.start
         reply = RecordsReply(
             self.name,
             request.start,
@@ -265,8 +274,10 @@
             fresh,
             self._end,
             items,
-            _age_ms(self._last_read),
+            known.age_ms,
             _age_ms(self._restored_at),
+            known.read.reader,
+            known.read.number,
         )
         self._transport.send(sender, reply)
 
