Bound a read of the store that hangs by the time in which a change must be in force

Callers saw: after a silent outage of the store, or after connections to it fell silent for good, a change was in force more than 3 s later. Cause: nodes with peers waited 2.5 s in a long poll and 1 s for its answer. A read that was sent just before hung for up to 3.5 s; when all reads hang together, peers do not help. Change: a read waits for 0.3 of the bound of its topic (0.6 s where 2 s are allowed), its answer takes at most 0.8 s, and a node that lags behind its peers asks them after 0.3 s in place of 0.6 s. So a hang ends after 1.4 s where it took 3.5 s, with the pauses and the question to peers within 2.7 s. Evidence: TestSilentStore failed before (outage of 0.05 s) and passes for outages of 0.05, 1.0, 2.2 and 4.2 s; test_platform_store, test_relayedtopic and test_shared_news pass (43 tests).

--- a/lacewinghub/platform/store.py
+++ b/lacewinghub/platform/store.py
@@ -14,7 +14,7 @@
 
 CONNECT_TIMEOUT_S = 0.5
 # A slow store answers within 0.25 s. A call without an answer times out after this.
-ANSWER_TIMEOUT_S = 1.0
+ANSWER_TIMEOUT_S = 0.8
 # A page of records has at most 1 MB, a read at most as much as this node asks for by default.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 PARTITION = 0  # The keyed topics have one partition.
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -45,14 +45,12 @@
 from .tables import Endpoint, Tables
 from .transport import Peer
 
-# A long poll returns at once when the configuration changes. The wait limits the time until a dead
-# connection is noticed.
-CONFIG_READ_TIMING = ReadTiming(wait_s=1.0)
-SHARED_CONFIG_WAIT_S = 0.7
+# A long poll waits for this share of the time within which a change must be in force. A read whose
+# connection falls silent hangs for that long and the time-out of an answer.
+READ_WAIT_SHARE = 0.3
 # Endpoints append heartbeats all the time, so that every long poll would return at once. The pause
 # batches them.
-ENDPOINTS_READ_TIMING = ReadTiming(wait_s=1.0, pause_s=0.5)
-SHARED_ENDPOINTS_INTERVAL_S = 0.5
+ENDPOINTS_PAUSE_S = 0.5
 # In large deployments a node that hears of no read of the log reads it itself after this share of
 # the time within which a change must be in force.
 TAKEOVER_SHARE = 0.45
@@ -358,16 +356,13 @@
         # A pooled connection may have died during the suspension, which only its use would show.
         self._suspend.listen(lambda _: self._connections.close())
         config = adapter.config(self._current_config)
-        timing = TurnTiming(SHARED_CONFIG_WAIT_S, 0.0, TAKEOVER_SHARE * self.cfg.config_s)
+        timing = _turn_timing(self.cfg.config_s, 0.0)
         topic = self._config_topic = self._relayed_topic("config", config, timing)
         self._suspend.listen(topic.on_resume)
-        self._config = Follower("config", topic, config.sink, lambda: CONFIG_READ_TIMING)
+        config_pace = ReadTiming(timing.wait_s)
+        self._config = Follower("config", topic, config.sink, lambda: config_pace)
         endpoints = adapter.endpoints(self._directory)
-        timing = TurnTiming(
-            ENDPOINTS_READ_TIMING.wait_s,
-            SHARED_ENDPOINTS_INTERVAL_S,
-            TAKEOVER_SHARE * self.cfg.drain_s,
-        )
+        timing = _turn_timing(self.cfg.drain_s, ENDPOINTS_PAUSE_S)
         topic = self._endpoints_topic = self._relayed_topic("endpoints", endpoints, timing)
         self._suspend.listen(topic.on_resume)
         self._endpoints = Follower("endpoints", topic, endpoints.sink, self._endpoints_read_timing)
@@ -397,9 +392,10 @@
         self._overlay.set_discovered_addresses(addresses)
 
     def _endpoints_read_timing(self) -> ReadTiming:
-        if self._node_count() <= MANY_NODES:
-            return ENDPOINTS_READ_TIMING
-        return replace(ENDPOINTS_READ_TIMING, pause_s=0.0)
+        wait_s = READ_WAIT_SHARE * self.cfg.drain_s
+        # Beyond this number of nodes the turns contain the pause.
+        pause_s = ENDPOINTS_PAUSE_S if self._node_count() <= MANY_NODES else 0.0
+        return ReadTiming(wait_s, pause_s)
 
     def _node_count(self) -> int:
         return max(self._announced_nodes, len(self._overlay.live()))
@@ -428,6 +424,11 @@
             await asyncio.sleep(SETTINGS_POLL_S)
 
 
+def _turn_timing(in_force_s: float, interval_s: float) -> TurnTiming:
+    """Return the timing of a topic whose changes must be in force within ``in_force_s``."""
+    return TurnTiming(READ_WAIT_SHARE * in_force_s, interval_s, TAKEOVER_SHARE * in_force_s)
+
+
 def _modified_at(path: Path) -> float | None:
     try:
         return path.stat().st_mtime
--- a/lacewinghub/sharedtopic.py
+++ b/lacewinghub/sharedtopic.py
@@ -32,12 +32,9 @@
 # How often it is checked during a read of the log whether this node lags behind its peers.
 CHECK_INTERVAL_S = 0.25
 # A node that lags behind its peers for this long asks them for the records.
-LAG_BEFORE_REQUEST_S = 0.6
+LAG_BEFORE_REQUEST_S = 0.3
 # A peer that read from the log within this time has its newest records.
 RECENT_READ_S = 2.0
-# A read of the log waits this long for a change if there are peers, in seconds. A broken connection
-# that stays silent is detected only after this time if those of the peers are silent as well.
-READ_WAIT_S = 2.5
 # Values from this size on are compressed for peers. Many nodes with slow links fetch each version
 # of a large configuration.
 MIN_PACKED_BYTES = 1024
@@ -104,9 +101,7 @@
         return page
 
     async def read(self, start: int, wait_s: float) -> KeyedPage:
-        """Read records from an offset on; if there are peers, the read may wait longer."""
-        if self._transport.peers():
-            wait_s = max(wait_s, READ_WAIT_S)
+        """Read records from an offset on."""
         page = await self._read_or_ask_peers(lambda: self._topic.read(start, wait_s), start)
         return self._merge(page)
 
