Send no new requests to runners whose answers state that they leave

Operators saw requests reach back ends that had said they were leaving. Cause: a signal that nothing read. Change: the client for runners passes the statement on; the directory counts the runner as leaving until an announcement with a later start, also if its record lapses and returns. A 421 says nothing of the runner named. What answers state goes through one type, EndpointStatements.

--- a/lacewinghub/directory.py
+++ b/lacewinghub/directory.py
@@ -17,6 +17,7 @@
 # Time after an outage in which missing endpoints may return.
 RETURN_GRACE_S = 2.0
 QUEUE_LIMIT = 1024
+MAX_STATED_LEAVING = 4096
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +57,9 @@
         self._specs: dict[str, PoolSpec] = {}
         self._known: dict[str, Announcement] = {}
         self._missing: set[str] = set()
+        # Endpoints whose own answers state that they leave, with their start times; also removed
+        # ones, whose announcements may return.
+        self._stated_leaving: dict[str, float] = {}
         self._source_unavailable = False
         self._returned_at = float("-inf")
         self._listeners: list[Callable[[Tables], None]] = []
@@ -77,7 +81,7 @@
     def started(self, name: str) -> float | None:
         """Return the start time of an endpoint that accepts requests, in seconds, or None."""
         item = self._known.get(name)
-        return None if item is None or item.leaving else item.started
+        return item.started if item is not None and self._accepts_requests(item) else None
 
     def configure(self, specs: Iterable[PoolSpec]) -> None:
         """Replace the configured pools."""
@@ -103,6 +107,20 @@
             logger.bind(endpoint=name, pool=item.pool).info("endpoint is leaving")
         self._rebuild()
 
+    def mark_leaving(self, name: str) -> None:
+        """Use an endpoint no longer because its answers state that it leaves, until it restarts.
+
+        Its announcement may say so later, or never.
+        """
+        item = self._known.get(name)
+        if item is None or not self._accepts_requests(item):
+            return
+        self._stated_leaving[name] = item.started
+        if len(self._stated_leaving) > MAX_STATED_LEAVING:
+            del self._stated_leaving[next(iter(self._stated_leaving))]
+        logger.bind(endpoint=name, pool=item.pool).info("endpoint states that it is leaving")
+        self._rebuild()
+
     def withdraw(self, name: str) -> None:
         """Remove an endpoint whose announcement is gone, after an outage with a grace period."""
         if name not in self._known or name in self._missing:
@@ -134,6 +152,10 @@
             self._returned_at = asyncio.get_running_loop().time()
             self._schedule_expiry()
 
+    def _accepts_requests(self, item: Announcement) -> bool:
+        stated = self._stated_leaving.get(item.endpoint.name)
+        return not item.leaving and stated != item.started
+
     def _schedule_expiry(self) -> None:
         loop = asyncio.get_running_loop()
         loop.call_at(self._returned_at + RETURN_GRACE_S, self._remove_missing)
@@ -161,7 +183,7 @@
     def _rebuild(self) -> None:
         members: dict[str, list[Endpoint]] = {name: [] for name in self._specs}
         for item in self._known.values():
-            if not item.leaving and item.pool in members:
+            if item.pool in members and self._accepts_requests(item):
                 members[item.pool].append(item.endpoint)
         pools = [
             Pool(spec.name, members[spec.name], spec.kind, queue_limit=QUEUE_LIMIT)
--- /dev/null
+++ b/lacewinghub/endpoint_statements.py
@@ -0,0 +1,22 @@
+"""What endpoints state about themselves in their answers, and who is told of it."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from .endpoint_quota import EndpointQuotas
+from .selection import LoadReports
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointStatements:
+    """Receivers of the statements in answers.
+
+    Attributes:
+        loads: Numbers of running and waiting requests.
+        quotas: Rates of requests that an endpoint takes from all nodes together.
+        on_leaving: Called with the name of an endpoint that leaves.
+    """
+
+    loads: LoadReports
+    quotas: EndpointQuotas
+    on_leaving: Callable[[str], None]
--- a/lacewinghub/platform/node.py
+++ b/lacewinghub/platform/node.py
@@ -12,7 +12,7 @@
 from ..decisionlog import LineWriter
 from ..deployment import CurrentConfig
 from ..directory import EndpointDirectory
-from ..endpoint_quota import EndpointQuotas
+from ..endpoint_statements import EndpointStatements
 from ..httpclient import ConnectionPool
 from ..httpserver import HttpHandler
 from ..limit import RetryRule
@@ -20,7 +20,6 @@
 from ..proxygateway import ProxyCodec
 from ..proxynode import Adapter, ProxyNode, ProxySettings, TopicSource
 from ..proxyrouter import ProxyClient
-from ..selection import LoadReports
 from . import names
 from .boot import Boot, find_settings_path, load
 from .caller import ConfigSink, PlatformCodec
@@ -77,11 +76,9 @@
         """Return the codec for the requests of the platform's clients."""
         return PlatformCodec()
 
-    def client(
-        self, pool: ConnectionPool, reports: LoadReports, quotas: EndpointQuotas
-    ) -> ProxyClient:
+    def client(self, pool: ConnectionPool, statements: EndpointStatements) -> ProxyClient:
         """Return the client for the platform's runners."""
-        return RunnerClient(pool, reports, quotas)
+        return RunnerClient(pool, statements)
 
     def config(self, current_config: CurrentConfig) -> TopicSource:
         """Return the topic with the operator's configuration."""
--- a/lacewinghub/platform/runner.py
+++ b/lacewinghub/platform/runner.py
@@ -5,12 +5,11 @@
 from collections.abc import AsyncGenerator
 
 from ..endpoint import ConnectFailed, EndpointCrashed
-from ..endpoint_quota import EndpointQuotas
+from ..endpoint_statements import EndpointStatements
 from ..httpclient import ConnectionBroken, ConnectionFailed, ConnectionPool, HttpConnection
 from ..httpmessage import CRLF, Incoming, encode_headers, end_to_end
 from ..proxyrouter import EndpointBusy, ProxyClient, ResponseHead
 from ..request import ProxyState, Request
-from ..selection import LoadReports
 from ..tables import Endpoint
 from . import names
 from .fields import decimal
@@ -32,14 +31,12 @@
 
     Args:
         pool: Connections to runners.
-        reports: Receives the loads that runners state in their responses.
-        quotas: Receives the rates of requests that they state.
+        statements: Receives what runners state in their responses.
     """
 
-    def __init__(self, pool: ConnectionPool, reports: LoadReports, quotas: EndpointQuotas) -> None:
+    def __init__(self, pool: ConnectionPool, statements: EndpointStatements) -> None:
         self._pool = pool
-        self._reports = reports
-        self._quotas = quotas
+        self._statements = statements
 
     async def stream(
         self, endpoint: Endpoint, req: Request
@@ -58,6 +55,7 @@
             response = await self._matching_response(conn, req)
             self._report_load(endpoint, response)
             self._report_limit(endpoint, response)
+            self._report_leaving(endpoint, response)
             await self._check_response(conn, endpoint, response)
             yield ResponseHead(response.status, end_to_end(response.headers), response.framed)
             while data := await conn.read_body(response):
@@ -113,17 +111,22 @@
         fields = (response.header(names.SERVER_LOAD) or b"").split(b",")
         if len(fields) >= 2 and all(item.strip().isdigit() for item in fields):
             now = asyncio.get_running_loop().time()
-            self._reports.update(endpoint.name, int(fields[0]), int(fields[1]), now)
+            self._statements.loads.update(endpoint.name, int(fields[0]), int(fields[1]), now)
 
     def _report_limit(self, endpoint: Endpoint, response: Incoming) -> None:
         """Record the stated rate of requests, a decimal number."""
         text = response.header(names.SERVER_LIMIT)
         if text is None:
-            self._quotas.record(endpoint.name, None)
+            self._statements.quotas.record(endpoint.name, None)
             return
         per_s = decimal(text.decode("latin-1"))
         if per_s is not None:
-            self._quotas.record(endpoint.name, per_s)
+            self._statements.quotas.record(endpoint.name, per_s)
+
+    def _report_leaving(self, endpoint: Endpoint, response: Incoming) -> None:
+        """Record that the runner leaves; a 421 comes from another runner at its address."""
+        if response.header(names.SERVER_LEAVING) == b"1" and response.status != _MISDIRECTED:
+            self._statements.on_leaving(endpoint.name)
 
 
 async def _skip_body(conn: HttpConnection, response: Incoming) -> None:
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -16,6 +16,7 @@
 from .deployment import CurrentConfig, DeploymentConfig
 from .directory import EndpointDirectory
 from .endpoint_quota import EndpointQuotas
+from .endpoint_statements import EndpointStatements
 from .errors import AddressUnavailable, SettingsInvalid
 from .failure_outliers import FailureMonitor, FailureOutlierDetector
 from .follower import Follower, KeyedSink, KeyedTopic, ReadTiming
@@ -128,9 +129,7 @@
         """Return the codec for the requests of clients."""
 
     @abstractmethod
-    def client(
-        self, pool: ConnectionPool, reports: LoadReports, quotas: EndpointQuotas
-    ) -> ProxyClient:
+    def client(self, pool: ConnectionPool, statements: EndpointStatements) -> ProxyClient:
         """Return the client for the endpoints."""
 
     @abstractmethod
@@ -349,7 +348,8 @@
             guard=self._crash_guard,
             monitors=[HealthMonitor(self._health), FailureMonitor(self._failure_detector)],
         )
-        router = ProxyRouter(dependencies, adapter.client(self._connections, reports, self._quotas))
+        statements = EndpointStatements(reports, self._quotas, self._directory.mark_leaving)
+        router = ProxyRouter(dependencies, adapter.client(self._connections, statements))
         self._gateway = ProxyGateway(adapter.codec(), self._current_config, router)
         self._suspend = SuspendWatch()
         self._suspend.listen(self._gateway.on_resume)
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -49,6 +49,30 @@
                     directory.announce(item)
                 self.assertEqual(names(directory), expected)
 
+    def test_an_endpoint_that_states_that_it_leaves(self) -> None:
+        # Guards against requests to it because its announcement says nothing, or is renewed late.
+        cases = [
+            ("its announcement is renewed", [announcement("a", port=2)], False, []),
+            ("its announcement is gone and returns", [announcement("a")], True, []),
+            ("it restarts", [announcement("a", started=2)], False, ["a"]),
+        ]
+        for name, items, gone, expected in cases:
+            with self.subTest(name):
+
+                async def play(items=items, gone=gone) -> list[str]:
+                    directory = EndpointDirectory()
+                    directory.configure([PoolSpec("p")])
+                    directory.announce(announcement("a"))
+                    directory.mark_leaving("a")
+                    self.assertEqual(names(directory), [])
+                    if gone:
+                        directory.withdraw("a")
+                    for item in items:
+                        directory.announce(item)
+                    return names(directory)
+
+                self.assertEqual(simulate(play), expected)
+
     def test_each_restart_is_notified_once(self) -> None:
         directory = EndpointDirectory()
         notified: list[str] = []
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -8,6 +8,7 @@
 
 from lacewinghub.endpoint import EndpointCrashed
 from lacewinghub.endpoint_quota import EndpointQuotas
+from lacewinghub.endpoint_statements import EndpointStatements
 from lacewinghub.errors import LogUnavailable
 from lacewinghub.eventstream import EventSplitter, EventTooLarge
 from lacewinghub.httpclient import ConnectionPool
@@ -103,9 +104,9 @@
         """Read the head of an answer and wait until the connection to the flood is closed."""
         flood = Flood(pieces)
         address = await flood.start()
-        client = RunnerClient(
-            ConnectionPool(), LoadReports(), EndpointQuotas("n", FixedMembers(1, 0))
-        )
+        quotas = EndpointQuotas("n", FixedMembers(1, 0))
+        statements = EndpointStatements(LoadReports(), quotas, lambda _: None)
+        client = RunnerClient(ConnectionPool(), statements)
         endpoint = Endpoint("r", address, "z", 4)
         head: ResponseHead | None = None
         async with bounded_growth(self), asyncio.timeout(END_S):
