Send nothing to a runner that refuses with Retry-After until that time is over

Cause: as with Server-Leaving, a statement that nothing read; a refused prompt was kept away for 0.4 s, a plain call not at all, so that more than two requests reached the runner within the time for which it wants none. Change: EndpointPauses keeps the time per endpoint, the scheduler permits nothing before it is over and dispatches waiters at its end; a restart of the endpoint ends it.

--- a/lacewinghub/endpoint_statements.py
+++ b/lacewinghub/endpoint_statements.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from .endpoint_pause import EndpointPauses
 from .endpoint_quota import EndpointQuotas
 from .selection import LoadReports
 
@@ -14,9 +15,11 @@
     Attributes:
         loads: Numbers of running and waiting requests.
         quotas: Rates of requests that an endpoint takes from all nodes together.
+        pauses: Times for which an endpoint wants no requests of this node.
         on_leaving: Called with the name of an endpoint that leaves.
     """
 
     loads: LoadReports
     quotas: EndpointQuotas
+    pauses: EndpointPauses
     on_leaving: Callable[[str], None]
--- a/lacewinghub/platform/runner.py
+++ b/lacewinghub/platform/runner.py
@@ -16,6 +16,7 @@
 
 # With this status a runner states that it did not execute the request, also without the header.
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
 # Clients of the platform understand these statuses as a promise that the request was not executed.
 _NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 # Responses to other requests that are skipped before a connection is closed.
@@ -56,6 +57,7 @@
             self._report_load(endpoint, response)
             self._report_limit(endpoint, response)
             self._report_leaving(endpoint, response)
+            self._report_pause(endpoint, response)
             await self._check_response(conn, endpoint, response)
             yield ResponseHead(response.status, end_to_end(response.headers), response.framed)
             while data := await conn.read_body(response):
@@ -128,6 +130,15 @@
         if response.header(names.SERVER_LEAVING) == b"1" and response.status != _MISDIRECTED:
             self._statements.on_leaving(endpoint.name)
 
+    def _report_pause(self, endpoint: Endpoint, response: Incoming) -> None:
+        """Record for how long a runner that refuses a request wants none of this node."""
+        text = response.header(names.RETRY_AFTER)
+        if response.status != _UNAVAILABLE or text is None:
+            return
+        pause_s = decimal(text.decode("latin-1"))
+        if pause_s is not None:
+            self._statements.pauses.record(endpoint.name, pause_s)
+
 
 async def _skip_body(conn: HttpConnection, response: Incoming) -> None:
     """Read the rest of a body that is not passed on.
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -15,6 +15,7 @@
 from .dependencies import DispatcherDependencies
 from .deployment import CurrentConfig, DeploymentConfig
 from .directory import EndpointDirectory
+from .endpoint_pause import EndpointPauses
 from .endpoint_quota import EndpointQuotas
 from .endpoint_statements import EndpointStatements
 from .errors import AddressUnavailable, SettingsInvalid
@@ -329,6 +330,7 @@
         self._health = EndpointHealth()
         self._build_peers()
         self._connections = ConnectionPool()
+        self._pauses = EndpointPauses()
         reports = LoadReports()
         view = HealthyPools(self._tables, self._health)
         self._scheduler = ProxyScheduler(
@@ -339,6 +341,7 @@
             cached=self._cache_sync,
             full=self._full_runners,
             quotas=self._quotas,
+            pauses=self._pauses,
         )
         dependencies = DispatcherDependencies(
             scheduler=self._scheduler,
@@ -348,7 +351,9 @@
             guard=self._crash_guard,
             monitors=[HealthMonitor(self._health), FailureMonitor(self._failure_detector)],
         )
-        statements = EndpointStatements(reports, self._quotas, self._directory.mark_leaving)
+        statements = EndpointStatements(
+            reports, self._quotas, self._pauses, self._directory.mark_leaving
+        )
         router = ProxyRouter(dependencies, adapter.client(self._connections, statements))
         self._gateway = ProxyGateway(adapter.codec(), self._current_config, router)
         self._suspend = SuspendWatch()
@@ -386,6 +391,7 @@
         self._cache_sync.cache.forget(endpoint.name)
         self._failure_detector.forget(endpoint.name)
         self._quotas.forget(endpoint.name)
+        self._pauses.forget(endpoint.name)
 
     def _on_nodes(self, addresses: list[str]) -> None:
         self._announced_nodes = len(addresses) + 1
--- a/lacewinghub/proxyscheduler.py
+++ b/lacewinghub/proxyscheduler.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from .admission import NaiveAdmission
+from .endpoint_pause import EndpointPauses
 from .endpoint_quota import EndpointQuotas
 from .fullrunner import FullRunners
 from .history import History
@@ -133,6 +134,7 @@
         cached: Prompt parts that the runners have cached.
         full: Runners that recently refused a request because they were full.
         quotas: Rates of requests that endpoints state; None if they state none.
+        pauses: Endpoints that want no requests of this node for some time.
     """
 
     def __init__(
@@ -145,12 +147,14 @@
         cached: PromptCacheSync | None = None,
         full: FullRunners | None = None,
         quotas: EndpointQuotas | None = None,
+        pauses: EndpointPauses | None = None,
     ) -> None:
         self._cached = cached or PromptCacheSync(PromptCacheIndex())
         self._split = PromptSplit(reports, allocation, self._cached.cache)
         self._gate = PromptGate()
         self._full = full or FullRunners()
         self._quotas = quotas
+        self._pauses = pauses or EndpointPauses()
         self._pump_timers: dict[str, asyncio.TimerHandle] = {}
         self._rng = rng or random.Random()
         self._attempts: dict[int, _Attempt] = {}
@@ -215,10 +219,8 @@
             self.assign(waiter, Grant(self.next_grant(), pool, chosen.name, brokered=False))
 
     def _pump_when_permitted(self, pool: str) -> None:
-        """Dispatch waiters again once the stated rate of an endpoint permits another request."""
-        if self._quotas is None:
-            return
-        waits = [self._quotas.wait_s(item.name) for item in self.view.usable(pool)]
+        """Dispatch waiters again once an endpoint permits another request."""
+        waits = [self._wait_s(item) for item in self.view.usable(pool)]
         wait_s = min((item for item in waits if item > 0.0), default=float("inf"))
         if wait_s == float("inf") or pool in self._pump_timers:
             return
@@ -298,9 +300,13 @@
         return found
 
     def _permitted(self, endpoints: Sequence[Endpoint]) -> list[Endpoint]:
-        """Return the endpoints to which their stated rates permit a request now."""
-        quotas = self._quotas
-        return [item for item in endpoints if quotas is None or quotas.may_send(item.name)]
+        """Return the endpoints that permit a request now, by what they state in their answers."""
+        return [item for item in endpoints if not self._wait_s(item)]
+
+    def _wait_s(self, endpoint: Endpoint) -> float:
+        """Return how long until an endpoint permits a request, in seconds; infinite if never."""
+        quota_s = 0.0 if self._quotas is None else self._quotas.wait_s(endpoint.name)
+        return max(quota_s, self._pauses.wait_s(endpoint.name))
 
     def _fits(self, free: Sequence[Endpoint]) -> Fits:
         return lambda waiter: int(bool(self._open_endpoints(waiter.req, free)))
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator, Callable, Iterator
 
 from lacewinghub.endpoint import EndpointCrashed
+from lacewinghub.endpoint_pause import EndpointPauses
 from lacewinghub.endpoint_quota import EndpointQuotas
 from lacewinghub.endpoint_statements import EndpointStatements
 from lacewinghub.errors import LogUnavailable
@@ -105,7 +106,7 @@
         flood = Flood(pieces)
         address = await flood.start()
         quotas = EndpointQuotas("n", FixedMembers(1, 0))
-        statements = EndpointStatements(LoadReports(), quotas, lambda _: None)
+        statements = EndpointStatements(LoadReports(), quotas, EndpointPauses(), lambda _: None)
         client = RunnerClient(ConnectionPool(), statements)
         endpoint = Endpoint("r", address, "z", 4)
         head: ResponseHead | None = None
