Read the configuration in longer polls again, and send a read again when another one fails

Cause: four times as many polls of the configuration. The shorter wait is needed only where nothing else shows that the store has fallen silent. Change: where every node reads for itself the wait is 0.75 of the bound (1.5 s where 2 s are allowed); a failed read of either topic shows that connections may be dead, and a read of the other topic that was sent before is sent again within 0.25 s.

--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -41,7 +41,7 @@
 from .relayedtopic import RelayedTopic
 from .runner_allocation import DemandAllocation
 from .selection import LoadReports
-from .sharedtopic import Meaning
+from .sharedtopic import Meaning, ReadFailures
 from .supervisor import Supervisor
 from .suspend import SuspendWatch
 from .tables import Endpoint, Tables
@@ -50,6 +50,9 @@
 # A long poll waits for this share of the time within which a change must be in force. A read whose
 # connection falls silent hangs for that long and the time-out of an answer.
 READ_WAIT_SHARE = 0.3
+# Where each node reads for itself, a read of the configuration waits longer, which saves calls. The
+# reads of the endpoints show sooner that the store or all connections to it have fallen silent.
+CONFIG_WAIT_SHARE = 0.75
 # Endpoints append heartbeats all the time, so that every long poll would return at once. The pause
 # batches them.
 ENDPOINTS_PAUSE_S = 0.5
@@ -312,7 +315,9 @@
         turns = ReadTurns(
             name, self.cfg.node, self._overlay, lambda: self._announced_nodes, lambda: timing
         )
-        topic = RelayedTopic(name, source.topic, self._peers, turns, source.meaning)
+        topic = RelayedTopic(
+            name, source.topic, self._peers, turns, source.meaning, failures=self._read_failures
+        )
         self._overlay.add(topic)
         return topic
 
@@ -360,11 +365,12 @@
         self._suspend.listen(self._gateway.on_resume)
         # A pooled connection may have died during the suspension, which only its use would show.
         self._suspend.listen(lambda _: self._connections.close())
+        self._read_failures = ReadFailures()
         config = adapter.config(self._current_config)
         timing = _turn_timing(self.cfg.config_s, 0.0)
         topic = self._config_topic = self._relayed_topic("config", config, timing)
         self._suspend.listen(topic.on_resume)
-        config_pace = ReadTiming(timing.wait_s)
+        config_pace = ReadTiming(CONFIG_WAIT_SHARE * self.cfg.config_s)
         self._config = Follower("config", topic, config.sink, lambda: config_pace)
         endpoints = adapter.endpoints(self._directory)
         timing = _turn_timing(self.cfg.drain_s, ENDPOINTS_PAUSE_S)
--- a/lacewinghub/relayedtopic.py
+++ b/lacewinghub/relayedtopic.py
@@ -17,7 +17,7 @@
 from .freshness import LogRead
 from .message import RecordsReply, TopicNews, TopicOffset
 from .readturns import ReadTurns
-from .sharedtopic import ALL_RECORDS, Meaning, PeerFallbackTopic
+from .sharedtopic import ALL_RECORDS, Meaning, PeerFallbackTopic, ReadFailures
 from .transport import Peer, Transport
 
 # Knowledge that is older than this does not end an outage.
@@ -40,6 +40,7 @@
         turns: Decides when this node reads the log.
         meaning: Returns what a record means.
         rng: Source of randomness for the choice of peers.
+        failures: Failed reads of all topics of this node.
     """
 
     def __init__(
@@ -50,8 +51,9 @@
         turns: ReadTurns,
         meaning: Meaning = lambda record: record.value,
         rng: random.Random | None = None,
+        failures: ReadFailures | None = None,
     ) -> None:
-        super().__init__(name, topic, transport, rng, meaning)
+        super().__init__(name, topic, transport, rng, meaning, failures)
         self._turns = turns
         # Peers that know a change which this node does not know, the latest one last, with the
         # offset after that change.
--- a/lacewinghub/sharedtopic.py
+++ b/lacewinghub/sharedtopic.py
@@ -50,6 +50,21 @@
 Meaning = Callable[[KeyedRecord], Hashable]
 
 
+class ReadFailures:
+    """Tells the topics of a node that a read failed: other connections may be dead as well."""
+
+    def __init__(self) -> None:
+        self._last = float("-inf")
+
+    def record(self) -> None:
+        """Record that a read of a topic failed."""
+        self._last = _now()
+
+    def is_suspect(self, sent_at: float) -> bool:
+        """Return whether a read failed after the loop time at which another one was sent."""
+        return self._last > sent_at
+
+
 class PeerFallbackTopic(KeyedTopic, HeartbeatContributor):
     """Reads a topic from the log, or from peers while the log does not answer.
 
@@ -59,6 +74,7 @@
         transport: Connections to the other nodes.
         rng: Source of randomness for the choice of peers.
         meaning: Returns what a record means; by default its value.
+        failures: Failed reads of all topics of this node.
     """
 
     def __init__(
@@ -68,12 +84,14 @@
         transport: Transport,
         rng: random.Random | None = None,
         meaning: Meaning = lambda record: record.value,
+        failures: ReadFailures | None = None,
     ) -> None:
         self.name = name
         self._topic = topic
         self._transport = transport
         self._rng = rng or random.Random()
         self._meaning = meaning
+        self._failures = failures or ReadFailures()
         # The record of each key with which its meaning last changed.
         self._records: dict[str, KeyedRecord] = {}
         self._meanings: dict[str, Hashable] = {}
@@ -163,7 +181,7 @@
 
     async def _read_or_ask_peers(self, read: ReadLog, start: int) -> KeyedPage:
         """Read from the log, or from peers if it does not answer or this node lags behind."""
-        task = asyncio.create_task(read())
+        task, sent_at = asyncio.create_task(read()), _now()
         try:
             while not task.done():
                 await asyncio.wait({task}, timeout=CHECK_INTERVAL_S)
@@ -171,6 +189,9 @@
                     page = await self._read_from_peers(start)
                     if page is not None and not task.done():
                         return page
+                if not task.done() and self._failures.is_suspect(sent_at):
+                    await _cancel(task)
+                    task, sent_at = asyncio.create_task(read()), _now()
             page = task.result()
         except LogUnavailable as exc:
             self._on_log_failed(exc)
@@ -180,9 +201,7 @@
                 raise
             return found
         finally:
-            task.cancel()
-            with contextlib.suppress(asyncio.CancelledError, LogUnavailable, RecordsExpired):
-                await task
+            await _cancel(task)
         self._on_log_read()
         return page
 
@@ -193,6 +212,7 @@
 
     def _on_log_failed(self, exc: LogUnavailable) -> None:
         """Handle that the log did not answer this node."""
+        self._failures.record()
         age_ms = self._freshness.age_ms
         logger.bind(topic=self.name, age_ms=age_ms, end=self._end, reason=exc.message).info(
             "read of the topic failed"
@@ -298,6 +318,12 @@
             self._items.pop(item.key, None)
 
 
+async def _cancel(task: asyncio.Task[KeyedPage]) -> None:
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError, LogUnavailable, RecordsExpired):
+        await task
+
+
 def _pack(record: KeyedRecord) -> RecordItem:
     if record.value is None or len(record.value) < MIN_PACKED_BYTES:
         return RecordItem(record.key, record.value, record.offset)
