--- a/lacewinghub/fakes/platform_store.py
+++ b/lacewinghub/fakes/platform_store.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import copy
 import json
 import struct
 from dataclasses import dataclass, field
@@ -48,10 +49,12 @@
 
     Attributes:
         calls: Number of HTTP calls by path.
+        era: Number of times the store came back from a copy, stated in each answer.
     """
 
     def __init__(self) -> None:
         self.calls: dict[str, int] = {}
+        self.era = 0
         self._topics: dict[str, _Topic] = {}
         self._changed = asyncio.Event()
         self._listeners: list[StoreListener] = []
@@ -84,6 +87,15 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def copy(self) -> dict[str, _Topic]:
+        """Return a copy of all topics."""
+        return copy.deepcopy(self._topics)
+
+    def restore(self, topics: dict[str, _Topic]) -> None:
+        """Lose all records that are not part of a copy; their offsets are given out again."""
+        self._topics = copy.deepcopy(topics)
+        self.era += 1
+
     def compact(self, topic: str) -> None:
         """Expire all records; the newest one per key stays available through ``newest``."""
         found = self._topic(topic)
@@ -105,7 +117,7 @@
         return {"items": items, "has_more": len(keys) > PAGE_ITEMS, "end": found.end}
 
     async def read(self, topic: str, start: int, wait_s: float) -> bytes | None:
-        """Return records from an offset on, or None if that offset has expired."""
+        """Return records from an offset on, or None if the log does not have that offset."""
         found = self._topic(topic)
         if start >= found.end and wait_s > 0:
             changed = self._changed
@@ -116,7 +128,8 @@
                         changed = self._changed
             except TimeoutError:
                 pass
-        if start < found.first:
+        found = self._topic(topic)  # The store may have been restored meanwhile.
+        if not found.first <= start <= found.end:
             return None
         page = [struct.pack(">QQ", found.end, found.first)]
         for key, data in found.records[start - found.first :]:
@@ -167,18 +180,25 @@
         args = {key: values[0] for key, values in parse_qs(query).items()}
         if path == "/v1/log-newest":
             page = self._store.newest(args["topic"], args.get("after", ""))
-            out.send(200, [(b"content-type", b"application/json")], json.dumps(page).encode())
+            self._respond(out, 200, json.dumps(page).encode())
         elif path == "/v1/log-read":
             wait_s = int(args.get("wait_ms", "0")) / 1000
             data = await self._store.read(args["topic"], int(args["from"]), wait_s)
             if await self._inject_fault(out):
                 return
-            out.send(410 if data is None else 200, [], data or b"{}")
+            self._respond(out, 410 if data is None else 200, data or b"{}")
         elif path == "/v1/log-append":
             self._append(args["topic"], incoming.take_body())
-            out.send(200, [(b"content-type", b"application/json")], b"{}")
+            self._respond(out, 200, b"{}")
         else:
-            out.send(404, [], b"")
+            self._respond(out, 404, b"")
+
+    def _respond(self, out: Responder, status: int, body: bytes) -> None:
+        headers = [
+            (b"content-type", b"application/json"),
+            (b"store-era", b"%d" % self._store.era),
+        ]
+        out.send(status, headers, body)
 
     def _append(self, topic: str, data: bytes) -> None:
         at = 0
@@ -198,6 +218,6 @@
             out.conn.abort()
             return True
         elif self.fault in (StoreFault.BUSY, StoreFault.MANY):
-            out.send(503 if self.fault is StoreFault.BUSY else 429, [], b"")
+            self._respond(out, 503 if self.fault is StoreFault.BUSY else 429, b"")
             return True
         return False
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -37,6 +37,7 @@
     "tests.test_platform_stop",
     "tests.test_platform_store",
     "tests.test_region_cut",
+    "tests.test_restored_store",
     "tests.test_retry_storm",
     "tests.test_runner_failure",
     "tests.test_runner_statements",
