Tell the eras of a store that comes back from a copy apart

Callers would see: a route that was added after the return of the store is refused, for good on some nodes. Cause: nodes compared offsets from before and after the return. A node read on at its own offset; once others had written that many records again, it skipped what lay below. Between nodes a higher offset counted as later knowledge, also when it came from before. Change: the adapter reads Store-Era; pages, heartbeats, requests and replies between nodes state the era of their offsets. An answer of a later era ends in a read of the newest record of each key, one of an earlier era counts as no answer; a peer of a later era is ahead whatever its offsets. The follower's sinks hear of it, and records that are missing then have the grace period of an outage. A read's age needs no era: reads before the return are older than those after it.

--- a/lacewinghub/follower.py
+++ b/lacewinghub/follower.py
@@ -37,11 +37,16 @@
         records: The records.
         end: Offset after the last record.
         after_outage: True if they come from a peer that lost the topic and has just regained it.
+        era: Number of times the log came back from an older copy of itself; offsets of different
+            eras cannot be compared.
+        rewound: True if this is the first page of a new era.
     """
 
     records: list[KeyedRecord] = field(default_factory=list)
     end: int = 0
     after_outage: bool = False
+    era: int = 0
+    rewound: bool = False
 
 
 class KeyedTopic(ABC):
@@ -89,6 +94,12 @@
     def on_topic_restored(self) -> None:  # noqa: B027
         """Handle that the topic can be read again."""
 
+    def on_topic_rewound(self) -> None:  # noqa: B027
+        """Handle that the topic comes from an older copy; called before its records are replaced.
+
+        Records may be missing or older than known ones until their writers have written them again.
+        """
+
 
 @dataclass(frozen=True, slots=True)
 class ReadTiming:
@@ -161,9 +172,11 @@
         self._sink.on_topic_lost()
 
     def _on_success(self, page: KeyedPage) -> None:
-        if page.after_outage:
+        if page.after_outage or page.rewound:
             self._sink.on_topic_lost()
             self._sink.on_topic_restored()
+        if page.rewound:
+            self._sink.on_topic_rewound()
         if not self.reachable:
             logger.bind(topic=self.name).info("topic readable")
             self.reachable = True
--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -235,6 +235,7 @@
         age_ms: Time since the log had this state, in milliseconds; -1 if unknown.
         reader: Identifier of the node whose read of the log showed this state; 0 if unknown.
         read_no: Number of that read among those of its reader.
+        era: Era of the log to which the offsets belong.
     """
 
     topic: str
@@ -244,6 +245,7 @@
     age_ms: int = -1
     reader: int = 0
     read_no: int = 0
+    era: int = 0
 
 
 @dataclass(slots=True)
@@ -538,6 +540,7 @@
 
     topic: str
     start: int
+    era: int = 0
 
 
 @dataclass(slots=True)
@@ -573,6 +576,7 @@
             -1 if there was none.
         reader: Identifier of the node whose read of the log showed this state; 0 if unknown.
         read_no: Number of that read among those of its reader.
+        era: Era of the log to which the offsets belong.
     """
 
     CODE: ClassVar[int] = 23
@@ -587,6 +591,7 @@
     outage_ms: int = -1
     reader: int = 0
     read_no: int = 0
+    era: int = 0
 
 
 @dataclass(slots=True)
--- a/lacewinghub/platform/names.py
+++ b/lacewinghub/platform/names.py
@@ -45,6 +45,9 @@
 LOG_NEWEST_PATH = "/v1/log-newest"
 LOG_READ_PATH = "/v1/log-read"
 
+# Header of the store's answers: how often it came back from an older copy of itself.
+STORE_ERA = "Store-Era"
+
 OPERATOR_TOPIC = "keyed.op"
 RUNNERS_TOPIC = "keyed.servers"
 # The topic to which the nodes themselves write, to announce their addresses.
--- a/lacewinghub/platform/store.py
+++ b/lacewinghub/platform/store.py
@@ -3,6 +3,7 @@
 import base64
 import json
 import struct
+from dataclasses import dataclass, replace
 from typing import Any
 
 import aiohttp
@@ -10,7 +11,7 @@
 from ..errors import LogUnavailable
 from ..follower import KeyedPage, KeyedRecord, RecordsExpired
 from ..nodelist import WritableKeyedTopic
-from .names import LOG_APPEND_PATH, LOG_NEWEST_PATH, LOG_READ_PATH
+from .names import LOG_APPEND_PATH, LOG_NEWEST_PATH, LOG_READ_PATH, STORE_ERA
 
 CONNECT_TIMEOUT_S = 0.5
 # A slow store answers within 0.25 s. A call without an answer times out after this.
@@ -22,6 +23,19 @@
 _LENGTH = struct.Struct(">I")
 
 
+@dataclass(frozen=True, slots=True)
+class StoreAnswer:
+    """Answer of the store.
+
+    Attributes:
+        data: The body.
+        era: Number of times the store came back from an older copy of itself.
+    """
+
+    data: bytes
+    era: int
+
+
 class StoreClient:
     """Sends requests to the store.
 
@@ -33,7 +47,7 @@
         self._base = f"http://{address}"
         self._session_or_none: aiohttp.ClientSession | None = None
 
-    async def get(self, path: str, query: dict[str, Any], timeout_s: float) -> bytes:
+    async def get(self, path: str, query: dict[str, Any], timeout_s: float) -> StoreAnswer:
         """Send a GET request.
 
         Raises:
@@ -58,7 +72,7 @@
 
     async def _call(
         self, method: str, path: str, query: dict[str, Any], timeout_s: float, body: bytes = b""
-    ) -> bytes:
+    ) -> StoreAnswer:
         timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
         try:
             async with self._session().request(
@@ -69,7 +83,7 @@
                     raise RecordsExpired(f"{path} {query}")
                 if resp.status != 200:
                     raise LogUnavailable(f"the store answered {resp.status}")
-                return data
+                return StoreAnswer(data, _era(resp))
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             raise LogUnavailable(f"the store did not answer: {exc!r}") from exc
 
@@ -79,6 +93,13 @@
         return self._session_or_none
 
 
+def _era(resp: aiohttp.ClientResponse) -> int:
+    text = resp.headers.get(STORE_ERA, "0")
+    if not (text.isascii() and text.isdigit()):
+        raise LogUnavailable(f"the store's era is malformed: {text!r}")
+    return int(text)
+
+
 async def _read_answer(resp: aiohttp.ClientResponse) -> bytes:
     """Read a body of at most ``MAX_ANSWER_BYTES``.
 
@@ -112,13 +133,17 @@
         """Read the newest record of each key."""
         records: list[KeyedRecord] = []
         end: int | None = None
+        era: int | None = None
         after: str | None = None
         while True:
             query: dict[str, Any] = {"topic": self._topic, "part": PARTITION}
             if after is not None:
                 query["after"] = after
-            data = await self._client.get(LOG_NEWEST_PATH, query, ANSWER_TIMEOUT_S)
-            page = _decode_json(data)
+            answer = await self._client.get(LOG_NEWEST_PATH, query, ANSWER_TIMEOUT_S)
+            if answer.era != (answer.era if era is None else era):
+                raise LogUnavailable("the store came back from a copy between two pages")
+            era = answer.era
+            page = _decode_json(answer.data)
             # The pages are not a snapshot. Changes made meanwhile are read later, from the end that
             # the first page states.
             end = int(page["end"]) if end is None else end
@@ -128,7 +153,7 @@
                 for item in items
             ]
             if not page["has_more"] or not items:
-                return KeyedPage(records, end)
+                return KeyedPage(records, end, era=era)
             after = items[-1]["key"]
 
     async def read(self, start: int, wait_s: float) -> KeyedPage:
@@ -139,8 +164,8 @@
             "from": start,
             "wait_ms": int(wait_s * 1000),
         }
-        data = await self._client.get(LOG_READ_PATH, query, wait_s + ANSWER_TIMEOUT_S)
-        return _decode_records(data, start)
+        answer = await self._client.get(LOG_READ_PATH, query, wait_s + ANSWER_TIMEOUT_S)
+        return replace(_decode_records(answer.data, start), era=answer.era)
 
     async def put(self, key: str, value: bytes | None) -> None:
         """Append a record; the value None deletes the key."""
--- a/lacewinghub/relayedtopic.py
+++ b/lacewinghub/relayedtopic.py
@@ -60,8 +60,8 @@
         self._sources: dict[str, int] = {}
         self._heard = asyncio.Event()
         # Peers that know a later state, but not all changes since the one of this node, with the
-        # offset from which on they know all changes.
-        self._ahead: dict[str, int] = {}
+        # era of the log and the offset from which on they know all changes.
+        self._ahead: dict[str, tuple[int, int]] = {}
         self._lost = False
         transport.subscribe(TopicNews, self._on_news)
 
@@ -84,6 +84,8 @@
         if not self._turns.are_shared():
             return await super().read(start, wait_s)
         while True:
+            if any(era > self._era for era, _ in self._ahead.values()):
+                raise RecordsExpired("the log came back from a copy, as the peers know")
             if any(changed > self._end for changed in self._sources.values()):
                 page = await self._fetch_change()
                 if page is not None:
@@ -120,12 +122,15 @@
 
     def _on_offset(self, node: str, item: TopicOffset) -> None:
         super()._on_offset(node, item)
-        if self._end == ALL_RECORDS or not self._turns.are_shared():
+        if self._end == ALL_RECORDS or not self._turns.are_shared() or item.era < self._era:
             return
-        if item.base > self._end:
+        if item.era > self._era:
+            self._ahead[node] = (item.era, item.base)
+            self._heard.set()
+        elif item.base > self._end:
             # Whether anything changed between the two states is not known to this peer.
             if 0 <= item.age_ms < CURRENT_S * 1000:
-                self._ahead[node] = item.base
+                self._ahead[node] = (item.era, item.base)
         elif item.changed > self._end:
             self._sources.pop(node, None)
             self._sources[node] = item.changed
@@ -150,7 +155,8 @@
 
     def _peers_ahead(self) -> list[Peer]:
         """Return the peers that know a later state, but not all changes since this node's."""
-        self._ahead = {node: base for node, base in self._ahead.items() if base > self._end}
+        known = (self._era, self._end)
+        self._ahead = {node: place for node, place in self._ahead.items() if place > known}
         return [peer for peer in self._transport.peers() if peer.node in self._ahead]
 
     async def _fetch_all(self) -> KeyedPage | None:
@@ -158,13 +164,19 @@
         sources = self._peers_ahead()
         self._ahead.clear()
         reply = await self._best_reply(ALL_RECORDS, sources[-MAX_SOURCES:])
-        if reply is None or reply.end <= self._end:
+        if reply is None or (reply.era, reply.end) <= (self._era, self._end):
             return None
-        page = self._page_of(reply, ALL_RECORDS)
-        self._replace(page)
+        page = self._replace(self._page_of(reply, ALL_RECORDS))
         self._on_read_of_peer(reply)
         return page
 
+    def _replace(self, page: KeyedPage) -> KeyedPage:
+        replaced = super()._replace(page)
+        if replaced.rewound:
+            self._sources.clear()
+            self._tell_peers()
+        return replaced
+
     async def _fetch_change(self) -> KeyedPage | None:
         """Fetch the change that peers told of; None if none of them answers."""
         known = {peer.node: peer for peer in self._transport.peers()}
@@ -172,7 +184,7 @@
         self._sources.clear()
         start = self._end
         reply = await self._best_reply(start, latest_first[:MAX_SOURCES])
-        if reply is None or reply.end <= start:
+        if reply is None or (reply.era, reply.end) <= (self._era, start):
             return None
         changed = self._changed
         merged = self._merge(self._page_of(reply, start))
@@ -188,7 +200,7 @@
         was_lost = self._lost
         try:
             page = await self._read_or_ask_peers(
-                lambda: self._topic.read(end, self._turns.wait_s), end
+                lambda: self._read_in_log(end, self._turns.wait_s), end
             )
         except LogUnavailable:
             self._lost = True
--- a/lacewinghub/sharedtopic.py
+++ b/lacewinghub/sharedtopic.py
@@ -102,25 +102,31 @@
         # All changes before this offset are known.
         self._end = ALL_RECORDS
         self._changed = ALL_RECORDS
+        # Era of the log to which all offsets here belong.
+        self._era = 0
         self._freshness = Freshness(self._rng)
         self._restored_at = float("-inf")
+        self._rewind_listeners: list[Callable[[], None]] = []
         self._behind_since: float | None = None
         self._replies: asyncio.Queue[RecordsReply] = asyncio.Queue()
         transport.subscribe(RecordsRequest, self._on_request)
         transport.subscribe(RecordsReply, self._on_reply)
 
+    def on_rewind(self, listener: Callable[[], None]) -> None:
+        """Register a function that is called when the log came back from an older copy."""
+        self._rewind_listeners.append(listener)
+
     async def newest(self) -> KeyedPage:
         """Read the newest record of each key."""
         try:
-            page = await self._read_or_ask_peers(self._topic.newest, ALL_RECORDS)
+            page = await self._read_or_ask_peers(self._newest_in_log, ALL_RECORDS)
         except RecordsExpired as exc:
             raise LogUnavailable(f"topic {self.name!r}: {exc.message}") from exc
-        self._replace(page)
-        return page
+        return self._replace(page)
 
     async def read(self, start: int, wait_s: float) -> KeyedPage:
         """Read records from an offset on."""
-        page = await self._read_or_ask_peers(lambda: self._topic.read(start, wait_s), start)
+        page = await self._read_or_ask_peers(lambda: self._read_in_log(start, wait_s), start)
         return self._merge(page)
 
     def fill_heartbeat(self, heartbeat: Heartbeat) -> None:
@@ -135,7 +141,7 @@
 
     def _on_offset(self, node: str, item: TopicOffset) -> None:
         """Record since when a peer has known a change that this node does not know."""
-        if item.changed > self._end and self._behind_since is None:
+        if (item.era, item.changed) > (self._era, self._end) and self._behind_since is None:
             self._behind_since = _now()
 
     def _offset(self) -> TopicOffset:
@@ -148,16 +154,47 @@
             fresh.age_ms,
             fresh.read.reader,
             fresh.read.number,
+            self._era,
         )
 
-    def _replace(self, page: KeyedPage) -> None:
-        """Store the newest record of each key; what happened before is not known."""
+    async def _newest_in_log(self) -> KeyedPage:
+        page = await self._topic.newest()
+        self._check_era(page)
+        return page
+
+    async def _read_in_log(self, start: int, wait_s: float) -> KeyedPage:
+        page = await self._topic.read(start, wait_s)
+        self._check_era(page)
+        if page.era > self._era:
+            raise RecordsExpired(f"the log came back from a copy, era {page.era}")
+        return page
+
+    def _check_era(self, page: KeyedPage) -> None:
+        if page.era < self._era:
+            raise LogUnavailable(f"an answer from era {page.era}, before era {self._era}")
+
+    def _replace(self, page: KeyedPage) -> KeyedPage:
+        """Store the newest record of each key; what happened before is not known.
+
+        Returns:
+            The page, marked if it is the first one of a new era.
+        """
+        rewound = page.era > self._era and self._end != ALL_RECORDS
+        self._era = page.era
         self._records.clear()
         self._meanings.clear()
         self._items.clear()
         self._store(page.records)
         self._changed = ALL_RECORDS
         self._base = self._end = page.end
+        if not rewound:
+            return page
+        logger.bind(topic=self.name, era=page.era, end=page.end).warning(
+            "the log came back from an older copy"
+        )
+        for listener in self._rewind_listeners:
+            listener()
+        return replace(page, rewound=True)
 
     def _merge(self, page: KeyedPage) -> KeyedPage:
         """Store changes and return the page without the records that change nothing."""
@@ -242,7 +279,7 @@
             RecordsExpired: If the peer no longer has all changes from the offset ``start`` on.
         """
         self._behind_since = None
-        if reply.whole and start != ALL_RECORDS:
+        if start != ALL_RECORDS and (reply.whole or reply.era != self._era):
             raise RecordsExpired(f"records from offset {start} on are gone at the peers")
         logger.bind(topic=self.name, start=start, end=reply.end, fresh=reply.fresh).info(
             "records taken from a peer"
@@ -251,37 +288,38 @@
         if reply.outage_ms >= 0:
             self._restored_at = max(self._restored_at, _now() - reply.outage_ms / 1000)
         after_outage = _now() - self._restored_at < OUTAGE_NEWS_S
-        return KeyedPage(records, reply.end, after_outage)
+        return KeyedPage(records, reply.end, after_outage, reply.era)
 
     async def _best_reply(self, start: int, peers: list[Peer]) -> RecordsReply | None:
         self._replies = asyncio.Queue()
         asked = 0
         for peer in self._rng.sample(peers, min(MAX_PEERS_ASKED, len(peers))):
-            asked += self._transport.send(peer.node, RecordsRequest(self.name, start))
+            asked += self._transport.send(peer.node, RecordsRequest(self.name, start, self._era))
         best: RecordsReply | None = None
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(REPLY_TIMEOUT_S):
                 for _ in range(asked):
                     reply = await self._replies.get()
-                    if reply.start != start:
+                    if reply.start != start or reply.era < self._era:
                         continue  # The late reply to an earlier request.
                     if reply.fresh:
                         return reply
-                    if reply.end > max(start, best.end if best else ALL_RECORDS):
+                    known = (best.era, best.end) if best else (self._era, start)
+                    if (reply.era, reply.end) > known:
                         best = reply
         return best
 
     def _on_request(self, sender: str, request: RecordsRequest) -> None:
-        if request.topic != self.name or self._end == ALL_RECORDS:
+        if request.topic != self.name or self._end == ALL_RECORDS or request.era > self._era:
             return
-        whole = request.start < self._base
+        whole = request.start < self._base or request.era < self._era
         items = [
             self._item(item)
             for item in self._records.values()
             if (whole and item.value is not None) or (not whole and item.offset >= request.start)
         ]
         known = self._freshness
-        fresh = known.age_s < RECENT_READ_S and self._end >= request.start
+        fresh = known.age_s < RECENT_READ_S and (whole or self._end >= request.start)
         reply = RecordsReply(
             self.name,
             request.start,
@@ -293,6 +331,7 @@
             _age_ms(self._restored_at),
             known.read.reader,
             known.read.number,
+            self._era,
         )
         self._transport.send(sender, reply)
 
