Keep runners out that left before the store came back from a copy

Callers would see requests at a runner that had said it leaves: its record in the copy is older and says ready. Cause: the directory believed each announcement of the same start, so leaving could be taken back. Change: leaving holds for a start (announced or stated in answers); a removed runner that only the copy brings back is used again when it is still there after 5 s, longer than the record of a silent runner lasts. Evidence: test_a_runner_that_drains_does_not_come_back failed before and passes; the test of a removed runner passed before only because nothing was read again, and passes now.

--- a/lacewinghub/directory.py
+++ b/lacewinghub/directory.py
@@ -17,7 +17,9 @@
 # Time after an outage in which missing endpoints may return.
 RETURN_GRACE_S = 2.0
 QUEUE_LIMIT = 1024
-MAX_STATED_LEAVING = 4096
+# Longer than the announcements of silent endpoints last.
+REWIND_HOLD_S = 5.0
+MAX_REMEMBERED = 4096  # Number of endpoints that left.
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,11 +59,16 @@
         self._specs: dict[str, PoolSpec] = {}
         self._known: dict[str, Announcement] = {}
         self._missing: set[str] = set()
-        # Endpoints whose own answers state that they leave, with their start times; also removed
-        # ones, whose announcements may return.
-        self._stated_leaving: dict[str, float] = {}
+        # Endpoints that announced or stated in their answers that they leave, with their start
+        # times; also removed ones, whose announcements may return.
+        self._leaving: dict[str, float] = {}
+        # Removed endpoints, with their start times.
+        self._removed: dict[str, float] = {}
+        # Endpoints that are not used before a loop time, in seconds.
+        self._held_until: dict[str, float] = {}
         self._source_unavailable = False
         self._returned_at = float("-inf")
+        self._rewound_until = float("-inf")
         self._listeners: list[Callable[[Tables], None]] = []
         self._reset_listeners: list[Callable[[Endpoint], None]] = []
 
@@ -103,6 +110,10 @@
                 "endpoint announced" if old is None else "endpoint restarted"
             )
             self._notify_reset(item.endpoint)
+        if item.leaving and item.started:
+            _remember(self._leaving, name, item.started)
+        if old is None:
+            self._hold_if_removed(item)
         if item.leaving and not (old is not None and old.leaving):
             logger.bind(endpoint=name, pool=item.pool).info("endpoint is leaving")
         self._rebuild()
@@ -115,9 +126,7 @@
         item = self._known.get(name)
         if item is None or not self._accepts_requests(item):
             return
-        self._stated_leaving[name] = item.started
-        if len(self._stated_leaving) > MAX_STATED_LEAVING:
-            del self._stated_leaving[next(iter(self._stated_leaving))]
+        _remember(self._leaving, name, item.started)
         logger.bind(endpoint=name, pool=item.pool).info("endpoint states that it is leaving")
         self._rebuild()
 
@@ -153,8 +162,36 @@
             self._schedule_expiry()
 
     def _accepts_requests(self, item: Announcement) -> bool:
-        stated = self._stated_leaving.get(item.endpoint.name)
-        return not item.leaving and stated != item.started
+        name = item.endpoint.name
+        if item.leaving or self._leaving.get(name) == item.started:
+            return False
+        until = self._held_until.get(name)
+        return until is None or until <= asyncio.get_running_loop().time()
+
+    def source_rewound(self) -> None:
+        """Handle that the announcements come from an older copy of their source.
+
+        Endpoints that left since then may be announced in it; those that are still there after
+        ``REWIND_HOLD_S`` have renewed their announcements.
+        """
+        self._rewound_until = asyncio.get_running_loop().time() + REWIND_HOLD_S
+
+    def _hold_if_removed(self, item: Announcement) -> None:
+        """Wait before using an endpoint that was removed and returns with an older copy."""
+        name = item.endpoint.name
+        if self._removed.get(name) != item.started:
+            return
+        loop = asyncio.get_running_loop()
+        if loop.time() >= self._rewound_until:
+            return
+        logger.bind(endpoint=name).info("endpoint is back from an older copy; not used yet")
+        self._held_until[name] = self._rewound_until
+        loop.call_at(self._rewound_until, self._release_held)
+
+    def _release_held(self) -> None:
+        now = asyncio.get_running_loop().time()
+        self._held_until = {name: at for name, at in self._held_until.items() if at > now}
+        self._rebuild()
 
     def _schedule_expiry(self) -> None:
         loop = asyncio.get_running_loop()
@@ -172,6 +209,7 @@
         item = self._known.pop(name, None)
         if item is None:
             return
+        _remember(self._removed, name, item.started)
         logger.bind(endpoint=name, pool=item.pool).info("endpoint is gone")
         self._notify_reset(item.endpoint)
         self._rebuild()
@@ -195,3 +233,11 @@
         self.tables.pools = {item.name: item for item in pools}
         for listener in self._listeners:
             listener(self.tables)
+
+
+def _remember(starts: dict[str, float], name: str, started: float) -> None:
+    """Record the start time of an endpoint, and forget the oldest of too many."""
+    starts.pop(name, None)
+    starts[name] = started
+    if len(starts) > MAX_REMEMBERED:
+        del starts[next(iter(starts))]
--- a/lacewinghub/platform/registry.py
+++ b/lacewinghub/platform/registry.py
@@ -85,3 +85,7 @@
     def on_topic_restored(self) -> None:
         """Record that the topic can be read again."""
         self._directory.source_returned()
+
+    def on_topic_rewound(self) -> None:
+        """Record that the records come from an older copy."""
+        self._directory.source_rewound()
