Write the records of nodes and crashes again after the store came back from a copy

What the nodes wrote is lost with the copy: later nodes would not find earlier ones for up to 100 s, and after a loss of all nodes the evidence of what crashes runners would be gone. Change: when the configuration's topic begins a new era, the node renews its record within a second (spread, since all nodes notice at once) and the writers of each known cause write it again.

--- a/lacewinghub/crash_records.py
+++ b/lacewinghub/crash_records.py
@@ -1,7 +1,7 @@
 """Keeps the evidence of the causes of crashes in a topic of the log, for the loss of all nodes.
 
 Nodes learn of crashes from each other's heartbeats. The topic is written once for each cause and
-read once at the start of a node.
+read once at the start of a node. After the log came back from an older copy it is written again.
 """
 
 import asyncio
@@ -67,6 +67,12 @@
             if key not in self._stored and self._is_writer(key):
                 await self._until_available(partial(self._write, key, cause))
 
+    def renew(self) -> None:
+        """Write the records of all known causes again, because the log has lost some of them."""
+        self._stored.clear()
+        for cause in self._guard.causes:
+            self._pending.put_nowait(cause)
+
     async def _until_available(self, action: Callable[[], Awaitable[None]]) -> None:
         backoff = Backoff(random.Random(), BACKOFF_FIRST_S, BACKOFF_LIMIT_S)
         while True:
--- a/lacewinghub/nodelist.py
+++ b/lacewinghub/nodelist.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import random
 import time
@@ -23,6 +24,7 @@
 RENEW_S = 100.0
 # A record that was not renewed for this long is of a host that is gone.
 STALE_S = 330.0
+RENEW_SPREAD_S = 1.0
 BACKOFF_FIRST_S = 0.3
 BACKOFF_LIMIT_S = 3.0
 
@@ -60,6 +62,11 @@
         self._topic = topic
         self._listener = listener
         self._wall = wall
+        self._due = asyncio.Event()
+
+    def renew(self) -> None:
+        """Write the record again soon, because the log has lost it."""
+        self._due.set()
 
     async def run(self) -> None:
         """Renew the record and read those of the others periodically, until cancelled."""
@@ -72,7 +79,12 @@
                 await backoff.pause()
                 continue
             backoff.reset()
-            await asyncio.sleep(RENEW_S * random.uniform(0.8, 1.0))
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(RENEW_S * random.uniform(0.8, 1.0)):
+                    await self._due.wait()
+                    # All nodes notice at the same time that their records are lost.
+                    await asyncio.sleep(random.uniform(0.0, RENEW_SPREAD_S))
+            self._due.clear()
 
     async def withdraw(self) -> None:
         """Delete the record of this node; if the log is unavailable, it becomes stale later."""
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -243,6 +243,8 @@
         self.ports["peer"] = int(self._peers.identity.address.rpartition(":")[2])
         nodes = NodeDiscovery(self._peers.identity, self._adapter.nodes(), self._on_nodes)
         self._withdraw = nodes.withdraw
+        self._config_topic.on_rewind(nodes.renew)
+        self._config_topic.on_rewind(self._crash_records.renew)
         supervisor.start("peers", self._peers.run)
         supervisor.start("membership", self._overlay.run)
         supervisor.start("nodes", nodes.run)
