Bound the numbers of records, and read on past one that cannot be decoded

Nesting in a runner's record and a port out of range name no runner already. Change: bounds on slots and start time, decoding of the newest records in one place that answers with an error code, and both readers of own records leave such an entry out. Evidence: the new cases of test_platform_records failed before (2 errors, 2 failures) and pass.

--- a/lacewinghub/nodelist.py
+++ b/lacewinghub/nodelist.py
@@ -106,6 +106,6 @@
             value = json.loads(record.value or b"")
             age_s = self._wall() - float(value["announced"])
             return str(value["address"]) if age_s < STALE_S else None
-        except (ValueError, KeyError, TypeError) as exc:
+        except (ValueError, KeyError, TypeError, OverflowError, RecursionError) as exc:
             logger.bind(key=record.key).warning("record names no node: {!r}", exc)
             return None
--- a/lacewinghub/platform/registry.py
+++ b/lacewinghub/platform/registry.py
@@ -9,6 +9,9 @@
 from ..follower import KeyedRecord, KeyedSink
 from ..tables import Address, Endpoint, Name
 
+MAX_SLOTS = 1_000_000
+MAX_UNIX_MS = 10**15
+
 
 class _Record(BaseModel):
     """The value of a record, whose key is the id of the runner."""
@@ -18,10 +21,10 @@
     service: Name
     address: Address
     zone: Name
-    slots: Annotated[int, Field(ge=1)]
+    slots: Annotated[int, Field(ge=1, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
     # Start of the runner, in Unix milliseconds.
-    born: int = 0
+    born: Annotated[int, Field(ge=0, le=MAX_UNIX_MS)] = 0
 
 
 def decode(key: str, data: bytes) -> Announcement | None:
--- a/lacewinghub/platform/store.py
+++ b/lacewinghub/platform/store.py
@@ -143,18 +143,14 @@
             if answer.era != (answer.era if era is None else era):
                 raise LogUnavailable("the store came back from a copy between two pages")
             era = answer.era
-            page = _decode_json(answer.data)
+            page = _decode_newest(answer.data)
             # The pages are not a snapshot. Changes made meanwhile are read later, from the end that
             # the first page states.
-            end = int(page["end"]) if end is None else end
-            items = page["items"]
-            records += [
-                KeyedRecord(item["key"], base64.b64decode(item["value"]), int(item["offset"]))
-                for item in items
-            ]
-            if not page["has_more"] or not items:
+            end = page.end if end is None else end
+            records += page.records
+            if not page.has_more or not page.records:
                 return KeyedPage(records, end, era=era)
-            after = items[-1]["key"]
+            after = page.records[-1].key
 
     async def read(self, start: int, wait_s: float) -> KeyedPage:
         """Read the records from an offset, with a long poll of ``wait_s``."""
@@ -175,11 +171,24 @@
         await self._client.post(LOG_APPEND_PATH, query, _LENGTH.pack(len(record)) + record)
 
 
-def _decode_json(data: bytes) -> dict[str, Any]:
+@dataclass(frozen=True, slots=True)
+class _NewestPage:
+    records: list[KeyedRecord]
+    end: int
+    has_more: bool
+
+
+def _decode_newest(data: bytes) -> _NewestPage:
+    """Decode a page of the newest records of keys."""
     try:
-        return json.loads(data)
-    except ValueError as exc:
-        raise LogUnavailable(f"the store's answer is malformed: {exc}") from exc
+        page = json.loads(data)
+        records = [
+            KeyedRecord(str(item["key"]), base64.b64decode(item["value"]), int(item["offset"]))
+            for item in page["items"]
+        ]
+        return _NewestPage(records, int(page["end"]), bool(page["has_more"]))
+    except (ValueError, KeyError, TypeError, RecursionError) as exc:
+        raise LogUnavailable(f"the store's answer is malformed: {exc!r}") from exc
 
 
 def _decode_records(data: bytes, start: int) -> KeyedPage:
@@ -198,8 +207,9 @@
                 raise ValueError("a record is truncated")
             position += length
             key_end = 1 + record[0]
-            key, value = record[1:key_end].decode(), record[key_end:] or None
-            records.append(KeyedRecord(key, value, start + len(records)))
+            # A key that is no text names no runner, but must not hide the records after it.
+            key, value = record[1:key_end].decode(errors="backslashreplace"), record[key_end:]
+            records.append(KeyedRecord(key, value or None, start + len(records)))
     except (struct.error, ValueError, IndexError) as exc:
         raise LogUnavailable(f"the store's answer is malformed: {exc}") from exc
     return KeyedPage(records, start + len(records))
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import struct
 import tempfile
 import unittest
 from pathlib import Path
@@ -12,7 +13,7 @@
 from lacewinghub.fakes.platform_store import FakeStore, StoreFault
 from lacewinghub.follower import KeyedRecord, RecordsExpired
 from lacewinghub.platform import boot, config, registry
-from lacewinghub.platform.store import StoreClient, StoreTopic
+from lacewinghub.platform.store import StoreClient, StoreTopic, _decode_records
 
 from .platform_cluster import KEY, ROUTES
 from .platform_cluster import config as configuration
@@ -115,6 +116,11 @@
             ("no slots", {"slots": 0}, False),
             ("born is not an integer", {"born": "x"}, False),
             ("missing field", {"zone": None}, False),
+            ("slots beyond all bounds", {"slots": 10**400}, False),
+            ("born beyond all bounds", {"born": 10**400}, False),
+            ("born is negative", {"born": -1}, False),
+            ("port out of range", {"address": "127.0.0.1:65536"}, False),
+            ("unknown fields that are huge", {"x": 10**400, "y": "z" * 10**5}, True),
         ]
         for name, change, usable in cases:
             with self.subTest(name):
@@ -127,7 +133,8 @@
                 self.assertEqual(names, ["other", "x"] if usable else ["other"])
 
     def test_bytes_that_cannot_be_read(self) -> None:
-        for data in (b"\xff\xfe", b"[]", b"nul", b"{}"):
+        nested = b'{"a":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+        for data in (b"\xff\xfe", b"[]", b"nul", b"{}", nested):
             self.assertIsNone(registry.decode("x", data))
 
 
@@ -148,6 +155,13 @@
         page = await self.topic.newest()
         self.assertEqual((len(page.records), page.end), (1203, 1203))
 
+    async def test_a_key_that_is_no_text_does_not_hide_other_records(self) -> None:
+        bad = b"\x02\xff\xfe{}"
+        data = struct.pack(">QQ", 2, 0) + struct.pack(">I", len(bad)) + bad
+        good = b"\x01k1"
+        page = _decode_records(data + struct.pack(">I", len(good)) + good, 0)
+        self.assertEqual([item.value for item in page.records], [b"{}", b"1"])
+
     async def test_read_waits_for_a_record(self) -> None:
         task = asyncio.create_task(self.topic.read(0, 2.0))
         await asyncio.sleep(0.05)
--- a/tests/test_shared_news.py
+++ b/tests/test_shared_news.py
@@ -285,6 +285,8 @@
             ("live", b'{"address": "10.0.0.9:1", "announced": %d}', 0.0, ["10.0.0.9:1"]),
             ("stale", b'{"address": "10.0.0.9:1", "announced": %d}', STALE_S, []),
             ("malformed", b"[%d", 0.0, []),
+            ("deeply nested", b"[" * 100_000 + b"%d", 0.0, []),
+            ("beyond all bounds", b'{"address": "a", "announced": %d' + b"0" * 400 + b"}", 0.0, []),
         ]
         for name, value, age_s, expected in cases:
             with self.subTest(name):
