Take no earlier refusal for the answer of a request on a kept connection

It can happen here for requests that may be repeated (others always get a new connection): with a refusal that carries no id, and when the same request is sent to the same runner again. Change: on a connection that was used before, an answer without the request's id ends the connection (the request may have run); a request that is sent again gets a new connection.

--- a/lacewinghub/httpclient.py
+++ b/lacewinghub/httpclient.py
@@ -49,10 +49,12 @@
 
     Attributes:
         idle_until: Loop time until which it may be reused, in seconds.
+        reused: True if earlier requests were sent on it.
     """
 
     def __init__(self) -> None:
         self.idle_until = 0.0
+        self.reused = False
         self._transport: asyncio.Transport | None = None
         self._receiver = MessageReceiver()
         self._parser = httptools.HttpResponseParser(self)
@@ -326,6 +328,7 @@
             conn = idle.pop()
             if conn.is_idle and now < conn.idle_until:
                 conn.unpark()
+                conn.reused = True
                 return conn
             conn.close()
         return None
--- a/lacewinghub/platform/runner.py
+++ b/lacewinghub/platform/runner.py
@@ -46,7 +46,9 @@
         state = req.proxy
         assert state is not None
         try:
-            conn = await self._pool.get(endpoint.address, fresh=not state.repeatable)
+            # A request that is sent again may meet a late copy of the answer to its first sending.
+            fresh = not state.repeatable or state.sent > 1
+            conn = await self._pool.get(endpoint.address, fresh)
         except ConnectionFailed as exc:
             raise ConnectFailed(exc.message, endpoint=endpoint.name) from exc
         response: Incoming | None = None
@@ -81,9 +83,9 @@
             response = await conn.read_head()
             attempt_id = response.header(names.ATTEMPT_ID)
             if attempt_id is None:
-                # Only a refusal may lack the id. Any other response without it is not passed on,
-                # because it could belong to another request.
-                if _is_refusal(response):
+                # Only a refusal may lack the id, and not where it could be the copy of an earlier
+                # one. Any other response without it could belong to another request.
+                if _is_refusal(response) and not conn.reused:
                     return response
                 raise ConnectionBroken("a response without the id of its request")
             if attempt_id.decode("latin-1") == req.id:
