--- a/lacewinghub/fakes/platform_runner.py
+++ b/lacewinghub/fakes/platform_runner.py
@@ -29,6 +29,7 @@
     UNSEALED = "unsealed"  # No response seal.
     ENCODED = "encoded"  # Claims a content encoding.
     UNFRAMED = "unframed"  # No content length; the end of the connection ends the body.
+    UNFRAMED_ERROR = "unframed-error"  # 500 without content length.
     UNFRAMED_RESET = "unframed-reset"  # The same, but the connection is reset.
     UNFRAMED_CUT = "unframed-cut"  # An unframed stream that ends inside an event.
     UNFRAMED_EMPTY = "unframed-empty"  # An unframed stream that ends before its first event.
@@ -65,6 +66,7 @@
         crashed: Set once the runner has crashed.
         limit_per_s: Requests per second that it states in its answers, or None.
         leaving: True if it states in its answers that it leaves.
+        resume_fault: Fault that it injects into each request that continues a stream, or None.
         refuse_for_s: Time for which its refusals ask for no further requests, or None.
         arrivals: Loop times at which requests arrived, in seconds.
         runs: Executed requests, in order.
@@ -86,6 +88,7 @@
         self.limit_per_s: float | None = None
         self.leaving = False
         self.refuse_for_s: float | None = None
+        self.resume_fault: RunnerFault | None = None
         self.arrivals: list[float] = []
         self._faults: deque[RunnerFault] = deque()
         self._server = HttpServer(self)
@@ -140,6 +143,8 @@
             out.send(421, [(b"lacewinghub-instance-id", self.name.encode())], b"")
             return
         fault = self._faults.popleft() if self._faults else None
+        if self.resume_fault and _header_text(incoming, b"last-event-id"):
+            fault = self.resume_fault
         base_headers: Headers = [
             (b"lacewinghub-attempt-id", attempt.encode()),
             (b"lacewinghub-server-load", b"%d,0,%d" % (len(self._server.connections), SLOTS)),
@@ -216,6 +221,15 @@
     async def _stream(
         self, incoming: Incoming, out: Responder, base_headers: Headers, fault: RunnerFault | None
     ) -> None:
+        if fault in (RunnerFault.ERROR, RunnerFault.UNFRAMED_ERROR):
+            text = b"error: the runner failed"
+            if fault is RunnerFault.ERROR:
+                out.send(500, base_headers, text)
+            else:
+                out.conn.write(
+                    b"HTTP/1.1 500 Failed\r\n" + encode_headers(base_headers) + CRLF + text
+                )
+            return
         after = int(_header_text(incoming, b"last-event-id") or 0)
         body = b"".join(event(number) for number in range(1, self.events + 1))
         sealed = [*base_headers, (b"lacewinghub-response-seal", response_seal(body).encode())]
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -123,6 +123,32 @@
         self.assertEqual(answer.status, 200)
         self.assertFalse(answer.complete)
 
+    async def test_a_stream_that_breaks_off_and_meets_an_error_holds_nothing_but_its_events(
+        self,
+    ) -> None:
+        # Guards against the text or head of an error in the middle of a stream, and against a
+        # stream that ends as if it were complete.
+        whole = b"".join(event(number) for number in range(1, 5))
+        for fault in (
+            RunnerFault.ERROR,
+            RunnerFault.UNFRAMED_ERROR,
+            RunnerFault.FALSE_PROMISE,
+            RunnerFault.GARBLE,
+            RunnerFault.RESET,
+            RunnerFault.FULL,
+        ):
+            with self.subTest(fault=fault):
+                for runner in self.models:
+                    runner.fail(RunnerFault.CUT)
+                    runner.resume_fault = fault
+                found = await self.ask("/draft/x")
+                self.assertEqual(found.status, 200)
+                self.assertEqual(found.body, whole[: len(found.body)])
+                self.assertTrue(found.body.endswith(b"\n\n"), found.body)
+                self.assertFalse(found.complete)
+                for runner in self.models:
+                    runner._faults.clear()
+
     async def test_an_unframed_stream_that_is_broken_off_is_not_ended_as_if_complete(self) -> None:
         # The HTTP client of the other tests takes a reset for the end of such an answer.
         for fault, whole in (
