Count each stated limit once, so that one that has ended is not revived

Nodes pass on the rates that endpoints state with their age, and took the time on the way off it at each hop: a limit that had ended 0.02 to 0.1 s after it was stated came back to all 40 nodes with messages of 50 ms, for good (trial: 12 s and more). Nobody sent such an endpoint what it takes. Change: a rate names the node that received the statement and its number there; NewsFilter, now shared with Freshness, lets each pass once, and numbers of one source go before times.

--- a/lacewinghub/endpoint_quota.py
+++ b/lacewinghub/endpoint_quota.py
@@ -7,12 +7,14 @@
 """
 
 import asyncio
+import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import xxhash
 from loguru import logger
 
+from .freshness import NewsFilter, random_source
 from .membership import HeartbeatContributor, Members, MemberState
 from .message import Heartbeat, StatedRate
 
@@ -36,6 +38,8 @@
     Attributes:
         per_s: Stated rate in requests per second, or None if the endpoint states none.
         stated_at: Loop time of the newest answer that stated it, in seconds.
+        source: Identifier of the node that received that answer.
+        number: Number of that answer among those of its source.
         changed_at: Loop time at which this node learned of the rate, in seconds.
         share: Part of the rate that this node may use, in requests per second.
         tokens: Requests that this node may send now.
@@ -44,6 +48,8 @@
 
     per_s: float | None
     stated_at: float
+    source: int = 0
+    number: int = 0
     changed_at: float = 0.0
     share: float = 0.0
     tokens: float = 0.0
@@ -55,6 +61,15 @@
         self.filled_at = now
 
 
+@dataclass(frozen=True, slots=True)
+class _Statement:
+    """An answer that stated a rate: when it came, which node received it, and its number there."""
+
+    at: float
+    source: int
+    number: int
+
+
 class EndpointQuotas(HeartbeatContributor):
     """The stated rates by endpoint, and what this node may send.
 
@@ -62,14 +77,22 @@
         node: Identifier of this node.
         members: View of the live nodes.
         forward: Passes news of a peer on without waiting for the next heartbeat.
+        rng: Source of the identifier under which this node's statements are known.
     """
 
     def __init__(
-        self, node: str, members: Members, forward: Callable[[], None] = lambda: None
+        self,
+        node: str,
+        members: Members,
+        forward: Callable[[], None] = lambda: None,
+        rng: random.Random | None = None,
     ) -> None:
         self._node = node
         self._members = members
         self._forward = forward
+        self._source = random_source(rng or random.Random())
+        self._statements = 0
+        self._filter = NewsFilter()
         self._quotas: dict[str, _Quota] = {}
         self._senders: list[str] = []
         self._incarnations: dict[str, int] = {}
@@ -85,7 +108,8 @@
                 limit.
         """
         if per_s is not None or endpoint in self._quotas:
-            self._update(endpoint, per_s, _now())
+            self._statements += 1
+            self._update(endpoint, per_s, _Statement(_now(), self._source, self._statements))
 
     def forget(self, endpoint: str) -> None:
         """End the limit of an endpoint that has restarted or is gone."""
@@ -125,7 +149,10 @@
                 del self._quotas[endpoint]
             elif full or now - quota.changed_at <= NEWS_S:
                 per_s = -1.0 if quota.per_s is None else quota.per_s
-                heartbeat.rates.append(StatedRate(endpoint, per_s, int(age_s * 1000)))
+                age_ms = int(age_s * 1000)
+                heartbeat.rates.append(
+                    StatedRate(endpoint, per_s, age_ms, quota.source, quota.number)
+                )
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Store what endpoints stated to a peer, if it is newer."""
@@ -134,19 +161,25 @@
             self._incarnations[heartbeat.node] = heartbeat.incarnation
             self._full_due = True
         for item in heartbeat.rates:
+            own = item.source == self._source
+            if own or not self._filter.is_first((item.endpoint, item.source), item.number):
+                continue
             per_s = item.per_s if item.per_s >= 0 else None
-            changed |= self._update(item.endpoint, per_s, now - max(0, item.age_ms) / 1000)
+            at = now - max(0, item.age_ms) / 1000
+            changed |= self._update(item.endpoint, per_s, _Statement(at, item.source, item.number))
         if changed and self._members.is_partial_mesh():
             self._forward()
 
-    def _update(self, endpoint: str, per_s: float | None, stated_at: float) -> bool:
+    def _update(self, endpoint: str, per_s: float | None, statement: _Statement) -> bool:
         """Store a stated rate unless a newer one is known; return whether the rate changed."""
         quota = self._quotas.get(endpoint)
         if quota is None:
             quota = self._quotas[endpoint] = _Quota(None, float("-inf"))
-        if stated_at <= quota.stated_at:
+        # The numbers of one source are exact, times from different ways are not.
+        if statement.source != quota.source and statement.at <= quota.stated_at:
             return False
-        quota.stated_at = stated_at
+        quota.stated_at, quota.source = statement.at, statement.source
+        quota.number = statement.number
         if quota.per_s == per_s:
             return False
         quota.per_s, quota.changed_at = per_s, _now()
--- a/lacewinghub/freshness.py
+++ b/lacewinghub/freshness.py
@@ -7,12 +7,39 @@
 
 import asyncio
 import random
+from collections.abc import Hashable
 from dataclasses import dataclass
 
-# Reads that were heard of are forgotten after this time, in seconds.
-MEMORY_S = 60.0
-READER_BITS = 32
-MAX_READERS = 512  # Number of readers above which old ones are forgotten.
+SOURCE_BITS = 32
+MAX_SOURCES = 4096  # Number of sources of news above which the oldest is forgotten.
+
+
+def random_source(rng: random.Random) -> int:
+    """Return an identifier, other than 0, under which a node numbers its news."""
+    return rng.getrandbits(SOURCE_BITS) or 1
+
+
+class NewsFilter:
+    """Tells news that is heard for the first time from news that peers pass on again."""
+
+    def __init__(self) -> None:
+        self._numbers: dict[Hashable, int] = {}
+
+    def is_first(self, source: Hashable, number: int) -> bool:
+        """Record a piece of news; return False if it or a later one was heard before.
+
+        Args:
+            source: Where it comes from.
+            number: Its number among the news of its source; they start at 1.
+        """
+        heard = self._numbers.get(source, 0)
+        if number <= heard:
+            return False
+        self._numbers.pop(source, None)
+        self._numbers[source] = number
+        if len(self._numbers) > MAX_SOURCES:
+            del self._numbers[next(iter(self._numbers))]
+        return True
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,12 +55,6 @@
     number: int = 0
 
 
-@dataclass(slots=True)
-class _Heard:
-    number: int
-    at: float
-
-
 class Freshness:
     """The newest read of a topic that a node knows the result of.
 
@@ -48,9 +69,9 @@
     def __init__(self, rng: random.Random) -> None:
         self.read = LogRead()
         self.read_at = float("-inf")
-        self._own = rng.getrandbits(READER_BITS) or 1
+        self._own = random_source(rng)
         self._own_reads = 0
-        self._heard: dict[int, _Heard] = {}
+        self._filter = NewsFilter()
 
     @property
     def age_s(self) -> float:
@@ -77,11 +98,8 @@
         Returns:
             False if the read says nothing new.
         """
-        heard = self._heard.get(read.reader)
-        if read.reader in (0, self._own) or (heard is not None and read.number <= heard.number):
+        if read.reader in (0, self._own) or not self._filter.is_first(read.reader, read.number):
             return False
-        self._heard[read.reader] = _Heard(read.number, _now())
-        self._forget()
         read_at = _now() - age_ms / 1000
         if read_at <= self.read_at:
             return False
@@ -92,11 +110,6 @@
         """Count the time for which the host was suspended; the loop's clock stood still."""
         self.read_at -= suspended_s
 
-    def _forget(self) -> None:
-        if len(self._heard) > MAX_READERS:
-            limit = _now() - MEMORY_S
-            self._heard = {key: item for key, item in self._heard.items() if item.at >= limit}
-
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -136,11 +136,15 @@
         endpoint: Name of the endpoint.
         per_s: Requests per second; negative if it states no limit any more.
         age_ms: Time since the newest answer that stated it, in milliseconds.
+        source: Identifier of the node that received that answer.
+        number: Number of that answer among those of its source.
     """
 
     endpoint: str
     per_s: float
     age_ms: int
+    source: int
+    number: int
 
 
 @dataclass(slots=True)
