End the grace period of missing runners whatever the times are rounded to

Callers would see requests at a runner that has left while the store was away, for as long as the store stays up. Cause: the timer at the end of the grace period compares two rounded loop times again; where their difference comes out a little under 2 s it did nothing, and no other timer follows. That is so for 2 in 100 of the whole milliseconds of a host that is up for 10 to 60 s (computed). Change: the check allows for the rounding; the end of the hold after a restored store as well. Evidence: the new test failed before (a runner of 400 was kept, at the 16th time) and passes.

--- a/lacewinghub/directory.py
+++ b/lacewinghub/directory.py
@@ -19,6 +19,8 @@
 QUEUE_LIMIT = 1024
 # Longer than the announcements of silent endpoints last.
 REWIND_HOLD_S = 5.0
+# Loop times are rounded, so that a timer may seem to fire this much too early.
+TIMER_ERROR_S = 0.002
 MAX_REMEMBERED = 4096  # Number of endpoints that left.
 
 
@@ -189,7 +191,7 @@
         loop.call_at(self._rewound_until, self._release_held)
 
     def _release_held(self) -> None:
-        now = asyncio.get_running_loop().time()
+        now = asyncio.get_running_loop().time() + TIMER_ERROR_S
         self._held_until = {name: at for name, at in self._held_until.items() if at > now}
         self._rebuild()
 
@@ -198,9 +200,10 @@
         loop.call_at(self._returned_at + RETURN_GRACE_S, self._remove_missing)
 
     def _remove_missing(self) -> None:
-        now = asyncio.get_running_loop().time()
-        if self._source_unavailable or now - self._returned_at < RETURN_GRACE_S:
+        if self._source_unavailable:
             return
+        if asyncio.get_running_loop().time() < self._returned_at + RETURN_GRACE_S - TIMER_ERROR_S:
+            return  # The source was lost again meanwhile; there is a later timer.
         for name in list(self._missing):
             self._remove(name)
 
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -81,6 +81,23 @@
             directory.announce(announcement("a", started=started))
         self.assertEqual(notified, ["a", "a"])
 
+    def test_missing_endpoints_are_removed_whatever_the_times_are_rounded_to(self) -> None:
+        # Guards against an endpoint that is used for good because its grace period, a difference
+        # of two rounded times, ended a moment too early.
+        async def play() -> list[list[str]]:
+            directories = [EndpointDirectory() for _ in range(400)]
+            for directory in directories:
+                directory.configure([PoolSpec("p")])
+                directory.announce(announcement("a"))
+                directory.source_lost()
+                directory.withdraw("a")
+                directory.source_returned()
+                await asyncio.sleep(0.137)
+            await asyncio.sleep(RETURN_GRACE_S + 0.1)
+            return [names(directory) for directory in directories]
+
+        self.assertEqual(simulate(play), [[]] * 400)
+
     def test_withdrawal_around_an_outage(self) -> None:
         # Guards against losing all endpoints in an outage of the store, and against keeping one
         # that did not return.
