--- a/lacewinghub/platform/registry.py
+++ b/lacewinghub/platform/registry.py
@@ -9,8 +9,8 @@
 from ..follower import KeyedRecord, KeyedSink
 from ..tables import Address, Endpoint, Name
 
-MAX_SLOTS = 1_000_000
-MAX_UNIX_MS = 10**15
+MAX_SLOTS = 2**31
+MAX_UNIX_MS = 2**53
 
 
 class _Record(BaseModel):
