--- a/lacewinghub/crash_records.py
+++ b/lacewinghub/crash_records.py
@@ -22,9 +22,8 @@
 from .follower import KeyedRecord
 from .membership import Members, rendezvous
 from .message import CrashSuspect
-from .nodelist import WritableKeyedTopic
+from .nodelist import MALFORMED_RECORD, WritableKeyedTopic
 
-MALFORMED = (ValueError, KeyError, TypeError, OverflowError, RecursionError)
 WRITERS = 2  # Number of nodes that write the same record, in case that one of them is lost.
 BACKOFF_FIRST_S = 0.3
 BACKOFF_LIMIT_S = 3.0
@@ -111,6 +110,6 @@
             if self._wall() - float(value["recorded"]) > CAUSE_RETENTION_S:
                 return []
             return _SUSPECTS.validate_python(value["suspects"])
-        except (*MALFORMED, ValidationError) as exc:
+        except (*MALFORMED_RECORD, ValidationError) as exc:
             logger.bind(key=record.key).warning("record holds no crashes: {!r}", exc)
             return []
--- a/lacewinghub/nodelist.py
+++ b/lacewinghub/nodelist.py
@@ -27,6 +27,8 @@
 RENEW_SPREAD_S = 1.0
 BACKOFF_FIRST_S = 0.3
 BACKOFF_LIMIT_S = 3.0
+# What the decoding of a malformed JSON record raises.
+MALFORMED_RECORD = (ValueError, KeyError, TypeError, OverflowError, RecursionError)
 
 
 class WritableKeyedTopic(KeyedTopic):
@@ -106,6 +108,6 @@
             value = json.loads(record.value or b"")
             age_s = self._wall() - float(value["announced"])
             return str(value["address"]) if age_s < STALE_S else None
-        except (ValueError, KeyError, TypeError, OverflowError, RecursionError) as exc:
+        except MALFORMED_RECORD as exc:
             logger.bind(key=record.key).warning("record names no node: {!r}", exc)
             return None
