--- a/review/standins.py
+++ b/review/standins.py
@@ -637,22 +637,19 @@
             services[item.service] = {"name": item.service, "health_path": "/health"}
             if item.events:
                 services[item.service]["engine"] = {"slots": item.slots}
-        self.store.put(
-            "keyed.op",
-            "config",
-            {
-                "version": 7,
-                "routes": routes,
-                "services": list(services.values()),
-                "limits": {
-                    "max_header_bytes": 16384,
-                    "max_body_bytes": 4194304,
-                    "header_timeout_ms": 3000,
-                    "idle_timeout_ms": 15000,
-                },
-                "tenants": [{"name": TENANT, "api_keys": [KEY], "priority": 1}],
+        self.config: dict[str, Any] = {
+            "version": 7,
+            "routes": routes,
+            "services": list(services.values()),
+            "limits": {
+                "max_header_bytes": 16384,
+                "max_body_bytes": 4194304,
+                "header_timeout_ms": 3000,
+                "idle_timeout_ms": 15000,
             },
-        )
+            "tenants": [{"name": TENANT, "api_keys": [KEY], "priority": 1}],
+        }
+        self.store.put("keyed.op", "config", self.config)
         seeds = [f"{self._net}.{number}:8229" for number in range(1, min(3, nodes) + 1)]
         for number in range(1, nodes + 1):
             node = Node(
