Review case 2: one spoilt load header stops a service at a node for good

A runner that spoils the header with its load in each fiftieth answer ends the service of its kind of request at all nodes, until they are restarted.

Code path: RunnerClient._report_load (lacewinghub/platform/runner.py) accepts a number of any length; TwoChoices._load (lacewinghub/selection.py) raises OverflowError for it at each choice of a runner.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,7 +1,6 @@
-"""A node is killed while it passes on streams that have neither a length nor chunks."""
+"""A node gets SIGTERM while it passes on streams that have neither a length nor chunks."""
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
 
@@ -11,24 +10,27 @@
 from standins import TROUBLE, Deployment, Runner, ask, main, route  # noqa: E402
 
 EVENTS = 60
-STREAMS = 12
+PAUSE_S = 0.2  # The stream takes 12 s of its 15 s.
+STREAMS = 8
 DEADLINE_S = 15.0
+GRACE_S = 8
 
 
 async def case(deployment: Deployment) -> list[str]:
     """Play the case and return the breaches."""
     record = deployment.record
     runners = [
-        Runner(record, f"i-{number}", "models", events=EVENTS, pause_s=0.05, framing="unframed")
+        Runner(record, f"i-{number}", "models", events=EVENTS, pause_s=PAUSE_S, framing="unframed")
         for number in (1, 2)
     ]
-    await deployment.start([route("chat", "models", "streaming")], runners, nodes=3)
-    victim = deployment.nodes[0]
+    routes = [route("chat", "models", "streaming", gap_aim_ms=800)]
+    await deployment.start(routes, runners, nodes=3, grace_s=GRACE_S)
+    node = deployment.nodes[0]
     asked = [
         asyncio.create_task(
             ask(
                 record,
-                deployment.nodes[number % 3].front,
+                deployment.nodes[number % 2].front,
                 "/chat/1",
                 f"{number:016x}",
                 deadline_s=DEADLINE_S,
@@ -37,10 +39,11 @@
         )
         for number in range(STREAMS)
     ]
-    await asyncio.sleep(1.3)
+    await asyncio.sleep(1.0)
     if TROUBLE:
-        record.write("SIGKILL", node=victim.name)
-        victim.send_signal(signal.SIGKILL)
+        record.write("SIGTERM", node=node.name)
+        await node.stop()
+        record.write("node ended", node=node.name)
     broken = []
     for answer in await asyncio.gather(*asked):
         whole = list(range(1, EVENTS + 1))
--- a/review/standins.py
+++ b/review/standins.py
@@ -30,6 +30,7 @@
 TENANT = "tenant-a"
 HEARTBEAT_S = 1.2
 READY_LIMIT_S = 30.0
+WRONG_DIGITS = 400
 MAX_ENDLESS_PIECES = 20_000  # Of 64 KB each; the callers of a case close long before.
 
 
@@ -198,6 +199,7 @@
             as a whole body; what goes on at Last-Event-Id runs to its end).
         stops_at: See ``framing``.
         first_s: Time until the first event, in addition.
+        spoils_each: It spoils the header with its load in each so-many-th answer; 0 for none.
     """
 
     def __init__(
@@ -212,7 +214,9 @@
         framing: str = "chunked",
         stops_at: int = 0,
         first_s: float = 0.0,
+        spoils_each: int = 0,
     ) -> None:
+        self.spoils_each, self._answers = spoils_each, 0
         self.first_s = first_s
         self._writers: set[asyncio.StreamWriter] = set()
         self.name, self.service, self.address = name, service, ""
@@ -281,7 +285,14 @@
     ) -> bool:
         attempt = head.headers.get("lacewinghub-attempt-id", "")
         expected = head.headers.get("lacewinghub-expect-instance", self.name)
-        base = f"Lacewinghub-Attempt-Id: {attempt}\r\n"
+        load = f"{self._inside},0,{self.slots}"
+        self._answers += 1
+        if self.spoils_each and self._answers % self.spoils_each == 0:
+            load = f"{'7' * WRONG_DIGITS},0,{self.slots}"
+            self._record.write(
+                "runner spoils the header with its load", attempt=attempt, runner=self.name
+            )
+        base = f"Lacewinghub-Attempt-Id: {attempt}\r\nLacewinghub-Server-Load: {load}\r\n"
         if expected != self.name:
             writer.write(
                 f"HTTP/1.1 421 X\r\nLacewinghub-Instance-Id: {self.name}\r\n"
