Take no reset connection for a crash, and let trials refute a wrong verdict

Cause: a broken connection counted as a crash unless another request was answered 0.1 to 1.5 s later; with long waits there is none. The verdict then withdrew and refused the only requests that could have refuted it. Ruled out: the sum over nodes (one node sufficed) and the store.

Change: the node tries after 0.1 s whether the endpoint still accepts connections, and takes the crash back if so. An endpoint that has restarted meanwhile is proved to have crashed, so that a fast restart hides nothing.

Why it works: the verdict rests on evidence that does not need the traffic that it blocks.

--- a/lacewinghub/crash_evidence.py
+++ b/lacewinghub/crash_evidence.py
@@ -82,6 +82,7 @@
         self._by_trait: dict[int, set[str]] = {}
         self._cleared: dict[int, set[str]] = {}
         self._refuted: set[str] = set()
+        self._proved: set[str] = set()
 
     def add_suspect(self, crash: str, request: int, parts: Iterable[int], now: float) -> bool:
         """Add a request that was at an endpoint when it crashed.
@@ -119,13 +120,26 @@
         return True
 
     def refute(self, crash: str) -> bool:
-        """Record that an endpoint did not crash; return False if this was known."""
-        if crash in self._refuted:
+        """Record that an endpoint did not crash; return False if this was known or is wrong."""
+        if crash in self._refuted or crash in self._proved:
             return False
         self._refuted.add(crash)
         self.version += 1
         return True
 
+    def prove(self, crash: str) -> bool:
+        """Record that an endpoint did crash, whatever else was or will be concluded.
+
+        Returns:
+            True if the opposite was assumed before.
+        """
+        self._proved.add(crash)
+        if crash not in self._refuted:
+            return False
+        self._refuted.discard(crash)
+        self.version += 1
+        return True
+
     def is_refuted(self, crash: str) -> bool:
         """Return whether a supposed crash turned out to be none."""
         return crash in self._refuted
@@ -135,6 +149,11 @@
         found = self._crashes.get(crash)
         return found.known_at if found else None
 
+    def newest_of(self, crashes: Iterable[str]) -> float:
+        """Return the loop time at which the newest of some crashes became known, in seconds."""
+        known = (self.known_at(crash) for crash in crashes)
+        return max((item for item in known if item is not None), default=float("-inf"))
+
     def crashes_of(self, trait: int) -> list[str]:
         """Return the crashes of which a trait is suspected and not cleared."""
         suspected = self._by_trait.get(trait, set())
@@ -233,10 +252,12 @@
         oldest = next(iter(self._crashes))
         self._drop(next((name for name in self._crashes if name not in blamed), oldest))
         self._refuted &= self._crashes.keys()
+        self._proved &= self._crashes.keys()
 
     def _drop(self, crash: str) -> None:
         del self._crashes[crash]
         self._refuted.discard(crash)
+        self._proved.discard(crash)
         self.version += 1
         for index in (self._cleared, self._by_trait):
             for trait, crashes in list(index.items()):
--- a/lacewinghub/crash_guard.py
+++ b/lacewinghub/crash_guard.py
@@ -4,21 +4,26 @@
 share. Nodes tell each other which requests were at an endpoint when it crashed and which of these
 are above suspicion; ``crash_evidence`` finds the cause. Unlike ``quarantine``, this holds back no
 request that is merely a suspect: an interrupted stream cannot wait, and most suspects are harmless.
+
+A broken connection alone is no crash: a network resets connections, too. The node therefore tries
+whether the endpoint still accepts connections, and takes no other requests for proof of that. A
+verdict that is wrong nevertheless is found out by ``crash_trial``.
 """
 
 import asyncio
 from collections import OrderedDict, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 
 import xxhash
 from loguru import logger
 
 from .crash_evidence import Cause, CrashEvidence
+from .crash_trial import CrashTrials
 from .dependencies import PoisonRequestGuard
 from .errors import CrashesEndpoints
 from .membership import HeartbeatContributor, Members
-from .message import ClearedTrait, CrashSuspect, Heartbeat
+from .message import ClearedTrait, CrashSuspect, CrashTrial, Heartbeat
 from .request import AttemptResult, Request
 
 # Refused clients are told to retry after this; a part that crashes endpoints goes on doing so.
@@ -33,6 +38,8 @@
 # An endpoint that answers within this span after its connection broke has not crashed: one that
 # crashed needs longer to start again, and bytes that it sent before may arrive a little later.
 ALIVE_SPAN_S = (0.1, 1.5)
+# An endpoint that has a new start time or is gone this shortly after its connections broke crashed.
+RESTART_SPAN_S = 5.0
 NEW_S = 0.6  # How long a new fact is part of every heartbeat.
 FULL_EVERY = 20  # Number of heartbeats after which one contains the evidence of all causes again.
 MAX_SHARED = 512  # Facts in one heartbeat.
@@ -42,6 +49,9 @@
 RECENT_S = 60.0
 MAX_TRAITS = 8192  # Traits of which it is remembered when they were answered.
 
+# What nodes tell each other; a text is the identifier of a crash that was none.
+Fact = CrashSuspect | ClearedTrait | CrashTrial | str
+
 
 @dataclass(slots=True)
 class _Attempt:
@@ -75,21 +85,29 @@
     """Shares crashes and their suspects with the other nodes, and refuses what causes crashes.
 
     Args:
+        node: Identifier of this node.
         members: View of the live nodes.
         started: Returns the start time of an endpoint that accepts requests, in seconds; None if it
             is leaving or unknown, so that its end is no crash.
         announce: Sends a heartbeat at once.
         forward: Passes facts of a peer on without waiting for the next heartbeat.
+        is_reachable: Tries whether an endpoint accepts connections; it needs at most the part of
+            ``CONFIRM_S`` that is left after the lower end of ``ALIVE_SPAN_S``.
     """
 
     def __init__(
         self,
+        node: str,
         members: Members,
         started: Callable[[str], float | None],
         announce: Callable[[], None],
         forward: Callable[[], None],
+        is_reachable: Callable[[str], Awaitable[bool]],
     ) -> None:
         self.evidence = CrashEvidence()
+        self._trials = CrashTrials(node, members, self._share)
+        self._is_reachable = is_reachable
+        self._verifications: set[asyncio.Task[None]] = set()
         self._members = members
         self._started = started
         self._announce = announce
@@ -100,7 +118,7 @@
         self._evaluated_at = float("-inf")
         self._evaluated_version = 0
         self._listeners: list[Callable[[Cause], None]] = []
-        self._new: deque[tuple[float, CrashSuspect | ClearedTrait | str]] = deque()
+        self._new: deque[tuple[float, Fact]] = deque()
         self._incarnations: dict[str, int] = {}
         self._heartbeat_count = 0
         self._full_due = False
@@ -116,15 +134,17 @@
         return self._causes
 
     def check(self, req: Request) -> None:
-        """Refuse a request that has the traits of a cause.
+        """Refuse a request that has the traits of a cause, unless it is a trial.
 
         Raises:
             CrashesEndpoints: If it has.
         """
-        if not self._causes:
+        if not self._causes or self._trials.is_trial(req.id):
             return
         cause = self._cause_in(_Attempt(req, "", part_traits(req)))
-        if cause is not None:
+        if cause is not None and not self._trials.try_start(
+            cause.trait, req.id, self.evidence.newest_of(cause.crashes)
+        ):
             raise CrashesEndpoints(
                 f"similar requests crashed {len(cause.crashes)} endpoints",
                 retry_after_s=RETRY_AFTER_S,
@@ -134,6 +154,7 @@
     def on_dispatched(self, req: Request, endpoint: str) -> None:
         """Record that a request is being sent to an endpoint."""
         self._attempts[req.id] = _Attempt(req, endpoint, part_traits(req))
+        self._trials.on_sent(req.id)
 
     def on_answer_began(self, req: Request, endpoint: str) -> None:
         """Record that an endpoint answers, so that it is alive."""
@@ -145,6 +166,8 @@
         if attempt is None or req.proxy is None:
             return
         now = _now()
+        if self._trials.is_trial(req.id):
+            self._on_trial_ended(req, endpoint, seen)
         if seen.ok and req.proxy.answering_since is not None:
             self._refute_crash(endpoint)
             self._on_answered(attempt, now)
@@ -153,7 +176,26 @@
         elif seen.ended:
             crash = self._crash_id(endpoint)
             if crash is not None:
-                self._add_suspect(crash, attempt.request, attempt.parts)
+                self._add_suspect(endpoint, crash, attempt.request, attempt.parts)
+
+    def on_request_done(self, req: Request) -> None:
+        """End the trial of a request that failed or was cancelled."""
+        self._trials.end(req.id)
+
+    def on_endpoint_reset(self, endpoint: str) -> None:
+        """Take a restart or the end of an endpoint for proof of the crash that was just suspected.
+
+        It may have been reached again so soon that it seemed to be alive all the while.
+        """
+        started = self._started(endpoint)
+        current = None if started is None else _crash_prefix(endpoint, started)
+        for crash in self.evidence.crashes_since(_now() - RESTART_SPAN_S):
+            if not crash.startswith(f"{endpoint}@"):
+                continue
+            if current is not None and crash.startswith(current):
+                continue
+            if self.evidence.prove(crash):
+                logger.bind(endpoint=endpoint).info("the endpoint was reached, but had crashed")
 
     def restore(self, suspects: Iterable[CrashSuspect]) -> None:
         """Add suspects of earlier crashes that were stored."""
@@ -198,12 +240,13 @@
         limit = _now() - NEW_S
         while self._new and self._new[0][0] < limit:
             self._new.popleft()
-        facts = [item for _, item in self._new]
+        facts: list[Fact] = [item for _, item in self._new]
         if self._full_due:
             facts = self._all_facts()
         elif self._heartbeat_count % FULL_EVERY == 0:
             self._drop_old()
             facts += [item for cause in self._causes for item in self.evidence_of(cause)]
+            facts += self._trials.facts()
         self._full_due = False
         for item in facts[-MAX_SHARED:]:
             _add_fact(heartbeat, item)
@@ -213,11 +256,12 @@
         if self._incarnations.get(heartbeat.node) != heartbeat.incarnation:
             self._incarnations[heartbeat.node] = heartbeat.incarnation
             self._full_due = True
-        new: list[CrashSuspect | ClearedTrait | str] = []
+        new: list[Fact] = []
         for cleared in heartbeat.cleared[:MAX_SHARED]:
             if self.evidence.clear(cleared.trait, cleared.crashes):
                 new.append(cleared)
         new += [item for item in heartbeat.refuted[:MAX_SHARED] if self.evidence.refute(item)]
+        new += [item for item in heartbeat.crash_trials[:MAX_SHARED] if self._trials.merge(item)]
         for item in heartbeat.crash_suspects[:MAX_SHARED]:
             if self.evidence.add_suspect(item.crash, item.request, item.parts, _now()):
                 new.append(item)
@@ -226,13 +270,45 @@
             self._new.extend((_now(), item) for item in new)
             self._forward()
 
-    def _add_suspect(self, crash: str, request: int, parts: tuple[int, ...]) -> None:
+    def _add_suspect(self, endpoint: str, crash: str, request: int, parts: tuple[int, ...]) -> None:
+        is_first = self.evidence.known_at(crash) is None
         if not self.evidence.add_suspect(crash, request, parts, _now()):
             return
+        if is_first:
+            task = asyncio.get_running_loop().create_task(self._verify_crash(endpoint))
+            self._verifications.add(task)
+            task.add_done_callback(self._verifications.discard)
         suspect = CrashSuspect(crash, request, list(parts))
         self._share(suspect)
         self._clear_if_answered(suspect)
 
+    async def _verify_crash(self, endpoint: str) -> None:
+        """Take a crash back if its endpoint accepts connections.
+
+        A process that dies may accept one for a moment longer, since its sockets are closed one
+        after the other.
+        """
+        await asyncio.sleep(ALIVE_SPAN_S[0])
+        try:
+            if await self._is_reachable(endpoint):
+                self._refute_crash(endpoint)
+        except Exception:
+            logger.bind(endpoint=endpoint).exception("unexpected error while a crash was verified")
+
+    def _on_trial_ended(self, req: Request, endpoint: str, seen: AttemptResult) -> None:
+        """End a trial whose attempt has ended, unless no endpoint received the request."""
+        assert req.proxy is not None
+        if not (seen.ended or seen.ok or req.proxy.answering_since is not None):
+            return
+        trait, crash = self._trials.end(req.id), self._crash_id(endpoint)
+        if seen.ended and trait is not None and crash is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(CONFIRM_S, self._count_failed_trial, trait, crash)
+
+    def _count_failed_trial(self, trait: int, crash: str) -> None:
+        if not self.evidence.is_refuted(crash):
+            self._trials.record_failure(trait)
+
     def _on_answered(self, attempt: _Attempt, now: float) -> None:
         """Record that a request was answered, which clears its traits of all known crashes."""
         traits = attempt.traits if self.evidence.newest > float("-inf") else attempt.parts
@@ -274,10 +350,10 @@
         started = self._started(endpoint)
         if started is None:
             return None
-        base, number = f"{endpoint}@{started:.3f}", 0
-        while self.evidence.is_refuted(f"{base}/{number}"):
+        prefix, number = _crash_prefix(endpoint, started), 0
+        while self.evidence.is_refuted(f"{prefix}{number}"):
             number += 1
-        return f"{base}/{number}"
+        return f"{prefix}{number}"
 
     def _cause_in(self, attempt: _Attempt) -> Cause | None:
         return next((item for item in self._causes if item.refused <= attempt.traits), None)
@@ -290,11 +366,13 @@
             state = attempt.req.proxy
             if state is None or state.abort is None or state.answering_since is not None:
                 continue
+            if self._trials.is_trial(attempt.req.id):
+                continue
             if self._cause_in(attempt) is not None:
                 state.withdrawn = True
                 state.abort()
 
-    def _all_facts(self) -> list[CrashSuspect | ClearedTrait | str]:
+    def _all_facts(self) -> list[Fact]:
         """Return what a node that joins needs to know."""
         recent = self.evidence.crashes_since(_now() - RECENT_S)
         crashes = sorted({*recent, *self._blamed()})
@@ -303,18 +381,20 @@
             *[CrashSuspect(crash, request, list(parts)) for crash, request, parts in suspects],
             *[ClearedTrait(trait, names) for trait, names in self.evidence.cleared(crashes)],
             *self.evidence.refuted(),
+            *self._trials.facts(),
         ]
 
     def _drop_old(self) -> None:
         now = _now()
         self.evidence.drop_before(now - SUSPECT_RETENTION_S, keep=self._blamed())
         self.evidence.drop_before(now - CAUSE_RETENTION_S)
+        self._trials.retain({cause.trait for cause in self._causes})
 
     def _blamed(self) -> set[str]:
         """Return the crashes that have a known cause."""
         return {name for cause in self._causes for name in cause.crashes}
 
-    def _share(self, fact: CrashSuspect | ClearedTrait | str) -> None:
+    def _share(self, fact: Fact) -> None:
         """Send a new fact to the peers, together with others of this iteration of the loop."""
         self._new.append((_now(), fact))
         if not self._announce_scheduled:
@@ -340,9 +420,16 @@
     return xxhash.xxh3_64_intdigest(head + http.body)
 
 
-def _add_fact(heartbeat: Heartbeat, fact: CrashSuspect | ClearedTrait | str) -> None:
+def _crash_prefix(endpoint: str, started: float) -> str:
+    """Return what the identifiers of all crashes of an endpoint since a start have in common."""
+    return f"{endpoint}@{started:.3f}/"
+
+
+def _add_fact(heartbeat: Heartbeat, fact: Fact) -> None:
     if isinstance(fact, CrashSuspect):
         heartbeat.crash_suspects.append(fact)
+    elif isinstance(fact, CrashTrial):
+        heartbeat.crash_trials.append(fact)
     elif isinstance(fact, ClearedTrait):
         heartbeat.cleared.append(fact)
     else:
--- a/lacewinghub/directory.py
+++ b/lacewinghub/directory.py
@@ -92,6 +92,11 @@
         item = self._known.get(name)
         return item.started if item is not None and self._accepts_requests(item) else None
 
+    def address(self, name: str) -> str | None:
+        """Return the address of a known endpoint, or None."""
+        item = self._known.get(name)
+        return item.endpoint.address if item is not None else None
+
     def configure(self, specs: Iterable[PoolSpec]) -> None:
         """Replace the configured pools."""
         self._specs = {item.name: item for item in specs}
--- a/lacewinghub/httpclient.py
+++ b/lacewinghub/httpclient.py
@@ -296,6 +296,15 @@
         self.opened += 1
         return conn
 
+    async def is_reachable(self, address: str) -> bool:
+        """Return whether an address accepts a connection, which is closed again."""
+        try:
+            conn = await self.get(address, fresh=True)
+        except ConnectionFailed:
+            return False
+        conn.close()
+        return True
+
     def put(self, address: str, conn: HttpConnection, response: Incoming) -> None:
         """Keep a connection after its response was read, or close it if it is not reusable."""
         idle = self._idle.setdefault(address, [])
--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -170,6 +170,21 @@
     crashes: list[str]
 
 
+@dataclass(slots=True)
+class CrashTrial:
+    """Trials of a trait for which requests are refused.
+
+    Attributes:
+        trait: Hash of the part of a prompt, or of the request.
+        started: Number of trials that were started.
+        failed: Number of trials that crashed an endpoint.
+    """
+
+    trait: int
+    started: int
+    failed: int
+
+
 @dataclass(slots=True)
 class RelayedPressure:
     """Load shedding and admissions of one pool at other nodes than the sender.
@@ -283,6 +298,7 @@
     cleared: list[ClearedTrait] = field(default_factory=list)
     refuted: list[str] = field(default_factory=list)
     rates: list[StatedRate] = field(default_factory=list)
+    crash_trials: list[CrashTrial] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -294,10 +294,12 @@
         self._runner_allocation = DemandAllocation(self._overlay)
         self._cache_sync = PromptCacheSync(PromptCacheIndex())
         self._crash_guard = CrashGuard(
+            cfg.node,
             self._overlay,
             self._directory.started,
             self._overlay.send_heartbeat,
             self._overlay.schedule_relay,
+            self._is_reachable,
         )
         self._crash_records = CrashRecords(
             cfg.node, self._overlay, self._adapter.crashes(), self._crash_guard
@@ -400,6 +402,11 @@
         self._failure_detector.forget(endpoint.name)
         self._quotas.forget(endpoint.name)
         self._pauses.forget(endpoint.name)
+        self._crash_guard.on_endpoint_reset(endpoint.name)
+
+    async def _is_reachable(self, name: str) -> bool:
+        address = self._directory.address(name)
+        return address is not None and await self._connections.is_reachable(address)
 
     def _on_nodes(self, addresses: list[str]) -> None:
         self._announced_nodes = len(addresses) + 1
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -11,6 +11,7 @@
 from lacewinghub.crash_evidence import CrashEvidence
 from lacewinghub.crash_guard import CONFIRM_S, CrashGuard, part_traits
 from lacewinghub.crash_records import CrashRecords
+from lacewinghub.crash_trial import LONGEST_PAUSE_S, MAX_FAILURES, CrashTrials
 from lacewinghub.errors import CrashesEndpoints, LogUnavailable
 from lacewinghub.follower import KeyedPage, KeyedRecord
 from lacewinghub.membership import Membership
@@ -163,12 +164,26 @@
 
     def __init__(self, network: MemoryNetwork, name: str, incarnation: int, topic: Topic) -> None:
         identity = Peer(name, incarnation, "z", f"memory:{name}")
-        member = Membership(identity, network.transport(identity), ["memory:n0", "memory:n1"])
-        self.guard = CrashGuard(member, lambda _: 1.0, member.send_heartbeat, lambda: None)
+        member = self.member = Membership(
+            identity, network.transport(identity), ["memory:n0", "memory:n1"]
+        )
+        self.started = 1.0
+        self.reachable: set[str] = set()
+        self.guard = CrashGuard(
+            name,
+            member,
+            lambda _: self.started,
+            member.send_heartbeat,
+            lambda: None,
+            self._is_reachable,
+        )
         member.add(self.guard)
         records = CrashRecords(name, member, topic, self.guard)
         self.tasks = [asyncio.create_task(member.run()), asyncio.create_task(records.run())]
 
+    async def _is_reachable(self, endpoint: str) -> bool:
+        return endpoint in self.reachable
+
     async def stop(self) -> None:
         for task in self.tasks:
             task.cancel()
@@ -246,6 +261,83 @@
         await asyncio.sleep(SETTLE_S)
         self.assertFalse(any(node.refuses(request(9, "first", "dead")) for node in self.nodes))
 
+    @simulated
+    async def test_reset_connections_of_endpoints_that_can_be_reached_are_no_crashes(self) -> None:
+        # Guards against a verdict from connections that a network reset, without other requests
+        # that could show that the endpoints are alive.
+        for node in self.nodes:
+            node.reachable = {f"r{number}" for number in range(6)}
+        for number in range(6):
+            await self.crash(number, "first", "dead")
+        for _ in range(20):
+            await asyncio.sleep(0.1)
+            self.assertFalse(any(node.refuses(request(9, "first", "dead")) for node in self.nodes))
+
+    @simulated
+    async def test_endpoints_that_restart_at_once_have_crashed(self) -> None:
+        # Guards against taking the process that follows a crashed one for proof of its life.
+        for node in self.nodes:
+            node.reachable = {f"r{number}" for number in range(3)}
+        for number in range(3):
+            await self.crash(number, "first", "dead")
+        await asyncio.sleep(SETTLE_S)
+        for node in self.nodes:
+            node.started = 2.0
+            for number in range(3):
+                node.guard.on_endpoint_reset(f"r{number}")
+        await asyncio.sleep(SETTLE_S)
+        self.assertTrue(all(node.refuses(request(9, "first", "dead")) for node in self.nodes))
+
+    @simulated
+    async def test_a_wrong_verdict_is_taken_back_after_a_trial(self) -> None:
+        # Guards against a verdict that only the requests which it refuses could refute.
+        for number in range(3):
+            await self.crash(number, "first", "dead")
+        trials = await self.trials(30.0, ANSWERED)
+        self.assertEqual(len(trials), 1)
+        await asyncio.sleep(SETTLE_S)
+        self.assertFalse(any(node.refuses(request(9, "first", "dead")) for node in self.nodes))
+
+    @simulated
+    async def test_few_trials_of_requests_that_do_crash_endpoints(self) -> None:
+        for number in range(3):
+            await self.crash(number, "first", "dead")
+        trials = await self.trials(100.0, ENDED)
+        self.assertEqual(len(trials), 2)  # After 10 s, and after another 60 s.
+        self.assertTrue(all(node.refuses(request(9, "first", "dead")) for node in self.nodes))
+
+    @simulated
+    async def test_a_verdict_that_trials_have_confirmed_is_final(self) -> None:
+        for node in self.nodes:
+            await node.stop()  # Their heartbeats would make the simulated hours slow.
+        loop = asyncio.get_running_loop()
+        trials = CrashTrials("n0", self.nodes[0].member, lambda _: None)
+        for _ in range(MAX_FAILURES):
+            await asyncio.sleep(LONGEST_PAUSE_S + 3.0)
+            self.assertTrue(trials.try_start(1, "q", loop.time() - LONGEST_PAUSE_S))
+            trials.record_failure(1)
+        await asyncio.sleep(10 * LONGEST_PAUSE_S)
+        self.assertFalse(trials.try_start(1, "q", 0.0))
+
+    async def trials(self, for_s: float, result: AttemptResult) -> list[float]:
+        """Ask all nodes for a long time, and return when a request was let through."""
+        loop, found = asyncio.get_running_loop(), []
+        await asyncio.sleep(SETTLE_S)
+        end = loop.time() + for_s
+        number = 100
+        while loop.time() < end:
+            for node in self.nodes:
+                number += 1
+                req = request(number, "first", "dead")
+                if node.refuses(req):
+                    continue
+                node.run(req, f"r{number}", result)
+                found.append(loop.time())
+                if result.ok:
+                    return found
+            await asyncio.sleep(0.5)
+        return found
+
     @simulated
     async def test_attempts_that_wait_for_an_answer_are_withdrawn(self) -> None:
         waiting = request(70, "first", "dead")
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -5,7 +5,7 @@
 
 from lacewinghub.fakes.platform_runner import FakeRunner
 
-from .platform_cluster import ClientResponse, PlatformCase
+from .platform_cluster import ROUTES, ClientResponse, PlatformCase, config, route
 
 RESTART_S = 0.3
 CRASHES = 5  # So many crashes are enough for the nodes to know the part.
@@ -84,3 +84,36 @@
                     await asyncio.sleep(RESTART_S)
                 self.assertLessEqual(self.reached("late") - before, LATE_LIMIT)
                 self.assertEqual(served, MORE)
+
+
+class TestBrokenConnections(PlatformCase):
+    nodes = 2
+    runners = 6
+
+    async def test_requests_are_served_after_a_network_reset_their_connections(self) -> None:
+        # Guards against taking resets for crashes while no runner answers anything else.
+        routes = [item for item in ROUTES if item["name"] != "draft"]
+        draft = route("draft", "models", "streaming", resumable=True, timeout_ms=9000)
+        self.store.put("keyed.op", "config", config(2, [*routes, draft]))
+        await self.until_version(2)
+        for item in self.models:
+            item.events, item.work_s = 1, 1.5
+        waiting = [asyncio.create_task(self.ask_long(0, number)) for number in range(6)]
+        await asyncio.sleep(0.4)
+        for item in self.models:
+            for conn in list(item._server.connections)[:1]:
+                conn.reset()
+        await asyncio.sleep(1.0)
+        waiting += [asyncio.create_task(self.ask_long(node, 9)) for node in range(self.nodes)]
+        answers = await asyncio.gather(*waiting)
+        self.assertTrue(all(item.status == 200 and item.complete for item in answers))
+
+    async def ask_long(self, node: int, number: int) -> ClientResponse:
+        """Send a draft with a prompt so long that the runners share the load equally."""
+        headers = {
+            "Lacewinghub-Prompt-Prefix": f"first:60,own{number}:49940",
+            "Lacewinghub-Deadline-Ms": "9000",
+        }
+        return await self.ask(
+            "/draft/a", node=node, tokens="50000,40", headers=headers, data=b"%d" % number
+        )
