Split streams in blocks, so that the work per byte does not grow with what has arrived

Cause: for each event EventSplitter.feed searched the whole rest of the buffer three times and copied it. Ruled out: writing to the client, the bound on the size of an event (each is short).

Change: all complete events are passed on as one block, ended by one backward search; the newest id is found in one search; only a continued stream is searched for ids that the client has. The reader of the product's own interface copied its buffer with each piece and its tokens with each event; both are joined once now.

--- a/lacewinghub/endpoint.py
+++ b/lacewinghub/endpoint.py
@@ -5,6 +5,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import AsyncGenerator, Callable, Coroutine
 from dataclasses import dataclass
+from itertools import chain
 from typing import Any, ClassVar
 
 import aiohttp
@@ -382,7 +383,8 @@
         self.ended = False
         self.failure: EndpointRejected | None = None
         self._endpoint = endpoint
-        self._buffer = b""
+        self._pieces: list[bytes] = []  # Of the line that is not complete yet.
+        self._size = 0
 
     def feed(self, data: bytes) -> list[Chunk]:
         """Add bytes and return the chunks that they complete.
@@ -390,29 +392,38 @@
         Adjacent chunks are merged: on a busy node a read returns several, and the cost of passing
         on a chunk does not depend on its size.
         """
-        *lines, self._buffer = (self._buffer + data).split(b"\n")
-        chunks: list[Chunk] = []
+        runs: list[list[Chunk]] = []
         try:
-            for line in lines:
+            for line in self._complete_lines(data):
                 if line.startswith(b"data:"):
-                    self._add_event(line[5:].strip(), chunks)
-            if len(self._buffer) > MAX_EVENT_BYTES:
+                    self._add_event(line[5:].strip(), runs)
+            if self._size > MAX_EVENT_BYTES:
                 raise self._rejected(f"sent an event of more than {MAX_EVENT_BYTES} bytes")
         except EndpointRejected as exc:
             self.failure = exc
-        return chunks
-
-    def _add_event(self, payload: bytes, chunks: list[Chunk]) -> None:
+        return [_merge(run) for run in runs]
+
+    def _complete_lines(self, data: bytes) -> list[bytes]:
+        """Return the lines that the bytes complete, and keep the rest."""
+        self._pieces.append(data)
+        self._size += len(data)
+        if b"\n" not in data:
+            return []
+        *lines, rest = b"".join(self._pieces).split(b"\n")
+        self._pieces, self._size = [rest], len(rest)
+        return lines
+
+    def _add_event(self, payload: bytes, runs: list[list[Chunk]]) -> None:
+        """Add the chunk of an event to the last run of adjacent chunks, or to a new run."""
         if payload == _DONE or self.ended:
             self.ended = True
             return
         chunk = self._parse(payload)
-        last = chunks[-1] if chunks else None
+        last = runs[-1][-1] if runs else None
         if last is None or last.finish is not None or last.index + len(last.tokens) != chunk.index:
-            chunks.append(chunk)
+            runs.append([chunk])
         else:
-            tokens = last.tokens + chunk.tokens
-            chunks[-1] = Chunk(last.index, tokens, chunk.finish, chunk.total)
+            runs[-1].append(chunk)
 
     def _parse(self, payload: bytes) -> Chunk:
         try:
@@ -434,6 +445,14 @@
         return EndpointRejected(f"endpoint {name!r} {what}", endpoint=name, status=500)
 
 
+def _merge(run: list[Chunk]) -> Chunk:
+    """Return one chunk for a run of adjacent ones."""
+    if len(run) == 1:
+        return run[0]
+    tokens = tuple(chain.from_iterable(item.tokens for item in run))
+    return Chunk(run[0].index, tokens, run[-1].finish, run[-1].total)
+
+
 def _decode(data: bytes) -> Any:
     try:
         return json.loads(data)
--- a/lacewinghub/eventstream.py
+++ b/lacewinghub/eventstream.py
@@ -1,10 +1,22 @@
-"""Splits a stream of server-sent events, so that another endpoint can continue it."""
+"""Splits a stream of server-sent events, so that another endpoint can continue it.
+
+Each byte is looked at a fixed number of times, however short the events are and in whatever pieces
+they arrive: complete events are passed on as one block, and only a continued stream is searched for
+events that the client has received before.
+"""
+
+import re
 
 from .endpoint import EndpointCrashed
 
 MAX_EVENT_BYTES = 256 * 1024
 _TERMINATORS = (b"\n\n", b"\r\n\r\n", b"\r\r")
 _LONGEST_TERMINATOR = max(map(len, _TERMINATORS))
+_TERMINATOR = re.compile(b"|".join(_TERMINATORS))
+_ID = re.compile(rb"(?:\A|[\r\n])id:([^\r\n]*)")
+_LAST_ID = re.compile(rb"(?s:.*)(?:\A|[\r\n])id:([^\r\n]*)")
+# Ids with more digits are compared as texts: no stream has so many events.
+MAX_ID_DIGITS = 18
 
 
 class EventTooLarge(EndpointCrashed):
@@ -15,7 +27,8 @@
     """Splits the bytes of a stream into events and remembers the id of the last one.
 
     Args:
-        after: Id of the last event that the client received, or None; events up to it are dropped.
+        after: Id of the last event that the client received, or None. Events up to it are dropped,
+            until one with a later id arrives.
 
     Attributes:
         last_event_id: Id of the last event that was returned, initially ``after``.
@@ -23,7 +36,8 @@
 
     def __init__(self, after: bytes | None = None) -> None:
         self.last_event_id = after
-        self._buffer = b""
+        self._dropping = after is not None
+        self._buffer = bytearray()
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes of the stream.
@@ -36,25 +50,42 @@
         """
         searched = max(0, len(self._buffer) - _LONGEST_TERMINATOR)
         self._buffer += data
-        found = []
-        while (end := _end_of_event(self._buffer, searched)) > 0:
-            searched = 0
-            event, self._buffer = self._buffer[:end], self._buffer[end:]
-            event_id = _event_id(event)
-            if event_id is not None and _is_received(event_id, self.last_event_id):
-                continue
-            if event_id is not None:
-                self.last_event_id = event_id
-            found.append(event)
+        end = _end_of_last_event(self._buffer, searched)
+        events = bytes(self._buffer[:end])
+        del self._buffer[:end]
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise EventTooLarge(f"an event has more than {MAX_EVENT_BYTES} bytes")
-        return b"".join(found)
+        if self._dropping:
+            events = self._without_received(events)
+        found = _LAST_ID.match(events)
+        if found is not None:
+            self.last_event_id = found[1].strip()
+        return events
+
+    def restart(self) -> None:
+        """Prepare for the stream of another endpoint, which continues after the last event."""
+        self._buffer.clear()
+        self._dropping = self.last_event_id is not None
 
     def take_remainder(self) -> bytes:
         """Remove and return the incomplete event at the end of the stream."""
-        data, self._buffer = self._buffer, b""
+        data = bytes(self._buffer)
+        self._buffer.clear()
         return data
 
+    def _without_received(self, events: bytes) -> bytes:
+        """Return what follows the last of the complete events that the client has received."""
+        last = None
+        for found in _ID.finditer(events):
+            if not _is_received(found[1].strip(), self.last_event_id):
+                self._dropping = False
+                break
+            last = found
+        if last is None:
+            return events
+        terminator = _TERMINATOR.search(events, last.end())
+        return events[terminator.end() :] if terminator else b""
+
 
 class EventEnd:
     """Tells whether a stream that was passed on so far ends with a complete event."""
@@ -64,7 +95,7 @@
 
     def feed(self, data: bytes) -> None:
         """Add bytes of the stream."""
-        self._tail = (self._tail + data)[-_LONGEST_TERMINATOR:]
+        self._tail = (self._tail + data[-_LONGEST_TERMINATOR:])[-_LONGEST_TERMINATOR:]
 
     @property
     def has_data(self) -> bool:
@@ -77,25 +108,19 @@
         return self._tail.endswith(_TERMINATORS)
 
 
-def _end_of_event(data: bytes, start: int) -> int:
-    """Return the position after the first event, or 0 if it does not end at or after ``start``."""
+def _end_of_last_event(data: bytearray, start: int) -> int:
+    """Return the position after the last event, or 0 if none ends after ``start``."""
     ends = [
         at + len(terminator)
         for terminator in _TERMINATORS
-        if (at := data.find(terminator, start)) >= 0
+        if (at := data.rfind(terminator, start)) >= 0
     ]
-    return min(ends, default=0)
-
-
-def _event_id(event: bytes) -> bytes | None:
-    for line in event.splitlines():
-        if line.startswith(b"id:"):
-            return line[3:].strip()
-    return None
+    return max(ends, default=0)
 
 
 def _is_received(event_id: bytes, last: bytes | None) -> bool:
-    try:
-        return last is not None and int(event_id) <= int(last)
-    except ValueError:
+    if last is None:
+        return False
+    if not all(item.isdigit() and len(item) <= MAX_ID_DIGITS for item in (event_id, last)):
         return event_id == last
+    return int(event_id) <= int(last)
--- a/lacewinghub/fakes/platform_runner.py
+++ b/lacewinghub/fakes/platform_runner.py
@@ -35,6 +35,7 @@
     UNFRAMED_EMPTY = "unframed-empty"  # An unframed stream that ends before its first event.
     FALSE_PROMISE = "false-promise"  # 503 without the statement that it was not executed.
     HANG = "hang"  # Never responds.
+    EMPTY_LINES = "empty-lines"  # A stream of empty lines without end.
 
 
 @dataclass(frozen=True, slots=True)
@@ -236,6 +237,9 @@
         unframed = (RunnerFault.UNFRAMED, RunnerFault.UNFRAMED_CUT, RunnerFault.UNFRAMED_EMPTY)
         framed = fault not in unframed
         out.start(200, [*sealed, (b"content-type", b"text/event-stream")], framed)
+        while fault is RunnerFault.EMPTY_LINES:
+            await out.write(b"\n" * 65536)
+            await asyncio.sleep(0)
         for number in range(after + 1, self.events + 1):
             await asyncio.sleep(self.work_s)
             if fault is RunnerFault.UNFRAMED_EMPTY:
--- a/lacewinghub/proxyrouter.py
+++ b/lacewinghub/proxyrouter.py
@@ -294,7 +294,7 @@
         state = _state_of(req)
         req.excluded_endpoints.add(endpoint.name)
         if progress.splitter is not None:
-            progress.splitter.take_remainder()
+            progress.splitter.restart()
         # Only a stream of events continues after the part that the client has received.
         resumes = not progress.head_sent or progress.splitter is not None
         retries = resumes and attempt < MAX_ATTEMPTS and self._may_retry(req, exc)
--- a/tests/test_eventstream.py
+++ b/tests/test_eventstream.py
@@ -1,5 +1,7 @@
 """Tests of splitting streams into events for a resume."""
 
+import itertools
+import time
 import unittest
 
 from lacewinghub.eventstream import EventSplitter
@@ -7,6 +9,21 @@
 A, B, C = (b"id: %d\ndata: x%d\n\n" % (n, n) for n in (5, 10, 15))
 
 
+WRONG = b"id: 99999999999999999999\ndata: x\n\n"
+SMALL, LARGE = 16 * 1024, 256 * 1024  # The larger number of bytes is what one read may bring.
+
+
+def _cost_s(piece: bytes, size: int, after: bytes | None) -> float:
+    """Return the processor time to split a number of bytes, in seconds; the least of three."""
+    data = piece * (size // len(piece))
+    found = []
+    for _ in range(3):
+        splitter, start = EventSplitter(after), time.thread_time()
+        splitter.feed(data)
+        found.append(time.thread_time() - start)
+    return min(found)
+
+
 class TestEventSplitter(unittest.TestCase):
     def test_feed(self) -> None:
         # Guards against events that are lost, repeated or joined from the streams of two endpoints.
@@ -24,13 +41,39 @@
                 b"3",
             ),
             ("ids that are no numbers", b"a", [b"id: a\n\n", b"id: b\n\n"], b"id: b\n\n", b"b"),
+            ("old events in pieces", b"10", [A[:5], A[5:] + B[:9], B[9:] + C], C, b"15"),
+            ("a spoilt id drops nothing after it", b"5", [WRONG, B, C], WRONG + B + C, b"15"),
+            ("an id of many digits", None, [b"id: " + b"7" * 5000 + b"\n\n" + B], None, b"10"),
         ]
         for name, after, pieces, passed, last in cases:
             with self.subTest(name):
                 splitter = EventSplitter(after)
-                self.assertEqual(b"".join(map(splitter.feed, pieces)), passed)
+                expected = b"".join(pieces) if passed is None else passed
+                self.assertEqual(b"".join(map(splitter.feed, pieces)), expected)
                 self.assertEqual(splitter.last_event_id, last)
 
+    def test_a_continued_stream_repeats_nothing(self) -> None:
+        splitter = EventSplitter()
+        self.assertEqual(splitter.feed(A + B + C[:7]), A + B)
+        splitter.restart()
+        self.assertEqual(splitter.feed(A + B + C), C)
+
+    def test_work_is_proportional_to_the_bytes(self) -> None:
+        # Guards against many short events in one read that keep the event loop busy for seconds.
+        pieces = [
+            b"\n",
+            b"\r",
+            b"\r\n",
+            b"data: x\n\n",
+            b"id: 7\ndata: x\n\n",
+            b"id: 99\n\n",
+            b"id:",
+        ]
+        for piece, after in itertools.product(pieces, (None, b"5", b"50")):
+            with self.subTest(piece=piece, after=after):
+                small, large = (_cost_s(piece, size, after) for size in (SMALL, LARGE))
+                self.assertLess(large, 3 * LARGE / SMALL * small + 0.005)
+
     def test_remainder_is_what_follows_the_last_event(self) -> None:
         splitter = EventSplitter()
         splitter.feed(A + b"tail")
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -7,6 +7,7 @@
 
 from .platform_cluster import HOST, KEY, ROUTES, PlatformCase, config, route
 
+TIMEOUT_S = 1.5  # Of the routes.
 EVENTS = b"".join(event(number) for number in range(1, 5))
 
 
@@ -47,6 +48,32 @@
             self.assertFalse([key for key in seen.headers if name in key], name)
         self.assertEqual(seen.body, b"body")
 
+    async def test_other_requests_are_answered_beside_a_stream_of_empty_lines(self) -> None:
+        # Guards against a runner in trouble that keeps the node busy with a stream without end.
+        for runner in self.models:
+            runner.fail(RunnerFault.EMPTY_LINES)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        flood = asyncio.create_task(self.drop_answer("/draft/a"))
+        await asyncio.sleep(0.1)
+        answers = [await self.ask("/lookup/a") for _ in range(10)]
+        self.assertEqual([item.status for item in answers], [200] * 10)
+        self.assertLess(loop.time() - started, TIMEOUT_S)
+        flood.cancel()
+
+    async def drop_answer(self, path: str) -> None:
+        """Send a request and read its answer without keeping it."""
+        headers = {
+            "Host": HOST,
+            "Authorization": f"Token {KEY}",
+            "Lacewinghub-Attempt-Id": "flood",
+            "Lacewinghub-Token-Count": "100,40",
+        }
+        url = f"http://127.0.0.1:{self.members[0].ports['front']}{path}"
+        async with self.session.post(url, headers=headers) as resp:
+            async for _ in resp.content.iter_any():
+                pass
+
     async def test_refusals(self) -> None:
         cases = [
             ("no route", "/nowhere/a", KEY, 404),
