Abandon a resumable stream that sends nothing but empty lines and comments

What callers saw: with the linear splitter a node passes 64 KiB reads of empty lines on as fast as the client takes them, until the time-out of the route, and the client never gets its answer.

Cause: any complete block counted as progress, although empty lines and comments are no event.

Change: they count towards MAX_EVENT_BYTES until a line with content comes; then the stream goes on at another endpoint. They are still passed on at once, so that sound streams are unchanged.

--- a/lacewinghub/eventstream.py
+++ b/lacewinghub/eventstream.py
@@ -14,6 +14,8 @@
 _LONGEST_TERMINATOR = max(map(len, _TERMINATORS))
 _TERMINATOR = re.compile(b"|".join(_TERMINATORS))
 _ID = re.compile(rb"(?:\A|[\r\n])id:([^\r\n]*)")
+# The start of a line that is neither empty nor a comment.
+_CONTENT = re.compile(rb"(?:\A|[\r\n])[^:\r\n]")
 _LAST_ID = re.compile(rb"(?s:.*)(?:\A|[\r\n])id:([^\r\n]*)")
 # Ids with more digits are compared as texts: no stream has so many events.
 MAX_ID_DIGITS = 18
@@ -38,6 +40,7 @@
         self.last_event_id = after
         self._dropping = after is not None
         self._buffer = bytearray()
+        self._padding_bytes = 0
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes of the stream.
@@ -46,14 +49,17 @@
             The events that they complete and that the client has not received yet.
 
         Raises:
-            EventTooLarge: If an event is larger than ``MAX_EVENT_BYTES``.
+            EventTooLarge: If an event, with the empty lines and comments before it, is larger than
+                ``MAX_EVENT_BYTES``.
         """
         searched = max(0, len(self._buffer) - _LONGEST_TERMINATOR)
         self._buffer += data
         end = _end_of_last_event(self._buffer, searched)
         events = bytes(self._buffer[:end])
         del self._buffer[:end]
-        if len(self._buffer) > MAX_EVENT_BYTES:
+        # Empty lines and comments are passed on at once, but are no progress of the answer.
+        self._padding_bytes = 0 if _CONTENT.search(events) else self._padding_bytes + len(events)
+        if self._padding_bytes + len(self._buffer) > MAX_EVENT_BYTES:
             raise EventTooLarge(f"an event has more than {MAX_EVENT_BYTES} bytes")
         if self._dropping:
             events = self._without_received(events)
@@ -65,6 +71,7 @@
     def restart(self) -> None:
         """Prepare for the stream of another endpoint, which continues after the last event."""
         self._buffer.clear()
+        self._padding_bytes = 0
         self._dropping = self.last_event_id is not None
 
     def take_remainder(self) -> bytes:
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -167,11 +167,19 @@
 
 class TestEvents(unittest.TestCase):
     def test_an_event_without_end_is_an_error(self) -> None:
+        for piece in (FILLER, b"\n" * 65536, b": x\n\n" * 10_000):
+            with self.subTest(piece=piece[:4]):
+                splitter = EventSplitter()
+                splitter.feed(b"id: 1\n\n")
+                with self.assertRaises(EventTooLarge):
+                    for _ in range(100):
+                        splitter.feed(piece)
+
+    def test_comments_and_long_streams_pass(self) -> None:
         splitter = EventSplitter()
-        splitter.feed(b"id: 1\n\n")
-        with self.assertRaises(EventTooLarge):
-            for _ in range(100):
-                splitter.feed(FILLER)
+        for number in range(1000):
+            piece = b": waits\n\n" * 1000 + b"\n\nid: %d\ndata: x\n\n" % number
+            self.assertEqual(splitter.feed(piece), piece)
 
 
 class TestStore(unittest.IsolatedAsyncioTestCase):
