End each request of a stopping node with a true answer

Cause: a stop refused new requests and waited for the others, and then closed the connections. Nobody ended the requests: one in the queue was in flight like one at a runner until its connection was gone. Ruled out: the order of the queue, and the refusal of new requests (all of these came before).

Change: from the start of a stop on, a waiting request is refused, not run, once its answer could not be complete in time (nine tenths of the last 32 answers of its class; unknown: refused). What is left at the end is ended by the node: 503 if no runner received it, else 502.

Failed before, passes now: test_platform_stop ... what_the_end_of_the_process_interrupts_gets_a_true_answer (status 0 for 502 and 503). A waiting request with time enough is still served (a test that passed before, too).

--- a/lacewinghub/proxygateway.py
+++ b/lacewinghub/proxygateway.py
@@ -27,6 +27,7 @@
 NOT_READY_RETRY_S = 1.0
 # While this node stops, the client can reach another node at once.
 DRAINING_RETRY_S = 0.05
+END_POLL_S = 0.01
 # A retry after at most this share of the remaining time leaves most of it for the request itself.
 RETRY_SHARE = 0.3
 
@@ -63,11 +64,19 @@
 
 @dataclass(slots=True, eq=False)
 class _ActiveRequest:
-    """A request that is being served, with the timer that enforces its deadline."""
+    """A request that is being served.
+
+    Attributes:
+        req: The request.
+        route: Name of its route.
+        timer: Enforces its deadline.
+        stopped: True once it was ended because the process ends.
+    """
 
     req: Request
     route: str
     timer: asyncio.Timeout
+    stopped: bool = False
 
 
 class ProxyGateway(HttpHandler):
@@ -80,7 +89,7 @@
 
     Attributes:
         phase: Set by the node.
-        ends_at: Loop time at which the process ends, in seconds; set when it starts to drain.
+        ends_at: Loop time at which the process ends, in seconds; set when it starts to stop.
     """
 
     def __init__(
@@ -136,12 +145,44 @@
         now = asyncio.get_running_loop().time()
         for active in self._active:
             state = active.req.proxy
-            if state is None or active.timer.expired():
+            if state is None or active.stopped or active.timer.expired():
                 continue
             state.deadline -= suspended_s
             state.client_deadline -= suspended_s
             active.timer.reschedule(max(now, state.deadline))
 
+    def refuse_late_waiters(self) -> None:
+        """Refuse the waiting requests whose answers the end of the process would interrupt.
+
+        Their clients can still try another node: no endpoint has received them.
+        """
+        now = asyncio.get_running_loop().time()
+        for active in self._active:
+            state = active.req.proxy
+            if state is None or state.may_have_run or state.deadline <= self.ends_at:
+                continue
+            if now + self._router.expected_answer_s(active.req) > self.ends_at:
+                self._stop_request(active, now)
+
+    async def end_requests(self, limit_s: float) -> None:
+        """End all requests, so that each client learns as much as this node knows.
+
+        Args:
+            limit_s: Longest time to wait until the last responses are written, in seconds.
+        """
+        loop = asyncio.get_running_loop()
+        limit = loop.time() + limit_s
+        while self._active and loop.time() < limit:
+            for active in self._active:
+                self._stop_request(active, loop.time())
+            await asyncio.sleep(END_POLL_S)
+
+    def _stop_request(self, active: _ActiveRequest, now: float) -> None:
+        if active.stopped or active.timer.expired():
+            return
+        active.stopped = True
+        active.timer.reschedule(now)
+
     def _check_phase(self, req: Request) -> None:
         """Refuse a request that the end of the process could interrupt."""
         assert req.proxy is not None
@@ -160,14 +201,14 @@
             async with timer:
                 await self._respond(req, out)
         except TimeoutError:
-            error = _deadline_error(req)
+            error = _stop_error(req) if active.stopped else _deadline_error(req)
             logger.bind(
                 request_id=req.id,
                 route=decoded.route.name,
                 sent=req.proxy.sent,
                 waited_s=round(asyncio.get_running_loop().time() - req.arrived, 3),
                 outcome=error.code,
-            ).info("request expired")
+            ).info("request stopped" if active.stopped else "request expired")
             self._send_error(out, error, req.id)
         except LacewingError as exc:
             self._send_error(out, _limit_retry_delay(exc, req), req.id)
@@ -215,7 +256,7 @@
         for active in self._active:
             route = deployment.routes.by_name(active.route)
             state = active.req.proxy
-            if route is None or state is None or active.timer.expired():
+            if route is None or state is None or active.stopped or active.timer.expired():
                 continue
             expires = min(state.client_deadline, active.req.arrived + route.timeout_s)
             if expires != state.deadline:
@@ -230,6 +271,13 @@
     return NotRun("no endpoint accepted the request before its deadline", retry_after_s=0.0)
 
 
+def _stop_error(req: Request) -> LacewingError:
+    assert req.proxy is not None
+    if req.proxy.may_have_run:
+        return EndpointFailed("this node stopped before the response was complete")
+    return Draining("this node is stopping", retry_after_s=DRAINING_RETRY_S)
+
+
 def _unexpected_error(state: ProxyState | None) -> LacewingError:
     if state is not None and state.may_have_run:
         return EndpointFailed("an internal error interrupted the request")
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -264,20 +264,24 @@
         """Fail the readiness checks, keep serving, then drain within the grace period."""
         loop = asyncio.get_running_loop()
         stop_started = loop.time()
+        self._gateway.ends_at = stop_started + self.cfg.grace_s - MARGIN_S
         self._gateway.phase = Phase.LEAVING
         self._overlay.leave()
         self._supervisor.start("withdraw", self._withdraw, restart=False)
         logger.bind(in_flight=self._gateway.in_flight).info("node is leaving")
-        await asyncio.sleep(LEAVE_S)
-        self._gateway.ends_at = stop_started + self.cfg.grace_s - MARGIN_S
+        while loop.time() < min(stop_started + LEAVE_S, self._gateway.ends_at):
+            self._gateway.refuse_late_waiters()
+            await asyncio.sleep(STOP_POLL_S)
         self._gateway.phase = Phase.DRAINING
         logger.bind(in_flight=self._gateway.in_flight).info("node drains")
         while loop.time() < self._gateway.ends_at:
             self._front_server.close_idle()
+            self._gateway.refuse_late_waiters()
             if not self._gateway.in_flight and not self._front_server.connections:
                 break
             await asyncio.sleep(STOP_POLL_S)
         logger.bind(in_flight=self._gateway.in_flight).info("node ends")
+        await self._gateway.end_requests(MARGIN_S / 2)
 
     def _build_peers(self) -> None:
         cfg = self.cfg
--- a/lacewinghub/proxyrouter.py
+++ b/lacewinghub/proxyrouter.py
@@ -13,6 +13,7 @@
 
 from loguru import logger
 
+from .answer_time import AnswerTimes
 from .dependencies import DispatcherDependencies
 from .dispatch import MAX_ATTEMPTS, AttemptTimer, Dispatcher
 from .endpoint import ConnectFailed, EndpointCrashed, EndpointError
@@ -129,6 +130,11 @@
     def __init__(self, dependencies: DispatcherDependencies, client: ProxyClient) -> None:
         super().__init__(dependencies)
         self._client = client
+        self._answer_times = AnswerTimes()
+
+    def expected_answer_s(self, req: Request) -> float:
+        """Return how long the answer of such a request takes, in seconds; infinite if unknown."""
+        return self._answer_times.expected_s(req.request_class)
 
     async def stream(self, req: Request) -> AsyncGenerator[ResponseHead | bytes, None]:
         """Pass on a request and its response.
@@ -241,6 +247,7 @@
                 yield b"".join(buffered)
             if progress.splitter is not None and (rest := progress.splitter.take_remainder()):
                 yield rest
+            self._answer_times.record(req.request_class, loop.time() - attempt_timer.started)
         except BaseException as exc:
             failure = exc
             if state.withdrawn and isinstance(exc, EndpointCrashed):
--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -205,6 +205,24 @@
         except aiohttp.ClientError:
             return ClientResponse(0, complete=False)
 
+    async def ends_normally(self, path: str, deadline_ms: int = 3000) -> bool:
+        """Send a request; return whether its answer ends without a reset of the connection.
+
+        The HTTP client of ``ask`` takes a reset for the end of an answer without framing.
+        """
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.members[0].ports["front"])
+        head = f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Token {KEY}\r\n"
+        head += "Lacewinghub-Attempt-Id: raw\r\nLacewinghub-Token-Count: 100,40\r\n"
+        head += f"Lacewinghub-Deadline-Ms: {deadline_ms}\r\n"
+        writer.write(f"{head}Content-Length: 0\r\n\r\n".encode())
+        try:
+            answer = await reader.read(-1)
+        except ConnectionResetError:
+            return False
+        finally:
+            writer.close()
+        return answer.startswith(b"HTTP/1.1 200")
+
 
 def _free_port() -> int:
     """Return a port that is free on the loopback addresses of all nodes of a test.
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -187,21 +187,7 @@
                 for server in self.models:
                     server._faults.clear()
                     server.fail(fault)
-                self.assertEqual(await self._ends_normally("/chat/a"), whole)
-
-    async def _ends_normally(self, path: str) -> bool:
-        """Send a request; return whether its answer ends without a reset of the connection."""
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.members[0].ports["front"])
-        head = f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Token {KEY}\r\n"
-        head += "Lacewinghub-Attempt-Id: raw\r\nLacewinghub-Token-Count: 100,40\r\n"
-        writer.write(f"{head}Content-Length: 0\r\n\r\n".encode())
-        try:
-            answer = await reader.read(-1)
-        except ConnectionResetError:
-            return False
-        finally:
-            writer.close()
-        return answer.startswith(b"HTTP/1.1 200")
+                self.assertEqual(await self.ends_normally("/chat/a"), whole)
 
     async def test_not_run_is_stated_only_if_no_runner_executed_the_request(self) -> None:
         for server in self.apps:
--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -11,6 +11,7 @@
 from .platform_cluster import ROUTES, PlatformCase, config, route
 
 LONG_DEADLINE = {"Lacewinghub-Deadline-Ms": "8000"}
+LONG = {"Lacewinghub-Deadline-Ms": "12000"}
 LONG_ROUTES = [*ROUTES, route("long", "models", "streaming", timeout_ms=8000)]
 
 
@@ -51,6 +52,43 @@
         self.assertEqual(plain.headers["connection"], "close")
         self.assertTrue((await running).complete)
 
+    async def test_what_the_end_of_the_process_interrupts_gets_a_true_answer(self) -> None:
+        # Guards against requests in the queue or at a runner whose connections a stop just closes.
+        slow = route("slow", "apps", "non_idempotent", timeout_ms=12_000)
+        self.store.put("keyed.op", "config", config(2, [*ROUTES, slow]))
+        for item in self.apps:
+            item.work_s = 20.0
+            item.announce(self.store, slots=1)
+        await self.until_version(2)
+        await asyncio.sleep(1.0)
+        asked = [
+            asyncio.create_task(self.ask("/slow/a", attempt=f"slow-{number}", headers=LONG))
+            for number in range(8)
+        ]
+        await asyncio.sleep(0.3)
+        sent = {run.attempt for item in self.apps for run in item.runs}
+        self.assertTrue(0 < len(sent) < len(asked))
+        self.members[0].request_stop()
+        answers = await asyncio.gather(*asked)
+        for number, answer in enumerate(answers):
+            self.assertEqual(answer.status, 502 if f"slow-{number}" in sent else 503)
+            self.assertTrue(answer.complete)
+        self.assertEqual(sent, {run.attempt for item in self.apps for run in item.runs})
+
+    async def test_a_waiting_request_is_served_if_its_answer_can_be_complete_in_time(self) -> None:
+        slow = route("slow", "apps", "non_idempotent", timeout_ms=12_000)
+        self.store.put("keyed.op", "config", config(2, [*ROUTES, slow]))
+        for item in self.apps:
+            item.work_s = 0.5
+            item.announce(self.store, slots=1)
+        await self.until_version(2)
+        await asyncio.sleep(1.0)
+        await self.ask("/slow/first", headers=LONG)
+        asked = [asyncio.create_task(self.ask("/slow/a", headers=LONG)) for _ in range(16)]
+        await asyncio.sleep(0.1)
+        self.members[0].request_stop()
+        self.assertEqual({item.status for item in await asyncio.gather(*asked)}, {200})
+
 
 class TestProcess(PlatformCase):
     async def test_signals_and_log_lines(self) -> None:
