Give connections one way to end, which looks at what they still owe

Beside it: requests behind another one on a connection were dropped when a stopping node answered the first with 'Connection: close', and a node closed a kept connection 1 s after the answer to a call of 14 s.

Cause: the end of the server, or an error in a handler, closed connections without looking at their responses; only a handler that returned got the reset that such an answer needs. The idle time counted from the last bytes of the client.

Change: ClientConnection.end, used by all three ways; the connection is closed after the last request that has arrived; the idle time counts from the end of the response.

Failed before and pass: test_platform_stop (a cut stream looked whole; 1 of 3 requests behind another one answered) and test_http (0.9 s idle where 1.6 s are owed).

--- a/lacewinghub/httpserver.py
+++ b/lacewinghub/httpserver.py
@@ -122,7 +122,8 @@
 
     def _head(self, status: int, headers: Headers) -> bytes:
         self.started = True
-        if self.conn.server.handler.is_closing():
+        # A request that has arrived behind this one is answered before the connection is closed.
+        if self.conn.server.handler.is_closing() and not self.conn.has_next_request:
             self.keep_alive = False
         phrase = _REASON_PHRASES.get(status, b"Unknown")
         line = b"HTTP/1.1 %d %b\r\n" % (status, phrase)
@@ -148,8 +149,8 @@
         self._task: asyncio.Task[None] | None = None
         self._lost = False
         self._malformed = False
-        self._handling = False
-        self._last_data = 0.0
+        self._response: Responder | None = None
+        self._last_used = 0.0
         self._message_started = 0.0
 
     # Callbacks of the parser.
@@ -188,13 +189,13 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.server.connections.add(self)
         loop = asyncio.get_running_loop()
-        self._last_data = loop.time()
+        self._last_used = loop.time()
         self._task = loop.create_task(self._serve())
 
     def data_received(self, data: bytes) -> None:
         if self._malformed:
             return
-        self._last_data = asyncio.get_running_loop().time()
+        self._last_used = asyncio.get_running_loop().time()
         self._receiver.count(data)
         try:
             self._parser.feed_data(data)
@@ -232,10 +233,15 @@
         if not self._writable.is_set():
             await self._writable.wait()
 
+    @property
+    def has_next_request(self) -> bool:
+        """True if a part of a request after the current one has arrived."""
+        return len(self._receiver.messages) > 1
+
     def close_if_idle(self) -> None:
-        """Close the connection if it received nothing for ``IDLE_BEFORE_CLOSE_S`` and is idle."""
-        idle_s = asyncio.get_running_loop().time() - self._last_data
-        if self._handling or self._receiver.messages or idle_s < IDLE_BEFORE_CLOSE_S:
+        """Close the connection if it has been idle for ``IDLE_BEFORE_CLOSE_S``."""
+        idle_s = asyncio.get_running_loop().time() - self._last_used
+        if self._response is not None or self._receiver.messages or idle_s < IDLE_BEFORE_CLOSE_S:
             return
         self.close()
 
@@ -244,6 +250,17 @@
         if self.transport is not None:
             self.transport.close()
 
+    def end(self) -> None:
+        """Close the connection so that a response that is not finished does not look complete.
+
+        A framed one lacks its end mark. Without framing only a reset shows it.
+        """
+        out = self._response
+        if out is not None and out.started and not out.finished and not out.framed:
+            self.reset()
+        else:
+            self.close()
+
     def abort(self) -> None:
         """Close the connection without sending the buffered bytes."""
         if self.transport is not None:
@@ -251,7 +268,7 @@
 
     def reset(self) -> None:
         """Close the connection with a TCP reset."""
-        if self.transport is not None:
+        if self.transport is not None and not self.transport.is_closing():
             sock = self.transport.get_extra_info("socket")
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             self.transport.abort()
@@ -265,30 +282,22 @@
         except Exception:
             logger.exception("unexpected error in a client connection")
         finally:
-            self.close()
+            self.end()
 
     async def _serve_one(self) -> bool:
         """Serve the next request; return whether the connection stays open."""
         incoming = await self._next_request()
         if incoming is None:
             return False
-        out = Responder(self, incoming.keep_alive and not self._malformed)
-        self._handling = True
-        try:
-            await self.server.handler.handle(incoming, out)
-        finally:
-            self._handling = False
+        out = self._response = Responder(self, incoming.keep_alive and not self._malformed)
+        await self.server.handler.handle(incoming, out)
         self._receiver.messages.popleft()
-        if self.transport is not None and not self._lost:
-            self.transport.resume_reading()
         if not out.finished:
-            # A framed response lacks its end mark. Without framing only a reset shows the client
-            # that the response is incomplete.
-            if out.framed:
-                self.close()
-            else:
-                self.reset()
             return False
+        self._response = None
+        self._last_used = asyncio.get_running_loop().time()
+        if self.transport is not None and not self._lost:
+            self.transport.resume_reading()
         return out.keep_alive
 
     async def _next_request(self) -> Incoming | None:
@@ -340,7 +349,7 @@
     def _deadline(self, current: Incoming | None, limits: HttpLimits) -> float:
         if current is not None and not current.headers_complete:
             return self._message_started + limits.header_s
-        return self._last_data + limits.idle_s
+        return self._last_used + limits.idle_s
 
     async def _refuse(self, status: int) -> None:
         self.server.handler.on_malformed_request(status)
@@ -400,4 +409,4 @@
         self._server.close()
         self._server = None
         for conn in list(self.connections):
-            conn.close()
+            conn.end()
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -155,6 +155,15 @@
         self.assertGreater(loop.time() - started, 0.8)
         self.assertLess(loop.time() - started, 2.0)
 
+    async def test_the_idle_time_counts_from_the_end_of_the_response(self) -> None:
+        # Guards against a connection that is closed just when its client sends the next request.
+        loop = asyncio.get_running_loop()
+        self.handler.hold.clear()
+        loop.call_later(0.8, self.handler.hold.set)
+        started = loop.time()
+        await self.exchange(REQUEST, wait_s=3.0)
+        self.assertGreater(loop.time() - started, 0.8 + 0.8)
+
     async def test_a_stop_keeps_new_connections_for_their_first_request(self) -> None:
         # Guards against losing a request because its new connection is closed at once.
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -6,9 +6,12 @@
 import signal
 import sys
 import tempfile
+from dataclasses import replace
 from pathlib import Path
 
-from .platform_cluster import ROUTES, PlatformCase, config, route
+from lacewinghub.fakes.platform_runner import RunnerFault
+
+from .platform_cluster import HOST, KEY, ROUTES, PlatformCase, config, route
 
 LONG_DEADLINE = {"Lacewinghub-Deadline-Ms": "8000"}
 LONG = {"Lacewinghub-Deadline-Ms": "12000"}
@@ -89,6 +92,36 @@
         self.members[0].request_stop()
         self.assertEqual({item.status for item in await asyncio.gather(*asked)}, {200})
 
+    async def test_a_stream_without_framing_that_a_stop_cuts_does_not_look_whole(self) -> None:
+        self.store.put("keyed.op", "config", config(2, LONG_ROUTES))
+        await self.until_version(2)
+        for item in self.models:
+            item.work_s, item.events = 0.2, 100
+            item.fail(RunnerFault.UNFRAMED)
+        stream = asyncio.create_task(self.ends_normally("/long/a", deadline_ms=12_000))
+        await asyncio.sleep(0.5)
+        self.members[0].cfg = replace(self.members[0].cfg, grace_s=3.0)
+        self.members[0].request_stop()
+        self.assertFalse(await stream)
+
+    async def test_requests_behind_another_one_are_answered_by_a_draining_node(self) -> None:
+        # Guards against a request that was read whole and is dropped behind "Connection: close".
+        for item in self.apps:
+            item.work_s = 0.5
+        self.members[0].request_stop()
+        await asyncio.sleep(2.6)
+        port = self.members[0].ports["front"]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        for number in range(3):
+            writer.write(
+                f"POST /once/a HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Token {KEY}\r\n"
+                f"Lacewinghub-Attempt-Id: behind-{number}\r\nContent-Length: 0\r\n\r\n".encode()
+            )
+        data = await reader.read()
+        writer.close()
+        self.assertEqual(data.count(b"HTTP/1.1 200"), 3)
+        self.assertEqual(data.lower().count(b"connection: close"), 1)
+
 
 class TestProcess(PlatformCase):
     async def test_signals_and_log_lines(self) -> None:
