Let a long body permit no more framing than came with it

Report of other operators: bytes without end in a head or a body, until memory runs out.

Change: framing is compared with the body bytes that came with it; what a body permits is not saved up. Streams of single bytes in chunks of their own pass as before.

Evidence: test_endless, 'trailer value after a long body', did not end in 2 s before and does now; all other cases of test_endless, test_http and test_platform_path pass.

--- a/lacewinghub/httpclient.py
+++ b/lacewinghub/httpclient.py
@@ -217,6 +217,7 @@
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
             return f"invalid response: {exc}"
+        self._receiver.settle()
         if len(self._receiver.messages) > MAX_RESPONSES:
             return "more responses than requests"
         if self._receiver.has_excessive_framing:
--- a/lacewinghub/httpmessage.py
+++ b/lacewinghub/httpmessage.py
@@ -28,8 +28,8 @@
 )
 CRLF = b"\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
-# Largest size of the headers, chunk sizes, chunk extensions and trailers of a message, and the part
-# of it that may grow with the body: a stream of single bytes takes six bytes of framing for each.
+# Largest number of bytes of headers, chunk sizes, chunk extensions and trailers that may arrive
+# beyond those that belong to a body: a stream of single bytes takes six bytes of framing for each.
 MAX_FRAMING_BYTES = 64 * 1024
 MAX_FRAMING_RATIO = 16
 
@@ -113,7 +113,8 @@
     """Collects messages from the callbacks of an httptools parser.
 
     The parser keeps a header or a chunk extension until it is complete, without a limit. ``count``
-    and ``overhead`` tell how many bytes arrived that belong to no body.
+    and ``overhead`` tell how many bytes arrived that belong to no body. What a body permits of them
+    has to come with it: a long one does not permit more framing afterwards.
 
     Attributes:
         messages: Messages in order of arrival; the last one may be incomplete.
@@ -122,6 +123,9 @@
     def __init__(self) -> None:
         self.messages: deque[Incoming] = deque()
         self._received = 0
+        self._unsettled = 0
+        self._settled_size = 0
+        self._excess = 0
 
     @property
     def overhead(self) -> int:
@@ -130,9 +134,8 @@
 
     @property
     def has_excessive_framing(self) -> bool:
-        """True if the last message consists mostly of other bytes than its body."""
-        body = self.messages[-1].size if self.messages else 0
-        return self.overhead > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * body
+        """True if far more other bytes arrived lately than bytes of a body."""
+        return self._excess > MAX_FRAMING_BYTES
 
     @property
     def buffered(self) -> int:
@@ -142,12 +145,22 @@
     def count(self, data: bytes) -> None:
         """Count received bytes; called before they are parsed."""
         self._received += len(data)
+        self._unsettled += len(data)
+
+    def settle(self) -> None:
+        """Compare what was counted with the body that it brought; called after it was parsed."""
+        size = self.messages[-1].size if self.messages else 0
+        body = size - self._settled_size
+        framing = self._unsettled - body
+        self._excess = max(0, self._excess + framing - MAX_FRAMING_RATIO * body)
+        self._unsettled, self._settled_size = 0, size
 
     def on_message_begin(self) -> None:
         """Start a message."""
         self.messages.append(Incoming())
         # What arrived together with the end of the previous message is not counted.
         self._received = 0
+        self._unsettled = self._settled_size = self._excess = 0
 
     def on_url(self, data: bytes) -> None:
         """Add a piece of the target."""
--- a/lacewinghub/httpserver.py
+++ b/lacewinghub/httpserver.py
@@ -201,6 +201,7 @@
             self._parser.feed_data(data)
         except httptools.HttpParserError:
             self._malformed = True
+        self._receiver.settle()
         if len(self._receiver.messages) > MAX_PIPELINED and self.transport is not None:
             self.transport.pause_reading()
         self._changed.set()
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -31,6 +31,7 @@
 FILLER = b"x" * 65536
 PAUSE_S = 0.05
 HEAD = b"HTTP/1.1 200 OK\r\nlacewinghub-attempt-id: a-1\r\nlacewinghub-response-seal: s\r\n"
+LONG_BODY = b"400000\r\n" + b"x" * 0x400000 + b"\r\n"
 FOREIGN = b"HTTP/1.1 200 OK\r\nlacewinghub-attempt-id: other\r\n"
 CHUNKED = b"transfer-encoding: chunked\r\n\r\n"
 
@@ -130,6 +131,10 @@
             ("extensions", lambda: repeat(HEAD + CHUNKED, b"1;" + b"e" * 2000 + b"\r\nx\r\n")),
             ("trailer", lambda: repeat(HEAD + CHUNKED + b"0\r\n", b"x-t: y\r\n" * 1000)),
             ("trailer value", lambda: repeat(HEAD + CHUNKED + b"0\r\nx-t: ", FILLER)),
+            (
+                "trailer value after a long body",
+                lambda: repeat(HEAD + CHUNKED + LONG_BODY + b"0\r\nx-t: ", FILLER),
+            ),
             ("interim answers", lambda: repeat(b"", interim * 100)),
             ("no protocol", lambda: repeat(b"", FILLER)),
             ("foreign body", lambda: repeat(FOREIGN + b"\r\n", FILLER)),
