Take no stream for whole that ends inside an event, whatever its framing says

Report of other operators: a runner closes inside the head of its answer, and clients get a 200 with an empty or short body, framed as whole. Here it does not happen (test_http: three heads cut at each third byte; test_platform_path: HEAD_CUT; both pass on, too).

Cause: the end of the last event was checked only for streams without framing.

Change: a stream of events that ends inside one has been broken off: resumed, or closed without last chunk.

--- a/lacewinghub/fakes/platform_runner.py
+++ b/lacewinghub/fakes/platform_runner.py
@@ -34,6 +34,8 @@
     UNFRAMED_CUT = "unframed-cut"  # An unframed stream that ends inside an event.
     UNFRAMED_EMPTY = "unframed-empty"  # An unframed stream that ends before its first event.
     FALSE_PROMISE = "false-promise"  # 503 without the statement that it was not executed.
+    HEAD_CUT = "head-cut"  # Closes the connection in the middle of the head.
+    EVENT_CUT = "event-cut"  # A stream in chunks that ends inside an event, with the last chunk.
     HANG = "hang"  # Never responds.
     EMPTY_LINES = "empty-lines"  # A stream of empty lines without end.
 
@@ -188,6 +190,10 @@
         if fault is RunnerFault.GARBLE:
             out.conn.write(b"\x00\x01 no answer\r\n\r\n")
             return
+        if fault is RunnerFault.HEAD_CUT:
+            sealed = [*base_headers, (b"lacewinghub-response-seal", b"seal")]
+            out.conn.write(b"HTTP/1.1 200 OK\r\n" + encode_headers(sealed))
+            return
         if fault is RunnerFault.FALSE_PROMISE:
             out.send(503, base_headers, b"")
             return
@@ -252,6 +258,9 @@
             if fault is RunnerFault.UNFRAMED_CUT and number == after + 3:
                 await out.write(event(number)[:5])
                 break
+            if fault is RunnerFault.EVENT_CUT and number == after + 3:
+                await out.write(event(number)[:5])
+                break
             if fault is RunnerFault.CUT and number == after + 3:
                 out.conn.write(chunk(event(number)[:5]))
                 return
--- a/lacewinghub/proxyrouter.py
+++ b/lacewinghub/proxyrouter.py
@@ -70,6 +70,12 @@
     framed: bool = True
     whole: bool = False
 
+    @property
+    def is_event_stream(self) -> bool:
+        """True if the body consists of server-sent events."""
+        kind = next((value for name, value in self.headers if name == b"content-type"), b"")
+        return kind.lower().startswith(b"text/event-stream")
+
     @property
     def failed(self) -> bool:
         """True if the endpoint executed the request and answered with a server error."""
@@ -347,9 +353,14 @@
 
 
 def _is_broken_off(state: ProxyState, head: ResponseHead, event_end: EventEnd) -> bool:
-    """Tell whether a stream without framing ended before its last event was complete."""
-    if head.framed or not state.streaming or head.status != 200:
+    """Tell whether a stream ended before its last event was complete.
+
+    Its framing may say that it is whole nevertheless: it is the runner that stopped.
+    """
+    if not state.streaming or head.status != 200:
         return False
+    if head.framed:
+        return head.is_event_stream and event_end.has_data and not event_end.is_complete
     # A resumed stream may have nothing to add.
     may_be_empty = state.last_event is not None and not event_end.has_data
     return not (event_end.is_complete or may_be_empty)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -238,6 +238,20 @@
 
 
 class TestClient(ClientCase):
+    async def test_a_head_that_is_cut_anywhere_is_no_response(self) -> None:
+        # Guards against a runner that closes inside the head of an answer, which is then taken for
+        # a whole answer with an empty or short body.
+        heads = [
+            b"HTTP/1.1 200 OK\r\nContent-Length: 30\r\nSeal: x\r\n\r\n",
+            b"HTTP/1.1 200 OK\nSeal: x\n\n",
+            b"HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\nSeal: x\r\n\r\n",
+        ]
+        for head in heads:
+            for length in range(0, len(head), 3):
+                self.scripts.append(Script(head[:length]))
+                with self.subTest(head=head[:length]), self.assertRaises(ConnectionBroken):
+                    await self.ask()
+
     async def test_a_response_is_complete_only_if_its_framing_says_so(self) -> None:
         # Guards against taking a truncated response of an endpoint for a complete one.
         ok = b"HTTP/1.1 200 OK\r\n"
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -114,6 +114,11 @@
             ("/lookup/a", fault.GARBLE, 200, 2),
             ("/lookup/a", fault.UNSEALED, 200, 2),
             ("/lookup/a", fault.UNFRAMED_RESET, 200, 2),
+            ("/once/a", fault.HEAD_CUT, 502, 1),
+            ("/lookup/a", fault.HEAD_CUT, 200, 2),
+            ("/draft/a", fault.HEAD_CUT, 200, 2),
+            ("/chat/a", fault.HEAD_CUT, 502, 1),
+            ("/draft/a", fault.EVENT_CUT, 200, 2),
             ("/draft/a", fault.FULL, 200, 1),
             ("/draft/a", fault.RESET, 200, 2),
             ("/draft/a", fault.CUT, 200, 2),
@@ -176,6 +181,13 @@
                 for runner in self.models:
                     runner._faults.clear()
 
+    async def test_a_stream_in_chunks_that_ends_inside_an_event_is_not_whole(self) -> None:
+        # Guards against a runner that stops in an event and closes its chunks as if it had ended.
+        for runner in self.models:
+            runner.fail(RunnerFault.EVENT_CUT)
+        answer = await self.ask("/chat/a")
+        self.assertEqual((answer.status, answer.complete), (200, False))
+
     async def test_an_unframed_stream_that_is_broken_off_is_not_ended_as_if_complete(self) -> None:
         # The HTTP client of the other tests takes a reset for the end of such an answer.
         for fault, whole in (
