Let the refusing runner of a test keep one pause, whatever the test's own timing

Its pause now has one end, which its refusals state; late requests are counted up to that end. Nothing else is checked less.

--- a/lacewinghub/fakes/platform_runner.py
+++ b/lacewinghub/fakes/platform_runner.py
@@ -72,6 +72,8 @@
         leaving: True if it states in its answers that it leaves.
         resume_fault: Fault that it injects into each request that continues a stream, or None.
         refuse_for_s: Time for which its refusals ask for no further requests, or None.
+        refuse_until: Loop time until which it refuses requests and asks for no further ones, in
+            seconds.
         arrivals: Loop times at which requests arrived, in seconds.
         runs: Executed requests, in order.
         cancelled: Ids of attempts whose client disconnected during execution.
@@ -93,6 +95,7 @@
         self.limit_per_s: float | None = None
         self.leaving = False
         self.refuse_for_s: float | None = None
+        self.refuse_until = float("-inf")
         self.resume_fault: RunnerFault | None = None
         self.arrivals: list[float] = []
         self._faults: deque[RunnerFault] = deque()
@@ -162,10 +165,11 @@
             base_headers.append((b"server-limit", f"{self.limit_per_s:g}".encode()))
         if self.leaving:
             base_headers.append((b"server-leaving", b"1"))
-        if fault is RunnerFault.FULL or self.refuse_for_s is not None:
+        pause_s = self._pause_s()
+        if fault is RunnerFault.FULL or pause_s is not None:
             refusal: Headers = [*base_headers, (b"lacewinghub-not-executed", b"1")]
-            if self.refuse_for_s is not None:
-                refusal.append((b"retry-after", f"{self.refuse_for_s:g}".encode()))
+            if pause_s is not None:
+                refusal.append((b"retry-after", f"{pause_s:g}".encode()))
             out.send(503, refusal, b"")
             return
         self.runs.append(_received_request(incoming, attempt))
@@ -179,6 +183,11 @@
             self.cancelled.append(attempt)
             raise
 
+    def _pause_s(self) -> float | None:
+        """Return for how long a refusal asks for no requests, in seconds; None to refuse none."""
+        left_s = self.refuse_until - asyncio.get_running_loop().time()
+        return left_s if left_s > 0.0 else self.refuse_for_s
+
     async def _run(
         self, incoming: Incoming, out: Responder, base_headers: Headers, fault: RunnerFault | None
     ) -> None:
--- a/tests/test_runner_statements.py
+++ b/tests/test_runner_statements.py
@@ -77,16 +77,16 @@
 class TestRetryAfter(StatementCase):
     async def test_a_runner_that_wants_no_requests_gets_none_for_that_time(self) -> None:
         refusing = await self.runners_in_use()
+        until = asyncio.get_running_loop().time() + PAUSE_S
         for runner in refusing:
-            runner.refuse_for_s = PAUSE_S
+            runner.refuse_until = until
             runner.arrivals.clear()
         statuses = await self.ask_for(PAUSE_S)
         for runner in refusing:
             with self.subTest(runner.service):
                 first = runner.arrivals[0]
-                late = [at for at in runner.arrivals if TOLERATED_S < at - first < PAUSE_S]
+                late = [at for at in runner.arrivals if first + TOLERATED_S < at < until]
                 self.assertLessEqual(len(late), TOLERATED_REQUESTS)
-                runner.refuse_for_s = None
                 runner.arrivals.clear()
         self.assertEqual(set(statuses), {200})
         await self.ask_for(PAUSE_S)
