--- a/lacewinghub/crash_guard.py
+++ b/lacewinghub/crash_guard.py
@@ -6,8 +6,8 @@
 request that is merely a suspect: an interrupted stream cannot wait, and most suspects are harmless.
 
 A broken connection alone is no crash: a network resets connections, too. The node therefore tries
-whether the endpoint still accepts connections, and takes no other requests for proof of that. A
-verdict that is wrong nevertheless is found out by ``crash_trial``.
+whether the endpoint still accepts connections, and does not depend on other requests to show that.
+A verdict that is wrong nevertheless is found out by ``crash_trial``.
 """
 
 import asyncio
--- a/lacewinghub/membership.py
+++ b/lacewinghub/membership.py
@@ -75,7 +75,7 @@
         """Store the state of a peer from a received heartbeat."""
 
 
-def fill(contributors: Iterable[HeartbeatContributor], heartbeat: Heartbeat) -> None:
+def fill_heartbeat(contributors: Iterable[HeartbeatContributor], heartbeat: Heartbeat) -> None:
     """Let components fill a heartbeat; one that fails does not keep it from being sent."""
     for item in contributors:
         try:
@@ -84,7 +84,7 @@
             logger.exception("{} could not fill a heartbeat", type(item).__name__)
 
 
-def deliver(contributors: Iterable[HeartbeatContributor], heartbeat: Heartbeat) -> None:
+def deliver_heartbeat(contributors: Iterable[HeartbeatContributor], heartbeat: Heartbeat) -> None:
     """Pass a heartbeat to components; one that fails does not keep it from the others."""
     for item in contributors:
         try:
@@ -233,7 +233,7 @@
         state = MemberState.LEAVING if self._leaving else MemberState.LIVE
         own = self.identity
         heartbeat = Heartbeat(own.node, own.incarnation, self._seq, str(state))
-        fill(self._contributors, heartbeat)
+        fill_heartbeat(self._contributors, heartbeat)
         self._transport.broadcast((peer.node for peer in self._transport.peers()), heartbeat)
 
     def schedule_relay(self) -> None:
@@ -244,7 +244,7 @@
             return
         if not self._accept(heartbeat):
             return
-        deliver(self._contributors, heartbeat)
+        deliver_heartbeat(self._contributors, heartbeat)
 
     def _accept(self, heartbeat: Heartbeat) -> bool:
         seen = self._direct_peers.get(heartbeat.node)
--- a/lacewinghub/overlay.py
+++ b/lacewinghub/overlay.py
@@ -23,8 +23,8 @@
     Membership,
     MemberState,
     _DirectPeer,
-    deliver,
-    fill,
+    deliver_heartbeat,
+    fill_heartbeat,
     rendezvous,
 )
 from .message import Disconnect, Heartbeat, MembershipGossip, MembershipUpdate
@@ -404,7 +404,7 @@
         state = MemberState.LEAVING if self._leaving else MemberState.LIVE
         own = self.identity
         heartbeat = Heartbeat(own.node, own.incarnation, self._seq, str(state))
-        fill(self._contributors, heartbeat)
+        fill_heartbeat(self._contributors, heartbeat)
         if self.is_partial_mesh():
             self._pressure_relay.fill_heartbeat(heartbeat, _now())
         self._transport.broadcast((peer.node for peer in self._transport.peers()), heartbeat)
@@ -445,7 +445,7 @@
                     seen.peer.incarnation if seen else self._gossip_states[node].peer.incarnation
                 )
                 empty = Heartbeat(node, incarnation, 0, str(MemberState.LIVE))
-                deliver(self._contributors, empty)
+                deliver_heartbeat(self._contributors, empty)
 
     def _share_aggregate(self) -> None:
         """Give the merged state of other nodes to the components, as that of one more node."""
@@ -455,7 +455,7 @@
         self._aggregate_shared = partial
         heartbeat = Heartbeat(AGGREGATE_NODE, 1, self._seq, str(MemberState.LIVE))
         heartbeat.pressure = self._pressure_relay.pressure_of_others(_now()) if partial else []
-        deliver(self._contributors, heartbeat)
+        deliver_heartbeat(self._contributors, heartbeat)
 
 
 def _successor(node: str, others: list[str]) -> str:
