Count no further crash of an endpoint that was just found alive

Where many connections of living endpoints break at once, each break was a new crash to refute and to tell to all nodes, since the node now finds out within 0.1 s that the endpoint lives.

Change: for 1.5 s after an endpoint was found alive, by this node or a peer, its broken connections are no crash.

Evidence: test_crash_evidence, test_crashing_prompts, test_codec pass.

--- a/lacewinghub/crash_guard.py
+++ b/lacewinghub/crash_guard.py
@@ -108,6 +108,8 @@
         self._trials = CrashTrials(node, members, self._share)
         self._is_reachable = is_reachable
         self._verifications: set[asyncio.Task[None]] = set()
+        # Loop times at which endpoints were found alive after their connections had broken.
+        self._alive_at: dict[str, float] = {}
         self._members = members
         self._started = started
         self._announce = announce
@@ -175,7 +177,7 @@
             self._on_answered(attempt, now)
         elif seen.ended:
             crash = self._crash_id(endpoint)
-            if crash is not None:
+            if crash is not None and not self._was_alive(endpoint, now):
                 self._add_suspect(endpoint, crash, attempt.request, attempt.parts)
 
     def on_request_done(self, req: Request) -> None:
@@ -260,7 +262,10 @@
         for cleared in heartbeat.cleared[:MAX_SHARED]:
             if self.evidence.clear(cleared.trait, cleared.crashes):
                 new.append(cleared)
-        new += [item for item in heartbeat.refuted[:MAX_SHARED] if self.evidence.refute(item)]
+        for crash in heartbeat.refuted[:MAX_SHARED]:
+            if self.evidence.refute(crash):
+                new.append(crash)
+                self._alive_at[crash.rpartition("@")[0]] = _now()
         new += [item for item in heartbeat.crash_trials[:MAX_SHARED] if self._trials.merge(item)]
         for item in heartbeat.crash_suspects[:MAX_SHARED]:
             if self.evidence.add_suspect(item.crash, item.request, item.parts, _now()):
@@ -342,9 +347,17 @@
             return
         least_s, most_s = ALIVE_SPAN_S
         if least_s <= _now() - known_at <= most_s and self.evidence.refute(crash):
+            self._alive_at[endpoint] = _now()
             logger.bind(endpoint=endpoint).info("connections broke, but the endpoint is alive")
             self._share(crash)
 
+    def _was_alive(self, endpoint: str, now: float) -> bool:
+        """Return whether an endpoint was just found alive after its connections had broken.
+
+        Where many connections break, each would otherwise be a crash of its own to refute.
+        """
+        return now - self._alive_at.get(endpoint, float("-inf")) <= ALIVE_SPAN_S[1]
+
     def _crash_id(self, endpoint: str) -> str | None:
         """Return the identifier of the next crash of an endpoint; it crashes once per start."""
         started = self._started(endpoint)
@@ -389,6 +402,8 @@
         self.evidence.drop_before(now - SUSPECT_RETENTION_S, keep=self._blamed())
         self.evidence.drop_before(now - CAUSE_RETENTION_S)
         self._trials.retain({cause.trait for cause in self._causes})
+        limit = now - ALIVE_SPAN_S[1]
+        self._alive_at = {name: at for name, at in self._alive_at.items() if at > limit}
 
     def _blamed(self) -> set[str]:
         """Return the crashes that have a known cause."""
