Give each answer a form that shows its end, whatever ends the process

A reset is an act of the process; a killed one acts no more, and the operating system closes its connections in order. Change: the server has two forms of a response, a length and chunks, and no other. A plain answer without framing is sent with its length once its runner has ended it, a stream in chunks. HTTP/1.0 clients, which got chunks so far, get a length: their answer is collected up to 1 MiB; one that breaks off is an error. Related paths: an error in a handler, a deadline, a runner that breaks off and a failed resume all end by a response that is not finished, which now looks so by its form alone.

Tests: test_an_unframed_answer_stays_unframed is replaced. It held that a node must not add framing, as the client could then not recognize a truncated answer; the node, however, sees how the runner's connection ended and the client sees only the node's. In its place: each answer has a form; HTTP/1.0 clients get a length or an error; a stream of a node that is killed (a process, SIGKILL) does not look whole; an error in a handler does not.

--- a/lacewinghub/errors.py
+++ b/lacewinghub/errors.py
@@ -199,6 +199,12 @@
     code, status, run = "endpoint_failed", 502, ExecutionStatus.UNKNOWN
 
 
+class ResponseTooLarge(LacewingError):
+    """The response cannot be sent to an HTTP/1.0 client, which does not understand chunks."""
+
+    code, status, run = "response_too_large", 502, ExecutionStatus.UNKNOWN
+
+
 class DeadlineExceeded(LacewingError):
     """The request was sent to an endpoint, but was not answered before its deadline."""
 
--- a/lacewinghub/fakes/platform_runner.py
+++ b/lacewinghub/fakes/platform_runner.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import hashlib
+import socket
+import struct
 import time
 from collections import Counter, deque
 from dataclasses import dataclass
@@ -40,6 +42,10 @@
     EMPTY_LINES = "empty-lines"  # A stream of empty lines without end.
 
 
+# Faults of streams whose end the connection shows.
+UNFRAMED_STREAMS = (RunnerFault.UNFRAMED, RunnerFault.UNFRAMED_CUT, RunnerFault.UNFRAMED_EMPTY)
+
+
 @dataclass(frozen=True, slots=True)
 class ReceivedRequest:
     """A request whose execution began."""
@@ -229,7 +235,7 @@
             out.conn.write(_encode_head(sealed) + body)
             await asyncio.sleep(self.work_s)
             if fault is RunnerFault.UNFRAMED_RESET:
-                out.conn.reset()
+                _reset(out)
         elif fault is RunnerFault.FOREIGN:
             other = [(b"lacewinghub-attempt-id", b"another"), *sealed[1:]]
             out.conn.write(_encode_head(other, len(body)) + body)
@@ -254,19 +260,16 @@
         after = int(_header_text(incoming, b"last-event-id") or 0)
         body = b"".join(event(number) for number in range(1, self.events + 1))
         sealed = [*base_headers, (b"lacewinghub-response-seal", response_seal(body).encode())]
-        unframed = (RunnerFault.UNFRAMED, RunnerFault.UNFRAMED_CUT, RunnerFault.UNFRAMED_EMPTY)
-        framed = fault not in unframed
-        out.start(200, [*sealed, (b"content-type", b"text/event-stream")], framed)
+        headers = [*sealed, (b"content-type", b"text/event-stream")]
+        if fault in UNFRAMED_STREAMS:
+            await self._stream_unframed(out, headers, after, fault)
+            return
+        out.start(200, headers)
         while fault is RunnerFault.EMPTY_LINES:
             await out.write(b"\n" * 65536)
             await asyncio.sleep(0)
         for number in range(after + 1, self.events + 1):
             await asyncio.sleep(self.work_s)
-            if fault is RunnerFault.UNFRAMED_EMPTY:
-                break
-            if fault is RunnerFault.UNFRAMED_CUT and number == after + 3:
-                await out.write(event(number)[:5])
-                break
             if fault is RunnerFault.EVENT_CUT and number == after + 3:
                 await out.write(event(number)[:5])
                 break
@@ -276,6 +279,21 @@
             await out.write(event(number))
         out.finish()
 
+    async def _stream_unframed(
+        self, out: Responder, headers: Headers, after: int, fault: RunnerFault | None
+    ) -> None:
+        """Send a stream that ends with its connection."""
+        out.conn.write(_encode_head(headers))
+        for number in range(after + 1, self.events + 1):
+            await asyncio.sleep(self.work_s)
+            if fault is RunnerFault.UNFRAMED_EMPTY:
+                return
+            if fault is RunnerFault.UNFRAMED_CUT and number == after + 3:
+                out.conn.write(event(number)[:5])
+                return
+            out.conn.write(event(number))
+            await out.conn.drain()
+
 
 def event(number: int) -> bytes:
     """Return the server-sent event with a number."""
@@ -292,6 +310,15 @@
     return b"HTTP/1.1 200 OK\r\n" + encode_headers([*headers, *framing]) + CRLF
 
 
+def _reset(out: Responder) -> None:
+    """Close the connection of a response with a TCP reset."""
+    transport = out.conn.transport
+    assert transport is not None
+    sock = transport.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    transport.abort()
+
+
 def _part_ids(incoming: Incoming) -> list[str]:
     text = _header_text(incoming, b"lacewinghub-prompt-prefix")
     return [item.strip().partition(":")[0] for item in text.split(",")]
--- a/lacewinghub/httpmessage.py
+++ b/lacewinghub/httpmessage.py
@@ -82,6 +82,7 @@
         keep_alive: True if the connection may carry another message after this one.
         framed: True if the body has a length or is chunked; False if the end of the connection ends
             it.
+        takes_chunks: False if the sender of a request does not understand a chunked response.
     """
 
     headers: Headers = field(default_factory=list)
@@ -96,6 +97,7 @@
     complete: bool = False
     keep_alive: bool = False
     framed: bool = True
+    takes_chunks: bool = True
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, whose name is in lower case, or None."""
--- a/lacewinghub/httpserver.py
+++ b/lacewinghub/httpserver.py
@@ -5,18 +5,19 @@
 
 import asyncio
 import socket
-import struct
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import cast
 
 import httptools
 from loguru import logger
 
+from .errors import ResponseTooLarge
 from .httpmessage import CRLF, LAST_CHUNK, Headers, Incoming, MessageReceiver, chunk, encode_headers
 
 BACKLOG = 1024
+HTTP_1_0 = "1.0"
 # While more pipelined requests than this wait, nothing more is read from the connection.
 MAX_PIPELINED = 2
 HIGH_WATER_BYTES = 64 * 1024
@@ -26,6 +27,8 @@
 IDLE_BEFORE_CLOSE_S = 0.5
 # Time for a client to read the error response to a request that was refused before its end.
 LINGER_S = 0.5
+# Largest body that is collected for an HTTP/1.0 client.
+MAX_COLLECTED_BYTES = 1024 * 1024
 
 
 @dataclass(slots=True)
@@ -73,19 +76,21 @@
 class Responder:
     """Writes the response to one request.
 
+    Each response has a length or comes in chunks, so that its form shows whether it is whole. The
+    end of its connection would not: the operating system closes the connections of a process that
+    dies in order.
+
     Attributes:
         conn: The connection of the client.
         keep_alive: False if the connection is closed after the response.
         started: True once a part of the response was sent.
         finished: True once the whole response was sent.
-        framed: False if the end of the connection ends the body.
     """
 
     conn: "ClientConnection"
     keep_alive: bool
     started: bool = False
     finished: bool = False
-    framed: bool = True
 
     def send(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response with its length."""
@@ -93,31 +98,28 @@
         self.conn.write(self._head(status, [*headers, length]) + body)
         self.finished = True
 
-    def start(self, status: int, headers: Headers, framed: bool = True) -> None:
+    def start(self, status: int, headers: Headers) -> None:
         """Send status and headers of a response whose body follows in pieces.
 
         Args:
             status: HTTP status.
             headers: Headers without those that frame the body.
-            framed: False to end the body with the connection, so that nothing marks it as complete.
         """
-        self.framed = framed
-        if framed:
-            headers = [*headers, (b"transfer-encoding", b"chunked")]
-        else:
-            self.keep_alive = False
-        self.conn.write(self._head(status, headers))
+        self.conn.write(self._head(status, [*headers, (b"transfer-encoding", b"chunked")]))
 
     async def write(self, data: bytes) -> None:
-        """Send a piece of the body; waits while the client does not read."""
+        """Send a piece of the body; waits while the client does not read.
+
+        Raises:
+            ResponseTooLarge: If the body cannot be sent to a client of this HTTP version.
+        """
         if data:
-            self.conn.write(chunk(data) if self.framed else data)
+            self.conn.write(chunk(data))
             await self.conn.drain()
 
     def finish(self) -> None:
         """End a body that was sent in pieces."""
-        if self.framed:
-            self.conn.write(LAST_CHUNK)
+        self.conn.write(LAST_CHUNK)
         self.finished = True
 
     def _head(self, status: int, headers: Headers) -> bytes:
@@ -132,6 +134,38 @@
         return line + encode_headers(headers) + CRLF
 
 
+@dataclass(slots=True)
+class CollectingResponder(Responder):
+    """Writes the response to an HTTP/1.0 client, which does not understand chunks.
+
+    The pieces of a body are collected and sent with their length once the body is whole.
+    """
+
+    _status: int = 0
+    _headers: Headers = field(default_factory=list)
+    _body: bytearray = field(default_factory=bytearray)
+
+    def start(self, status: int, headers: Headers) -> None:
+        """Keep status and headers of a response whose body follows in pieces."""
+        self._status, self._headers = status, headers
+
+    async def write(self, data: bytes) -> None:
+        """Collect a piece of the body.
+
+        Raises:
+            ResponseTooLarge: If the body has more than ``MAX_COLLECTED_BYTES``.
+        """
+        if len(self._body) + len(data) > MAX_COLLECTED_BYTES:
+            raise ResponseTooLarge(
+                f"the response has more than {MAX_COLLECTED_BYTES} bytes; use HTTP/1.1"
+            )
+        self._body += data
+
+    def finish(self) -> None:
+        """Send the collected response."""
+        self.send(self._status, self._headers, bytes(self._body))
+
+
 _REASON_PHRASES = {int(item): item.phrase.encode() for item in HTTPStatus}
 
 
@@ -169,6 +203,7 @@
         last.headers_complete = True
         last.method = self._parser.get_method()
         last.keep_alive = self._parser.should_keep_alive()
+        last.takes_chunks = self._parser.get_http_version() != HTTP_1_0
         expect = last.header(b"expect")
         if expect is not None and expect.lower() == b"100-continue":
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -247,33 +282,18 @@
         self.close()
 
     def close(self) -> None:
-        """Send the buffered bytes, then close the connection."""
-        if self.transport is not None:
-            self.transport.close()
-
-    def end(self) -> None:
-        """Close the connection so that a response that is not finished does not look complete.
+        """Send the buffered bytes, then close the connection.
 
-        A framed one lacks its end mark. Without framing only a reset shows it.
+        A response that is not finished lacks the end that its form announces.
         """
-        out = self._response
-        if out is not None and out.started and not out.finished and not out.framed:
-            self.reset()
-        else:
-            self.close()
+        if self.transport is not None:
+            self.transport.close()
 
     def abort(self) -> None:
         """Close the connection without sending the buffered bytes."""
         if self.transport is not None:
             self.transport.abort()
 
-    def reset(self) -> None:
-        """Close the connection with a TCP reset."""
-        if self.transport is not None and not self.transport.is_closing():
-            sock = self.transport.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            self.transport.abort()
-
     async def _serve(self) -> None:
         try:
             while await self._serve_one():
@@ -283,14 +303,14 @@
         except Exception:
             logger.exception("unexpected error in a client connection")
         finally:
-            self.end()
+            self.close()
 
     async def _serve_one(self) -> bool:
         """Serve the next request; return whether the connection stays open."""
         incoming = await self._next_request()
         if incoming is None:
             return False
-        out = self._response = Responder(self, incoming.keep_alive and not self._malformed)
+        out = self._response = self._responder(incoming)
         await self.server.handler.handle(incoming, out)
         self._receiver.messages.popleft()
         if not out.finished:
@@ -301,6 +321,11 @@
             self.transport.resume_reading()
         return out.keep_alive
 
+    def _responder(self, incoming: Incoming) -> Responder:
+        if not incoming.takes_chunks:
+            return CollectingResponder(self, keep_alive=False)
+        return Responder(self, incoming.keep_alive and not self._malformed)
+
     async def _next_request(self) -> Incoming | None:
         """Wait for a complete request; refuse one that is malformed, too large or too slow."""
         loop = asyncio.get_running_loop()
@@ -410,4 +435,4 @@
         self._server.close()
         self._server = None
         for conn in list(self.connections):
-            conn.end()
+            conn.close()
--- a/lacewinghub/proxygateway.py
+++ b/lacewinghub/proxygateway.py
@@ -225,14 +225,15 @@
             async for piece in pieces:
                 if isinstance(piece, ResponseHead):
                     head = piece
-                    if not head.whole or not head.framed:
-                        out.start(head.status, head.headers, head.framed)
-                elif out.started:
-                    await out.write(piece)
-                else:
-                    assert head is not None
+                    if not head.whole:
+                        out.start(head.status, head.headers)
+                    continue
+                assert head is not None
+                if head.whole:
                     out.send(head.status, head.headers, piece)
-        if out.started and not out.finished:
+                else:
+                    await out.write(piece)
+        if not out.finished:
             out.finish()
 
     def _send_error(self, out: Responder, exc: LacewingError, request_id: str) -> None:
--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -13,6 +13,7 @@
 
 from lacewinghub.fakes.platform_runner import FakeRunner
 from lacewinghub.fakes.platform_store import FakeStore, StoreFault, StoreListener
+from lacewinghub.httpmessage import LAST_CHUNK
 from lacewinghub.platform.boot import Boot
 from lacewinghub.platform.node import PlatformAdapter
 from lacewinghub.proxynode import ProxyNode
@@ -89,7 +90,7 @@
 
     async def asyncSetUp(self) -> None:
         self.store = FakeStore()
-        self.peer_port = _free_port()
+        self.peer_port = free_port()
         self.listeners: list[StoreListener] = []
         self.models = [FakeRunner(f"m-{n}", "models") for n in range(self.runners)]
         self.apps = [FakeRunner(f"a-{n}", "apps") for n in range(self.runners)]
@@ -205,26 +206,47 @@
         except aiohttp.ClientError:
             return ClientResponse(0, complete=False)
 
-    async def ends_normally(self, path: str, deadline_ms: int = 3000) -> bool:
-        """Send a request; return whether its answer ends without a reset of the connection.
+    async def looks_whole(
+        self, path: str, deadline_ms: int = 3000, version: str = "1.1", port: int | None = None
+    ) -> bool:
+        """Send a request; return whether the form of its answer says that it is whole.
 
         The HTTP client of ``ask`` takes a reset for the end of an answer without framing.
         """
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.members[0].ports["front"])
-        head = f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Token {KEY}\r\n"
+        answer = await self.exchange(path, deadline_ms, version, port)
+        return answer is not None and is_whole(answer)
+
+    async def exchange(
+        self, path: str, deadline_ms: int = 3000, version: str = "1.1", port: int | None = None
+    ) -> bytes | None:
+        """Send a request; return the bytes of its answer, or None if its connection is reset."""
+        port = port or self.members[0].ports["front"]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        head = f"POST {path} HTTP/{version}\r\nHost: {HOST}\r\nAuthorization: Token {KEY}\r\n"
         head += "Lacewinghub-Attempt-Id: raw\r\nLacewinghub-Token-Count: 100,40\r\n"
-        head += f"Lacewinghub-Deadline-Ms: {deadline_ms}\r\n"
+        head += f"Lacewinghub-Deadline-Ms: {deadline_ms}\r\nConnection: close\r\n"
         writer.write(f"{head}Content-Length: 0\r\n\r\n".encode())
         try:
-            answer = await reader.read(-1)
+            return await reader.read(-1)
         except ConnectionResetError:
-            return False
+            return None
         finally:
             writer.close()
-        return answer.startswith(b"HTTP/1.1 200")
 
 
-def _free_port() -> int:
+def is_whole(answer: bytes) -> bool:
+    """Tell whether a client takes a response for a whole and successful one."""
+    head, _, body = answer.partition(b"\r\n\r\n")
+    lines = head.lower().split(b"\r\n")
+    if not lines[0].startswith(b"http/1.1 200"):
+        return False
+    if b"transfer-encoding: chunked" in lines:
+        return body.endswith(LAST_CHUNK)
+    length = next((line for line in lines if line.startswith(b"content-length:")), None)
+    return length is None or len(body) == int(length.partition(b":")[2])
+
+
+def free_port() -> int:
     """Return a port that is free on the loopback addresses of all nodes of a test.
 
     It is below those that the kernel gives to outgoing connections, which could otherwise take it
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -47,9 +47,11 @@
             await out.write(b"one")
             await out.write(b"two")
             out.finish()
-        elif incoming.target == b"/broken":
+        elif incoming.target in (b"/broken", b"/error"):
             out.start(200, [])
             await out.write(b"one")
+            if incoming.target == b"/error":
+                raise ValueError("an error in the handler")
         else:
             out.send(200, [], body)
 
@@ -133,10 +135,22 @@
     async def test_an_unfinished_response_does_not_look_complete(self) -> None:
         # Guards against presenting a truncated response as a complete one.
         complete = await self.exchange(b"GET /pieces HTTP/1.1\r\nHost: x\r\n\r\n", 0.2)
-        broken = await self.exchange(b"GET /broken HTTP/1.1\r\nHost: x\r\n\r\n")
         self.assertTrue(complete.endswith(b"0\r\n\r\n"))
-        self.assertIn(b"one", broken)
-        self.assertFalse(broken.endswith(b"0\r\n\r\n"))
+        for target in (b"/broken", b"/error"):
+            with self.subTest(target):
+                broken = await self.exchange(b"GET %b HTTP/1.1\r\nHost: x\r\n\r\n" % target)
+                self.assertIn(b"one", broken)
+                self.assertFalse(broken.endswith(b"0\r\n\r\n"))
+
+    async def test_an_http_1_0_client_gets_a_length(self) -> None:
+        # Guards against chunks for a client that does not understand them.
+        complete = await self.exchange(b"GET /pieces HTTP/1.0\r\n\r\n")
+        self.assertIn(b"content-length: 6\r\n", complete)
+        self.assertTrue(complete.endswith(b"\r\n\r\nonetwo"))
+        for target in (b"/broken", b"/error"):
+            with self.subTest(target):
+                request = b"GET %b HTTP/1.0\r\nConnection: keep-alive\r\n\r\n" % target
+                self.assertEqual(await self.exchange(request), b"")
 
     async def test_a_disconnect_cancels_the_request(self) -> None:
         self.handler.hold.clear()
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from unittest.mock import patch
 
 from lacewinghub.fakes.platform_runner import RunnerFault, event, response_seal
 
@@ -189,7 +190,6 @@
         self.assertEqual((answer.status, answer.complete), (200, False))
 
     async def test_an_unframed_stream_that_is_broken_off_is_not_ended_as_if_complete(self) -> None:
-        # The HTTP client of the other tests takes a reset for the end of such an answer.
         for fault, whole in (
             (RunnerFault.UNFRAMED, True),
             (RunnerFault.UNFRAMED_CUT, False),
@@ -199,7 +199,7 @@
                 for server in self.models:
                     server._faults.clear()
                     server.fail(fault)
-                self.assertEqual(await self.ends_normally("/chat/a"), whole)
+                self.assertEqual(await self.looks_whole("/chat/a"), whole)
 
     async def test_not_run_is_stated_only_if_no_runner_executed_the_request(self) -> None:
         for server in self.apps:
@@ -272,20 +272,48 @@
 
 
 class TestUnframed(PlatformCase):
-    """Guards against adding framing to a response that its runner ended with its connection.
+    """Guards against an answer whose end only its connection shows.
 
-    The client could then not recognize a truncated response.
+    The operating system closes the connections of a node that is killed as those of any other.
     """
 
-    async def test_an_unframed_answer_stays_unframed(self) -> None:
+    async def test_each_answer_has_a_form_that_shows_its_end(self) -> None:
         for path, servers in (("/once/a", self.apps), ("/draft/a", self.models)):
             with self.subTest(path):
                 for server in servers:
                     server.fail(RunnerFault.UNFRAMED)
                 answer = await self.ask(path)
-                self.assertEqual(answer.status, 200)
-                self.assertNotIn("content-length", answer.headers)
-                self.assertNotIn("transfer-encoding", answer.headers)
-                self.assertEqual(
-                    answer.headers["lacewinghub-response-seal"], response_seal(answer.body)
-                )
+                self.assertEqual((answer.status, answer.complete), (200, True))
+                headers = answer.headers
+                self.assertTrue({"content-length", "transfer-encoding"} & headers.keys())
+                self.assertEqual(headers["lacewinghub-response-seal"], response_seal(answer.body))
+
+    async def test_an_http_1_0_client_gets_a_length_or_an_error(self) -> None:
+        # Guards against chunks for a client that does not understand them, and against a stream
+        # that breaks off and looks whole because it has neither a length nor chunks.
+        whole = b"".join(event(number) for number in range(1, 5))
+        for fault, status in (
+            (None, b"200"),
+            (RunnerFault.UNFRAMED, b"200"),
+            (RunnerFault.CUT, b"502"),
+            (RunnerFault.UNFRAMED_CUT, b"502"),
+        ):
+            with self.subTest(fault):
+                for server in self.models:
+                    server._faults.clear()
+                    if fault is not None:
+                        server.fail(fault)
+                answer = await self.exchange("/chat/a", version="1.0")
+                assert answer is not None
+                head, _, body = answer.partition(b"\r\n\r\n")
+                self.assertEqual(head.split(b" ")[1], status)
+                self.assertIn(b"content-length: %d" % len(body), head)
+                self.assertNotIn(b"transfer-encoding", head)
+                self.assertEqual(body == whole, status == b"200")
+
+    async def test_a_response_too_large_for_an_http_1_0_client_is_an_error(self) -> None:
+        with patch("lacewinghub.httpserver.MAX_COLLECTED_BYTES", 50):
+            answer = await self.exchange("/chat/a", version="1.0")
+        assert answer is not None
+        self.assertTrue(answer.startswith(b"HTTP/1.1 502 "), answer[:100])
+        self.assertIn(b'"response_too_large"', answer)
--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -9,9 +9,20 @@
 from dataclasses import replace
 from pathlib import Path
 
+import aiohttp
+
 from lacewinghub.fakes.platform_runner import RunnerFault
 
-from .platform_cluster import HOST, KEY, ROUTES, PlatformCase, config, route
+from .platform_cluster import (
+    HOST,
+    KEY,
+    ROUTES,
+    PlatformCase,
+    config,
+    free_port,
+    is_whole,
+    route,
+)
 
 LONG_DEADLINE = {"Lacewinghub-Deadline-Ms": "8000"}
 LONG = {"Lacewinghub-Deadline-Ms": "12000"}
@@ -98,7 +109,7 @@
         for item in self.models:
             item.work_s, item.events = 0.2, 100
             item.fail(RunnerFault.UNFRAMED)
-        stream = asyncio.create_task(self.ends_normally("/long/a", deadline_ms=12_000))
+        stream = asyncio.create_task(self.looks_whole("/long/a", deadline_ms=12_000))
         await asyncio.sleep(0.5)
         self.members[0].cfg = replace(self.members[0].cfg, grace_s=3.0)
         self.members[0].request_stop()
@@ -123,6 +134,61 @@
         self.assertEqual(data.lower().count(b"connection: close"), 1)
 
 
+class TestKilledProcess(PlatformCase):
+    async def test_a_stream_of_a_killed_node_does_not_look_whole(self) -> None:
+        # Guards against a form whose end only a last act of the node would show: a killed process
+        # acts no more, and the operating system closes its connections in order.
+        self.store.put("keyed.op", "config", config(2, LONG_ROUTES))
+        for item in self.models:
+            item.work_s, item.events = 0.05, 200
+        for fault in (RunnerFault.UNFRAMED, None):
+            with self.subTest(fault), tempfile.TemporaryDirectory() as folder:
+                for item in self.models:
+                    item._faults.clear()
+                    if fault is not None:
+                        item.fail(fault)
+                proc, port = await self.start_process(Path(folder))
+                try:
+                    stream = asyncio.create_task(
+                        self.exchange("/long/a", deadline_ms=12_000, port=port)
+                    )
+                    await asyncio.sleep(1.0)
+                finally:
+                    proc.kill()
+                    await proc.wait()
+                answer = await stream
+                if answer is not None:
+                    self.assertIn(b"data: piece 3", answer)
+                    self.assertFalse(is_whole(answer))
+
+    async def start_process(self, folder: Path) -> tuple[asyncio.subprocess.Process, int]:
+        """Start a node as a process; return it with its port for clients once it is ready."""
+        listener = await self.store.open_listener()
+        host, front, ready = "127.0.0.8", free_port(), free_port()
+        path = folder / "boot.toml"
+        path.write_text(
+            f'node_name = "killed"\nzone = "z"\n[listen]\nfront = "127.0.0.1:{front}"\n'
+            f'ready = "{host}:{ready}"\n[platform]\naddress = "{listener.address}"\n'
+        )
+        proc = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "lacewinghub.platform",
+            env=os.environ | {"LACEWINGHUB_BOOT": str(path)},
+            stdout=asyncio.subprocess.DEVNULL,
+        )
+
+        async def is_ready() -> bool:
+            try:
+                async with self.session.get(f"http://{host}:{ready}/v1/ready") as resp:
+                    return resp.status == 200
+            except aiohttp.ClientError:
+                return False
+
+        await self.until(is_ready, limit_s=15.0)
+        return proc, front
+
+
 class TestProcess(PlatformCase):
     async def test_signals_and_log_lines(self) -> None:
         listener = await self.store.open_listener()
