Take no connection that this node closed for the end of a response

Callers would see: 200 with an empty or short body, framed as whole, where the node withdraws a request from its runner (it may crash it) after the head of an answer without framing had come. Cause: connection_lost took each end without an error for the end of such a response, the node's own abort too. Change: only an end that the endpoint made completes a response.

--- a/lacewinghub/httpclient.py
+++ b/lacewinghub/httpclient.py
@@ -112,20 +112,18 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._ended = True
         self._peer_ended = not self._closed and not isinstance(exc, TimeoutError)
-        messages = self._receiver.messages
-        last = messages[-1] if messages else None
-        if (
-            exc is None
-            and self._broken is None
-            and last
-            and last.headers_complete
-            and not last.framed
-        ):
-            last.complete = True
+        if exc is None and not self._closed and self._broken is None and self._ends_with_connection:
+            self._receiver.messages[-1].complete = True
         elif self._broken is None:
             self._broken = f"connection ended: {exc}" if exc else "connection ended"
         self._changed.set()
 
+    @property
+    def _ends_with_connection(self) -> bool:
+        """True if the endpoint shows the end of the last response by closing the connection."""
+        messages = self._receiver.messages
+        return bool(messages) and messages[-1].headers_complete and not messages[-1].framed
+
     @property
     def is_idle(self) -> bool:
         """True if the connection is open and has no unread messages."""
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -361,3 +361,20 @@
         conn.close()
         self.assertEqual(await self.ask(), b"a")
         self.assertEqual(self.connections, 2)
+
+    async def test_a_response_that_this_node_breaks_off_is_not_complete(self) -> None:
+        # Guards against taking the node's own closing of a connection, as where a request is
+        # withdrawn from its endpoint, for the end of a response without framing.
+        heads = [b"HTTP/1.1 200 OK\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"]
+        for head in heads:
+            for body in (b"", b"abc"):
+                with self.subTest(head=head, body=body):
+                    self.scripts = [Script(head + body, close=False)]
+                    conn = await self.pool.get(self.address, fresh=True)
+                    conn.send(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+                    response = await conn.read_head()
+                    if body:
+                        self.assertEqual(await conn.read_body(response), body)
+                    conn.close()
+                    with self.assertRaises(ConnectionBroken):
+                        await conn.read_body(response)
