Take no resumed stream for whole that is empty and has no framing

Cause: as a resumed stream may have nothing to add, one that was empty counted as whole, without framing too. A runner that dies between its head and its first event looks the same; a first run was already taken for broken then. Change: without framing, an empty stream is broken off, resumed or not. Its client may resume it.

--- a/lacewinghub/proxyrouter.py
+++ b/lacewinghub/proxyrouter.py
@@ -241,7 +241,7 @@
                         yield data
             if head is not None and _is_broken_off(state, head, event_end):
                 raise EndpointCrashed(
-                    f"endpoint {endpoint.name!r}: the stream ended inside an event",
+                    f"endpoint {endpoint.name!r}: the response ended before it was whole",
                     endpoint=endpoint.name,
                     ended=True,
                 )
@@ -353,17 +353,17 @@
 
 
 def _is_broken_off(state: ProxyState, head: ResponseHead, event_end: EventEnd) -> bool:
-    """Tell whether a stream ended before its last event was complete.
+    """Tell whether a response ended too early, although nothing in its form says so.
 
-    Its framing may say that it is whole nevertheless: it is the runner that stopped.
+    Without framing, a runner that gives up after its head ends a response like one that is whole; a
+    resumed stream that has nothing to add cannot be told from that. Framing does not show that a
+    runner stopped inside an event.
     """
     if not state.streaming or head.status != 200:
         return False
     if head.framed:
         return head.is_event_stream and event_end.has_data and not event_end.is_complete
-    # A resumed stream may have nothing to add.
-    may_be_empty = state.last_event is not None and not event_end.has_data
-    return not (event_end.is_complete or may_be_empty)
+    return not event_end.is_complete
 
 
 def _answering_s(state: ProxyState) -> float | None:
--- a/tests/test_proxyrouter.py
+++ b/tests/test_proxyrouter.py
@@ -1,5 +1,6 @@
 """Tests of the errors that the HTTP proxy returns if no endpoint completed a request."""
 
+import asyncio
 import contextlib
 import unittest
 from collections.abc import AsyncGenerator
@@ -23,6 +24,8 @@
 from .test_promptsplit import RUNNERS, prompt
 
 PIECE_BYTES = 16 * 1024
+EVENT = b"id: 2\ndata: x\n\n"
+DEADLINE_S = 5.0
 
 
 class SingleGrantScheduler(Scheduler):
@@ -151,10 +154,6 @@
         return recorder.seen
 
 
-if __name__ == "__main__":
-    unittest.main()
-
-
 class LargeBodyClient(ProxyClient):
     """Sends a body of a given size in pieces and then fails, or ends."""
 
@@ -214,3 +213,60 @@
         except LacewingError as exc:
             return pieces, exc.code
         return pieces, ""
+
+
+class UnframedClient(ProxyClient):
+    """Answers without framing: the head, pieces of a body, and some time later its end."""
+
+    def __init__(self, pieces: list[bytes], ends_after_s: float) -> None:
+        self.pieces = pieces
+        self.ends_after_s = ends_after_s
+
+    async def stream(
+        self, endpoint: Endpoint, req: Request
+    ) -> AsyncGenerator[ResponseHead | bytes, None]:
+        yield ResponseHead(200, [(b"content-type", b"text/event-stream")], framed=False)
+        for piece in self.pieces:
+            yield piece
+        await asyncio.sleep(self.ends_after_s)
+
+
+class TestUnframedEnds(unittest.TestCase):
+    """Guards against a response without framing that ends early and is completed as if whole."""
+
+    def test_resumed_streams(self) -> None:
+        # A runner that ends after its head looks like one that has nothing to add.
+        whole = [EVENT]
+        cases = [
+            ("whole", None, whole, ""),
+            ("nothing", None, [], "answer_incomplete"),
+            ("resumed", b"1", whole, ""),
+            ("resumed, nothing", b"1", [], "answer_incomplete"),
+        ]
+        for name, last_event, pieces, code in cases:
+            with self.subTest(name):
+                client = UnframedClient(pieces, 1.0)
+                self.assertEqual(simulate(lambda c=client, i=last_event: _play(c, True, i)), code)
+
+
+async def _play(client: ProxyClient, streaming: bool, last_event: bytes | None = None) -> str:
+    """Send a request whose deadline comes after 5 s; return the code of its error."""
+    tables = Tables(version=1)
+    tables.pools = {"p": Pool("p", RUNNERS)}
+    dependencies = DispatcherDependencies(
+        scheduler=SingleGrantScheduler(), tables=lambda: tables, history=History("node")
+    )
+    req = prompt(800)
+    assert req.proxy is not None
+    req.proxy.streaming, req.proxy.resumable = streaming, streaming
+    req.proxy.last_event, req.proxy.deadline = last_event, DEADLINE_S
+    try:
+        async for _ in ProxyRouter(dependencies, client).stream(req):
+            pass
+    except LacewingError as exc:
+        return exc.code
+    return ""
+
+
+if __name__ == "__main__":
+    unittest.main()
