Take no answer without framing for whole that ends at its deadline

Callers would see: a 200 that is cut at the deadline and ends in order (MIXED, ORDER). Cause: a runner stops work at the deadline that it receives, and closes the connection of an answer without framing. Its clock and the whole milliseconds of the header let it get there just before the node does; the node then took the end for that of a whole answer. Change: such an end in the last 20 ms before the deadline is broken off. An answer that is whole only then is lost 20 ms early. Test: TestUnframedEnds.test_ends_at_the_deadline; before, 2 of its 4 cases failed.

--- a/lacewinghub/proxyrouter.py
+++ b/lacewinghub/proxyrouter.py
@@ -37,6 +37,8 @@
 # A response that is not a stream is passed on when it is complete, so that a failed attempt can be
 # retried. A larger one is passed on as it arrives.
 MAX_BUFFERED_BYTES = 256 * 1024
+# An endpoint's clock and the network may let it reach a deadline this long before this node does.
+DEADLINE_MARGIN_S = 0.02
 
 
 class EndpointBusy(EndpointError):
@@ -239,7 +241,7 @@
                         state.last_event = progress.splitter.last_event_id
                     if data:
                         yield data
-            if head is not None and _is_broken_off(state, head, event_end):
+            if head is not None and _is_broken_off(state, head, event_end, loop.time()):
                 raise EndpointCrashed(
                     f"endpoint {endpoint.name!r}: the response ended before it was whole",
                     endpoint=endpoint.name,
@@ -352,13 +354,15 @@
     return req.proxy
 
 
-def _is_broken_off(state: ProxyState, head: ResponseHead, event_end: EventEnd) -> bool:
+def _is_broken_off(state: ProxyState, head: ResponseHead, event_end: EventEnd, now: float) -> bool:
     """Tell whether a response ended too early, although nothing in its form says so.
 
-    Without framing, a runner that gives up after its head ends a response like one that is whole; a
-    resumed stream that has nothing to add cannot be told from that. Framing does not show that a
-    runner stopped inside an event.
+    Without framing, a runner that gives up at the deadline or after its head ends a response like
+    one that is whole; a resumed stream that has nothing to add cannot be told from that. Framing
+    does not show that a runner stopped inside an event.
     """
+    if not head.framed and now >= state.deadline - DEADLINE_MARGIN_S:
+        return True
     if not state.streaming or head.status != 200:
         return False
     if head.framed:
--- a/tests/test_proxyrouter.py
+++ b/tests/test_proxyrouter.py
@@ -248,6 +248,20 @@
                 client = UnframedClient(pieces, 1.0)
                 self.assertEqual(simulate(lambda c=client, i=last_event: _play(c, True, i)), code)
 
+    def test_ends_at_the_deadline(self) -> None:
+        # Endpoints stop work at the deadline that they receive, perhaps just before this node does.
+        cases = [
+            ("stream, in time", True, 4.9, ""),
+            ("stream, at the deadline", True, 4.99, "answer_incomplete"),
+            ("plain, in time", False, 4.9, ""),
+            ("plain, at the deadline", False, 4.99, "endpoint_failed"),
+        ]
+        for name, streaming, ends_after_s, code in cases:
+            with self.subTest(name):
+                client = UnframedClient([EVENT], ends_after_s)
+                found = simulate(lambda c=client, s=streaming: _play(c, s))
+                self.assertEqual(found, code)
+
 
 async def _play(client: ProxyClient, streaming: bool, last_event: bytes | None = None) -> str:
     """Send a request whose deadline comes after 5 s; return the code of its error."""
