Call no plain answer whole that came without framing; let its connection be reset if the node dies

Cause: gave plain answers without framing a length once their runner had closed its connection. A runner in trouble closes it in order in the middle of its answer, too: the log shows the end without an error after 22 bytes of a longer body. Nobody can judge such an answer by its bytes, so that the node called a short one whole. Of a stream the node can: one that ends inside an event has been broken off. Ruled out: a reset that the node takes for an end in order (the callback for an end of file came first). Change: streams stay in chunks. Its connection is set to be reset when it is closed, which the operating system does for a process that is killed too, until its last byte was passed on. The forms of a body are classes of their own in responder.py, out of httpserver.py.

--- a/lacewinghub/fakes/platform_store.py
+++ b/lacewinghub/fakes/platform_store.py
@@ -15,7 +15,8 @@
 from urllib.parse import parse_qs
 
 from ..httpmessage import Incoming
-from ..httpserver import ClientConnection, HttpHandler, HttpServer, Responder
+from ..httpserver import ClientConnection, HttpHandler, HttpServer
+from ..responder import Responder
 
 PAGE_ITEMS = 500
 
--- a/lacewinghub/httpserver.py
+++ b/lacewinghub/httpserver.py
@@ -5,16 +5,16 @@
 
 import asyncio
 import socket
+import struct
 from abc import ABC, abstractmethod
-from dataclasses import dataclass, field
-from http import HTTPStatus
+from dataclasses import dataclass
 from typing import cast
 
 import httptools
 from loguru import logger
 
-from .errors import ResponseTooLarge
-from .httpmessage import CRLF, LAST_CHUNK, Headers, Incoming, MessageReceiver, chunk, encode_headers
+from .httpmessage import Incoming, MessageReceiver
+from .responder import Responder, ResponseConnection
 
 BACKLOG = 1024
 HTTP_1_0 = "1.0"
@@ -27,8 +27,6 @@
 IDLE_BEFORE_CLOSE_S = 0.5
 # Time for a client to read the error response to a request that was refused before its end.
 LINGER_S = 0.5
-# Largest body that is collected for an HTTP/1.0 client.
-MAX_COLLECTED_BYTES = 1024 * 1024
 
 
 @dataclass(slots=True)
@@ -72,104 +70,7 @@
         """Called when the server refused a request that is malformed, too large or too slow."""
 
 
-@dataclass(slots=True)
-class Responder:
-    """Writes the response to one request.
-
-    Each response has a length or comes in chunks, so that its form shows whether it is whole. The
-    end of its connection would not: the operating system closes the connections of a process that
-    dies in order.
-
-    Attributes:
-        conn: The connection of the client.
-        keep_alive: False if the connection is closed after the response.
-        started: True once a part of the response was sent.
-        finished: True once the whole response was sent.
-    """
-
-    conn: "ClientConnection"
-    keep_alive: bool
-    started: bool = False
-    finished: bool = False
-
-    def send(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a complete response with its length."""
-        length = (b"content-length", str(len(body)).encode())
-        self.conn.write(self._head(status, [*headers, length]) + body)
-        self.finished = True
-
-    def start(self, status: int, headers: Headers) -> None:
-        """Send status and headers of a response whose body follows in pieces.
-
-        Args:
-            status: HTTP status.
-            headers: Headers without those that frame the body.
-        """
-        self.conn.write(self._head(status, [*headers, (b"transfer-encoding", b"chunked")]))
-
-    async def write(self, data: bytes) -> None:
-        """Send a piece of the body; waits while the client does not read.
-
-        Raises:
-            ResponseTooLarge: If the body cannot be sent to a client of this HTTP version.
-        """
-        if data:
-            self.conn.write(chunk(data))
-            await self.conn.drain()
-
-    def finish(self) -> None:
-        """End a body that was sent in pieces."""
-        self.conn.write(LAST_CHUNK)
-        self.finished = True
-
-    def _head(self, status: int, headers: Headers) -> bytes:
-        self.started = True
-        # A request that has arrived behind this one is answered before the connection is closed.
-        if self.conn.server.handler.is_closing() and not self.conn.has_next_request:
-            self.keep_alive = False
-        phrase = _REASON_PHRASES.get(status, b"Unknown")
-        line = b"HTTP/1.1 %d %b\r\n" % (status, phrase)
-        if not self.keep_alive:
-            headers = [*headers, (b"connection", b"close")]
-        return line + encode_headers(headers) + CRLF
-
-
-@dataclass(slots=True)
-class CollectingResponder(Responder):
-    """Writes the response to an HTTP/1.0 client, which does not understand chunks.
-
-    The pieces of a body are collected and sent with their length once the body is whole.
-    """
-
-    _status: int = 0
-    _headers: Headers = field(default_factory=list)
-    _body: bytearray = field(default_factory=bytearray)
-
-    def start(self, status: int, headers: Headers) -> None:
-        """Keep status and headers of a response whose body follows in pieces."""
-        self._status, self._headers = status, headers
-
-    async def write(self, data: bytes) -> None:
-        """Collect a piece of the body.
-
-        Raises:
-            ResponseTooLarge: If the body has more than ``MAX_COLLECTED_BYTES``.
-        """
-        if len(self._body) + len(data) > MAX_COLLECTED_BYTES:
-            raise ResponseTooLarge(
-                f"the response has more than {MAX_COLLECTED_BYTES} bytes; use HTTP/1.1"
-            )
-        self._body += data
-
-    def finish(self) -> None:
-        """Send the collected response."""
-        self.send(self._status, self._headers, bytes(self._body))
-
-
-_REASON_PHRASES = {int(item): item.phrase.encode() for item in HTTPStatus}
-
-
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.Protocol, ResponseConnection):
     """One connection of a client."""
 
     def __init__(self, server: "HttpServer") -> None:
@@ -184,6 +85,7 @@
         self._lost = False
         self._malformed = False
         self._response: Responder | None = None
+        self._resets_on_close = False
         self._last_used = 0.0
         self._message_started = 0.0
 
@@ -269,10 +171,17 @@
         if not self._writable.is_set():
             await self._writable.wait()
 
-    @property
-    def has_next_request(self) -> bool:
-        """True if a part of a request after the current one has arrived."""
-        return len(self._receiver.messages) > 1
+    def reset_on_close(self, enabled: bool) -> None:
+        """Choose whether closing resets the connection, also if the process dies."""
+        self._resets_on_close = enabled
+        if self.transport is not None and not self.transport.is_closing():
+            sock = self.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", enabled, 0))
+
+    def closes_after_response(self) -> bool:
+        """Return whether the node stops and no further request has arrived behind this one."""
+        has_next_request = len(self._receiver.messages) > 1
+        return self.server.handler.is_closing() and not has_next_request
 
     def close_if_idle(self) -> None:
         """Close the connection if it has been idle for ``IDLE_BEFORE_CLOSE_S``."""
@@ -282,11 +191,13 @@
         self.close()
 
     def close(self) -> None:
-        """Send the buffered bytes, then close the connection.
+        """Close the connection so that a response that is not finished does not look whole.
 
-        A response that is not finished lacks the end that its form announces.
+        The buffered bytes are sent before, unless the end of the connection has to be a reset.
         """
-        if self.transport is not None:
+        if self._resets_on_close:
+            self.abort()
+        elif self.transport is not None:
             self.transport.close()
 
     def abort(self) -> None:
@@ -310,21 +221,26 @@
         incoming = await self._next_request()
         if incoming is None:
             return False
-        out = self._response = self._responder(incoming)
+        keep_alive = incoming.keep_alive and incoming.takes_chunks and not self._malformed
+        out = self._response = Responder(self, keep_alive, incoming.takes_chunks)
         await self.server.handler.handle(incoming, out)
         self._receiver.messages.popleft()
         if not out.finished:
             return False
+        if not out.framed:
+            await self._flush()
+            self.reset_on_close(False)
         self._response = None
         self._last_used = asyncio.get_running_loop().time()
         if self.transport is not None and not self._lost:
             self.transport.resume_reading()
         return out.keep_alive
 
-    def _responder(self, incoming: Incoming) -> Responder:
-        if not incoming.takes_chunks:
-            return CollectingResponder(self, keep_alive=False)
-        return Responder(self, incoming.keep_alive and not self._malformed)
+    async def _flush(self) -> None:
+        """Wait until all bytes were passed to the operating system, which delivers them."""
+        assert self.transport is not None
+        self.transport.set_write_buffer_limits(0)
+        await self.drain()
 
     async def _next_request(self) -> Incoming | None:
         """Wait for a complete request; refuse one that is malformed, too large or too slow."""
--- a/lacewinghub/metricpage.py
+++ b/lacewinghub/metricpage.py
@@ -5,7 +5,8 @@
 
 from .history import Event, EventKind
 from .httpmessage import Incoming
-from .httpserver import HttpHandler, Responder
+from .httpserver import HttpHandler
+from .responder import Responder
 
 BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
 CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
--- a/lacewinghub/platform/entry.py
+++ b/lacewinghub/platform/entry.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 
 from ..httpmessage import Incoming
-from ..httpserver import HttpHandler, Responder
+from ..httpserver import HttpHandler
+from ..responder import Responder
 from . import names
 
 
--- a/lacewinghub/proxygateway.py
+++ b/lacewinghub/proxygateway.py
@@ -18,11 +18,12 @@
     NotRun,
 )
 from .httpmessage import Headers, Incoming
-from .httpserver import HttpHandler, HttpLimits, Responder
+from .httpserver import HttpHandler, HttpLimits
 from .pathroute import PathRoute
 from .phase import Phase
 from .proxyrouter import ProxyRouter, ResponseHead
 from .request import ProxyState, Request
+from .responder import Responder
 
 NOT_READY_RETRY_S = 1.0
 # While this node stops, the client can reach another node at once.
@@ -225,11 +226,11 @@
             async for piece in pieces:
                 if isinstance(piece, ResponseHead):
                     head = piece
-                    if not head.whole:
-                        out.start(head.status, head.headers)
+                    if not head.has_length:
+                        out.start(head.status, head.headers, head.framed)
                     continue
                 assert head is not None
-                if head.whole:
+                if head.has_length:
                     out.send(head.status, head.headers, piece)
                 else:
                     await out.write(piece)
--- a/lacewinghub/proxyrouter.py
+++ b/lacewinghub/proxyrouter.py
@@ -72,6 +72,11 @@
     framed: bool = True
     whole: bool = False
 
+    @property
+    def has_length(self) -> bool:
+        """True if the length of the body is known when it is passed on."""
+        return self.whole and self.framed
+
     @property
     def is_event_stream(self) -> bool:
         """True if the body consists of server-sent events."""
@@ -219,7 +224,8 @@
                         head = piece
                         if not progress.head_sent and state.streaming and head.status == 200:
                             progress.head_sent = True
-                            yield head
+                            # The events of a stream show whether it is whole.
+                            yield replace(head, framed=True)
                         continue
                     if state.answering_since is None:
                         state.answering_since = loop.time()
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -14,11 +14,12 @@
 from lacewinghub.eventstream import EventSplitter, EventTooLarge
 from lacewinghub.httpclient import ConnectionPool
 from lacewinghub.httpmessage import Incoming
-from lacewinghub.httpserver import HttpHandler, HttpLimits, HttpServer, Responder
+from lacewinghub.httpserver import HttpHandler, HttpLimits, HttpServer
 from lacewinghub.platform.runner import RunnerClient
 from lacewinghub.platform.store import StoreClient
 from lacewinghub.proxyrouter import EndpointBusy, ResponseHead
 from lacewinghub.request import HttpRequest, ProxyState, Request
+from lacewinghub.responder import Responder
 from lacewinghub.selection import LoadReports
 from lacewinghub.tables import Endpoint, Target
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -12,7 +12,8 @@
     ConnectLimits,
 )
 from lacewinghub.httpmessage import Incoming, end_to_end
-from lacewinghub.httpserver import HttpHandler, HttpLimits, HttpServer, Responder
+from lacewinghub.httpserver import HttpHandler, HttpLimits, HttpServer
+from lacewinghub.responder import Responder
 
 REQUEST = b"POST /a/b?c=%20d HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc"
 
