--- a/lacewinghub/responder.py
+++ b/lacewinghub/responder.py
@@ -14,7 +14,7 @@
 from .httpmessage import CRLF, LAST_CHUNK, Headers, chunk, encode_headers
 
 # Largest body that is collected for an HTTP/1.0 client.
-MAX_COLLECTED_BYTES = 1024 * 1024
+MAX_COLLECTED_BYTES = 256 * 1024
 _REASON_PHRASES = {int(item): item.phrase.encode() for item in HTTPStatus}
 
 
