--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -102,7 +102,8 @@
         await asyncio.sleep(0.4)
         for item in self.models:
             for conn in list(item._server.connections)[:1]:
-                conn.reset()
+                conn.reset_on_close(True)
+                conn.close()
         await asyncio.sleep(1.0)
         waiting += [asyncio.create_task(self.ask_long(node, 9)) for node in range(self.nodes)]
         answers = await asyncio.gather(*waiting)
