--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -17,6 +17,9 @@
 
 REQUEST = b"POST /a/b?c=%20d HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc"
 
+PIECE_BYTES = 64 * 1024
+UNFRAMED_PIECES = 256
+
 
 class Echo(HttpHandler):
     """Returns the body that it received, and records the requests."""
@@ -53,6 +56,12 @@
             await out.write(b"one")
             if incoming.target == b"/error":
                 raise ValueError("an error in the handler")
+        elif incoming.target.startswith(b"/unframed"):
+            out.start(200, [], framed=False)
+            for _ in range(UNFRAMED_PIECES):
+                await out.write(bytes(PIECE_BYTES))
+            if incoming.target == b"/unframed":
+                out.finish()
         else:
             out.send(200, [], body)
 
@@ -143,6 +152,29 @@
                 self.assertIn(b"one", broken)
                 self.assertFalse(broken.endswith(b"0\r\n\r\n"))
 
+    async def test_a_response_that_ends_with_its_connection_is_reset_unless_it_is_whole(
+        self,
+    ) -> None:
+        # Guards against a truncated response whose connection is closed in order, and against a
+        # whole one of which a reset takes the last bytes from a client that reads slowly.
+        for target, whole in ((b"/unframed", True), (b"/unframed-broken", False)):
+            with self.subTest(target):
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                writer.write(b"GET %b HTTP/1.1\r\nHost: x\r\n\r\n" % target)
+                await reader.readuntil(b"\r\n\r\n")
+                await asyncio.sleep(0.2)
+                size, was_reset = 0, False
+                try:
+                    while data := await reader.read(65536):
+                        size += len(data)
+                        await asyncio.sleep(0.001)
+                except ConnectionResetError:
+                    was_reset = True
+                writer.close()
+                self.assertEqual(was_reset, not whole)
+                if whole:
+                    self.assertEqual(size, UNFRAMED_PIECES * PIECE_BYTES)
+
     async def test_an_http_1_0_client_gets_a_length(self) -> None:
         # Guards against chunks for a client that does not understand them.
         complete = await self.exchange(b"GET /pieces HTTP/1.0\r\n\r\n")
