--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -4,13 +4,16 @@
 A test listed in KNOWN-RED.txt is run and reported, but its failure does not fail the run.
 """
 
+import asyncio
 import contextlib
+import faulthandler
 import json
 import os
 import signal
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
@@ -19,6 +22,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 WORKERS = 4
 MODULE_TIMEOUT_S = 300
+# Time for a module that takes too long to print what it waits for.
+STACKS_S = 2.0
 SERIAL = (
     "tests.test_claim_failure",
     "tests.test_config_race",
@@ -67,7 +72,15 @@
         self.passed.append(test.id())
 
 
+def _print_tasks(signum: int, frame: object) -> None:
+    """Print where the tasks of a module wait, and where it is itself."""
+    faulthandler.dump_traceback(sys.stderr)
+    for task in asyncio.all_tasks():
+        task.print_stack(file=sys.stderr)
+
+
 def _run_module(name: str) -> int:
+    signal.signal(signal.SIGUSR1, _print_tasks)
     suite = unittest.defaultTestLoader.loadTestsFromName(name)
     runner = unittest.TextTestRunner(stream=sys.stderr, verbosity=1, resultclass=_Recorder)
     result = runner.run(suite)
@@ -95,7 +108,10 @@
         try:
             status = process.wait(MODULE_TIMEOUT_S)
         except subprocess.TimeoutExpired:
-            return ModuleResult([], [f"{name} (timeout after {MODULE_TIMEOUT_S} s)"])
+            process.send_signal(signal.SIGUSR1)
+            time.sleep(STACKS_S)
+            err.seek(0)
+            return ModuleResult([], [f"{name} (timeout after {MODULE_TIMEOUT_S} s)"], err.read())
         finally:
             _kill_group(process)
         out.seek(0)
