--- a/lacewinghub/httpserver.py
+++ b/lacewinghub/httpserver.py
@@ -172,7 +172,10 @@
             await self._writable.wait()
 
     def reset_on_close(self, enabled: bool) -> None:
-        """Choose whether closing resets the connection, also if the process dies."""
+        """Choose whether closing resets the connection, also if the process dies.
+
+        With a linger time of 0 s, the operating system sends a reset whoever closes the socket.
+        """
         self._resets_on_close = enabled
         if self.transport is not None and not self.transport.is_closing():
             sock = self.transport.get_extra_info("socket")
