--- a/lacewinghub/fakes/platform_runner.py
+++ b/lacewinghub/fakes/platform_runner.py
@@ -45,6 +45,8 @@
 
 # Faults of streams whose end the connection shows.
 UNFRAMED_STREAMS = (RunnerFault.UNFRAMED, RunnerFault.UNFRAMED_CUT, RunnerFault.UNFRAMED_EMPTY)
+# Faults of streams that end in order inside an event.
+INSIDE_AN_EVENT = (RunnerFault.UNFRAMED_CUT, RunnerFault.EVENT_CUT)
 
 
 @dataclass(frozen=True, slots=True)
@@ -269,17 +271,16 @@
         after = int(_header_text(incoming, b"last-event-id") or 0)
         body = b"".join(event(number) for number in range(1, self.events + 1))
         sealed = [*base_headers, (b"lacewinghub-response-seal", response_seal(body).encode())]
-        headers = [*sealed, (b"content-type", b"text/event-stream")]
-        if fault in UNFRAMED_STREAMS:
-            await self._stream_unframed(out, headers, after, fault)
-            return
-        out.start(200, headers)
+        framed = fault not in UNFRAMED_STREAMS
+        out.start(200, [*sealed, (b"content-type", b"text/event-stream")], framed)
         while fault is RunnerFault.EMPTY_LINES:
             await out.write(b"\n" * 65536)
             await asyncio.sleep(0)
         for number in range(after + 1, self.events + 1):
             await asyncio.sleep(self.work_s)
-            if fault is RunnerFault.EVENT_CUT and number == after + 3:
+            if fault is RunnerFault.UNFRAMED_EMPTY:
+                break
+            if fault in INSIDE_AN_EVENT and number == after + 3:
                 await out.write(event(number)[:5])
                 break
             if fault is RunnerFault.CUT and number == after + 3:
@@ -288,21 +289,6 @@
             await out.write(event(number))
         out.finish()
 
-    async def _stream_unframed(
-        self, out: Responder, headers: Headers, after: int, fault: RunnerFault | None
-    ) -> None:
-        """Send a stream that ends with its connection."""
-        out.conn.write(_encode_head(headers))
-        for number in range(after + 1, self.events + 1):
-            await asyncio.sleep(self.work_s)
-            if fault is RunnerFault.UNFRAMED_EMPTY:
-                return
-            if fault is RunnerFault.UNFRAMED_CUT and number == after + 3:
-                out.conn.write(event(number)[:5])
-                return
-            out.conn.write(event(number))
-            await out.conn.drain()
-
 
 def event(number: int) -> bytes:
     """Return the server-sent event with a number."""
--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -207,14 +207,12 @@
         except aiohttp.ClientError:
             return ClientResponse(0, complete=False)
 
-    async def looks_whole(
-        self, path: str, deadline_ms: int = 3000, version: str = "1.1", port: int | None = None
-    ) -> bool:
+    async def looks_whole(self, path: str, deadline_ms: int = 3000) -> bool:
         """Send a request; return whether the form of its answer says that it is whole.
 
         The HTTP client of ``ask`` takes a reset for the end of an answer without framing.
         """
-        answer, was_reset = await self.exchange(path, deadline_ms, version, port)
+        answer, was_reset = await self.exchange(path, deadline_ms)
         return not was_reset and is_whole(answer)
 
     async def exchange(
--- a/tests/test_proxyrouter.py
+++ b/tests/test_proxyrouter.py
@@ -47,6 +47,17 @@
         return None
 
 
+def _router(client: ProxyClient, *monitors: EndpointMonitor) -> ProxyRouter:
+    """Return a router that grants each request one attempt."""
+    tables = Tables(version=1)
+    tables.pools = {"p": Pool("p", RUNNERS)}
+    dependencies = DispatcherDependencies(
+        scheduler=SingleGrantScheduler(), tables=lambda: tables, history=History("node")
+    )
+    dependencies.monitors.extend(monitors)
+    return ProxyRouter(dependencies, client)
+
+
 class FailingClient(ProxyClient):
     """Fails each request, before or after the start of the response."""
 
@@ -79,17 +90,12 @@
                 self.assertEqual((exc.code, exc.status), (code, status))
 
     async def _error(self, failure: type[EndpointError], head_sent: bool) -> LacewingError:
-        tables = Tables(version=1)
-        tables.pools = {"p": Pool("p", RUNNERS)}
-        dependencies = DispatcherDependencies(
-            scheduler=SingleGrantScheduler(), tables=lambda: tables, history=History("node")
-        )
         req = prompt(800)
         assert req.proxy is not None
         req.proxy.repeatable = req.proxy.resumable = True
         req.proxy.max_attempts = 3
         try:
-            async for _ in ProxyRouter(dependencies, FailingClient(failure, head_sent)).stream(req):
+            async for _ in _router(FailingClient(failure, head_sent)).stream(req):
                 pass
         except LacewingError as exc:
             return exc
@@ -139,17 +145,12 @@
                 self.assertEqual(found, expected)
 
     async def _seen(self, status: int, repeatable: bool) -> list[bool]:
-        tables, recorder = Tables(version=1), RecordingMonitor()
-        tables.pools = {"p": Pool("p", RUNNERS)}
-        dependencies = DispatcherDependencies(
-            scheduler=SingleGrantScheduler(), tables=lambda: tables, history=History("node")
-        )
-        dependencies.monitors.append(recorder)
+        recorder = RecordingMonitor()
         req = prompt(800)
         assert req.proxy is not None
         req.proxy.repeatable, req.proxy.max_attempts = repeatable, 2
         with contextlib.suppress(LacewingError):
-            async for _ in ProxyRouter(dependencies, FixedStatusClient(status)).stream(req):
+            async for _ in _router(FixedStatusClient(status), recorder).stream(req):
                 pass
         return recorder.seen
 
@@ -197,17 +198,12 @@
                 self.assertLessEqual(client.calls, calls)
 
     async def _play(self, client: ProxyClient) -> tuple[list[bytes], str]:
-        tables = Tables(version=1)
-        tables.pools = {"p": Pool("p", RUNNERS)}
-        dependencies = DispatcherDependencies(
-            scheduler=SingleGrantScheduler(), tables=lambda: tables, history=History("node")
-        )
         req = prompt(800)
         assert req.proxy is not None
         req.proxy.streaming, req.proxy.repeatable, req.proxy.max_attempts = False, True, 3
         pieces: list[bytes] = []
         try:
-            async for piece in ProxyRouter(dependencies, client).stream(req):
+            async for piece in _router(client).stream(req):
                 if isinstance(piece, bytes):
                     pieces.append(piece)
         except LacewingError as exc:
@@ -265,17 +261,12 @@
 
 async def _play(client: ProxyClient, streaming: bool, last_event: bytes | None = None) -> str:
     """Send a request whose deadline comes after 5 s; return the code of its error."""
-    tables = Tables(version=1)
-    tables.pools = {"p": Pool("p", RUNNERS)}
-    dependencies = DispatcherDependencies(
-        scheduler=SingleGrantScheduler(), tables=lambda: tables, history=History("node")
-    )
     req = prompt(800)
     assert req.proxy is not None
     req.proxy.streaming, req.proxy.resumable = streaming, streaming
     req.proxy.last_event, req.proxy.deadline = last_event, DEADLINE_S
     try:
-        async for _ in ProxyRouter(dependencies, client).stream(req):
+        async for _ in _router(client).stream(req):
             pass
     except LacewingError as exc:
         return exc.code
