Add the interfaces of the singleton duties, and decode what the platform says of them

Cause: two deployments ask for usage reports and for runners to be ordered; nothing reads their settings, the scaling rules of pools, spot runners, or the fourth figure of a runner's load. Change: settings, configuration and records are decoded; conditional appends to the store, a client of the control API, and the messages that the parts will use.

--- a/lacewinghub/directory.py
+++ b/lacewinghub/directory.py
@@ -7,11 +7,12 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Literal
 
 from loguru import logger
 
+from .scaling import EngineSpec, RunnerInfo, ScalingRule
 from .tables import Endpoint, Pool, Tables
 
 # Time after an outage in which missing endpoints may return.
@@ -33,20 +34,34 @@
         pool: Name of the pool that it serves.
         leaving: True if it accepts no new requests.
         started: Start time by its own clock; a change means that it restarted and lost its state.
+        spot: True if it costs less and may be reclaimed.
+        leaves_s: Time until it ends, in seconds; None if unknown. It shrinks with each renewal, so
+            that it does not count when two announcements are compared.
     """
 
     endpoint: Endpoint
     pool: str
     leaving: bool = False
     started: float = 0.0
+    spot: bool = False
+    leaves_s: float | None = field(default=None, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
 class PoolSpec:
-    """A pool without its endpoints."""
+    """A pool without its endpoints.
+
+    Attributes:
+        name: Name of the pool.
+        kind: Kind of its endpoints.
+        scaling: Limits and prices, if its endpoints can be ordered.
+        engine: What its runners can do.
+    """
 
     name: str
     kind: Literal["model", "service"] = "service"
+    scaling: ScalingRule | None = None
+    engine: EngineSpec = field(default_factory=EngineSpec)
 
 
 class EndpointDirectory:
@@ -68,6 +83,8 @@
         self._removed: dict[str, float] = {}
         # Endpoints that are not used before a loop time, in seconds.
         self._held_until: dict[str, float] = {}
+        # Loop times at which leaving endpoints end, in seconds.
+        self._ends_at: dict[str, float] = {}
         self._source_unavailable = False
         self._returned_at = float("-inf")
         self._rewound_until = float("-inf")
@@ -109,6 +126,7 @@
         if old is not None and item.started < old.started:
             return  # Announced before the endpoint restarted.
         self._missing.discard(name)
+        self._record_end(item)
         if old == item:
             return
         self._known[name] = item
@@ -125,6 +143,39 @@
             logger.bind(endpoint=name, pool=item.pool).info("endpoint is leaving")
         self._rebuild()
 
+    def specs(self) -> tuple[PoolSpec, ...]:
+        """Return the configured pools."""
+        return tuple(self._specs.values())
+
+    def inventory(self, pool: str) -> list[RunnerInfo]:
+        """Return the announced endpoints of a pool, leaving ones included, ordered by name."""
+        return [
+            RunnerInfo(
+                name,
+                item.endpoint.address,
+                item.endpoint.availability_zone,
+                item.endpoint.slots,
+                item.spot,
+                not self._accepts_requests(item),
+                self._ends_at.get(name),
+            )
+            for name, item in sorted(self._known.items())
+            if item.pool == pool
+        ]
+
+    def ends_at(self, name: str) -> float | None:
+        """Return the loop time at which a leaving endpoint ends, in seconds; None if unknown."""
+        return self._ends_at.get(name)
+
+    def _record_end(self, item: Announcement) -> None:
+        """Record when an endpoint ends; the earliest of its statements holds."""
+        name = item.endpoint.name
+        if not item.leaving or item.leaves_s is None:
+            self._ends_at.pop(name, None)
+            return
+        at = asyncio.get_running_loop().time() + item.leaves_s
+        self._ends_at[name] = min(at, self._ends_at.get(name, at))
+
     def mark_leaving(self, name: str) -> None:
         """Use an endpoint no longer because its answers state that it leaves, until it restarts.
 
@@ -215,6 +266,7 @@
     def _remove(self, name: str) -> None:
         self._missing.discard(name)
         item = self._known.pop(name, None)
+        self._ends_at.pop(name, None)
         if item is None:
             return
         _remember(self._removed, name, item.started)
--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -267,6 +267,49 @@
     era: int = 0
 
 
+@dataclass(slots=True)
+class LeaderHint:
+    """The node that holds the singleton duties, as far as the sender knows.
+
+    Attributes:
+        node: Identifier of the holder.
+        address: Address on which it accepts peers.
+        token: Fencing token of its lease; the highest one is the newest.
+    """
+
+    node: str
+    address: str
+    token: int
+
+
+@dataclass(slots=True)
+class RunnerObservation:
+    """What a node has learnt of a runner from its answers.
+
+    Attributes:
+        endpoint: Name of the runner.
+        source: Identifier of the node that learnt it, as a number.
+        number: Number of this news among those of its source.
+        age_ms: Time since it was learnt, in milliseconds.
+        running: Requests in its batch.
+        waiting: Requests in its own queue.
+        slowness: Time that work takes on its host, in hundredths of the usual time; 0 if unknown.
+        gap_ms: Mean time between two events of an answer, in milliseconds; 0 if unknown.
+        prefill_ms: Mean time to the first event per 1,000 prompt tokens, in milliseconds; 0 if
+            unknown.
+    """
+
+    endpoint: str
+    source: int
+    number: int
+    age_ms: int
+    running: int
+    waiting: int
+    slowness: int
+    gap_ms: int
+    prefill_ms: int
+
+
 @dataclass(slots=True)
 class Heartbeat:
     """Periodic state of a node; always complete, so that a lost heartbeat does no harm.
@@ -299,6 +342,8 @@
     refuted: list[str] = field(default_factory=list)
     rates: list[StatedRate] = field(default_factory=list)
     crash_trials: list[CrashTrial] = field(default_factory=list)
+    leaders: list[LeaderHint] = field(default_factory=list)
+    runners: list[RunnerObservation] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -627,6 +672,65 @@
     offset: list[TopicOffset]
 
 
+@dataclass(slots=True)
+class WindowUsage:
+    """Requests of one workspace that began in one window at the sender, since its start."""
+
+    window: int
+    workspace: str
+    requests: int
+
+
+@dataclass(slots=True)
+class PoolDemand:
+    """Demand for a pool at the sender; rates and counts cover its last few seconds.
+
+    Attributes:
+        pool: Name of the pool.
+        arrivals_per_s: Requests per second.
+        prompt_tokens_per_s: Prompt tokens per second.
+        output_tokens_per_s: Expected output tokens per second.
+        queued: Requests that wait at the sender now.
+        in_flight: Requests that the sender has sent to endpoints and that are not finished.
+        on_time_per_s: First events per second within their latency target.
+        late_per_s: First events per second beyond it.
+        refused_per_s: Requests per second that the sender refused for want of capacity.
+    """
+
+    pool: str
+    arrivals_per_s: float
+    prompt_tokens_per_s: float
+    output_tokens_per_s: float
+    queued: int
+    in_flight: int
+    on_time_per_s: float
+    late_per_s: float
+    refused_per_s: float
+
+
+@dataclass(slots=True)
+class LeaderReport:
+    """What a node tells the holder of the singleton duties; each report replaces the one before.
+
+    Attributes:
+        node: Identifier of the sender.
+        incarnation: Its incarnation.
+        seq: Number of the report.
+        last_window: Newest window for which the counts are final.
+        usage: Counts of the windows that are not reported yet.
+        demand: Demand by pool.
+    """
+
+    CODE: ClassVar[int] = 25
+
+    node: str
+    incarnation: int
+    seq: int
+    last_window: int
+    usage: list[WindowUsage] = field(default_factory=list)
+    demand: list[PoolDemand] = field(default_factory=list)
+
+
 Message = (
     Hello
     | Heartbeat
@@ -643,4 +747,5 @@
     | RecordsRequest
     | RecordsReply
     | TopicNews
+    | LeaderReport
 )
--- a/lacewinghub/platform/boot.py
+++ b/lacewinghub/platform/boot.py
@@ -43,6 +43,34 @@
     retry_budget_ratio: _Number = 0.2
     budget_window_s: _Positive = 10.0
     budget_min_retries: _Number = 10
+    lease_ms: _Positive = 3000
+    report_window_s: _Positive = 5.0
+    usage_late_s: _Positive = 10.0
+
+
+class Limits(BaseModel):
+    """Limits of the machine; None if the platform states none."""
+
+    model_config = _IGNORE_EXTRA
+
+    memory_mb: _Positive | None = None
+    max_fds: _Positive | None = None
+
+
+class ControlApiSettings(BaseModel):
+    """The platform's control API.
+
+    Attributes:
+        address: ``IP:port``.
+        duties: Names of the calls that one node makes at a time.
+        duty_per_s: Calls per second of all nodes together.
+    """
+
+    model_config = _IGNORE_EXTRA
+
+    address: str
+    duties: list[str] = []
+    duty_per_s: _Positive = 10.0
 
 
 class Store(BaseModel):
@@ -64,6 +92,8 @@
         bounds: Limits that the platform sets.
         internal_ports: First and last port for traffic between nodes.
         seeds: Addresses of at most three machines, which may no longer exist.
+        limits: Limits of the machine.
+        cloud_api: The control API; None if there is none.
     """
 
     model_config = _IGNORE_EXTRA
@@ -75,6 +105,8 @@
     bounds: Bounds = Bounds()
     internal_ports: tuple[_Port, _Port] = (0, 0)
     seeds: list[str] = []
+    limits: Limits = Limits()
+    cloud_api: ControlApiSettings | None = None
 
 
 def find_settings_path() -> Path:
--- a/lacewinghub/platform/config.py
+++ b/lacewinghub/platform/config.py
@@ -20,6 +20,7 @@
 from ..httpserver import HttpLimits
 from ..keys import key_digest
 from ..pathroute import PathRoute, PathRoutes, WeightedPool
+from ..scaling import EngineSpec, ScalingRule
 from ..tables import MAX_TIER, Target, Workspace
 
 _IGNORE_EXTRA = ConfigDict(extra="ignore", frozen=True)
@@ -67,12 +68,32 @@
         return self
 
 
+class _Engine(BaseModel):
+    model_config = _IGNORE_EXTRA
+
+    kv_capacity_tokens: Annotated[_Whole, Field(ge=0)] = 0
+    moves: bool = False
+    handle_s: Annotated[_Finite, Field(gt=0)] = 5.0
+
+
+class _Scaling(BaseModel):
+    model_config = _IGNORE_EXTRA
+
+    min: Annotated[_Whole, Field(ge=0)] = 0
+    max: Annotated[_Whole, Field(ge=0)]
+    boot_s: Annotated[_Finite, Field(ge=0)] = 0.0
+    spot_price: Annotated[_Finite, Field(ge=0)] = 1.0
+    zone_prices: dict[str, Annotated[_Finite, Field(ge=0)]] = {}
+
+
 class _Service(BaseModel):
     model_config = _IGNORE_EXTRA
 
     name: str
     # Present for services whose runners are model engines.
-    engine: dict[str, object] | None = None
+    engine: _Engine | None = None
+    # Present for services whose runners can be ordered.
+    scaling: _Scaling | None = None
 
 
 class _Limits(BaseModel):
@@ -128,7 +149,7 @@
     return DeploymentConfig(
         version=config.version,
         routes=PathRoutes([_route(item) for item in routes]),
-        pools=tuple(PoolSpec(item.name, _kind(item)) for item in services),
+        pools=tuple(_pool(item) for item in services),
         workspaces={
             key_digest(key): Workspace(item.name, tier=_tier(item.priority))
             for item in tenants
@@ -195,9 +216,25 @@
     return Target(item.target_latency_ms / 1000, pause_s)
 
 
+def _pool(item: _Service) -> PoolSpec:
+    return PoolSpec(item.name, _kind(item), _scaling(item.scaling), _engine(item.engine))
+
+
 def _kind(item: _Service) -> Literal["model", "service"]:
     return "service" if item.engine is None else "model"
 
 
+def _engine(item: _Engine | None) -> EngineSpec:
+    if item is None:
+        return EngineSpec()
+    return EngineSpec(item.kv_capacity_tokens, item.moves, item.handle_s)
+
+
+def _scaling(item: _Scaling | None) -> ScalingRule | None:
+    if item is None:
+        return None
+    return ScalingRule(item.min, item.max, item.boot_s, item.spot_price, item.zone_prices)
+
+
 def _tier(priority: int | None) -> int | None:
     return None if priority is None else min(MAX_TIER, max(0, priority) + 1)
--- a/lacewinghub/platform/names.py
+++ b/lacewinghub/platform/names.py
@@ -54,8 +54,17 @@
 NODES_TOPIC = "keyed.nodes"
 # The topic to which the nodes write the evidence of what crashes runners.
 CRASHES_TOPIC = "keyed.crashes"
+# The topic to which the holder of the singleton duties writes its lease and what it has decided.
+DUTIES_TOPIC = "keyed.duties"
 CONFIG_KEY = "config"
 
+USAGE_DUTY = "usage_report"
+SCALE_DUTY = "autoscale"
+USAGE_PATH = "/usage"
+SCALE_PATH = "/scale"
+DUTY_HOLDER = "Lacewinghub-Duty-Holder"
+FENCING_TOKEN = "Lacewinghub-Fencing-Token"
+
 SETTINGS_VARIABLE = "LACEWINGHUB_BOOT"
 SETTINGS_PATH = "/etc/lacewinghub/boot.toml"
 
--- a/lacewinghub/platform/node.py
+++ b/lacewinghub/platform/node.py
@@ -9,6 +9,8 @@
 from pathlib import Path
 
 from .. import logs
+from ..conditional_topic import ConditionalTopic
+from ..control_api import ControlApi
 from ..decisionlog import LineWriter
 from ..deployment import CurrentConfig
 from ..directory import EndpointDirectory
@@ -18,17 +20,19 @@
 from ..limit import RetryRule
 from ..nodelist import WritableKeyedTopic
 from ..proxygateway import ProxyCodec
-from ..proxynode import Adapter, ProxyNode, ProxySettings, TopicSource
+from ..proxynode import Adapter, DutySettings, ProxyNode, ProxySettings, TopicSource
 from ..proxyrouter import ProxyClient
 from . import names
 from .boot import Boot, find_settings_path, load
 from .caller import ConfigSink, PlatformCodec
+from .control_api import HttpControlApi
 from .entry import ReadyHandler
 from .registry import RunnerRegistry, announcement_of
 from .runner import RunnerClient
 from .store import StoreClient, StoreTopic
 
 METRICS_PORT = 9464
+BYTES_PER_MB = 1024 * 1024
 GC_THRESHOLD = 20_000
 
 
@@ -43,7 +47,11 @@
     def __init__(self, boot: Boot | None = None, metrics_port: int = METRICS_PORT) -> None:
         self._boot = boot
         self._metrics_port = metrics_port
-        self._store = StoreClient((boot or load(find_settings_path())).platform.address)
+        first = boot or load(find_settings_path())
+        self._store = StoreClient(first.platform.address)
+        self._control_api: HttpControlApi | None = None
+        if first.cloud_api is not None and _duties(first) is not None:
+            self._control_api = HttpControlApi(first.cloud_api.address, first.node_name)
 
     def settings(self) -> ProxySettings:
         """Read the settings of the process."""
@@ -66,6 +74,9 @@
             seeds=tuple(
                 f"{seed.rpartition(':')[0]}:{boot.internal_ports[0]}" for seed in boot.seeds
             ),
+            duties=_duties(boot),
+            memory_bytes=_bytes(boot.limits.memory_mb),
+            max_descriptors=_whole(boot.limits.max_fds),
         )
 
     def settings_path(self) -> Path:
@@ -99,6 +110,16 @@
         """Return the topic for the evidence of what crashes runners."""
         return StoreTopic(self._store, names.CRASHES_TOPIC)
 
+    def duty_topic(self) -> ConditionalTopic | None:
+        """Return the topic for the lease of the singleton duties, if the platform has any."""
+        if self._control_api is None:
+            return None
+        return StoreTopic(self._store, names.DUTIES_TOPIC)
+
+    def control_api(self) -> ControlApi | None:
+        """Return the client for the platform's control API, if it has one."""
+        return self._control_api
+
     def peer_key(self) -> bytes:
         """Return a constant, because the platform provides no secret to its processes."""
         return names.PEER_KEY
@@ -108,8 +129,33 @@
         return ReadyHandler(is_ready)
 
     async def close(self) -> None:
-        """Close the connections to the store."""
+        """Close the connections to the store and the control API."""
         await self._store.close()
+        if self._control_api is not None:
+            await self._control_api.close()
+
+
+def _duties(boot: Boot) -> DutySettings | None:
+    """Return the settings of the singleton duties, or None if the platform has none."""
+    api = boot.cloud_api
+    if api is None or not {names.USAGE_DUTY, names.SCALE_DUTY} & set(api.duties):
+        return None
+    return DutySettings(
+        usage=names.USAGE_DUTY in api.duties,
+        autoscale=names.SCALE_DUTY in api.duties,
+        lease_s=boot.bounds.lease_ms / 1000,
+        window_s=boot.bounds.report_window_s,
+        usage_late_s=boot.bounds.usage_late_s,
+        calls_per_s=api.duty_per_s,
+    )
+
+
+def _bytes(megabytes: float | None) -> int | None:
+    return None if megabytes is None else int(megabytes * BYTES_PER_MB)
+
+
+def _whole(number: float | None) -> int | None:
+    return None if number is None else int(number)
 
 
 async def run_node(adapter: Adapter) -> None:
--- a/lacewinghub/platform/registry.py
+++ b/lacewinghub/platform/registry.py
@@ -11,6 +11,7 @@
 
 MAX_SLOTS = 2**31
 MAX_UNIX_MS = 2**53
+MAX_LEAVES_MS = 24 * 3600 * 1000
 
 
 class _Record(BaseModel):
@@ -25,6 +26,10 @@
     state: Literal["ready", "draining"]
     # Start of the runner, in Unix milliseconds.
     born: Annotated[int, Field(ge=0, le=MAX_UNIX_MS)] = 0
+    # True for a runner that costs less and may be reclaimed.
+    spot: bool = False
+    # Time until a leaving runner ends.
+    leaves_ms: Annotated[float, Field(ge=0, le=MAX_LEAVES_MS, strict=False)] | None = None
 
 
 def decode(key: str, data: bytes) -> Announcement | None:
@@ -49,6 +54,8 @@
         record.service,
         record.state == "draining",
         record.born / 1000,
+        record.spot,
+        None if record.leaves_ms is None else record.leaves_ms / 1000,
     )
 
 
--- a/lacewinghub/platform/runner.py
+++ b/lacewinghub/platform/runner.py
@@ -129,13 +129,17 @@
             logger.bind(endpoint=endpoint.name).exception("unexpected error in a statement")
 
     def _report_load(self, endpoint: Endpoint, response: Incoming) -> None:
-        """Record the stated load: running, waiting and slots, separated by commas."""
+        """Record the stated load: running, waiting, slots and perhaps how slow its host is.
+
+        The fourth figure is the time that work takes now, in hundredths of the usual time.
+        """
         text = (response.header(names.SERVER_LOAD) or b"").decode("latin-1")
         figures = [count(item) for item in text.split(",")]
         running, waiting = (*figures, None, None)[:2]
         if running is not None and waiting is not None and None not in figures:
             now = asyncio.get_running_loop().time()
-            self._statements.loads.update(endpoint.name, running, waiting, now)
+            slowness = figures[3] / 100 if len(figures) > 3 and figures[3] else None
+            self._statements.loads.update(endpoint.name, running, waiting, now, slowness)
 
     def _report_limit(self, endpoint: Endpoint, response: Incoming) -> None:
         """Record the stated rate of requests, a decimal number."""
--- a/lacewinghub/platform/store.py
+++ b/lacewinghub/platform/store.py
@@ -4,11 +4,13 @@
 import base64
 import json
 import struct
+from collections.abc import Sequence
 from dataclasses import dataclass, replace
 from typing import Any
 
 import aiohttp
 
+from ..conditional_topic import AppendConflict, ConditionalTopic
 from ..errors import LogUnavailable
 from ..follower import KeyedPage, KeyedRecord, RecordsExpired
 from ..nodelist import WritableKeyedTopic
@@ -61,14 +63,15 @@
         """
         return await self._call("GET", path, query, timeout_s)
 
-    async def post(self, path: str, query: dict[str, Any], body: bytes) -> None:
+    async def post(self, path: str, query: dict[str, Any], body: bytes) -> StoreAnswer:
         """Send a POST request.
 
         Raises:
+            AppendConflict: If a condition of the request does not hold; nothing was written.
             LogUnavailable: If the store refused or did not answer. Without an answer the data may
                 have been written.
         """
-        await self._call("POST", path, query, ANSWER_TIMEOUT_S, body)
+        return await self._call("POST", path, query, ANSWER_TIMEOUT_S, body)
 
     async def close(self) -> None:
         """Release the connections."""
@@ -90,6 +93,8 @@
                 data = await _read_answer(resp)
                 if resp.status == 410 and method == "GET":
                     raise RecordsExpired(f"{path} {query}")
+                if resp.status == 412:
+                    raise AppendConflict(f"{path} {query}")
                 if resp.status != 200:
                     raise LogUnavailable(f"the store answered {resp.status}")
                 return StoreAnswer(data, _era(resp))
@@ -149,7 +154,7 @@
     return b"".join(pieces)
 
 
-class StoreTopic(WritableKeyedTopic):
+class StoreTopic(WritableKeyedTopic, ConditionalTopic):
     """A topic that keeps the newest record of each key.
 
     Args:
@@ -197,10 +202,22 @@
 
     async def put(self, key: str, value: bytes | None) -> None:
         """Append a record; the value None deletes the key."""
-        name = key.encode()
-        record = bytes([len(name)]) + name + (value or b"")
         query = {"topic": self._topic, "part": PARTITION}
-        await self._client.post(LOG_APPEND_PATH, query, _LENGTH.pack(len(record)) + record)
+        await self._client.post(LOG_APPEND_PATH, query, _encode_record(key, value))
+
+    async def append_at(self, end: int, records: Sequence[tuple[str, bytes]]) -> int:
+        """Append records if the topic ends at an offset; see ``ConditionalTopic.append_at``."""
+        query = {"topic": self._topic, "part": PARTITION, "at": end}
+        body = b"".join(_encode_record(key, value) for key, value in records)
+        await self._client.post(LOG_APPEND_PATH, query, body)
+        return end + len(records)
+
+
+def _encode_record(key: str, value: bytes | None) -> bytes:
+    """Encode a record of a keyed topic; the value None deletes the key."""
+    name = key.encode()
+    record = bytes([len(name)]) + name + (value or b"")
+    return _LENGTH.pack(len(record)) + record
 
 
 @dataclass(frozen=True, slots=True)
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -9,6 +9,8 @@
 
 from loguru import logger
 
+from .conditional_topic import ConditionalTopic
+from .control_api import ControlApi
 from .crash_guard import CrashGuard
 from .crash_records import CrashRecords
 from .decisionlog import log_event
@@ -67,6 +69,27 @@
 SETTINGS_POLL_S = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class DutySettings:
+    """Settings of the calls to the platform that one node makes at a time.
+
+    Attributes:
+        usage: True if the usage of the workspaces is reported.
+        autoscale: True if runners are ordered.
+        lease_s: Time for which the duties are held without a renewal, in seconds.
+        window_s: Length of a usage window, in seconds.
+        usage_late_s: Time after its end at which the usage of a window is due, in seconds.
+        calls_per_s: Calls per second that the platform accepts from all nodes together.
+    """
+
+    usage: bool
+    autoscale: bool
+    lease_s: float = 3.0
+    window_s: float = 5.0
+    usage_late_s: float = 10.0
+    calls_per_s: float = 10.0
+
+
 @dataclass(frozen=True, slots=True)
 class ProxySettings:
     """Settings of a node.
@@ -83,6 +106,9 @@
         config_s: Time within which a new configuration must be in force, in seconds.
         peer: Address for other nodes.
         seeds: Addresses of some other nodes, which may no longer exist.
+        duties: Singleton duties; None if the platform has none.
+        memory_bytes: Memory above which the process is killed; None if unknown.
+        max_descriptors: Descriptors that the process may have; None if unknown.
     """
 
     node: str
@@ -96,6 +122,9 @@
     config_s: float
     peer: str
     seeds: tuple[str, ...] = ()
+    duties: DutySettings | None = None
+    memory_bytes: int | None = None
+    max_descriptors: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,6 +181,14 @@
     def crashes(self) -> WritableKeyedTopic:
         """Return the topic for the evidence of what crashes endpoints."""
 
+    def duty_topic(self) -> ConditionalTopic | None:
+        """Return the topic for the lease of the singleton duties, or None if there are none."""
+        return None
+
+    def control_api(self) -> ControlApi | None:
+        """Return the client for the control API, or None if the platform has none."""
+        return None
+
     @abstractmethod
     def peer_key(self) -> bytes:
         """Return the shared secret of the nodes."""
--- a/lacewinghub/selection.py
+++ b/lacewinghub/selection.py
@@ -24,11 +24,14 @@
         running: Requests in its batch.
         waiting: Requests in its own queue.
         time: Loop time of the report, in seconds.
+        slowness: Time that work takes on its host now, relative to the usual time; None if it does
+            not say.
     """
 
     running: int = 0
     waiting: int = 0
     time: float = 0.0
+    slowness: float | None = None
 
 
 class LoadReports:
@@ -42,7 +45,14 @@
         self._max_age_s = max_age_s
         self._reports: dict[str, LoadReport] = {}
 
-    def update(self, endpoint: str, running: int, waiting: int, time: float) -> None:
+    def update(
+        self,
+        endpoint: str,
+        running: int,
+        waiting: int,
+        time: float,
+        slowness: float | None = None,
+    ) -> None:
         """Store a report unless a newer one is known.
 
         Args:
@@ -50,10 +60,11 @@
             running: Requests in its batch.
             waiting: Requests in its own queue.
             time: Loop time of the report, in seconds.
+            slowness: Time that work takes on its host now, relative to the usual time, or None.
         """
         known = self._reports.get(endpoint)
         if known is None or known.time <= time:
-            self._reports[endpoint] = LoadReport(running, waiting, time)
+            self._reports[endpoint] = LoadReport(running, waiting, time, slowness)
 
     def get(self, endpoint: str) -> LoadReport:
         """Return the latest report of an endpoint, or one with zero load if it is too old."""
