Count the requests of each workspace and report them by window under the lease

Nodes count by window and workspace; the holder of the duty decides each window once, commits the decision to the log and only then sends it.

--- a/lacewinghub/dependencies.py
+++ b/lacewinghub/dependencies.py
@@ -11,6 +11,7 @@
 from .request import AttemptResult, Request
 from .scheduler import Scheduler
 from .tables import Tables
+from .usage import UsageMeter
 
 BeforeSend = Callable[[], None]
 SendCall = Callable[[BeforeSend], Awaitable[Reply]]
@@ -133,6 +134,7 @@
     budget: RetryBudgets | None = None
     guard: PoisonRequestGuard | None = None
     monitors: list[EndpointMonitor] = field(default_factory=list)
+    usage: UsageMeter | None = None
 
 
 @dataclass(slots=True, kw_only=True)
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -48,6 +48,7 @@
 from .suspend import SuspendWatch
 from .tables import Endpoint, Tables
 from .transport import Peer
+from .usage import UsageCounts, UsageSettings
 
 # A long poll waits for this share of the time within which a change must be in force. A read whose
 # connection falls silent hangs for that long and the time-out of an answer.
@@ -379,6 +380,7 @@
         self._directory.on_endpoint_reset(self._on_restart)
         self._health = EndpointHealth()
         self._build_peers()
+        self._build_usage()
         self._connections = ConnectionPool()
         self._pauses = EndpointPauses()
         reports = LoadReports()
@@ -400,6 +402,7 @@
             budget=NodeRetryBudgets(self.cfg.retries, self._node_count),
             guard=self._crash_guard,
             monitors=[HealthMonitor(self._health), FailureMonitor(self._failure_detector)],
+            usage=self._usage,
         )
         statements = EndpointStatements(
             reports, self._quotas, self._pauses, self._directory.mark_leaving
@@ -423,6 +426,16 @@
         self._suspend.listen(topic.on_resume)
         self._endpoints = Follower("endpoints", topic, endpoints.sink, self._endpoints_read_timing)
 
+    def _build_usage(self) -> None:
+        """Count the usage of the workspaces where it is reported."""
+        self._usage: UsageCounts | None = None
+        duties = self.cfg.duties
+        if duties is None or not duties.usage:
+            return
+        self._usage = UsageCounts(
+            UsageSettings(duties.window_s, duties.usage_late_s, duties.lease_s)
+        )
+
     def _tables(self) -> Tables:
         return self._directory.tables
 
--- a/lacewinghub/proxyrouter.py
+++ b/lacewinghub/proxyrouter.py
@@ -126,9 +126,11 @@
     Attributes:
         head_sent: True once the head was passed on to the client.
         splitter: Splits a resumable stream into events; None for other responses.
+        counted: True once the request counts for the usage of its workspace.
     """
 
     head_sent: bool = False
+    counted: bool = False
     splitter: EventSplitter | None = None
 
 
@@ -220,6 +222,8 @@
             async with aclosing(self._client.stream(endpoint, req)) as pieces:
                 async for piece in pieces:
                     if isinstance(piece, ResponseHead):
+                        if not state.streaming:
+                            self._count_usage(req, progress)
                         self._on_head(req, endpoint, piece, progress)
                         head = piece
                         if not progress.head_sent and state.streaming and head.status == 200:
@@ -230,6 +234,8 @@
                     if state.answering_since is None:
                         state.answering_since = loop.time()
                         self._report_answer(req, endpoint)
+                        if head is not None and head.status == 200:
+                            self._count_usage(req, progress)
                     self._dispatch_deps.scheduler.on_answer_event(grant)
                     event_end.feed(piece)
                     if not progress.head_sent:
@@ -264,6 +270,8 @@
             self._answer_times.record(req.request_class, loop.time() - attempt_timer.started)
         except BaseException as exc:
             failure = exc
+            if _lost_response(state, exc):
+                self._count_usage(req, progress)
             if state.withdrawn and isinstance(exc, EndpointCrashed):
                 failure = AttemptWithdrawn(f"withdrawn from endpoint {endpoint.name!r}")
                 raise failure from exc
@@ -303,6 +311,12 @@
         if state.resumable and head.status == 200:
             progress.splitter = EventSplitter(state.last_event)
 
+    def _count_usage(self, req: Request, progress: _Progress) -> None:
+        """Count a request that began to run, once for all its attempts."""
+        if self._dispatch_deps.usage is not None and not progress.counted:
+            progress.counted = True
+            self._dispatch_deps.usage.count(req.workspace)
+
     def _prepare_retry(
         self,
         req: Request,
@@ -360,6 +374,14 @@
     return req.proxy
 
 
+def _lost_response(state: ProxyState, exc: BaseException) -> bool:
+    """Tell whether a plain request was sent and its response, or a part of it, did not arrive."""
+    if state.streaming or isinstance(exc, ConnectFailed | EndpointBusy):
+        return False
+    # A cancelled attempt may still have been connecting.
+    return isinstance(exc, EndpointCrashed) or state.abort is not None
+
+
 def _is_broken_off(state: ProxyState, head: ResponseHead, event_end: EventEnd, now: float) -> bool:
     """Tell whether a response ended too early, although nothing in its form says so.
 
--- /dev/null
+++ b/lacewinghub/usage_reporter.py
@@ -0,0 +1,409 @@
+"""Reports the usage of the workspaces to the platform, at the node that holds the duty.
+
+A window is reported in three steps: its counts are decided, the decision is committed to the log
+under the lease, and only then is it sent, with the same bytes until the platform accepts it. A
+holder that takes over finds the decision and repeats it, so that no window has two sets of counts.
+Until a window is decided, a checkpoint of its counts by node is written with each renewal.
+"""
+
+import asyncio
+import json
+import random
+import zlib
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from loguru import logger
+
+from ._backoff import Backoff
+from .control_api import CallOutcome, ControlApi, UsageReport
+from .duties import DutyHolder, DutyRecords, LeaseTaken, NodeReports
+from .message import LeaderReport, WindowUsage
+from .usage import UsageSettings, WindowClock
+
+STEP_S = 0.1
+# The last reports of nodes that stop are on their way when a window ends.
+MIN_WAIT_S = 1.0
+# Longest wait for the reports of live nodes, after the end of the window or the take-over.
+MAX_WAIT_S = 4.0
+# A holder that takes over when a report is almost due waits for the nodes to find it.
+FIND_HOLDER_S = 1.5
+# Time to commit and send a decision, and to repeat the call once, before the report is due.
+SEND_S = 1.5
+RETRY_MIN_S = 0.5
+RETRY_MAX_S = 2.0
+DECISION_KEY = "usage"
+# A checkpoint is divided into records of at most this size before compression. The log accepts
+# records of 262,144 bytes, and compression never adds more than a few bytes in a thousand.
+MAX_PART_BYTES = 200_000
+# Tokens contain the number of times that the log came back from an older copy.
+ERA_BITS = 32
+_MALFORMED = (ValueError, TypeError, KeyError, zlib.error, AttributeError)
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """The counts of a window, which never change.
+
+    Attributes:
+        window: The window; no earlier one is decided any more.
+        counts: Requests by workspace.
+        sent: True once the platform has accepted them, or if they are not to be sent.
+    """
+
+    window: int
+    counts: Mapping[str, int]
+    sent: bool = False
+
+
+@dataclass(slots=True)
+class UsageTable:
+    """Counts by window, incarnation of a node, and workspace."""
+
+    _windows: dict[int, dict[tuple[str, int], dict[str, int]]] = field(default_factory=dict)
+
+    @property
+    def windows(self) -> Iterable[int]:
+        """Windows with counts."""
+        return self._windows.keys()
+
+    def add(self, node: str, incarnation: int, items: Iterable[WindowUsage]) -> None:
+        """Merge counts of one incarnation, which only grow, so that the largest one is newest."""
+        for item in items:
+            nodes = self._windows.setdefault(item.window, {})
+            counts = nodes.setdefault((node, incarnation), {})
+            counts[item.workspace] = max(item.requests, counts.get(item.workspace, 0))
+
+    def keep(self, first: int, last: int) -> None:
+        """Forget the windows outside a range."""
+        for window in [item for item in self._windows if not first <= item <= last]:
+            del self._windows[window]
+
+    def total(self, window: int) -> dict[str, int]:
+        """Return the counts of a window by workspace."""
+        total: dict[str, int] = {}
+        for counts in self._windows.get(window, {}).values():
+            for workspace, requests in counts.items():
+                total[workspace] = total.get(workspace, 0) + requests
+        return dict(sorted(total.items()))
+
+    def encode(self) -> list[bytes]:
+        """Return the table in parts of bounded size."""
+        parts: list[bytes] = []
+        rows: list[str] = []
+        size = 0
+        for row in self._rows():
+            if rows and size + len(row) > MAX_PART_BYTES:
+                parts.append(_compress(rows))
+                rows, size = [], 0
+            rows.append(row)
+            size += len(row) + 1
+        return [*parts, _compress(rows)] if rows else parts
+
+    def decode(self, part: bytes) -> None:
+        """Merge a part of an encoded table.
+
+        Raises:
+            ValueError: Or a similar error, if it is malformed.
+        """
+        for window, node, incarnation, counts in json.loads(zlib.decompress(part)):
+            usage = [WindowUsage(int(window), name, int(count)) for name, count in counts.items()]
+            self.add(node, incarnation, usage)
+
+    def _rows(self) -> Iterator[str]:
+        for window, nodes in self._windows.items():
+            for (node, incarnation), counts in nodes.items():
+                yield json.dumps([window, node, incarnation, counts], separators=(",", ":"))
+
+
+@dataclass(frozen=True, slots=True)
+class WindowProgress:
+    """What a holder knows when it could decide a window.
+
+    Attributes:
+        ended_s: Time since the end of the window, in seconds; negative before it.
+        held_s: Time since this node took the lease, in seconds.
+        final_nodes: Number of live nodes whose counts of the window are final.
+        live_nodes: Number of live nodes.
+    """
+
+    ended_s: float
+    held_s: float
+    final_nodes: int
+    live_nodes: int
+
+
+def is_decidable(progress: WindowProgress, late_s: float) -> bool:
+    """Return whether the counts of a window are as good as they will be in time.
+
+    Args:
+        progress: The window and the reports received.
+        late_s: Time after the end of the window at which its report is due, in seconds.
+    """
+    if progress.ended_s < MIN_WAIT_S:
+        return False
+    if progress.final_nodes >= progress.live_nodes:
+        return True
+    if progress.ended_s < MAX_WAIT_S or progress.held_s < FIND_HOLDER_S:
+        return False
+    return progress.held_s >= MAX_WAIT_S or progress.ended_s >= late_s - SEND_S
+
+
+class UsageReporter(DutyRecords):
+    """Decides the counts of each window and reports them while this node holds the duty.
+
+    Args:
+        holder: The lease.
+        reports: Reports of the nodes.
+        api: Sends the reports to the platform.
+        settings: Settings of the usage reports.
+        clock: Tells the window.
+
+    Attributes:
+        windows_reported: Number of windows that the platform accepted from this node.
+        windows_dropped: Number of windows that were too old to be reported.
+        report_delay_s: Time from the end of the newest reported window until it was accepted.
+    """
+
+    def __init__(
+        self,
+        holder: DutyHolder,
+        reports: NodeReports,
+        api: ControlApi,
+        settings: UsageSettings,
+        clock: WindowClock,
+    ) -> None:
+        self.windows_reported = 0
+        self.windows_dropped = 0
+        self.report_delay_s = 0.0
+        self._holder = holder
+        self._reports = reports
+        self._api = api
+        self._settings = settings
+        self._clock = clock
+        self._started_window = clock.current()
+        self._table = UsageTable()
+        self._merged: dict[tuple[str, int], tuple[int, float]] = {}
+        self._decision: Decision | None = None
+        self._confirmed = False
+        self._held = False
+        self._term = 0
+        self._era = 0
+        self._taken = 0.0
+        self._sole_until = 0.0
+        self._parts = 0
+        self._backoff = Backoff(random.Random(), RETRY_MIN_S, RETRY_MAX_S, jitter=(1.0, 1.0))
+        holder.attach(self)
+
+    async def run(self) -> None:
+        """Decide and report windows until cancelled."""
+        while True:
+            await self._step()
+            await asyncio.sleep(STEP_S)
+
+    def gauges(self) -> dict[str, float]:
+        """Return the metrics by name."""
+        return {
+            "usage_windows_reported": self.windows_reported,
+            "usage_windows_dropped": self.windows_dropped,
+            "usage_report_delay_s": self.report_delay_s,
+        }
+
+    def pending_records(self) -> list[tuple[str, bytes]]:
+        """Return the newest decision and the checkpoint of the undecided windows."""
+        if not self._held:
+            return []
+        self._observe()
+        self._merge()
+        records: list[tuple[str, bytes]] = []
+        if self._decision is not None:
+            records.append((DECISION_KEY, _encode_decision(self._decision, self._era)))
+        parts = self._table.encode()
+        # A part without rows replaces one of an earlier, larger checkpoint.
+        unused = [_compress([])] * (self._parts - len(parts))
+        records += [(_part_key(n), part) for n, part in enumerate([*parts, *unused])]
+        self._parts = max(self._parts, len(parts))
+        return records
+
+    def on_taken(self, taken: LeaseTaken) -> None:
+        """Continue from the records of the holder before."""
+        now = self._clock.steady()
+        record = taken.records.get(DECISION_KEY)
+        found, era = _decode_decision(record)
+        self._held = True
+        self._term += 1
+        self._taken = now
+        self._era = taken.token >> ERA_BITS
+        self._confirmed = False
+        self._parts = sum(key.startswith(_part_key("")) for key in taken.records)
+        self._backoff.reset()
+        # The holder before may not have written a record since the log came back.
+        rewound = taken.rewound or (record is not None and era != self._era)
+        if rewound and now <= self._sole_until:
+            # What this node decided is newer than the log, and no other node can have acted since.
+            return
+        self._merged.clear()
+        self._table = UsageTable()
+        for key, value in taken.records.items():
+            if key.startswith(_part_key("")):
+                self._restore(key, value)
+        if rewound:
+            # Another holder may have reported any window that has ended, with other counts.
+            self._decision = Decision(self._clock.current() - 1, {}, sent=True)
+        else:
+            self._decision, self._confirmed = found, found is not None
+        logger.bind(
+            decided=self._decision and self._decision.window,
+            sent=self._decision and self._decision.sent,
+            rewound=rewound,
+        ).info("usage reports taken over")
+
+    def on_lost(self) -> None:
+        """Stop until the lease is taken again."""
+        self._held = False
+        self._term += 1
+
+    async def _step(self) -> None:
+        self._observe()
+        if not self._held or self._holder.token() is None:
+            return
+        self._merge()
+        self._drop_old()
+        if self._decision is None or self._decision.sent:
+            self._decide()
+        decision, term = self._decision, self._term
+        if decision is None or decision.sent:
+            return
+        if not self._confirmed:
+            confirmed = await self._holder.commit()
+            if term != self._term:
+                return
+            self._confirmed = confirmed
+        if self._confirmed:
+            await self._send(decision, term)
+
+    async def _send(self, decision: Decision, term: int) -> None:
+        token = self._holder.token()
+        if token is None:
+            return
+        outcome = await self._api.report_usage(token, UsageReport(decision.window, decision.counts))
+        if term != self._term:
+            return
+        if outcome is not CallOutcome.ACCEPTED:
+            await self._backoff.pause()
+            return
+        self._backoff.reset()
+        self._decision = replace(decision, sent=True)
+        self.windows_reported += 1
+        self.report_delay_s = self._clock.now() - self._clock.end_of(decision.window)
+        logger.bind(
+            window=decision.window,
+            requests=sum(decision.counts.values()),
+            delay_s=round(self.report_delay_s, 3),
+        ).info("usage reported")
+
+    def _observe(self) -> None:
+        """Remember until when no other node can hold the duty."""
+        margin_s = self._settings.lease_s / 2
+        if self._held and self._holder.token(margin_s) is not None:
+            self._sole_until = self._clock.steady() + margin_s
+
+    def _merge(self) -> None:
+        """Add the reports that arrived since the last call."""
+        for item in self._reports.reports():
+            report = item.report
+            key, newest = (report.node, report.incarnation), (report.seq, item.received)
+            if self._merged.get(key) != newest:
+                self._merged[key] = newest
+                self._table.add(*key, report.usage)
+        # A node whose clock is ahead must not fill the checkpoint.
+        self._table.keep(self._oldest(), self._clock.current() + 1)
+
+    def _oldest(self) -> int:
+        """Return the first window that may still be decided."""
+        oldest = self._clock.window(self._clock.now() - self._settings.give_up_s)
+        return max(oldest, self._decision.window + 1) if self._decision is not None else oldest
+
+    def _drop_old(self) -> None:
+        oldest = self._clock.window(self._clock.now() - self._settings.give_up_s)
+        decision = self._decision
+        if decision is None:
+            return
+        first = decision.window + decision.sent
+        if first >= oldest:
+            return
+        self.windows_dropped += oldest - first
+        self._decision = Decision(oldest - 1, {}, sent=True)
+        logger.bind(first=first, last=oldest - 1).error("usage windows dropped: too old")
+
+    def _decide(self) -> None:
+        """Decide the next window if that is due."""
+        reports = self._reports.reports()
+        live = [item.report for item in reports if item.live]
+        window = self._next_window(live)
+        final = {item.node for item in live if item.last_window >= window}
+        progress = WindowProgress(
+            self._clock.now() - self._clock.end_of(window),
+            self._clock.steady() - self._taken,
+            len(final),
+            self._reports.live_nodes(),
+        )
+        if not is_decidable(progress, self._settings.late_s):
+            return
+        decision = Decision(window, self._table.total(window))
+        if len(_encode_decision(decision, self._era)) > MAX_PART_BYTES:
+            # The log would refuse the record, and with it each renewal of the lease.
+            logger.bind(window=window).error("usage window dropped: too many workspaces")
+            self.windows_dropped += 1
+            decision = Decision(window, {}, sent=True)
+        self._decision = decision
+        self._confirmed = False
+        self._table.keep(window + 1, self._clock.current() + 1)
+        logger.bind(window=window, final=len(final), live=progress.live_nodes).info(
+            "usage window decided"
+        )
+
+    def _next_window(self, live: Iterable[LeaderReport]) -> int:
+        """Return the window to decide: without a decision, that in which the first node started."""
+        if self._decision is not None:
+            return self._decision.window + 1
+        starts = [self._clock.window(item.incarnation / 1000) for item in live]
+        return max(self._oldest(), min([self._started_window, *self._table.windows, *starts]))
+
+    def _restore(self, key: str, value: bytes) -> None:
+        try:
+            self._table.decode(value)
+        except _MALFORMED as exc:
+            logger.bind(key=key).error("record holds no usage: {!r}", exc)
+
+
+def _part_key(part: int | str) -> str:
+    return f"usage-counts-{part}"
+
+
+def _compress(rows: list[str]) -> bytes:
+    return zlib.compress(f"[{','.join(rows)}]".encode(), 1)
+
+
+def _encode_decision(decision: Decision, era: int) -> bytes:
+    value = {
+        "window": decision.window,
+        "sent": decision.sent,
+        "era": era,
+        "counts": dict(decision.counts),
+    }
+    return zlib.compress(json.dumps(value, separators=(",", ":")).encode(), 1)
+
+
+def _decode_decision(value: bytes | None) -> tuple[Decision | None, int]:
+    """Return the decision in a record, and the era in which it was written; -1 if unknown."""
+    if value is None:
+        return None, -1
+    try:
+        found: dict[str, Any] = json.loads(zlib.decompress(value))
+        counts = {str(name): int(count) for name, count in found["counts"].items()}
+        return Decision(int(found["window"]), counts, bool(found["sent"])), int(found["era"])
+    except _MALFORMED as exc:
+        logger.error("record holds no usage decision: {!r}", exc)
+        return None, -1
