--- a/lacewinghub/usage_reporter.py
+++ b/lacewinghub/usage_reporter.py
@@ -282,6 +282,8 @@
             self._confirmed = confirmed
         if self._confirmed:
             await self._send(decision, term)
+        else:
+            await self._backoff.pause()
 
     async def _send(self, decision: Decision, term: int) -> None:
         token = self._holder.token()
