Let a node make up for an allowance that it has not used

With 110 nodes per zone the model of three zones waits 0.001 s instead of 0.216 s on average (uneven demand), and 0.129 s instead of 0.479 s while a zone's runners are away.

--- a/lacewinghub/zone_cost.py
+++ b/lacewinghub/zone_cost.py
@@ -21,6 +21,9 @@
 LOOK_AHEAD_S = 1.0
 # Share of the slots of a zone that is left to its own requests, which arrive at random.
 RESERVE = 0.05
+# A node may make up in about this time for having used less than its allowance, which is less
+# than one request where there are many nodes.
+CREDIT_S = 1.0
 BYTES_PER_GB = 1e9
 
 
@@ -74,6 +77,32 @@
         return max(0.0, self.slots * (1 - RESERVE) - self.demand)
 
 
+@dataclass(slots=True)
+class _Use:
+    """Use that a node makes of its allowance in another zone.
+
+    Attributes:
+        time: Time of the last change, in seconds.
+        in_flight: Requests in flight there.
+        allowance: How many may be in flight on average.
+        credit: What was not used of it lately, in requests; negative if more was used.
+    """
+
+    time: float
+    in_flight: int = 0
+    allowance: float = 0.0
+    credit: float = 0.0
+
+    def advance(self, now: float) -> None:
+        """Let time pass."""
+        if self.allowance > 0.0:
+            change = (self.allowance - self.in_flight) * (now - self.time) / CREDIT_S
+            self.credit = min(1.0, max(-1.0, self.credit + change))
+        else:
+            self.credit = 0.0
+        self.time = now
+
+
 class ZoneCost:
     """Weighs the zones for the requests of one node and one pool.
 
@@ -92,7 +121,7 @@
         self._position = random.random() if position is None else position
         self._states: dict[str, ZoneState] = {}
         self._unreachable: set[str] = set()
-        self._in_flight: dict[str, int] = {}
+        self._uses: dict[str, _Use] = {}
         self._receiving: set[str] = set()
 
     def update(self, state: ZoneState) -> None:
@@ -114,13 +143,13 @@
         else:
             self._unreachable.add(zone)
 
-    def on_sent(self, zone: str) -> None:
+    def on_sent(self, zone: str, now: float) -> None:
         """Record that a request is sent to a zone."""
-        self._in_flight[zone] = self._in_flight.get(zone, 0) + 1
+        self._use(zone, now).in_flight += 1
 
-    def on_done(self, zone: str) -> None:
+    def on_done(self, zone: str, now: float) -> None:
         """Record that a request that was sent to a zone has ended."""
-        self._in_flight[zone] = self._in_flight.get(zone, 0) - 1
+        self._use(zone, now).in_flight -= 1
 
     def extra_s(self, zone: str, request_bytes: int, response_bytes: int) -> float:
         """Return the price of sending a request to a zone, in seconds of waiting.
@@ -144,6 +173,8 @@
         """
         own = self._fresh(self._own, now)
         other = self._fresh(zone, now)
+        use = self._use(zone, now)
+        use.allowance = 0.0
         if zone == self._own or own is None or other is None or zone in self._unreachable:
             return False
         gain_s = own.expected_s - other.expected_s - self._prices.round_trip_s
@@ -152,7 +183,8 @@
             self._receiving.discard(zone)
             return False
         self._receiving.add(zone)
-        return self._in_flight.get(zone, 0) < int(self._allowance(own, other, now) + self._position)
+        use.allowance = self._allowance(own, other, now)
+        return use.in_flight + 1 <= use.allowance + use.credit + self._position
 
     def options(
         self, request_bytes: int, response_bytes: int, now: float, has_home: bool = True
@@ -195,8 +227,14 @@
         room = other.spare * min(wanted[own.zone] / total, wanted[own.zone] / max(spare, 1e-9))
         return room / max(1, own.nodes)
 
+    def _use(self, zone: str, now: float) -> "_Use":
+        use = self._uses.setdefault(zone, _Use(now))
+        use.advance(now)
+        return use
+
     def _is_sound(self, zone: str, now: float) -> bool:
-        return zone not in self._unreachable and self._fresh(zone, now) is not None
+        state = self._fresh(zone, now)
+        return state is not None and state.slots > 0.0 and zone not in self._unreachable
 
     def _fresh(self, zone: str, now: float) -> ZoneState | None:
         state = self._states.get(zone)
--- a/tests/test_zone_cost.py
+++ b/tests/test_zone_cost.py
@@ -112,7 +112,7 @@
         if target != zone:
             self.result.to[target][int(now)] += 1
             self.result.left[int(now)] += zone == "a"
-        node.on_sent(target)
+        node.on_sent(target, now)
         self.queues[target].append((now, node, target))
 
     def start_requests(self, zone: str, now: float) -> None:
@@ -128,7 +128,7 @@
         while self.ends and self.ends[0][0] <= now:
             _, _, node, target = heapq.heappop(self.ends)
             self.running[target] -= 1
-            node.on_done(target)
+            node.on_done(target, now)
 
 
 def never(node: ZoneCost, zone: str, late: dict[str, ZoneState], now: float) -> str:
@@ -232,7 +232,7 @@
                 cost.update(ZoneState("a", 5.0, 100.0, 300.0, nodes, 0.0))
                 cost.update(ZoneState("b", 0.0, 100.0, 95.0 - spare, nodes, 0.0))
                 while cost.may_leave("b", 0.0):
-                    cost.on_sent("b")
+                    cost.on_sent("b", 0.0)
                     sent += 1
             self.assertEqual(sent, spare)
 
