Check a configuration before it is sent

Cause: a node applies whatever it can decode, so that operators learn of entries that never match and of limits that contradict each other from their callers.

--- a/lacewinghub/cli.py
+++ b/lacewinghub/cli.py
@@ -89,18 +89,20 @@
         return _Job(work)
 
     @_string_arguments
-    def check(self, file: str, *, json: bool = False) -> _Job:
-        """Validate a settings file or a tables file without applying it.
+    def check(self, file: str, *, against: str = "", json: bool = False) -> _Job:
+        """Validate a settings file, a tables file or a configuration without applying it.
 
         Example: lacewinghub check examples/trust-tables.json
 
         Args:
-            file: JSON with comments; a file with routes, pools or workspaces is a tables file. A
-                file name that ends in .toml denotes a settings file of the users' platform.
+            file: JSON with comments; a file with routes, pools or workspaces is a tables file, one
+                with services a configuration of the users' platform. A file name that ends in .toml
+                denotes a settings file of the users' platform.
+            against: Configuration in force, to print what the new one changes.
             json: Print one JSON object.
         """
         as_json = _flag("json", json)
-        return _Job(lambda: _check(file, as_json))
+        return _Job(lambda: _check(file, against, as_json))
 
     @_string_arguments
     def publish(
@@ -325,7 +327,7 @@
         raise error(f"file {path!r} is not JSON with comments: {exc}") from exc
 
 
-def _check(path: str, as_json: bool) -> None:
+def _check(path: str, against: str, as_json: bool) -> None:
     summary: dict[str, Any]
     if path.endswith(".toml"):
         from .platform.boot import load as load_boot
@@ -336,6 +338,16 @@
         print(json.dumps(summary) if as_json else text)
         return
     document = _read_document(path, SettingsInvalid)
+    from .platform.config import is_config
+
+    if is_config(document):
+        from .config_report import print_report
+
+        before = _read_document(against, SettingsInvalid) if against else None
+        print_report(path, document, before, as_json)
+        return
+    if against:
+        raise BadArguments("--against compares configurations of the users' platform only")
     if isinstance(document, dict) and any(name in document for name in TABLE_NAMES):
         tables = Tables.parse(document)
         summary = {"file": path, "kind": "tables"}
--- a/lacewinghub/platform/config.py
+++ b/lacewinghub/platform/config.py
@@ -129,11 +129,17 @@
 _Item = TypeVar("_Item", _Route, _Service, _Tenant)
 
 
-def decode(data: bytes) -> DeploymentConfig:
+def is_config(document: Any) -> bool:
+    """Tell whether a JSON document is a configuration of the operator."""
+    return isinstance(document, dict) and "services" in document
+
+
+def decode(data: bytes, problems: list[TablesInvalid] | None = None) -> DeploymentConfig:
     """Decode a configuration; a malformed route, service or tenant is left out.
 
     Args:
         data: JSON as the operator wrote it.
+        problems: Receives an error for each entry that is left out; None to log them.
 
     Raises:
         TablesInvalid: If the configuration is malformed as a whole, or if none of its routes or
@@ -143,9 +149,9 @@
         config = _Config.model_validate_json(data)
     except ValidationError as exc:
         raise tables_invalid(exc) from exc
-    routes = _valid_items(_Route, config.routes, "routes")
-    services = _valid_items(_Service, config.services, "services")
-    tenants = _valid_items(_Tenant, config.tenants, "tenants")
+    routes = _valid_items(_Route, config.routes, "routes", problems)
+    services = _valid_items(_Service, config.services, "services", problems)
+    tenants = _valid_items(_Tenant, config.tenants, "tenants", problems)
     return DeploymentConfig(
         version=config.version,
         routes=PathRoutes([_route(item) for item in routes]),
@@ -165,7 +171,9 @@
     )
 
 
-def _valid_items(model: type[_Item], items: list[Any], table: str) -> list[_Item]:
+def _valid_items(
+    model: type[_Item], items: list[Any], table: str, problems: list[TablesInvalid] | None
+) -> list[_Item]:
     """Return the valid entries of a list.
 
     Raises:
@@ -178,6 +186,9 @@
             found.append(model.model_validate(item))
         except ValidationError as exc:
             error = tables_invalid(exc, table, str(number))
+            if problems is not None:
+                problems.append(error)
+                continue
             logger.bind(place=error.details["place"]).error("entry left out: {}", error.message)
     if error is not None and not found:
         raise error
