Add the lease of the singleton duties, and the reports of all nodes to its holder

Cause: the usage of the workspaces must be reported and runners be ordered by one node at a time. Change: one of three candidates takes a lease in a topic with conditional appends; heartbeats tell all nodes who holds it, and these report to it. An append returns the era in which it was executed: after a restore the log may end at the expected offset again by chance.

--- a/lacewinghub/conditional_topic.py
+++ b/lacewinghub/conditional_topic.py
@@ -2,6 +2,7 @@
 
 from abc import abstractmethod
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 from .errors import LacewingError
 from .follower import KeyedTopic
@@ -13,11 +14,24 @@
     code, status = "append_conflict", 412
 
 
+@dataclass(frozen=True, slots=True)
+class Appended:
+    """Result of an append.
+
+    Attributes:
+        end: Offset after the last of the records.
+        era: Number of times the log had come back from an older copy of itself; see ``KeyedPage``.
+    """
+
+    end: int
+    era: int
+
+
 class ConditionalTopic(KeyedTopic):
     """A keyed topic with compare-and-set appends."""
 
     @abstractmethod
-    async def append_at(self, end: int, records: Sequence[tuple[str, bytes]]) -> int:
+    async def append_at(self, end: int, records: Sequence[tuple[str, bytes]]) -> Appended:
         """Append records if the topic ends at an offset; all of them or none.
 
         Args:
@@ -25,7 +39,9 @@
             records: Keys and values.
 
         Returns:
-            The offset after the last of the records. The first one is at ``end``.
+            The offset after the last of the records, the first of which is at ``end``, and the era.
+            In another era than that of the read which told ``end``, the offset may be the end again
+            by chance.
 
         Raises:
             AppendConflict: If the topic ends elsewhere.
--- a/lacewinghub/fakes/platform_store.py
+++ b/lacewinghub/fakes/platform_store.py
@@ -88,6 +88,29 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def append(self, topic: str, data: bytes, at: int | None = None) -> tuple[int | None, int]:
+        """Append encoded records, all or none.
+
+        Args:
+            topic: Name of the topic.
+            data: Records of length, key length, key and value.
+            at: Offset at which the topic has to end; None for any.
+
+        Returns:
+            The offset of the first record, or None if the condition does not hold, and the end.
+        """
+        offset = self._topic(topic).end
+        if at is not None and at != offset:
+            return None, offset
+        position = 0
+        while position < len(data):
+            (length,) = struct.unpack_from(">I", data, position)
+            record = data[position + 4 : position + 4 + length]
+            key_end = 1 + record[0]
+            self.put_raw(topic, record[1:key_end].decode(), record[key_end:])
+            position += 4 + length
+        return offset, self._topic(topic).end
+
     def copy(self) -> dict[str, _Topic]:
         """Return a copy of all topics."""
         return copy.deepcopy(self._topics)
@@ -194,8 +217,12 @@
                 return
             self._respond(out, 410 if data is None else 200, data or b"{}")
         elif path == "/v1/log-append":
-            self._append(args["topic"], incoming.take_body())
-            self._respond(out, 200, b"{}")
+            at = int(args["at"]) if "at" in args else None
+            offset, end = self._store.append(args["topic"], incoming.take_body(), at)
+            if offset is None:
+                self._respond(out, 412, json.dumps({"end": end}).encode())
+            else:
+                self._respond(out, 200, json.dumps({"offset": offset, "end": end}).encode())
         else:
             self._respond(out, 404, b"")
 
@@ -206,15 +233,6 @@
         ]
         out.send(status, headers, body)
 
-    def _append(self, topic: str, data: bytes) -> None:
-        at = 0
-        while at < len(data):
-            (length,) = struct.unpack_from(">I", data, at)
-            record = data[at + 4 : at + 4 + length]
-            key_end = 1 + record[0]
-            self._store.put_raw(topic, record[1:key_end].decode(), record[key_end:])
-            at += 4 + length
-
     async def _inject_fault(self, out: Responder) -> bool:
         if out.conn in self._severed:
             await asyncio.Event().wait()
--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -275,11 +275,13 @@
         node: Identifier of the holder.
         address: Address on which it accepts peers.
         token: Fencing token of its lease; the highest one is the newest.
+        number: Number of this news among those of the holder; each is passed on once.
     """
 
     node: str
     address: str
     token: int
+    number: int = 0
 
 
 @dataclass(slots=True)
--- a/lacewinghub/platform/store.py
+++ b/lacewinghub/platform/store.py
@@ -10,7 +10,7 @@
 
 import aiohttp
 
-from ..conditional_topic import AppendConflict, ConditionalTopic
+from ..conditional_topic import AppendConflict, Appended, ConditionalTopic
 from ..errors import LogUnavailable
 from ..follower import KeyedPage, KeyedRecord, RecordsExpired
 from ..nodelist import WritableKeyedTopic
@@ -205,12 +205,12 @@
         query = {"topic": self._topic, "part": PARTITION}
         await self._client.post(LOG_APPEND_PATH, query, _encode_record(key, value))
 
-    async def append_at(self, end: int, records: Sequence[tuple[str, bytes]]) -> int:
+    async def append_at(self, end: int, records: Sequence[tuple[str, bytes]]) -> Appended:
         """Append records if the topic ends at an offset; see ``ConditionalTopic.append_at``."""
         query = {"topic": self._topic, "part": PARTITION, "at": end}
         body = b"".join(_encode_record(key, value) for key, value in records)
-        await self._client.post(LOG_APPEND_PATH, query, body)
-        return end + len(records)
+        answer = await self._client.post(LOG_APPEND_PATH, query, body)
+        return Appended(end + len(records), answer.era)
 
 
 def _encode_record(key: str, value: bytes | None) -> bytes:
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -17,6 +17,7 @@
 from .dependencies import DispatcherDependencies
 from .deployment import CurrentConfig, DeploymentConfig
 from .directory import EndpointDirectory
+from .duty_lease import DutyLease
 from .endpoint_pause import EndpointPauses
 from .endpoint_quota import EndpointQuotas
 from .endpoint_statements import EndpointStatements
@@ -28,6 +29,8 @@
 from .history import History
 from .httpclient import ConnectionPool
 from .httpserver import HttpHandler, HttpServer
+from .leader_hint import LeaderHints
+from .leader_reports import LeaderReports
 from .limit import RetryRule
 from .metricpage import MetricPage
 from .node_retry_budget import NodeRetryBudgets
@@ -286,6 +289,10 @@
         supervisor.start("membership", self._overlay.run)
         supervisor.start("nodes", nodes.run)
         supervisor.start("crashes", self._crash_records.run)
+        if self._duty_lease is not None:
+            supervisor.start("duty lease", self._duty_lease.run)
+        if self._leader_reports is not None:
+            supervisor.start("leader reports", self._leader_reports.run)
 
     async def _listen(self, key: str, address: str, handler: HttpHandler) -> HttpServer:
         host, _, port = address.rpartition(":")
@@ -305,6 +312,8 @@
         self._gateway.phase = Phase.LEAVING
         self._overlay.leave()
         self._supervisor.start("withdraw", self._withdraw, restart=False)
+        if self._duty_lease is not None:
+            self._supervisor.start("resign", self._duty_lease.resign, restart=False)
         logger.bind(in_flight=self._gateway.in_flight).info("node is leaving")
         while loop.time() < min(stop_started + LEAVE_S, self._gateway.ends_at):
             self._gateway.refuse_late_waiters()
@@ -318,6 +327,8 @@
                 break
             await asyncio.sleep(STOP_POLL_S)
         logger.bind(in_flight=self._gateway.in_flight).info("node ends")
+        if self._leader_reports is not None:
+            self._leader_reports.send()
         await self._gateway.end_requests(MARGIN_S / 2)
 
     def _build_peers(self) -> None:
@@ -355,6 +366,25 @@
         ):
             self._overlay.add(contributor)
 
+    def _build_duties(self) -> None:
+        """Create what performs the singleton duties, if the platform has any."""
+        self._duty_lease: DutyLease | None = None
+        self._leader_reports: LeaderReports | None = None
+        topic = self._adapter.duty_topic() if self.cfg.duties is not None else None
+        if self.cfg.duties is None or topic is None:
+            return
+        identity, overlay = self._peers.identity, self._overlay
+        lease = self._duty_lease = DutyLease(identity, overlay, topic, self.cfg.duties.lease_s)
+        hints = LeaderHints(
+            identity.node,
+            lambda: self._peers.identity.address,
+            lease.held_token,
+            overlay,
+            overlay.schedule_relay,
+        )
+        overlay.add(hints)
+        self._leader_reports = LeaderReports(identity, overlay, self._peers, hints.leader)
+
     def _relayed_topic(self, name: str, source: TopicSource, timing: TurnTiming) -> RelayedTopic:
         """Return a topic that the nodes read from each other."""
         turns = ReadTurns(
@@ -379,6 +409,7 @@
         self._directory.on_endpoint_reset(self._on_restart)
         self._health = EndpointHealth()
         self._build_peers()
+        self._build_duties()
         self._connections = ConnectionPool()
         self._pauses = EndpointPauses()
         reports = LoadReports()
@@ -483,6 +514,11 @@
             self._metrics.set("crash_causes", len(self._crash_guard.causes))
             self._metrics.set("live_nodes", len(self._overlay.live()))
             self._metrics.set("endpoint_connections_opened", self._connections.opened)
+            if self._duty_lease is not None:
+                token = self._duty_lease.held_token()
+                self._metrics.set("duty_lease_held", token is not None)
+                self._metrics.set("duty_lease_token", token or 0)
+                self._metrics.set("duty_lease_changes", self._duty_lease.changes)
             await asyncio.sleep(SETTINGS_POLL_S)
 
 
--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -88,6 +88,8 @@
 
     nodes = 1
     runners = 2
+    # Members of the settings that a test adds or replaces.
+    settings: dict[str, Any] = {}  # noqa: RUF012
 
     async def asyncSetUp(self) -> None:
         self.store = FakeStore()
@@ -131,6 +133,7 @@
                 # of the few requests of a test.
                 "bounds": {"budget_min_retries": 1200},
             }
+            | self.settings
         )
         node = ProxyNode(PlatformAdapter(boot, metrics_port=0))
         task = asyncio.create_task(node.run())
