--- a/lacewinghub/platform/node.py
+++ b/lacewinghub/platform/node.py
@@ -14,13 +14,14 @@
 from ..decisionlog import LineWriter
 from ..deployment import CurrentConfig
 from ..directory import EndpointDirectory
+from ..duty_services import DutySettings
 from ..endpoint_statements import EndpointStatements
 from ..httpclient import ConnectionPool
 from ..httpserver import HttpHandler
 from ..limit import RetryRule
 from ..nodelist import WritableKeyedTopic
 from ..proxygateway import ProxyCodec
-from ..proxynode import Adapter, DutySettings, ProxyNode, ProxySettings, TopicSource
+from ..proxynode import Adapter, ProxyNode, ProxySettings, TopicSource
 from ..proxyrouter import ProxyClient
 from . import names
 from .boot import Boot, find_settings_path, load
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -17,7 +17,7 @@
 from .dependencies import DispatcherDependencies
 from .deployment import CurrentConfig, DeploymentConfig
 from .directory import EndpointDirectory
-from .duty_lease import DutyLease
+from .duty_services import DutyPlatform, DutyServices, DutySettings, NodeParts
 from .endpoint_pause import EndpointPauses
 from .endpoint_quota import EndpointQuotas
 from .endpoint_statements import EndpointStatements
@@ -29,8 +29,6 @@
 from .history import History
 from .httpclient import ConnectionPool
 from .httpserver import HttpHandler, HttpServer
-from .leader_hint import LeaderHints
-from .leader_reports import LeaderReports
 from .limit import RetryRule
 from .metricpage import MetricPage
 from .node_retry_budget import NodeRetryBudgets
@@ -72,27 +70,6 @@
 SETTINGS_POLL_S = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class DutySettings:
-    """Settings of the calls to the platform that one node makes at a time.
-
-    Attributes:
-        usage: True if the usage of the workspaces is reported.
-        autoscale: True if runners are ordered.
-        lease_s: Time for which the duties are held without a renewal, in seconds.
-        window_s: Length of a usage window, in seconds.
-        usage_late_s: Time after its end at which the usage of a window is due, in seconds.
-        calls_per_s: Calls per second that the platform accepts from all nodes together.
-    """
-
-    usage: bool
-    autoscale: bool
-    lease_s: float = 3.0
-    window_s: float = 5.0
-    usage_late_s: float = 10.0
-    calls_per_s: float = 10.0
-
-
 @dataclass(frozen=True, slots=True)
 class ProxySettings:
     """Settings of a node.
@@ -289,10 +266,8 @@
         supervisor.start("membership", self._overlay.run)
         supervisor.start("nodes", nodes.run)
         supervisor.start("crashes", self._crash_records.run)
-        if self._duty_lease is not None:
-            supervisor.start("duty lease", self._duty_lease.run)
-        if self._leader_reports is not None:
-            supervisor.start("leader reports", self._leader_reports.run)
+        if self._duties is not None:
+            self._duties.start(supervisor)
 
     async def _listen(self, key: str, address: str, handler: HttpHandler) -> HttpServer:
         host, _, port = address.rpartition(":")
@@ -312,8 +287,8 @@
         self._gateway.phase = Phase.LEAVING
         self._overlay.leave()
         self._supervisor.start("withdraw", self._withdraw, restart=False)
-        if self._duty_lease is not None:
-            self._supervisor.start("resign", self._duty_lease.resign, restart=False)
+        if self._duties is not None:
+            self._duties.leave(self._supervisor)
         logger.bind(in_flight=self._gateway.in_flight).info("node is leaving")
         while loop.time() < min(stop_started + LEAVE_S, self._gateway.ends_at):
             self._gateway.refuse_late_waiters()
@@ -327,9 +302,9 @@
                 break
             await asyncio.sleep(STOP_POLL_S)
         logger.bind(in_flight=self._gateway.in_flight).info("node ends")
-        if self._leader_reports is not None:
-            self._leader_reports.send()
         await self._gateway.end_requests(MARGIN_S / 2)
+        if self._duties is not None:
+            self._duties.send_report()
 
     def _build_peers(self) -> None:
         cfg = self.cfg
@@ -366,25 +341,6 @@
         ):
             self._overlay.add(contributor)
 
-    def _build_duties(self) -> None:
-        """Create what performs the singleton duties, if the platform has any."""
-        self._duty_lease: DutyLease | None = None
-        self._leader_reports: LeaderReports | None = None
-        topic = self._adapter.duty_topic() if self.cfg.duties is not None else None
-        if self.cfg.duties is None or topic is None:
-            return
-        identity, overlay = self._peers.identity, self._overlay
-        lease = self._duty_lease = DutyLease(identity, overlay, topic, self.cfg.duties.lease_s)
-        hints = LeaderHints(
-            identity.node,
-            lambda: self._peers.identity.address,
-            lease.held_token,
-            overlay,
-            overlay.schedule_relay,
-        )
-        overlay.add(hints)
-        self._leader_reports = LeaderReports(identity, overlay, self._peers, hints.leader)
-
     def _relayed_topic(self, name: str, source: TopicSource, timing: TurnTiming) -> RelayedTopic:
         """Return a topic that the nodes read from each other."""
         turns = ReadTurns(
@@ -409,7 +365,6 @@
         self._directory.on_endpoint_reset(self._on_restart)
         self._health = EndpointHealth()
         self._build_peers()
-        self._build_duties()
         self._connections = ConnectionPool()
         self._pauses = EndpointPauses()
         reports = LoadReports()
@@ -424,6 +379,7 @@
             quotas=self._quotas,
             pauses=self._pauses,
         )
+        duties = self._duties = self._build_duties()
         dependencies = DispatcherDependencies(
             scheduler=self._scheduler,
             tables=self._tables,
@@ -431,6 +387,8 @@
             budget=NodeRetryBudgets(self.cfg.retries, self._node_count),
             guard=self._crash_guard,
             monitors=[HealthMonitor(self._health), FailureMonitor(self._failure_detector)],
+            usage=duties.usage if duties is not None else None,
+            demand=duties.demand if duties is not None else None,
         )
         statements = EndpointStatements(
             reports, self._quotas, self._pauses, self._directory.mark_leaving
@@ -454,6 +412,20 @@
         self._suspend.listen(topic.on_resume)
         self._endpoints = Follower("endpoints", topic, endpoints.sink, self._endpoints_read_timing)
 
+    def _build_duties(self) -> DutyServices | None:
+        """Create what performs the singleton duties, if the platform has any."""
+        topic, api = self._adapter.duty_topic(), self._adapter.control_api()
+        if self.cfg.duties is None or topic is None or api is None:
+            return None
+        parts = NodeParts(
+            self._overlay,
+            self._peers,
+            self._directory,
+            self._scheduler.state,
+            self._metrics.set,
+        )
+        return DutyServices(self.cfg.duties, DutyPlatform(topic, api), parts)
+
     def _tables(self) -> Tables:
         return self._directory.tables
 
@@ -514,11 +486,8 @@
             self._metrics.set("crash_causes", len(self._crash_guard.causes))
             self._metrics.set("live_nodes", len(self._overlay.live()))
             self._metrics.set("endpoint_connections_opened", self._connections.opened)
-            if self._duty_lease is not None:
-                token = self._duty_lease.held_token()
-                self._metrics.set("duty_lease_held", token is not None)
-                self._metrics.set("duty_lease_token", token or 0)
-                self._metrics.set("duty_lease_changes", self._duty_lease.changes)
+            if self._duties is not None:
+                self._duties.update_gauges()
             await asyncio.sleep(SETTINGS_POLL_S)
 
 
