Measure the demand at each node, and order runners under the lease of the duties

The plan is pure: it derives the runners that the demand needs from busy slots, prompt tokens and the share of first events on time, and chooses ordinary and spot runners by zone so that the reclaim of two zones is bearable. The scaler sends changed orders only. Nothing is wired to the lease yet.

--- /dev/null
+++ b/lacewinghub/autoscaler.py
@@ -0,0 +1,525 @@
+"""Decides how many runners of each kind a pool should have in each availability zone.
+
+``plan`` is a pure function: it returns what to order, and what it has learnt for the next call. It
+is meant to be called about once per second.
+
+Demand is measured in busy slots: requests at runners, waiting, and refused. How many runners serve
+it well is learnt: the utilisation of the slots falls while first events miss their target, and the
+prompt tokens per second that a runner carried while they did are remembered. Spot runners are
+ordered beyond that, so that a reclaim leaves enough of them; the same reserve carries bursts, for
+which newly ordered runners would come too late.
+"""
+
+import math
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field, replace
+from typing import NamedTuple
+
+from .scaling import ScalingRule
+
+# Share of slots in use, averaged over a wave of the load: the initial value and the limits within
+# which it follows the share of first events within their target. At the upper limit a chat still
+# finds a free slot and little prefill of others in front of it.
+UTILISATION = 0.55
+MIN_UTILISATION = 0.35
+MAX_UTILISATION = 0.65
+# Share of slots that peaks may use: requests find a slot, but answers get slower.
+PEAK_UTILISATION = 0.9
+# Shares of first events within their target below and above which the utilisation is changed, and
+# its factors per second. It falls fast, because callers wait, and rises slowly.
+LATE_SHARE = 0.95
+ON_TIME_SHARE = 0.985
+FALL_PER_S = 0.97
+RISE_PER_S = 1.005
+MIN_SAMPLES_PER_S = 2.0  # With fewer first events per second, their share means little.
+# Below this share of slots in use, late first events have other causes than too few runners.
+IDLE_UTILISATION = 0.25
+# What must remain after the sudden loss of the spot runners of one and of two zones, as a share of
+# the needed runners. With 0.6 the sustained demand still fits into the slots until new runners have
+# booted; two zones may be reclaimed within a second of each other.
+AFTER_ONE_LOSS = 0.9
+AFTER_TWO_LOSSES = 0.6
+# Ordinary runners, which are never reclaimed, as a share of the needed runners: enough for the
+# highest tier if the spot runners of all zones are lost.
+ORDINARY_SHARE = 0.2
+# An ordinary runner is replaced by a spot one if that saves more over HORIZON_S than it costs: the
+# time for which both are billed, and answers in progress that are lost with it.
+HORIZON_S = 30.0
+DRAIN_S = 3.0
+LOST_WORK_S = 5.0
+# Demand is averaged over this time, longer than a wave, and the highest average and the highest
+# value count for the longer times. Bursts recur every 20 to 30 s.
+MEAN_S = 12.0
+MEAN_HOLD_S = 20.0
+PEAK_HOLD_S = 30.0
+TREND_S = 3.0
+# Largest share of the permitted runners that is planned for demand; the rest replaces losses.
+LARGEST_SHARE = 0.85
+MAX_TREND = 1.5  # Largest factor by which a forecast may exceed the demand.
+LEARN_S = 15.0  # Time constant with which the busy slots per prompt token are learnt.
+MAX_STAY_S = 10.0
+# Highest prompt tokens per second and runner that may be planned, as a share of those at which
+# first events were late.
+TOKEN_MARGIN = 0.85
+FORGET_PER_S = 1.01
+# Runners needed for prompt tokens may exceed those needed for slots by this factor: the rate at
+# which first events became late may have had other causes.
+MAX_TOKEN_FACTOR = 1.5
+# First events are late while caches are cold and the demand is unknown; nothing is learnt and
+# nothing is shrunk before.
+SETTLE_S = 6.0
+MAX_AGE_S = 3.0  # Older data permit no scale-in.
+# No scale-in for this time after a reclaim, since further zones may follow.
+AFTER_RECLAIM_S = 5.0
+SHRINK_INTERVAL_S = 3.0  # Leaving runners drain for this long.
+SHRINK_SHARE = 1 / 8  # Largest share of the serving runners that leave at a time.
+SHRINK_HYSTERESIS = 0.15
+GROW_HYSTERESIS = 0.03
+BURST = 1.25  # No scale-in while demand exceeds its average by this factor.
+# Reclaimed runners are not available again for about 10 s; an order that comes too early costs one
+# call. After a refusal, the zone and kind are left alone for the second time.
+RECLAIM_PAUSE_S = 8.0
+REFUSED_PAUSE_S = 4.0
+# A new runner is announced and read this long after it has booted, at the latest.
+ANNOUNCE_S = 3.0
+
+
+class Group(NamedTuple):
+    """The runners of one kind in an availability zone."""
+
+    availability_zone: str
+    spot: bool
+
+
+@dataclass(frozen=True, slots=True)
+class GroupState:
+    """Runners of a group, and the last order for them.
+
+    Attributes:
+        serving: Runners that accept requests.
+        leaving: Runners that have announced that they leave.
+        ordered: Number in the last order that was accepted, or of the runners seen before it.
+        ordered_at: Time of that order; minus infinity without one.
+        unconfirmed: Number in an order that was not answered, or None.
+        closed_until: Time until which nothing is ordered, because there is nothing to be had.
+    """
+
+    serving: int = 0
+    leaving: int = 0
+    ordered: int = 0
+    ordered_at: float = float("-inf")
+    unconfirmed: int | None = None
+    closed_until: float = float("-inf")
+
+
+@dataclass(frozen=True, slots=True)
+class PoolLoad:
+    """Demand for a pool at all live nodes; see ``PoolDemand``."""
+
+    in_flight: float
+    queued: float
+    arrivals_per_s: float
+    prompt_tokens_per_s: float
+    on_time_per_s: float
+    late_per_s: float
+    refused_per_s: float
+
+    @property
+    def busy(self) -> float:
+        """Slots that all requests would occupy, refused ones included."""
+        waiting = self.in_flight + self.queued
+        served = max(0.1, self.arrivals_per_s - self.refused_per_s)
+        stay_s = min(MAX_STAY_S, self.in_flight / served)
+        # Refused requests return, so that they are counted several times.
+        return waiting + min(waiting, self.refused_per_s * stay_s)
+
+    @property
+    def on_time_share(self) -> float | None:
+        """Share of requests with the first event within its target; None with too few of them."""
+        total = self.on_time_per_s + self.late_per_s + self.refused_per_s
+        return self.on_time_per_s / total if total >= MIN_SAMPLES_PER_S else None
+
+
+class Sample(NamedTuple):
+    """Demand at a time: busy slots, the mean of them before, and prompt tokens per second."""
+
+    time: float
+    busy: float
+    mean: float
+    tokens_per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Learnt:
+    """What earlier calls of ``plan`` leave for later ones.
+
+    Attributes:
+        since: Time of the first data; None before.
+        samples: Demand of the last seconds.
+        utilisation: Share of slots to use.
+        busy_per_token: Busy slots per prompt token and second; None before it is known.
+        good_tokens: Highest prompt tokens per second and runner with first events on time.
+        late_tokens: Lowest ones with late first events; infinite before there were any.
+        shrunk_at: Time of the last order that shrank a group.
+        lost_at: Time of the last reclaim.
+    """
+
+    since: float | None = None
+    samples: tuple[Sample, ...] = ()
+    utilisation: float = UTILISATION
+    busy_per_token: float | None = None
+    good_tokens: float = 0.0
+    late_tokens: float = float("inf")
+    shrunk_at: float = float("-inf")
+    lost_at: float = float("-inf")
+
+
+@dataclass(frozen=True, slots=True)
+class ScalingState:
+    """All that a plan depends on; times are in seconds on one clock.
+
+    Attributes:
+        now: Current time.
+        rule: Limits and prices.
+        slots: Slots of a runner.
+        groups: The runners, by group.
+        load: Newest demand; None without enough reports.
+        load_age_s: Age of the oldest report in it, or of the last one.
+        learnt: What the last plan left.
+    """
+
+    now: float
+    rule: ScalingRule
+    slots: float
+    groups: Mapping[Group, GroupState]
+    load: PoolLoad | None
+    load_age_s: float
+    learnt: Learnt = field(default_factory=Learnt)
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """Result of a plan.
+
+    Attributes:
+        orders: Number of runners to order, by group; groups that do not change are missing.
+        lost: Groups whose runners were reclaimed; nothing is left of what was ordered.
+        closed_until: Time until which these groups are left alone.
+        needed: Runners that the demand needs.
+        target: Number of runners that each group should have in the end.
+        learnt: What to pass to the next plan.
+        reason: Why nothing is shrunk, or an empty string.
+    """
+
+    orders: Mapping[Group, int]
+    lost: tuple[Group, ...]
+    closed_until: float
+    needed: int
+    target: Mapping[Group, int]
+    learnt: Learnt
+    reason: str = ""
+
+
+def plan(state: ScalingState) -> Plan:
+    """Decide what to order.
+
+    Args:
+        state: All that the decision depends on.
+    """
+    lost = tuple(sorted(group for group in state.groups if _is_reclaimed(state, group)))
+    until = state.now + RECLAIM_PAUSE_S
+    groups = dict(state.groups)
+    for group in lost:
+        groups[group] = replace(groups[group], ordered=0, unconfirmed=None, closed_until=until)
+    learnt = replace(state.learnt, lost_at=state.now) if lost else state.learnt
+    fresh = state.load is not None and state.load_age_s <= MAX_AGE_S
+    state = replace(state, groups=groups, learnt=learnt)
+    if fresh:
+        state = replace(state, learnt=_learn(state))
+    if not state.learnt.samples:
+        return Plan({}, lost, until, 0, {}, state.learnt, "no data")
+    needed = _needed_runners(state)
+    target = _compose(state, needed)
+    orders = _growth(state, target)
+    reason = "" if fresh else "data too old"
+    reason = reason or _reason_to_wait(state)
+    shrinks: dict[Group, int] = {}
+    if not reason:
+        shrinks = _shrinkage(state, needed, target)
+    cautious = not fresh or state.now < state.learnt.lost_at + AFTER_RECLAIM_S
+    for group, item in groups.items():
+        if group not in orders and item.unconfirmed is not None:
+            # It may have been executed; the same order again does no harm.
+            wanted = item.ordered if cautious else min(item.ordered, target[group])
+            orders[group] = max(item.unconfirmed, wanted)
+    for group, count in shrinks.items():
+        orders.setdefault(group, count)
+    learnt = replace(state.learnt, shrunk_at=state.now) if shrinks else state.learnt
+    return Plan(orders, lost, until, needed, target, learnt, reason)
+
+
+def _is_reclaimed(state: ScalingState, group: Group) -> bool:
+    """Tell whether the spot runners of a zone were reclaimed since the last plan."""
+    item = state.groups[group]
+    if not group.spot or item.ordered == 0:
+        return False
+    if item.serving == 0 and item.leaving > 0 and item.leaving >= item.ordered // 2:
+        return True
+    # Lost without notice, or while they booted.
+    return item.serving == 0 and state.now >= item.ordered_at + state.rule.boot_s + ANNOUNCE_S
+
+
+def _learn(state: ScalingState) -> Learnt:
+    """Return what is known with the newest demand."""
+    load, learnt, now = state.load, state.learnt, state.now
+    assert load is not None
+    since = now if learnt.since is None else learnt.since
+    step_s = min(1.0, now - learnt.samples[-1].time) if learnt.samples else 0.0
+    busy, tokens = load.busy, load.prompt_tokens_per_s
+    per_token = learnt.busy_per_token
+    expected = busy if per_token is None else max(busy, per_token * tokens)
+    recent = [item.busy for item in learnt.samples if item.time > now - MEAN_S] + [expected]
+    sample = Sample(now, expected, sum(recent) / len(recent), tokens)
+    kept = tuple(item for item in learnt.samples if item.time > now - PEAK_HOLD_S)
+    learnt = replace(learnt, since=since, samples=(*kept, sample))
+    if tokens > 0 and now >= since + TREND_S:
+        seen = busy / tokens
+        per_token = seen if per_token is None else per_token + (seen - per_token) * step_s / LEARN_S
+        learnt = replace(learnt, busy_per_token=per_token)
+    serving = sum(item.serving for item in state.groups.values())
+    share = load.on_time_share
+    if serving == 0 or share is None or now < since + SETTLE_S:
+        return learnt
+    return _learn_limits(learnt, share, load.busy / (serving * state.slots), tokens / serving)
+
+
+def _learn_limits(learnt: Learnt, share: float, used: float, tokens: float) -> Learnt:
+    """Adapt the utilisation and the prompt tokens per runner to the share of first events on time.
+
+    Args:
+        learnt: What is known so far.
+        share: Share of first events within their target.
+        used: Share of slots in use.
+        tokens: Prompt tokens per second and runner.
+    """
+    utilisation, late, good = learnt.utilisation, learnt.late_tokens, learnt.good_tokens
+    late *= FORGET_PER_S
+    good /= FORGET_PER_S
+    if share < LATE_SHARE and used > IDLE_UTILISATION:
+        utilisation = max(MIN_UTILISATION, utilisation * FALL_PER_S)
+        late = min(late, tokens)
+    elif share > ON_TIME_SHARE:
+        utilisation = min(MAX_UTILISATION, utilisation * RISE_PER_S)
+        good = max(good, tokens)
+    return replace(learnt, utilisation=utilisation, late_tokens=max(late, good), good_tokens=good)
+
+
+def _needed_runners(state: ScalingState) -> int:
+    """Return the number of runners that serve the demand within the targets."""
+    learnt, now = state.learnt, state.now
+    last = learnt.samples[-1]
+    held = [item for item in learnt.samples if item.time > now - MEAN_HOLD_S] or [last]
+    mean = max(item.mean for item in held)
+    peak = max(max(item.busy for item in learnt.samples), _forecast(state))
+    slots = max(mean / learnt.utilisation, peak / PEAK_UTILISATION)
+    by_slots = slots / max(1.0, state.slots)
+    tokens = sum(item.tokens_per_s for item in held) / len(held)
+    by_tokens = max(tokens, last.tokens_per_s * TOKEN_MARGIN) / (TOKEN_MARGIN * learnt.late_tokens)
+    return max(1, math.ceil(max(by_slots, min(by_tokens, MAX_TOKEN_FACTOR * by_slots))))
+
+
+def _forecast(state: ScalingState) -> float:
+    """Return the busy slots at the time at which runners ordered now will serve."""
+    samples = state.learnt.samples
+    last = samples[-1]
+    before = next((item for item in samples if item.time >= last.time - TREND_S), last)
+    if before is last or last.time - samples[0].time < TREND_S:
+        return last.busy
+    slope = (last.busy - before.busy) / (last.time - before.time)
+    rise = max(0.0, slope) * (state.rule.boot_s + 1.0)
+    return min(last.busy + rise, last.busy * MAX_TREND)
+
+
+def _is_open(state: ScalingState, group: Group) -> bool:
+    return state.now >= state.groups[group].closed_until
+
+
+def _zones(state: ScalingState) -> list[str]:
+    """Return the availability zones, cheapest first."""
+    names = {group.availability_zone for group in state.groups}
+    return sorted(names, key=lambda zone: (state.rule.zone_prices.get(zone, 1.0), zone))
+
+
+def _compose(state: ScalingState, needed: int) -> dict[Group, int]:
+    """Return the cheapest numbers of runners that suffice, also after the loss of zones.
+
+    Groups that are closed keep what they have.
+    """
+    rule, zones = state.rule, _zones(state)
+    open_zones = [zone for zone in zones if _is_open(state, Group(zone, True))]
+    kept = {
+        zone: state.groups[Group(zone, True)].serving for zone in zones if zone not in open_zones
+    }
+    price = sum(rule.zone_prices.get(zone, 1.0) for zone in zones) / len(zones)
+    if not _pays_off(rule):
+        open_zones = []
+    best: tuple[float, dict[str, int], int] | None = None
+    rooms = {zone: rule.maximum - kept.get(zone, 0) for zone in zones}
+    for zone in zones:
+        if not _is_open(state, Group(zone, False)):
+            rooms[zone] = min(rooms[zone], state.groups[Group(zone, False)].ordered)
+    limit = max(0, sum(rooms.values()))
+    needed = min(needed, int(LARGEST_SHARE * rule.maximum * len(zones)))
+    floor = min(limit, max(len(zones), math.ceil(ORDINARY_SHARE * needed)))
+    for ordinary in range(floor, limit + 1):
+        counts = _spread(ordinary, zones, rooms)
+        room = min((rule.maximum - counts[zone] for zone in open_zones), default=0)
+        spot = _spot_per_zone(ordinary, len(open_zones), sum(kept.values()), needed, len(zones))
+        if spot > room and ordinary < limit:
+            continue
+        spot = min(spot, room)
+        cost = price * (ordinary + spot * len(open_zones) * rule.spot_price)
+        if best is None or cost < best[0]:
+            best = (cost, counts, spot)
+    assert best is not None
+    _, counts, spot = best
+    target = {}
+    for zone in zones:
+        group = Group(zone, True)
+        target[group] = spot if zone in open_zones else state.groups[group].ordered
+        if not _pays_off(rule):
+            target[group] = 0
+        target[Group(zone, False)] = max(counts[zone], rule.minimum - target[group])
+    return target
+
+
+def _pays_off(rule: ScalingRule) -> bool:
+    """Tell whether spot runners save more than the replacement of ordinary ones costs."""
+    return (1.0 - rule.spot_price) * HORIZON_S > DRAIN_S + LOST_WORK_S + rule.boot_s
+
+
+def _spot_per_zone(ordinary: int, open_zones: int, kept: int, needed: int, zones: int) -> int:
+    """Return how many spot runners each open zone needs beside the ordinary ones."""
+    if not open_zones:
+        return 0 if ordinary + kept >= needed else needed
+    count = 0
+    for lost in range(min(3, open_zones)):
+        missing = needed * _needed_share(lost, zones - open_zones) - ordinary
+        count = max(count, math.ceil((missing - (0 if lost else kept)) / (open_zones - lost)))
+    return count
+
+
+def _needed_share(lost: int, closed: int) -> float:
+    """Return the share of the needed runners that must remain after the loss of zones.
+
+    Args:
+        lost: Number of zones that lose their spot runners.
+        closed: Number of zones that have lost them before, so that fewer losses can follow.
+    """
+    if lost == 0:
+        return 1.0
+    if lost + closed == 1:
+        return AFTER_ONE_LOSS
+    return AFTER_TWO_LOSSES if lost + closed == 2 else 0.0
+
+
+def _spread(count: int, zones: list[str], room: Mapping[str, int]) -> dict[str, int]:
+    """Distribute runners evenly over zones, the cheapest first, as far as there is room."""
+    counts = dict.fromkeys(zones, 0)
+    while count > 0:
+        free = [zone for zone in zones if counts[zone] < room[zone]]
+        if not free:
+            break
+        zone = min(free, key=lambda name: counts[name])
+        counts[zone] += 1
+        count -= 1
+    return counts
+
+
+def _growth(state: ScalingState, target: Mapping[Group, int]) -> dict[Group, int]:
+    """Return the orders that add runners, or ask again for runners that did not come."""
+    orders = {}
+    overdue_s = state.rule.boot_s + ANNOUNCE_S
+    for group, count in target.items():
+        item = state.groups[group]
+        if not _is_open(state, group):
+            continue
+        other = state.groups[Group(group.availability_zone, not group.spot)]
+        count = min(count, state.rule.maximum - other.ordered)
+        # One runner more or less is no reason for an order, except where there are few.
+        if count > item.ordered + (0 if item.ordered < 3 else GROW_HYSTERESIS * item.ordered + 1):
+            orders[group] = count
+        elif item.serving < item.ordered and state.now >= item.ordered_at + overdue_s:
+            orders[group] = item.ordered
+    return orders
+
+
+def _reason_to_wait(state: ScalingState) -> str:
+    """Return why no group may be shrunk now, or an empty string."""
+    learnt, now = state.learnt, state.now
+    last = learnt.samples[-1]
+    if learnt.since is None or now < learnt.since + SETTLE_S:
+        return "demand not known for long enough"
+    if now < learnt.lost_at + AFTER_RECLAIM_S:
+        return "reclaim"
+    if now < learnt.shrunk_at + SHRINK_INTERVAL_S:
+        return "runners drain"
+    if last.busy > BURST * last.mean:
+        return "burst"
+    return ""
+
+
+def _shrinkage(state: ScalingState, needed: int, target: Mapping[Group, int]) -> dict[Group, int]:
+    """Return the orders that remove runners, most expensive first, a few at a time."""
+    serving = {group: item.serving for group, item in state.groups.items()}
+    budget = max(1, int(sum(serving.values()) * SHRINK_SHARE))
+    excess = {
+        group: min(item.ordered, item.serving) - target[group]
+        for group, item in state.groups.items()
+        if _is_open(state, group) and item.unconfirmed is None
+    }
+    excess = {group: count for group, count in excess.items() if count > 0}
+    for spot in (False, True):
+        kind = [group for group in excess if group.spot is spot]
+        wanted = sum(target[group] for group in target if group.spot is spot)
+        if sum(excess[group] for group in kind) <= max(1.0, SHRINK_HYSTERESIS * wanted):
+            for group in kind:
+                del excess[group]
+    prices = state.rule.zone_prices
+    removed = dict.fromkeys(excess, 0)
+    while budget > 0:
+        candidates = [group for group in excess if removed[group] < excess[group]]
+        if not candidates:
+            break
+        group = min(
+            candidates,
+            key=lambda item: (
+                item.spot,
+                removed[item],
+                -prices.get(item.availability_zone, 1.0),
+            ),
+        )
+        serving[group] -= 1
+        if not _suffices(state, serving, needed):
+            break
+        removed[group] += 1
+        budget -= 1
+    return {group: state.groups[group].ordered - count for group, count in removed.items() if count}
+
+
+def _suffices(state: ScalingState, serving: Mapping[Group, int], needed: int) -> bool:
+    """Tell whether runners that serve now are enough, also after the loss of one or two zones."""
+    spot = {group: count for group, count in serving.items() if group.spot}
+    closed = sum(not _is_open(state, group) for group in spot)
+    remaining = sum(serving.values())
+    for lost, count in enumerate([0, *sorted(spot.values(), reverse=True)[:2]]):
+        remaining -= count
+        # With all zones lost, only the floor of ordinary runners remains.
+        if lost < max(1, len(spot)) and remaining < needed * _needed_share(lost, closed):
+            return False
+    return True
+
+
+def all_groups(zones: Iterable[str]) -> list[Group]:
+    """Return the groups of availability zones."""
+    return [Group(zone, spot) for zone in sorted(zones) for spot in (False, True)]
--- a/lacewinghub/observer.py
+++ b/lacewinghub/observer.py
@@ -27,15 +27,24 @@
     Args:
         arrived: Loop time at which the request arrived, in seconds.
         target: Latency targets of its route.
+        on_first: Called at the first tokens with the time since the arrival, in seconds.
     """
 
-    def __init__(self, arrived: float, target: Target) -> None:
+    def __init__(
+        self, arrived: float, target: Target, on_first: Callable[[float], None] | None = None
+    ) -> None:
         self._arrived = arrived
         self._target = target
+        self._on_first = on_first
         self._first: float | None = None
         self._last = 0.0
         self._tokens = 0
 
+    @property
+    def has_begun(self) -> bool:
+        """True once tokens were sent to the client."""
+        return self._first is not None
+
     def add_tokens(self, tokens: int) -> None:
         """Record that tokens were sent to the client."""
         if tokens == 0:
@@ -43,6 +52,8 @@
         self._last = asyncio.get_running_loop().time()
         if self._first is None:
             self._first = self._last
+            if self._on_first is not None:
+                self._on_first(self._first - self._arrived)
         self._tokens += tokens
 
     def finish(self) -> dict[str, Any]:
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -14,6 +14,7 @@
 from .crash_guard import CrashGuard
 from .crash_records import CrashRecords
 from .decisionlog import log_event
+from .demand import DemandMeter
 from .dependencies import DispatcherDependencies
 from .deployment import CurrentConfig, DeploymentConfig
 from .directory import EndpointDirectory
@@ -404,7 +405,10 @@
         statements = EndpointStatements(
             reports, self._quotas, self._pauses, self._directory.mark_leaving
         )
-        router = ProxyRouter(dependencies, adapter.client(self._connections, statements))
+        # Adds its figures to the reports to the holder of the duties.
+        self._demand = self._demand_meter()
+        client = adapter.client(self._connections, statements)
+        router = ProxyRouter(dependencies, client, self._demand)
         self._gateway = ProxyGateway(adapter.codec(), self._current_config, router)
         self._suspend = SuspendWatch()
         self._suspend.listen(self._gateway.on_resume)
@@ -423,6 +427,15 @@
         self._suspend.listen(topic.on_resume)
         self._endpoints = Follower("endpoints", topic, endpoints.sink, self._endpoints_read_timing)
 
+    def _demand_meter(self) -> DemandMeter | None:
+        """Return what measures the demand, or None if no runners can be ordered."""
+        if self.cfg.duties is None or not self.cfg.duties.autoscale:
+            return None
+        return DemandMeter(
+            lambda: [spec.name for spec in self._directory.specs() if spec.scaling is not None],
+            self._scheduler.state,
+        )
+
     def _tables(self) -> Tables:
         return self._directory.tables
 
--- a/lacewinghub/proxyrouter.py
+++ b/lacewinghub/proxyrouter.py
@@ -10,10 +10,12 @@
 from collections.abc import AsyncGenerator
 from contextlib import aclosing
 from dataclasses import dataclass, replace
+from functools import partial
 
 from loguru import logger
 
 from .answer_time import AnswerTimes
+from .demand import DemandMeter
 from .dependencies import DispatcherDependencies
 from .dispatch import MAX_ATTEMPTS, AttemptTimer, Dispatcher
 from .endpoint import ConnectFailed, EndpointCrashed, EndpointError
@@ -24,6 +26,7 @@
     ExecutionStatus,
     LacewingError,
     NotRun,
+    Overloaded,
 )
 from .eventstream import EventEnd, EventSplitter
 from .history import EventKind
@@ -138,11 +141,18 @@
     Args:
         dependencies: The objects that the router uses.
         client: Sends the requests.
+        demand: Measures the demand for the pools; None if nothing asks for it.
     """
 
-    def __init__(self, dependencies: DispatcherDependencies, client: ProxyClient) -> None:
+    def __init__(
+        self,
+        dependencies: DispatcherDependencies,
+        client: ProxyClient,
+        demand: DemandMeter | None = None,
+    ) -> None:
         super().__init__(dependencies)
         self._client = client
+        self._demand = demand
         self._answer_times = AnswerTimes()
 
     def expected_answer_s(self, req: Request) -> float:
@@ -166,8 +176,12 @@
         """
         state = _state_of(req)
         progress = _Progress()
-        latency_timer = LatencyTimer(req.arrived, req.target)
+        demand = self._demand
+        on_first = None if demand is None else partial(demand.record_first_event, req)
+        latency_timer = LatencyTimer(req.arrived, req.target, on_first)
         self._report_arrival(req)
+        if demand is not None:
+            demand.record_arrival(req)
         try:
             for attempt in range(1, MAX_ATTEMPTS + 1):
                 self._check_quarantine(req)
@@ -186,11 +200,15 @@
                     break
                 self._prepare_retry(req, endpoint, failure, attempt, progress)
         except LacewingError as exc:
+            if demand is not None and _lacks_capacity(exc):
+                demand.record_refusal(req)
             error = _correct_run(state, exc, progress)
             self._report_failure(req, error, 0)
             raise error from exc
         except (asyncio.CancelledError, GeneratorExit):
             if asyncio.get_running_loop().time() >= state.deadline:
+                if on_first is not None and not latency_timer.has_begun:
+                    on_first(float("inf"))
                 self._record(EventKind.FAILED, req, code=DeadlineExceeded.code)
             else:
                 self._record(EventKind.CANCELLED, req)
@@ -360,6 +378,11 @@
     return req.proxy
 
 
+def _lacks_capacity(exc: LacewingError) -> bool:
+    """Tell whether a request failed because no runner had room for it."""
+    return isinstance(exc, Overloaded) or isinstance(exc.__cause__, EndpointBusy)
+
+
 def _is_broken_off(state: ProxyState, head: ResponseHead, event_end: EventEnd, now: float) -> bool:
     """Tell whether a response ended too early, although nothing in its form says so.
 
--- /dev/null
+++ b/tests/runner_market.py
@@ -0,0 +1,215 @@
+"""A small load model: a queue in front of runners that are ordered, reclaimed and crash."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from lacewinghub.control_api import CallOutcome, ControlApi, RunnerOrder, UsageReport
+from lacewinghub.directory import PoolSpec
+from lacewinghub.duties import DutyHolder, DutyRecords, NodeReports, ReceivedReport
+from lacewinghub.message import LeaderReport, PoolDemand
+from lacewinghub.scaling import RunnerInfo, ScalingRule
+
+POOL = "m"
+RULE = ScalingRule(1, 38, 4.0, 0.22, {"a": 0.85, "b": 1.2, "c": 1.0})
+STEP_S = 0.1
+NOTICE_S = 3.0
+SLOTS = 12
+PREFILL_PER_S = 60_000.0
+
+
+class Kind(NamedTuple):
+    """A class of requests: arrivals per second, prompt, length and target of the first event."""
+
+    per_s: float
+    prompt_tokens: int
+    events: int
+    target_s: float
+
+
+DRAFT, CHAT, TAG = Kind(40.0, 6_600, 48, 2.0), Kind(60.0, 630, 36, 0.27), Kind(40, 1_800, 3, 0.42)
+
+
+@dataclass
+class Runner:
+    zone: str
+    spot: bool
+    ready_at: float
+    leaves_at: float | None = None
+    down_until: float = 0.0
+    prefilled_at: float = 0.0
+    ends: list[float] = field(default_factory=list)
+
+
+@dataclass
+class Market(ControlApi, NodeReports):
+    """Load, runners and control API.
+
+    Attributes:
+        factor: Factor of the arrivals of a kind at a time.
+        outage: Times between which the control API does not answer.
+    """
+
+    factor: Callable[[Kind, float], float] = lambda kind, now: 1.0
+    outage: tuple[float, float] = (0.0, 0.0)
+    seed: int = 1
+
+    def __post_init__(self) -> None:
+        self.rng = random.Random(self.seed)
+        self.runners = [Runner(z, False, 0.0) for z in "abc" for _ in range(19)][1:]
+        self.waiting: list[tuple[float, Kind]] = []
+        self.unavailable: dict[str, float] = {}
+        self.orders: list[tuple[float, RunnerOrder, CallOutcome]] = []
+        self.served = self.late = self.cut = self.refused = self.total = 0
+        self.cost = 0.0
+        self.rates = dict.fromkeys(("arrivals", "tokens", "on_time", "late", "refused"), 0.0)
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    async def report_usage(self, token: int, report: UsageReport) -> CallOutcome:
+        raise NotImplementedError
+
+    async def order_runners(self, token: int, order: RunnerOrder) -> CallOutcome:
+        await asyncio.sleep(0.02)
+        now = self.now()
+        outcome = CallOutcome.ACCEPTED
+        if self.outage[0] <= now < self.outage[1]:
+            await asyncio.sleep(self.CALL_TIMEOUT_S)
+            outcome = CallOutcome.UNANSWERED
+        elif not self._change(order, now):
+            outcome = CallOutcome.UNAVAILABLE
+        self.orders.append((now, order, outcome))
+        return outcome
+
+    def _change(self, order: RunnerOrder, now: float) -> bool:
+        zone, spot = order.availability_zone, order.spot
+        found = [r for r in self.runners if (r.zone, r.spot) == (zone, spot) and not r.leaves_at]
+        more = order.desired - len(found)
+        if more > 0 and spot and now < self.unavailable.get(zone, 0.0):
+            return False
+        self.runners += [Runner(zone, spot, now + RULE.boot_s) for _ in range(more)]
+        for runner in found[order.desired :]:
+            runner.leaves_at = now + NOTICE_S
+        return True
+
+    def reclaim(self, zone: str, gone_s: float = 10.0) -> None:
+        self.unavailable[zone] = self.now() + gone_s
+        for runner in self.runners:
+            if runner.spot and runner.zone == zone:
+                runner.leaves_at = min(runner.leaves_at or 1e9, self.now() + NOTICE_S)
+
+    def crash(self, share: float, for_s: float) -> None:
+        for runner in self.rng.sample(self.runners, int(share * len(self.runners))):
+            runner.down_until = self.now() + for_s
+            self.cut += len(runner.ends)
+            runner.ends.clear()
+
+    def specs(self) -> tuple[PoolSpec, ...]:
+        return (PoolSpec(POOL, "model", RULE),)
+
+    def inventory(self, pool: str) -> list[RunnerInfo]:
+        return [
+            RunnerInfo(str(id(r)), "", r.zone, SLOTS, r.spot, bool(r.leaves_at), r.leaves_at)
+            for r in self.runners
+            if r.ready_at <= self.now() and r.down_until <= self.now()
+        ]
+
+    def live_nodes(self) -> int:
+        return 1
+
+    def reports(self) -> list[ReceivedReport]:
+        scale = {name: value / 3.0 for name, value in self.rates.items()}
+        demand = PoolDemand(
+            POOL,
+            scale["arrivals"],
+            scale["tokens"],
+            0.0,
+            len(self.waiting),
+            sum(len(r.ends) for r in self.runners),
+            scale["on_time"],
+            scale["late"],
+            scale["refused"],
+        )
+        return [ReceivedReport(LeaderReport("n", 1, 1, 0, demand=[demand]), self.now(), True)]
+
+    async def run(self, length_s: float) -> None:
+        while self.now() < length_s:
+            await asyncio.sleep(STEP_S)
+            self._step(self.now())
+
+    def _step(self, now: float) -> None:
+        for name in self.rates:
+            self.rates[name] *= 1 - STEP_S / 3.0
+        for runner in self.runners:
+            runner.ends = [end for end in runner.ends if end > now]
+            price = RULE.zone_prices[runner.zone] * (RULE.spot_price if runner.spot else 1.0)
+            self.cost += STEP_S * price
+            if runner.leaves_at and runner.leaves_at <= now:
+                self.cut += len(runner.ends)
+        self.runners = [r for r in self.runners if not r.leaves_at or r.leaves_at > now]
+        for kind in (CHAT, TAG, DRAFT):
+            rate = kind.per_s * self.factor(kind, now) * STEP_S
+            count = int(rate) + (self.rng.random() < rate % 1)
+            self.waiting += [(now - self.rng.random() * STEP_S, kind) for _ in range(count)]
+            self.total += count
+            self._count("arrivals", count)
+            self._count("tokens", count * kind.prompt_tokens)
+        usable = [
+            r for r in self.runners if r.ready_at <= now and not r.leaves_at and r.down_until <= now
+        ]
+        rest = []
+        for arrived, kind in sorted(self.waiting, key=lambda item: item[1].target_s):
+            free = [r for r in usable if len(r.ends) < SLOTS]
+            if free:
+                self._start(min(free, key=lambda r: (len(r.ends), r.prefilled_at)), arrived, kind)
+            elif now - arrived > kind.target_s:
+                self.refused += 1
+                self._count("refused", 1)
+            else:
+                rest.append((arrived, kind))
+        self.waiting = rest
+
+    def _start(self, runner: Runner, arrived: float, kind: Kind) -> None:
+        now = self.now()
+        first = runner.prefilled_at = max(now, runner.prefilled_at) + (
+            kind.prompt_tokens / PREFILL_PER_S
+        )
+        event_s = 0.035 * (1 + 1.2 * len(runner.ends) / SLOTS)
+        runner.ends.append(first + kind.events * event_s)
+        if first - arrived <= kind.target_s:
+            self.served += 1
+            self._count("on_time", 1)
+        else:
+            self.late += 1
+            self._count("late", 1)
+
+    def _count(self, name: str, count: float) -> None:
+        self.rates[name] += count
+
+    @property
+    def good(self) -> int:
+        """Requests with the first event within its target whose answers were not cut."""
+        return self.served - self.cut
+
+    @property
+    def on_time(self) -> float:
+        return self.good / self.total
+
+
+class FakeHolder(DutyHolder):
+    """A lease that the test gives and takes."""
+
+    def __init__(self) -> None:
+        self.held: int | None = 1
+
+    def token(self, margin_s: float = 1.0) -> int | None:
+        return self.held
+
+    def attach(self, duty: DutyRecords) -> None:
+        raise NotImplementedError
+
+    async def commit(self) -> bool:
+        return True
