--- a/lacewinghub/autoscaler.py
+++ b/lacewinghub/autoscaler.py
@@ -33,29 +33,34 @@
 RISE_PER_S = 1.005
 MIN_SAMPLES_PER_S = 2.0  # With fewer first events per second, their share means little.
 # Below this share of slots in use, late first events have other causes than too few runners.
-IDLE_UTILISATION = 0.25
-# What must remain after the sudden loss of the spot runners of one and of two zones, as a share of
-# the needed runners. With 0.6 the sustained demand still fits into the slots until new runners have
-# booted; two zones may be reclaimed within a second of each other.
-AFTER_ONE_LOSS = 0.9
-AFTER_TWO_LOSSES = 0.6
-# Ordinary runners, which are never reclaimed, as a share of the needed runners: enough for the
-# highest tier if the spot runners of all zones are lost.
+IDLE_UTILISATION = 0.3
+# What must remain of the runners needed for the average demand, and of those needed for its peaks,
+# after the sudden loss of the spot runners of no, one and two zones; two zones may be reclaimed
+# within a second of each other. With 0.6 the average demand still fits into the slots until new
+# runners have booted. A peak is short, so that a loss during it may delay answers.
+MEAN_SHARES = (1.0, 0.9, 0.6)
+PEAK_SHARES = (1.0, 0.8, 0.5)
+# After reclaims that leave one zone with spot runners at most, ordinary ones fill in up to these
+# shares only: they boot for half of the time until spot runners are available again.
+CLOSED_SHARES = (0.75, 0.6)
+# Ordinary runners, which are never reclaimed, as a share of those needed for the average demand:
+# enough for the highest tier if the spot runners of all zones are lost.
 ORDINARY_SHARE = 0.2
 # An ordinary runner is replaced by a spot one if that saves more over HORIZON_S than it costs: the
 # time for which both are billed, and answers in progress that are lost with it.
 HORIZON_S = 30.0
 DRAIN_S = 3.0
 LOST_WORK_S = 5.0
-# Demand is averaged over this time, longer than a wave, and the highest average and the highest
-# value count for the longer times. Bursts recur every 20 to 30 s.
-MEAN_S = 12.0
-MEAN_HOLD_S = 20.0
+# Demand is averaged over two waves. The highest average and the highest value of some time count;
+# bursts recur every 20 to 30 s.
+MEAN_S = 22.0
+MEAN_HOLD_S = 10.0
 PEAK_HOLD_S = 30.0
 TREND_S = 3.0
-# Largest share of the permitted runners that is planned for demand; the rest replaces losses.
-LARGEST_SHARE = 0.85
-MAX_TREND = 1.5  # Largest factor by which a forecast may exceed the demand.
+# Largest share of the permitted runners that is planned for demand, so that two of three zones have
+# room for them.
+LARGEST_SHARE = 0.6
+MAX_TREND = 1.25  # Largest factor by which a forecast may exceed the demand.
 LEARN_S = 15.0  # Time constant with which the busy slots per prompt token are learnt.
 MAX_STAY_S = 10.0
 # Highest prompt tokens per second and runner that may be planned, as a share of those at which
@@ -72,18 +77,23 @@
 # No scale-in for this time after a reclaim, since further zones may follow.
 AFTER_RECLAIM_S = 5.0
 SHRINK_INTERVAL_S = 3.0  # Leaving runners drain for this long.
-SHRINK_SHARE = 1 / 8  # Largest share of the serving runners that leave at a time.
+SHRINK_SHARE = 1 / 4  # Largest share of the serving runners that leave at a time.
 SHRINK_HYSTERESIS = 0.15
 GROW_HYSTERESIS = 0.03
-BURST = 1.25  # No scale-in while demand exceeds its average by this factor.
+BURST = 1.4  # No scale-in while demand exceeds its average by this factor.
 # Reclaimed runners are not available again for about 10 s; an order that comes too early costs one
 # call. After a refusal, the zone and kind are left alone for the second time.
 RECLAIM_PAUSE_S = 8.0
-REFUSED_PAUSE_S = 4.0
+REFUSED_PAUSE_S = 3.0
+# After this time, a lack of spot runners is taken to last, and is filled in completely.
+RECLAIM_MEMORY_S = 20.0
 # A new runner is announced and read this long after it has booted, at the latest.
 ANNOUNCE_S = 3.0
 
 
+UNLIMITED = 1 << 20
+
+
 class Group(NamedTuple):
     """The runners of one kind in an availability zone."""
 
@@ -140,6 +150,27 @@
         return self.on_time_per_s / total if total >= MIN_SAMPLES_PER_S else None
 
 
+class Needed(NamedTuple):
+    """Runners needed for the average demand, and for its peaks."""
+
+    mean: float
+    peak: float
+
+    def after(self, lost: int, closed: int) -> float:
+        """Return the number of runners that must remain after the loss of zones.
+
+        Args:
+            lost: Number of zones that lose their spot runners.
+            closed: Number of zones that have lost them before, so that fewer losses can follow.
+        """
+        if lost == 0 and closed < 2:
+            return max(self)
+        if lost + closed >= len(MEAN_SHARES) and lost > 0:
+            return 0.0
+        shares = (MEAN_SHARES[lost + closed], PEAK_SHARES[lost + closed]) if lost else CLOSED_SHARES
+        return max(self.mean * shares[0], self.peak * shares[1])
+
+
 class Sample(NamedTuple):
     """Demand at a time: busy slots, the mean of them before, and prompt tokens per second."""
 
@@ -205,7 +236,7 @@
         orders: Number of runners to order, by group; groups that do not change are missing.
         lost: Groups whose runners were reclaimed; nothing is left of what was ordered.
         closed_until: Time until which these groups are left alone.
-        needed: Runners that the demand needs.
+        needed: Runners that the demand needs, each well used.
         target: Number of runners that each group should have in the end.
         learnt: What to pass to the next plan.
         reason: Why nothing is shrunk, or an empty string.
@@ -214,7 +245,7 @@
     orders: Mapping[Group, int]
     lost: tuple[Group, ...]
     closed_until: float
-    needed: int
+    needed: Needed
     target: Mapping[Group, int]
     learnt: Learnt
     reason: str = ""
@@ -237,7 +268,7 @@
     if fresh:
         state = replace(state, learnt=_learn(state))
     if not state.learnt.samples:
-        return Plan({}, lost, until, 0, {}, state.learnt, "no data")
+        return Plan({}, lost, until, Needed(0.0, 0.0), {}, state.learnt, "no data")
     needed = _needed_runners(state)
     target = _compose(state, needed)
     orders = _growth(state, target)
@@ -314,18 +345,23 @@
     return replace(learnt, utilisation=utilisation, late_tokens=max(late, good), good_tokens=good)
 
 
-def _needed_runners(state: ScalingState) -> int:
+def _needed_runners(state: ScalingState) -> Needed:
     """Return the number of runners that serve the demand within the targets."""
     learnt, now = state.learnt, state.now
     last = learnt.samples[-1]
     held = [item for item in learnt.samples if item.time > now - MEAN_HOLD_S] or [last]
     mean = max(item.mean for item in held)
     peak = max(max(item.busy for item in learnt.samples), _forecast(state))
-    slots = max(mean / learnt.utilisation, peak / PEAK_UTILISATION)
-    by_slots = slots / max(1.0, state.slots)
+    slots = max(1.0, state.slots)
+    by_mean = mean / learnt.utilisation / slots
+    by_peak = peak / PEAK_UTILISATION / slots
     tokens = sum(item.tokens_per_s for item in held) / len(held)
-    by_tokens = max(tokens, last.tokens_per_s * TOKEN_MARGIN) / (TOKEN_MARGIN * learnt.late_tokens)
-    return max(1, math.ceil(max(by_slots, min(by_tokens, MAX_TOKEN_FACTOR * by_slots))))
+    most = MAX_TOKEN_FACTOR * max(by_mean, by_peak)
+    largest = LARGEST_SHARE * state.rule.maximum * len(_zones(state))
+    return Needed(
+        min(largest, max(1.0, by_mean, min(most, tokens / (TOKEN_MARGIN * learnt.late_tokens)))),
+        min(largest, max(1.0, by_peak, min(most, last.tokens_per_s / learnt.late_tokens))),
+    )
 
 
 def _forecast(state: ScalingState) -> float:
@@ -344,13 +380,20 @@
     return state.now >= state.groups[group].closed_until
 
 
+def _closed_zones(state: ScalingState) -> int:
+    """Return the number of zones without spot runners to order because of recent reclaims."""
+    if state.now >= state.learnt.lost_at + RECLAIM_MEMORY_S:
+        return 0
+    return sum(group.spot and not _is_open(state, group) for group in state.groups)
+
+
 def _zones(state: ScalingState) -> list[str]:
     """Return the availability zones, cheapest first."""
     names = {group.availability_zone for group in state.groups}
     return sorted(names, key=lambda zone: (state.rule.zone_prices.get(zone, 1.0), zone))
 
 
-def _compose(state: ScalingState, needed: int) -> dict[Group, int]:
+def _compose(state: ScalingState, needed: Needed) -> dict[Group, int]:
     """Return the cheapest numbers of runners that suffice, also after the loss of zones.
 
     Groups that are closed keep what they have.
@@ -363,18 +406,18 @@
     price = sum(rule.zone_prices.get(zone, 1.0) for zone in zones) / len(zones)
     if not _pays_off(rule):
         open_zones = []
+    closed = _closed_zones(state)
     best: tuple[float, dict[str, int], int] | None = None
     rooms = {zone: rule.maximum - kept.get(zone, 0) for zone in zones}
     for zone in zones:
         if not _is_open(state, Group(zone, False)):
             rooms[zone] = min(rooms[zone], state.groups[Group(zone, False)].ordered)
     limit = max(0, sum(rooms.values()))
-    needed = min(needed, int(LARGEST_SHARE * rule.maximum * len(zones)))
-    floor = min(limit, max(len(zones), math.ceil(ORDINARY_SHARE * needed)))
+    floor = min(limit, max(len(zones), math.ceil(ORDINARY_SHARE * needed.mean)))
     for ordinary in range(floor, limit + 1):
         counts = _spread(ordinary, zones, rooms)
         room = min((rule.maximum - counts[zone] for zone in open_zones), default=0)
-        spot = _spot_per_zone(ordinary, len(open_zones), sum(kept.values()), needed, len(zones))
+        spot = _spot_per_zone(ordinary, len(open_zones), sum(kept.values()), needed, closed)
         if spot > room and ordinary < limit:
             continue
         spot = min(spot, room)
@@ -398,31 +441,17 @@
     return (1.0 - rule.spot_price) * HORIZON_S > DRAIN_S + LOST_WORK_S + rule.boot_s
 
 
-def _spot_per_zone(ordinary: int, open_zones: int, kept: int, needed: int, zones: int) -> int:
+def _spot_per_zone(ordinary: int, open_zones: int, kept: int, needed: Needed, closed: int) -> int:
     """Return how many spot runners each open zone needs beside the ordinary ones."""
     if not open_zones:
-        return 0 if ordinary + kept >= needed else needed
+        return 0 if ordinary + kept >= needed.after(0, closed) else UNLIMITED
     count = 0
     for lost in range(min(3, open_zones)):
-        missing = needed * _needed_share(lost, zones - open_zones) - ordinary
-        count = max(count, math.ceil((missing - (0 if lost else kept)) / (open_zones - lost)))
+        missing = needed.after(lost, closed) - ordinary - (0 if lost else kept)
+        count = max(count, math.ceil(missing / (open_zones - lost)))
     return count
 
 
-def _needed_share(lost: int, closed: int) -> float:
-    """Return the share of the needed runners that must remain after the loss of zones.
-
-    Args:
-        lost: Number of zones that lose their spot runners.
-        closed: Number of zones that have lost them before, so that fewer losses can follow.
-    """
-    if lost == 0:
-        return 1.0
-    if lost + closed == 1:
-        return AFTER_ONE_LOSS
-    return AFTER_TWO_LOSSES if lost + closed == 2 else 0.0
-
-
 def _spread(count: int, zones: list[str], room: Mapping[str, int]) -> dict[str, int]:
     """Distribute runners evenly over zones, the cheapest first, as far as there is room."""
     counts = dict.fromkeys(zones, 0)
@@ -469,7 +498,9 @@
     return ""
 
 
-def _shrinkage(state: ScalingState, needed: int, target: Mapping[Group, int]) -> dict[Group, int]:
+def _shrinkage(
+    state: ScalingState, needed: Needed, target: Mapping[Group, int]
+) -> dict[Group, int]:
     """Return the orders that remove runners, most expensive first, a few at a time."""
     serving = {group: item.serving for group, item in state.groups.items()}
     budget = max(1, int(sum(serving.values()) * SHRINK_SHARE))
@@ -507,15 +538,15 @@
     return {group: state.groups[group].ordered - count for group, count in removed.items() if count}
 
 
-def _suffices(state: ScalingState, serving: Mapping[Group, int], needed: int) -> bool:
+def _suffices(state: ScalingState, serving: Mapping[Group, int], needed: Needed) -> bool:
     """Tell whether runners that serve now are enough, also after the loss of one or two zones."""
     spot = {group: count for group, count in serving.items() if group.spot}
-    closed = sum(not _is_open(state, group) for group in spot)
+    closed = _closed_zones(state)
     remaining = sum(serving.values())
     for lost, count in enumerate([0, *sorted(spot.values(), reverse=True)[:2]]):
         remaining -= count
         # With all zones lost, only the floor of ordinary runners remains.
-        if lost < max(1, len(spot)) and remaining < needed * _needed_share(lost, closed):
+        if lost < max(1, len(spot)) and remaining < needed.after(lost, closed):
             return False
     return True
 
--- a/lacewinghub/scaler.py
+++ b/lacewinghub/scaler.py
@@ -45,6 +45,7 @@
     learnt: Learnt = field(default_factory=Learnt)
     load: PoolLoad | None = None
     load_at: float = float("-inf")
+    slots: float = 0.0  # Of a runner on average; 0 before any was seen.
 
 
 class CallBudget:
@@ -143,12 +144,14 @@
         load = self._sum_load(spec.name, now)
         if load is not None:
             pool.load, pool.load_at = load, now
-        if now < pool.since + FIRST_ORDER_S or pool.load is None or not runners:
+        if runners:
+            pool.slots = sum(item.slots for item in runners) / len(runners)
+        if now < pool.since + FIRST_ORDER_S or pool.load is None or not pool.slots:
             return pool
         state = ScalingState(
             now,
             rule,
-            sum(item.slots for item in runners) / len(runners),
+            pool.slots,
             dict(pool.groups),
             pool.load,
             now - pool.load_at,
@@ -289,7 +292,7 @@
         refused_per_s=round(load.refused_per_s, 2),
         utilisation=round(learnt.utilisation, 3),
         late_tokens=round(min(learnt.late_tokens, 1e9)),
-        needed=decision.needed,
+        needed=[round(item, 1) for item in decision.needed],
         serving=_text((group, item.serving) for group, item in state.groups.items()),
         ordered=_text((group, item.ordered) for group, item in state.groups.items()),
         orders=_text(decision.orders.items()),
