--- a/lacewinghub/dependencies.py
+++ b/lacewinghub/dependencies.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 
+from .demand import DemandMeter
 from .endpoint import EndpointClient, Reply, StallPolicy
 from .history import History
 from .limit import RetryBudget
@@ -135,6 +136,7 @@
     guard: PoisonRequestGuard | None = None
     monitors: list[EndpointMonitor] = field(default_factory=list)
     usage: UsageMeter | None = None
+    demand: DemandMeter | None = None
 
 
 @dataclass(slots=True, kw_only=True)
--- a/lacewinghub/duty_services.py
+++ b/lacewinghub/duty_services.py
@@ -1,4 +1,4 @@
-"""What performs the singleton duties at a node: the lease, the reports to its holder, the duties."""
+"""The singleton duties at one node: the lease, the reports to its holder, what performs them."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -83,6 +83,8 @@
         parts: Components of the node.
 
     Attributes:
+        lease: The lease.
+        reports: Reports to the holder of the lease.
         usage: Counts the requests of each workspace; None if their usage is not reported.
         demand: Measures the demand for pools; None if no runners are ordered.
     """
@@ -95,16 +97,16 @@
         self._reporter: UsageReporter | None = None
         self._scaler: Scaler | None = None
         identity, overlay = parts.peers.identity, parts.overlay
-        self._lease = DutyLease(identity, overlay, platform.topic, cfg.lease_s)
+        self.lease = DutyLease(identity, overlay, platform.topic, cfg.lease_s)
         hints = LeaderHints(
             identity.node,
             lambda: parts.peers.identity.address,
-            self._lease.held_token,
+            self.lease.held_token,
             overlay,
             overlay.schedule_relay,
         )
         overlay.add(hints)
-        self._reports = LeaderReports(identity, overlay, parts.peers, hints.leader)
+        self.reports = LeaderReports(identity, overlay, parts.peers, hints.leader)
         if cfg.usage:
             self._build_usage(platform.api)
         if cfg.autoscale:
@@ -112,8 +114,8 @@
 
     def start(self, supervisor: Supervisor) -> None:
         """Start the components."""
-        supervisor.start("duty lease", self._lease.run)
-        supervisor.start("leader reports", self._reports.run)
+        supervisor.start("duty lease", self.lease.run)
+        supervisor.start("leader reports", self.reports.run)
         if self._reporter is not None:
             supervisor.start("usage reporter", self._reporter.run)
         if self._scaler is not None:
@@ -121,19 +123,19 @@
 
     def leave(self, supervisor: Supervisor) -> None:
         """Give the lease up, because the node stops."""
-        supervisor.start("resign", self._lease.resign, restart=False)
+        supervisor.start("resign", self.lease.resign, restart=False)
 
     def send_report(self) -> None:
         """Hand the last counts of this node over to the holder of the duties."""
-        self._reports.send()
+        self.reports.send()
 
     def update_gauges(self) -> None:
         """Update the metrics of the lease and the usage reports."""
         set_gauge = self._parts.set_gauge
-        token = self._lease.held_token()
+        token = self.lease.held_token()
         set_gauge("duty_lease_held", token is not None)
         set_gauge("duty_lease_token", token or 0)
-        set_gauge("duty_lease_changes", self._lease.changes)
+        set_gauge("duty_lease_changes", self.lease.changes)
         if self._reporter is not None:
             set_gauge("usage_windows_reported", self._reporter.windows_reported)
             set_gauge("usage_windows_dropped", self._reporter.windows_dropped)
@@ -142,8 +144,8 @@
     def _build_usage(self, api: ControlApi) -> None:
         cfg = UsageSettings(self._cfg.window_s, self._cfg.usage_late_s, self._cfg.lease_s)
         self.usage = UsageCounts(cfg)
-        self._reports.add(self.usage)
-        self._reporter = UsageReporter(self._lease, self._reports, api, cfg, self.usage.clock)
+        self.reports.add(self.usage)
+        self._reporter = UsageReporter(self.lease, self.reports, api, cfg, self.usage.clock)
 
     def _build_scaler(self, api: ControlApi) -> None:
         parts = self._parts
@@ -151,10 +153,10 @@
             lambda: [item.name for item in parts.directory.specs() if item.scaling is not None],
             parts.pool_state,
         )
-        self._reports.add(self.demand)
+        self.reports.add(self.demand)
         self._scaler = Scaler(
-            self._lease,
-            self._reports,
+            self.lease,
+            self.reports,
             parts.directory,
             api,
             self._cfg.calls_per_s,
--- a/lacewinghub/proxyrouter.py
+++ b/lacewinghub/proxyrouter.py
@@ -10,6 +10,7 @@
 from collections.abc import AsyncGenerator
 from contextlib import aclosing
 from dataclasses import dataclass, replace
+from functools import partial
 
 from loguru import logger
 
@@ -24,6 +25,7 @@
     ExecutionStatus,
     LacewingError,
     NotRun,
+    Overloaded,
 )
 from .eventstream import EventEnd, EventSplitter
 from .history import EventKind
@@ -168,8 +170,12 @@
         """
         state = _state_of(req)
         progress = _Progress()
-        latency_timer = LatencyTimer(req.arrived, req.target)
+        demand = self._dispatch_deps.demand
+        on_first = None if demand is None else partial(demand.record_first_event, req)
+        latency_timer = LatencyTimer(req.arrived, req.target, on_first)
         self._report_arrival(req)
+        if demand is not None:
+            demand.record_arrival(req)
         try:
             for attempt in range(1, MAX_ATTEMPTS + 1):
                 self._check_quarantine(req)
@@ -188,11 +194,15 @@
                     break
                 self._prepare_retry(req, endpoint, failure, attempt, progress)
         except LacewingError as exc:
+            if demand is not None and _lacks_capacity(exc):
+                demand.record_refusal(req)
             error = _correct_run(state, exc, progress)
             self._report_failure(req, error, 0)
             raise error from exc
         except (asyncio.CancelledError, GeneratorExit):
             if asyncio.get_running_loop().time() >= state.deadline:
+                if on_first is not None and not latency_timer.has_begun:
+                    on_first(float("inf"))
                 self._record(EventKind.FAILED, req, code=DeadlineExceeded.code)
             else:
                 self._record(EventKind.CANCELLED, req)
@@ -382,6 +392,11 @@
     return isinstance(exc, EndpointCrashed) or state.abort is not None
 
 
+def _lacks_capacity(exc: LacewingError) -> bool:
+    """Tell whether a request failed because no runner had room for it."""
+    return isinstance(exc, Overloaded) or isinstance(exc.__cause__, EndpointBusy)
+
+
 def _is_broken_off(state: ProxyState, head: ResponseHead, event_end: EventEnd, now: float) -> bool:
     """Tell whether a response ended too early, although nothing in its form says so.
 
--- a/tests/test_duty_nodes.py
+++ b/tests/test_duty_nodes.py
@@ -23,38 +23,38 @@
     async def holder(self) -> ProxyNode:
         """Wait until one node holds the lease, and return it."""
         await self.until(self.is_held, 8.0)
-        return next(node for node in self.members if node._duty_lease.held_token())
+        return next(node for node in self.members if node._duties.lease.held_token())
 
     async def is_held(self) -> bool:
-        return any(node._duty_lease.held_token() for node in self.members)
+        return any(node._duties.lease.held_token() for node in self.members)
 
     async def test_the_other_node_takes_over_from_a_stopped_holder(self) -> None:
         # Guards against a planned stop that leaves the duties undone until the lease has expired.
         first = await self.holder()
         other = next(node for node in self.members if node is not first)
-        token = first._duty_lease.held_token()
-        self.assertIsNone(other._duty_lease.held_token())
+        token = first._duties.lease.held_token()
+        self.assertIsNone(other._duties.lease.held_token())
 
         async def both_report() -> bool:
-            found = {item.report.node for item in first._leader_reports.reports() if item.live}
+            found = {item.report.node for item in first._duties.reports.reports() if item.live}
             return found == {node.cfg.node for node in self.members}
 
         await self.until(both_report)
         first.request_stop()
         # Less than the time for which a lease that was not given up must be seen unchanged.
         await self.until(lambda: _holds(other), 1.0 + 1.0 + 0.5)
-        self.assertGreater(other._duty_lease.held_token(), token)
+        self.assertGreater(other._duties.lease.held_token(), token)
         self.assertFalse(await _holds(first))
         # The stopped node goes on reporting while it drains.
         await self.until(lambda: _has_report(other, first.cfg.node))
 
 
 async def _holds(node: ProxyNode) -> bool:
-    return node._duty_lease.held_token() is not None
+    return node._duties.lease.held_token() is not None
 
 
 async def _has_report(node: ProxyNode, sender: str) -> bool:
-    found: list[ReceivedReport] = node._leader_reports.reports()
+    found: list[ReceivedReport] = node._duties.reports.reports()
     return any(item.report.node == sender for item in found)
 
 
@@ -64,8 +64,7 @@
     async def test_nothing_is_started_and_nothing_written(self) -> None:
         # Guards against calls and traffic of deployments whose platform has no duties.
         for node in self.members:
-            self.assertIsNone(node._duty_lease)
-            self.assertIsNone(node._leader_reports)
+            self.assertIsNone(node._duties)
             names = {part.get_name() for part in node._supervisor._parts if hasattr(part, "cancel")}
             self.assertFalse([name for name in names if "lease" in name or "leader" in name])
         self.assertNotIn(TOPIC, self.store._topics)
