Move runs away from runners that leave before the runs end

Cause: streams were cut when their runner left with notice, although runners can hand a run with its memory to another one. Change: streams of pools whose engines can move runs are watched; those that would end after their runner are stopped there and continued elsewhere after the last event that was passed on. A run that may run only once never begins anew. Without that ability in the configuration nothing changes.

--- a/lacewinghub/directory.py
+++ b/lacewinghub/directory.py
@@ -167,6 +167,11 @@
         """Return the loop time at which a leaving endpoint ends, in seconds; None if unknown."""
         return self._ends_at.get(name)
 
+    def is_leaving(self, name: str) -> bool:
+        """Return whether a known endpoint announced or stated that it leaves."""
+        item = self._known.get(name)
+        return item is not None and (item.leaving or self._leaving.get(name) == item.started)
+
     def _record_end(self, item: Announcement) -> None:
         """Record when an endpoint ends; the earliest of its statements holds."""
         name = item.endpoint.name
--- a/lacewinghub/fakes/platform_runner.py
+++ b/lacewinghub/fakes/platform_runner.py
@@ -1,6 +1,7 @@
 """Fake of a platform runner: response seals, refusals, and malformed or surplus responses."""
 
 import asyncio
+import contextlib
 import hashlib
 import time
 from collections import Counter, deque
@@ -11,6 +12,7 @@
 from ..httpmessage import CRLF, Headers, Incoming, chunk, encode_headers
 from ..httpserver import HttpHandler, HttpServer
 from ..responder import Responder
+from .platform_moves import LiveRun, RunMoves
 from .platform_store import FakeStore
 
 RUNNERS_TOPIC = "keyed.servers"
@@ -85,7 +87,11 @@
             seconds.
         more_pieces: Number of pieces of ``PIECE_BYTES`` that follow the body of an unframed answer.
         arrivals: Loop times at which requests arrived, in seconds.
+        queue_s: Time that a request waits before its execution begins, in seconds.
+        first_s: Time before the first event of a stream, in seconds.
+        moves: Moves of its runs to other runners.
         runs: Executed requests, in order.
+        continued: Requests that continued a moved run, in order.
         cancelled: Ids of attempts whose client disconnected during execution.
     """
 
@@ -109,6 +115,10 @@
         self.resume_fault: RunnerFault | None = None
         self.more_pieces = 0
         self.arrivals: list[float] = []
+        self.queue_s = 0.0
+        self.first_s = 0.0
+        self.moves = RunMoves(name)
+        self.continued: list[ReceivedRequest] = []
         self._faults: deque[RunnerFault] = deque()
         self._server = HttpServer(self)
         self._sequence = 0
@@ -116,9 +126,11 @@
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
         """Listen on an address and serve."""
         self.address = f"{host}:{await self._server.start(host, port)}"
+        self.moves.listen(self.address)
 
     async def stop(self) -> None:
         """Stop listening and abort all connections."""
+        self.moves.close(self.address)
         for conn in list(self._server.connections):
             conn.abort()
         await self._server.close()
@@ -128,6 +140,13 @@
         self.crashed.set()
         await self.stop()
 
+    async def leave(self, store: FakeStore, notice_s: float) -> None:
+        """Announce that the runner leaves, and end after that time."""
+        self.draining = True
+        self.announce(store, leaves_ms=notice_s * 1000)
+        await asyncio.sleep(notice_s)
+        await self.stop()
+
     def fail(self, *faults: RunnerFault) -> None:
         """Inject faults into the next requests, one fault per request."""
         self._faults.extend(faults)
@@ -155,6 +174,8 @@
 
     async def handle(self, incoming: Incoming, out: Responder) -> None:
         """Serve one request, with the next fault if there is one."""
+        if await self.moves.handle(incoming, out):
+            return
         self.arrivals.append(asyncio.get_running_loop().time())
         attempt = _header_text(incoming, b"lacewinghub-attempt-id")
         wanted = _header_text(incoming, b"lacewinghub-expect-instance")
@@ -183,7 +204,13 @@
                 refusal.append((b"retry-after", f"{pause_s:g}".encode()))
             out.send(503, refusal, b"")
             return
-        self.runs.append(_received_request(incoming, attempt))
+        kv_from = _header_text(incoming, b"kv-from")
+        if kv_from and self.moves.take(kv_from) is None:
+            out.send(503, [*base_headers, (b"lacewinghub-not-executed", b"1")], b"")
+            return
+        if self.queue_s:
+            await asyncio.sleep(self.queue_s)
+        (self.continued if kv_from else self.runs).append(_received_request(incoming, attempt))
         if self.deadly_part and self.deadly_part in _part_ids(incoming):
             await asyncio.sleep(self.work_s)
             asyncio.get_running_loop().create_task(self.crash())
@@ -268,6 +295,7 @@
                     b"HTTP/1.1 500 Failed\r\n" + encode_headers(base_headers) + CRLF + text
                 )
             return
+        attempt = _header_text(incoming, b"lacewinghub-attempt-id")
         after = int(_header_text(incoming, b"last-event-id") or 0)
         body = b"".join(event(number) for number in range(1, self.events + 1))
         sealed = [*base_headers, (b"lacewinghub-response-seal", response_seal(body).encode())]
@@ -276,8 +304,24 @@
         while fault is RunnerFault.EMPTY_LINES:
             await out.write(b"\n" * 65536)
             await asyncio.sleep(0)
+        run = self.moves.live[attempt] = LiveRun(attempt, after)
+        try:
+            await self._send_events(run, out, fault)
+        finally:
+            if self.moves.live.get(attempt) is run:
+                del self.moves.live[attempt]
+
+    async def _send_events(self, run: LiveRun, out: Responder, fault: RunnerFault | None) -> None:
+        after = run.events
         for number in range(after + 1, self.events + 1):
-            await asyncio.sleep(self.work_s)
+            pause_s = self.work_s if run.events else max(self.first_s, self.work_s)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(pause_s):
+                    await run.stopped.wait()
+            if run.stopped.is_set():
+                if run.stays_open:
+                    await asyncio.Event().wait()
+                return  # The server closes the connection, because the stream has no end.
             if fault is RunnerFault.UNFRAMED_EMPTY:
                 break
             if fault in INSIDE_AN_EVENT and number == after + 3:
@@ -287,6 +331,7 @@
                 out.conn.write(chunk(event(number)[:5]))
                 return
             await out.write(event(number))
+            run.events = number
         out.finish()
 
 
--- a/lacewinghub/platform/names.py
+++ b/lacewinghub/platform/names.py
@@ -5,6 +5,7 @@
 EXPECT_INSTANCE = b"lacewinghub-expect-instance"
 EXPECT_VERSION = b"lacewinghub-expect-version"
 KV_BACKUP = b"lacewinghub-kv-backup"
+KV_FROM = b"kv-from"
 KV_HOLD = b"lacewinghub-kv-hold"
 LAST_EVENT_ID = b"last-event-id"
 LENGTH_HINT = b"lacewinghub-length-hint"
@@ -31,15 +32,18 @@
         EXPECT_INSTANCE,
         EXPECT_VERSION,
         KV_BACKUP,
+        KV_FROM,
         KV_HOLD,
         PIN_MS,
         REQUEST_URGENCY,
         TENANT_ID,
         b"kv-fetch",
-        b"kv-from",
     )
 )
 
+KV_MOVE_PATH = b"/v1/kv-move"
+KV_HANDLE_PATH = b"/v1/kv-handle/"
+
 READY_PATH = b"/v1/ready"
 LOG_APPEND_PATH = "/v1/log-append"
 LOG_NEWEST_PATH = "/v1/log-newest"
--- a/lacewinghub/platform/runner.py
+++ b/lacewinghub/platform/runner.py
@@ -2,7 +2,11 @@
 
 import asyncio
 import contextlib
+import json
+import re
 from collections.abc import AsyncGenerator
+from typing import Any
+from urllib.parse import quote
 
 from loguru import logger
 
@@ -10,8 +14,9 @@
 from ..endpoint_statements import EndpointStatements
 from ..httpclient import ConnectionBroken, ConnectionFailed, ConnectionPool, HttpConnection
 from ..httpmessage import CRLF, Incoming, encode_headers, end_to_end
+from ..move_client import MoveAnswer, MoveOutcome, RunMoveClient
 from ..proxyrouter import EndpointBusy, ProxyClient, ResponseHead
-from ..request import ProxyState, Request
+from ..request import ProxyState, Request, RunCopy
 from ..tables import Endpoint
 from . import names
 from .fields import count, decimal
@@ -27,10 +32,13 @@
 MAX_SKIPPED_BYTES = 64 * 1024
 MAX_SKIP_S = 0.5
 _NO_BODY = frozenset((b"GET", b"HEAD", b"DELETE"))
+# A handle becomes a part of a header and of a path.
+_HANDLE = re.compile(r"[!-~]{1,200}")
+_MOVE_OUTCOMES = {404: MoveOutcome.NO_RUN, 409: MoveOutcome.BUSY}
 
 
-class RunnerClient(ProxyClient):
-    """Sends requests to runners.
+class RunnerClient(ProxyClient, RunMoveClient):
+    """Sends requests to runners, and moves their runs.
 
     Args:
         pool: Connections to runners.
@@ -49,7 +57,7 @@
         assert state is not None
         try:
             # A request that is sent again may meet a late copy of the answer to its first sending.
-            fresh = not state.repeatable or state.sent > 1
+            fresh = not state.repeatable or state.sent > 1 or state.continued is not None
             conn = await self._pool.get(endpoint.address, fresh)
         except ConnectionFailed as exc:
             raise ConnectFailed(exc.message, endpoint=endpoint.name) from exc
@@ -77,6 +85,55 @@
             else:
                 conn.close()
 
+    async def move_run(
+        self, source: Endpoint, req: Request, target: Endpoint, timeout_s: float
+    ) -> MoveAnswer:
+        """Ask a runner to move a run; see ``RunMoveClient.move_run``."""
+        order = {"id": req.id, "target": target.address, "last": True}
+        body = json.dumps(order, separators=(",", ":")).encode()
+        try:
+            async with asyncio.timeout(timeout_s):
+                status, data = await self._call(source.address, b"POST", names.KV_MOVE_PATH, body)
+        except ConnectionFailed:
+            return MoveAnswer(MoveOutcome.UNREACHED)
+        except (ConnectionBroken, TimeoutError):
+            return MoveAnswer(MoveOutcome.UNANSWERED)
+        return _move_answer(source, status, data)
+
+    async def free_copy(self, copy: RunCopy, timeout_s: float) -> None:
+        """Free a copied state; see ``RunMoveClient.free_copy``."""
+        path = names.KV_HANDLE_PATH + quote(copy.handle, safe="").encode()
+        with contextlib.suppress(ConnectionFailed, ConnectionBroken, TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._call(copy.source, b"DELETE", path)
+
+    async def _call(
+        self, address: str, method: bytes, path: bytes, body: bytes = b""
+    ) -> tuple[int, bytes]:
+        """Send a call that is no client's request; return status and body of its answer.
+
+        Raises:
+            ConnectionFailed: If nothing was sent.
+            ConnectionBroken: If there was no whole answer.
+        """
+        conn = await self._pool.get(address, fresh=True)
+        try:
+            headers = [(b"host", address.encode())]
+            if body:
+                headers.append((b"content-type", b"application/json"))
+                headers.append((b"content-length", str(len(body)).encode()))
+            line = method + b" " + path + b" HTTP/1.1\r\n"
+            conn.send(line + encode_headers(headers) + CRLF + body)
+            response = await conn.read_head()
+            answer = b""
+            while data := await conn.read_body(response):
+                answer += data
+                if len(answer) > MAX_SKIPPED_BYTES:
+                    raise ConnectionBroken("the answer to a call is too long")
+            return response.status, answer
+        finally:
+            conn.close()
+
     async def _matching_response(self, conn: HttpConnection, req: Request) -> Incoming:
         """Wait for the response that has the request's id; skip late responses to others."""
         for _ in range(MAX_FOREIGN + 1):
@@ -188,6 +245,24 @@
     return response.header(names.NOT_EXECUTED) is not None or response.status == _MISDIRECTED
 
 
+def _move_answer(source: Endpoint, status: int, data: bytes) -> MoveAnswer:
+    """Decode the answer to a call that moves a run."""
+    try:
+        body: Any = json.loads(data)
+    except ValueError:
+        body = None
+    handle = str(body.get("handle", "")) if isinstance(body, dict) else ""
+    copy = RunCopy(source.address, handle) if _HANDLE.fullmatch(handle) else None
+    if status == 200:
+        # Without its handle the run can be continued nowhere, like one whose answer was lost.
+        return MoveAnswer(MoveOutcome.MOVED if copy else MoveOutcome.UNANSWERED, copy)
+    if status == _UNAVAILABLE:
+        return MoveAnswer(MoveOutcome.NOT_COPIED if copy else MoveOutcome.REFUSED, copy)
+    if status >= 500:
+        return MoveAnswer(MoveOutcome.UNANSWERED)
+    return MoveAnswer(_MOVE_OUTCOMES.get(status, MoveOutcome.REFUSED))
+
+
 def _encode(endpoint: Endpoint, req: Request, state: ProxyState) -> bytes:
     request = state.request
     remaining_s = state.deadline - asyncio.get_running_loop().time()
@@ -204,6 +279,9 @@
         headers.append((names.TENANT_ID, req.workspace.encode()))
     if state.last_event:
         headers.append((names.LAST_EVENT_ID, state.last_event))
+    if state.continued is not None:
+        copy = state.continued
+        headers.append((names.KV_FROM, f"{copy.source}/{copy.handle}".encode()))
     if request.body or request.method not in _NO_BODY:
         headers.append((b"content-length", str(len(request.body)).encode()))
     line = request.method + b" " + request.target + b" HTTP/1.1\r\n"
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -14,7 +14,7 @@
 from .crash_guard import CrashGuard
 from .crash_records import CrashRecords
 from .decisionlog import log_event
-from .dependencies import DispatcherDependencies
+from .dependencies import DispatcherDependencies, RetryBudgets
 from .deployment import CurrentConfig, DeploymentConfig
 from .directory import EndpointDirectory
 from .endpoint_pause import EndpointPauses
@@ -30,6 +30,7 @@
 from .httpserver import HttpHandler, HttpServer
 from .limit import RetryRule
 from .metricpage import MetricPage
+from .move_client import RunMoveClient
 from .node_retry_budget import NodeRetryBudgets
 from .nodelist import NodeDiscovery, WritableKeyedTopic
 from .overlay import Overlay
@@ -41,6 +42,7 @@
 from .proxyscheduler import ProxyScheduler
 from .readturns import MANY_NODES, ReadTurns, TurnTiming
 from .relayedtopic import RelayedTopic
+from .run_move import RunMover
 from .runner_allocation import DemandAllocation
 from .selection import LoadReports
 from .sharedtopic import Meaning, ReadFailures
@@ -261,6 +263,8 @@
         supervisor.start("endpoints", self._endpoints.run)
         supervisor.start("scheduler", self._scheduler.run)
         supervisor.start("suspend", self._suspend.run)
+        if self._mover is not None:
+            supervisor.start("moves", self._mover.run)
         supervisor.start("gauges", self._update_gauges)
         supervisor.start("settings", self._watch_settings)
         await self._listen("ready", self.cfg.ready, self._adapter.readiness(self._is_ready))
@@ -404,7 +408,9 @@
         statements = EndpointStatements(
             reports, self._quotas, self._pauses, self._directory.mark_leaving
         )
-        router = ProxyRouter(dependencies, adapter.client(self._connections, statements))
+        client = adapter.client(self._connections, statements)
+        self._mover = self._new_mover(client, dependencies.budget)
+        router = ProxyRouter(dependencies, client, self._mover)
         self._gateway = ProxyGateway(adapter.codec(), self._current_config, router)
         self._suspend = SuspendWatch()
         self._suspend.listen(self._gateway.on_resume)
@@ -423,6 +429,12 @@
         self._suspend.listen(topic.on_resume)
         self._endpoints = Follower("endpoints", topic, endpoints.sink, self._endpoints_read_timing)
 
+    def _new_mover(self, client: ProxyClient, budget: RetryBudgets | None) -> RunMover | None:
+        """Return what moves runs, or None if the endpoints have no such calls."""
+        if not isinstance(client, RunMoveClient):
+            return None
+        return RunMover(self._directory, self._scheduler, client, budget, self.cfg.drain_s)
+
     def _tables(self) -> Tables:
         return self._directory.tables
 
@@ -483,6 +495,9 @@
             self._metrics.set("crash_causes", len(self._crash_guard.causes))
             self._metrics.set("live_nodes", len(self._overlay.live()))
             self._metrics.set("endpoint_connections_opened", self._connections.opened)
+            if self._mover is not None:
+                self._metrics.set("runs_moved", self._mover.moved)
+                self._metrics.set("run_moves_failed", self._mover.failed)
             await asyncio.sleep(SETTINGS_POLL_S)
 
 
--- a/lacewinghub/proxyrouter.py
+++ b/lacewinghub/proxyrouter.py
@@ -28,8 +28,10 @@
 from .eventstream import EventEnd, EventSplitter
 from .history import EventKind
 from .httpmessage import Headers
+from .movable_run import MovableRun, RunMoved
 from .observer import LatencyTimer
 from .request import Grant, ProxyState, Request
+from .run_move import RunMover
 from .tables import Endpoint
 
 GATEWAY_TIMEOUT = 504
@@ -125,11 +127,14 @@
 
     Attributes:
         head_sent: True once the head was passed on to the client.
-        splitter: Splits a resumable stream into events; None for other responses.
+        splitter: Splits a stream that another endpoint may continue into events; None for other
+            responses.
+        run: The run of the request if it can be moved, otherwise None.
     """
 
     head_sent: bool = False
     splitter: EventSplitter | None = None
+    run: MovableRun | None = None
 
 
 class ProxyRouter(Dispatcher):
@@ -138,11 +143,18 @@
     Args:
         dependencies: The objects that the router uses.
         client: Sends the requests.
+        mover: Moves runs between endpoints; None if that is not possible.
     """
 
-    def __init__(self, dependencies: DispatcherDependencies, client: ProxyClient) -> None:
+    def __init__(
+        self,
+        dependencies: DispatcherDependencies,
+        client: ProxyClient,
+        mover: RunMover | None = None,
+    ) -> None:
         super().__init__(dependencies)
         self._client = client
+        self._mover = mover
         self._answer_times = AnswerTimes()
 
     def expected_answer_s(self, req: Request) -> float:
@@ -165,13 +177,17 @@
             LacewingError: If the request failed; only ``AnswerIncomplete`` may follow the head.
         """
         state = _state_of(req)
-        progress = _Progress()
+        progress = _Progress(run=self._mover.track(req) if self._mover else None)
+        complete = False
         latency_timer = LatencyTimer(req.arrived, req.target)
         self._report_arrival(req)
         try:
-            for attempt in range(1, MAX_ATTEMPTS + 1):
+            attempt = 0
+            while True:
                 self._check_quarantine(req)
-                grant, endpoint = await self._acquire(req)
+                place = self._next_place(progress)
+                attempt += place is None
+                grant, endpoint = place or await self._acquire(req)
                 failure: EndpointError | None = None
                 try:
                     answer = self._attempt(req, grant, endpoint, progress)
@@ -183,8 +199,10 @@
                 except EndpointError as exc:
                     failure = exc
                 if failure is None:
+                    complete = True
                     break
-                self._prepare_retry(req, endpoint, failure, attempt, progress)
+                if not _continues(failure, progress):
+                    self._prepare_retry(req, endpoint, failure, attempt, progress)
         except LacewingError as exc:
             error = _correct_run(state, exc, progress)
             self._report_failure(req, error, 0)
@@ -196,8 +214,24 @@
                 self._record(EventKind.CANCELLED, req)
             self._report_dropped(req)
             raise
+        finally:
+            if progress.run is not None:
+                progress.run.close(complete)
         self._record(EventKind.FINISHED, req, tokens=state.sent, **latency_timer.finish())
 
+    def _next_place(self, progress: _Progress) -> tuple[Grant, Endpoint] | None:
+        """Return a slot of the next endpoint that is asked to continue a stopped run, or None."""
+        if self._mover is None or progress.run is None:
+            return None
+        endpoint = progress.run.next_place()
+        return None if endpoint is None else (self._mover.occupy(progress.run, endpoint), endpoint)
+
+    def _pieces(
+        self, req: Request, endpoint: Endpoint, progress: _Progress
+    ) -> AsyncGenerator[ResponseHead | bytes, None]:
+        pieces = self._client.stream(endpoint, req)
+        return pieces if progress.run is None else progress.run.attempt(endpoint, pieces)
+
     async def _attempt(
         self, req: Request, grant: Grant, endpoint: Endpoint, progress: _Progress
     ) -> AsyncGenerator[ResponseHead | bytes, None]:
@@ -211,13 +245,16 @@
         buffered: list[bytes] = []
         buffered_bytes = 0
         event_end = EventEnd()
-        state.sent += 1
+        # A run that continues counts as the same attempt.
+        continues = state.continued is not None
+        if not continues:
+            state.sent += 1
         state.answering_since, state.withdrawn = None, False
         may_have_run_before, state.may_have_run = state.may_have_run, True
-        self._report_start(req, endpoint, resumed=progress.head_sent)
+        self._report_start(req, endpoint, resumed=progress.head_sent or continues)
         failure: BaseException | None = None
         try:
-            async with aclosing(self._client.stream(endpoint, req)) as pieces:
+            async with aclosing(self._pieces(req, endpoint, progress)) as pieces:
                 async for piece in pieces:
                     if isinstance(piece, ResponseHead):
                         self._on_head(req, endpoint, piece, progress)
@@ -261,13 +298,14 @@
                 yield b"".join(buffered)
             if progress.splitter is not None and (rest := progress.splitter.take_remainder()):
                 yield rest
-            self._answer_times.record(req.request_class, loop.time() - attempt_timer.started)
+            started = progress.run.progress.started if progress.run else attempt_timer.started
+            self._answer_times.record(req.request_class, loop.time() - started)
         except BaseException as exc:
             failure = exc
             if state.withdrawn and isinstance(exc, EndpointCrashed):
                 failure = AttemptWithdrawn(f"withdrawn from endpoint {endpoint.name!r}")
                 raise failure from exc
-            if isinstance(exc, ConnectFailed):
+            if isinstance(exc, ConnectFailed) and not continues:
                 state.sent -= 1
             if isinstance(exc, EndpointBusy):
                 self._dispatch_deps.scheduler.on_endpoint_full(grant)
@@ -300,7 +338,8 @@
         ):
             failed = _AnsweredFailure if head.counts_as_failure else _AnsweredTimeout
             raise failed(f"endpoint {endpoint.name!r} answered {head.status}", paid=True)
-        if state.resumable and head.status == 200:
+        may_move = progress.run is not None and head.is_event_stream
+        if (state.resumable or may_move) and head.status == 200:
             progress.splitter = EventSplitter(state.last_event)
 
     def _prepare_retry(
@@ -316,8 +355,12 @@
         req.excluded_endpoints.add(endpoint.name)
         if progress.splitter is not None:
             progress.splitter.restart()
+        if progress.run is not None:
+            progress.run.drop_state()
         # Only a stream of events continues after the part that the client has received.
-        resumes = not progress.head_sent or progress.splitter is not None
+        resumes = not progress.head_sent or (progress.splitter is not None and state.resumable)
+        if progress.run is not None and progress.run.stopped and not state.repeatable:
+            resumes = False  # Whatever the endpoint says of this attempt, the run has begun.
         retries = resumes and attempt < MAX_ATTEMPTS and self._may_retry(req, exc)
         logger.bind(
             request_id=req.id,
@@ -355,6 +398,18 @@
     neutral = True
 
 
+def _continues(failure: EndpointError, progress: _Progress) -> bool:
+    """Return whether another endpoint is asked to continue a run that was stopped to be moved.
+
+    An endpoint that failed in any other way than by a refusal may have begun to continue it.
+    """
+    if progress.run is None or not progress.run.has_place:
+        return False
+    if progress.splitter is not None:
+        progress.splitter.restart()
+    return isinstance(failure, RunMoved | ConnectFailed | EndpointBusy)
+
+
 def _state_of(req: Request) -> ProxyState:
     assert req.proxy is not None
     return req.proxy
--- a/lacewinghub/proxyscheduler.py
+++ b/lacewinghub/proxyscheduler.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Collection, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from functools import partial
 
@@ -152,6 +152,7 @@
     ) -> None:
         self._cached = cached or PromptCacheSync(PromptCacheIndex())
         self._split = PromptSplit(reports, allocation, self._cached.cache)
+        self._reports = reports
         self._gate = PromptGate()
         self._full = full or FullRunners()
         self._quotas = quotas
@@ -269,6 +270,62 @@
             self._gate.record_length(attempt.req.request_class, attempt.events)
         super().release(grant, result)
 
+    def move_target(
+        self, req: Request, source: Endpoint, excluded: Collection[str], moving: Mapping[str, int]
+    ) -> Endpoint | None:
+        """Choose the endpoint to which a run is moved, or None if there is none.
+
+        Endpoints with a free slot come first, then those of the source's availability zone: a run
+        at an endpoint without one would wait in its queue.
+
+        Args:
+            req: The request.
+            source: Endpoint that executes it.
+            excluded: Names of endpoints that are not chosen.
+            moving: Number of runs that this node is moving to an endpoint, by name.
+        """
+        in_flight = self.state(req.pool).in_flight
+        loads = {name: in_flight[name] + moving.get(name, 0) for name in {*in_flight, *moving}}
+        candidates = [
+            item
+            for item in self._permitted(self.view.usable(req.pool))
+            if item.name != source.name
+            and item.name not in excluded
+            and loads.get(item.name, 0) < self._limit(item)
+        ]
+        with_room = [
+            item
+            for item in candidates
+            if not self._full.is_full(item.name)
+            and max(self._reports.load(item.name), loads.get(item.name, 0)) < item.slots
+        ]
+        candidates = with_room or candidates
+        zone = source.availability_zone
+        near = [item for item in candidates if item.availability_zone == zone]
+        if not candidates:
+            return None
+        return self._selection.choose(req, near or candidates, loads)
+
+    def occupy(self, req: Request, endpoint: Endpoint, events: int) -> Grant:
+        """Take a slot for a run that continues at an endpoint, without waiting.
+
+        Its prompt is not prefilled again, so that it adds nothing to the prefill backlog.
+
+        Args:
+            req: The request.
+            endpoint: The endpoint.
+            events: Number of events received before.
+        """
+        grant = Grant(self.next_grant(), req.pool, endpoint.name, brokered=False)
+        if self._quotas is not None:
+            self._quotas.on_sent(endpoint.name)
+        self._pauses.on_sent(endpoint.name)
+        self.state(req.pool).in_flight[endpoint.name] += 1
+        if req.proxy is not None and req.proxy.prompt_tokens:
+            now = asyncio.get_running_loop().time()
+            self._attempts[grant.id] = _Attempt(req, now, now, max(1, events))
+        return grant
+
     def _on_answer_began(self, endpoint: str, attempt: _Attempt, first_s: float | None) -> None:
         self._split.on_answer_began(endpoint, attempt.req)
         if is_long(attempt.req):
--- a/lacewinghub/request.py
+++ b/lacewinghub/request.py
@@ -44,6 +44,19 @@
     tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class RunCopy:
+    """State of a run that was stopped so that another endpoint can continue it.
+
+    Attributes:
+        source: Address of the endpoint that stopped the run.
+        handle: Id of the state at that endpoint; it can be used once.
+    """
+
+    source: str
+    handle: str
+
+
 @dataclass(slots=True)
 class ProxyState:
     """State of a request that is passed on unchanged.
@@ -68,6 +81,8 @@
             seconds; None before them.
         abort: Closes the connection to the current endpoint; None without one.
         withdrawn: True once the current attempt was aborted because the request is refused.
+        continued: State of its run with which the current endpoint continues it; None for a run
+            that an endpoint begins.
     """
 
     request: HttpRequest
@@ -86,6 +101,7 @@
     answering_since: float | None = None
     abort: Callable[[], None] | None = None
     withdrawn: bool = False
+    continued: RunCopy | None = None
 
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
--- /dev/null
+++ b/tests/test_run_move.py
@@ -0,0 +1,229 @@
+"""Tests of streams at runners that leave: their runs are moved, and no event is lost or doubled."""
+
+import asyncio
+import unittest
+from collections import Counter
+from typing import Any
+
+from lacewinghub.fakes.platform_moves import MoveFault
+from lacewinghub.fakes.platform_runner import FakeRunner, event
+from lacewinghub.movable_run import RunProgress
+from lacewinghub.run_move import MARGIN_S, MAX_MOVES, MoveCandidate, RunMover, choose_moves
+from lacewinghub.run_move import predicted_end as end_of
+
+from .platform_cluster import ClientResponse, PlatformCase, config, route
+
+EVENTS = 100
+EVENT_S = 0.06
+WHOLE = b"".join(event(number) for number in range(1, EVENTS + 1))
+LONG = {"Lacewinghub-Deadline-Ms": "12000"}
+ROUTES = [
+    route("chat", "models", "streaming", timeout_ms=12_000),
+    route("draft", "models", "streaming", timeout_ms=12_000, resumable=True),
+]
+
+
+class MoveCase(PlatformCase):
+    """All streams begin at the first runner; the others are announced after that."""
+
+    runners = 3
+    moves = True
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        services: list[dict[str, Any]] = [
+            {"name": "models", "engine": {"slots": 8, "moves": self.moves}},
+            {"name": "apps"},
+        ]
+        self.store.put("keyed.op", "config", config(2, ROUTES, services=services))
+        await self.until_version(2)
+        self.source, *self.others = self.models
+        for runner in self.models:
+            runner.events, runner.work_s = EVENTS, EVENT_S
+        for runner in self.others:
+            self.announce(runner, state="draining")
+        self.announce(self.source)
+        await self.until(self.only_source)
+
+    def announce(self, runner: FakeRunner, **members: Any) -> None:
+        runner.announce(self.store, slots=40, **members)
+
+    async def only_source(self) -> bool:
+        pool = self.members[0]._tables().pools["models"]
+        return [item.name for item in pool.endpoints] == [self.source.name]
+
+    @property
+    def mover(self) -> RunMover:
+        mover = self.members[0]._mover
+        assert mover is not None
+        return mover
+
+    async def stream(self, path: str, attempt: str) -> asyncio.Task[ClientResponse]:
+        """Begin a stream at the first runner."""
+        return asyncio.create_task(self.ask(path, attempt=attempt, tokens="100,100", headers=LONG))
+
+    async def leave(self, notice_s: float) -> asyncio.Task[None]:
+        """Announce the other runners, then that the first one leaves."""
+        for runner in self.others:
+            runner.born += 1
+            self.announce(runner)
+        return asyncio.create_task(self.source.leave(self.store, notice_s))
+
+    def runs(self) -> Counter[str]:
+        """Return how often each request began to run."""
+        return sum((runner.counts for runner in self.models), Counter())
+
+    def unfreed(self) -> list[str]:
+        """Return the requests of copies that are neither used nor freed."""
+        return [
+            copy.attempt
+            for runner in self.models
+            for copy in runner.moves.copies.values()
+            if not copy.freed and not copy.used_by
+        ]
+
+
+class TestLeavingRunner(MoveCase):
+    async def test_streams_go_on_elsewhere(self) -> None:
+        # Guards against streams that are cut when a runner leaves, and against events that are
+        # lost, doubled or produced by a second run.
+        names = [f"{kind}-{n}" for n in range(6) for kind in ("chat", "draft")]
+        streams = [await self.stream(f"/{name[:-2]}/a", name) for name in names]
+        await asyncio.sleep(0.5)
+        leaving = await self.leave(2.0)
+        answers = await asyncio.gather(*streams)
+        for name, answer in zip(names, answers, strict=True):
+            self.assertTrue(answer.complete, name)
+            self.assertEqual(answer.body, WHOLE, name)
+        self.assertEqual(self.runs(), Counter(names))
+        self.assertEqual(self.mover.moved, len(names))
+        self.assertEqual(sum(len(item.continued) for item in self.others), len(names))
+        self.assertEqual(self.source.moves.most_at_once, MAX_MOVES)
+        self.assertEqual(self.unfreed(), [])
+        await leaving
+
+    async def test_a_stream_that_ends_in_time_stays(self) -> None:
+        streams = [await self.stream("/chat/a", "near")]
+        await asyncio.sleep(EVENTS * EVENT_S * 0.8)
+        leaving = await self.leave(5.0)
+        self.assertEqual((await streams[0]).body, WHOLE)
+        self.assertEqual(self.source.moves.calls, [])
+        leaving.cancel()
+
+    async def test_a_run_is_moved_before_its_first_event_if_it_cannot_be_repeated(self) -> None:
+        # A run in the queue of its runner is unknown there until it begins.
+        self.source.first_s, self.source.queue_s = 8.0, 1.0
+        once = await self.stream("/chat/a", "once")
+        again = await self.stream("/draft/a", "again")
+        await asyncio.sleep(0.1)
+        leaving = await self.leave(2.5)
+        self.assertEqual((await once).body, WHOLE)
+        self.assertEqual((await again).body, WHOLE)
+        self.assertEqual(self.runs(), Counter({"once": 1, "again": 2}))
+        self.assertEqual([copy.attempt for copy in self.source.moves.copies.values()], ["once"])
+        await leaving
+
+    async def test_a_runner_that_says_no_time_is_left_within_the_drain_time(self) -> None:
+        stream = await self.stream("/chat/a", "s")
+        await asyncio.sleep(0.3)
+        self.source.leaving = True  # Stated in the answer to the next request.
+        await self.ask("/chat/a", attempt="other", headers={"Lacewinghub-Deadline-Ms": "300"})
+        self.assertTrue(self.members[0]._directory.is_leaving(self.source.name))
+        for runner in self.others:
+            runner.born += 1
+            self.announce(runner)
+        self.assertEqual((await stream).body, WHOLE)
+        self.assertEqual(self.runs()["s"], 1)
+        self.assertEqual(len([c for c in self.source.moves.copies.values() if c.used_by]), 1)
+
+    async def test_the_state_is_freed_if_the_client_leaves_during_the_move(self) -> None:
+        self.source.moves.move_s = 0.5
+        stream = await self.stream("/chat/a", "gone")
+        await asyncio.sleep(0.5)
+        leaving = await self.leave(4.0)
+
+        async def calls() -> bool:
+            return bool(self.source.moves.calls)
+
+        await self.until(calls)
+        stream.cancel()
+        await asyncio.sleep(1.0)
+        self.assertEqual([copy.freed for copy in self.source.moves.copies.values()], [True])
+        leaving.cancel()
+
+
+class TestFailures(MoveCase):
+    async def test_each_failure(self) -> None:
+        # Guards against a run that begins anew although it may run only once, against a truncated
+        # stream that looks whole, and against copies that fill the memory of runners.
+        lost = {MoveFault.SILENT_STOP, MoveFault.EXPIRED}
+        streams = {}
+        for fault in MoveFault:
+            for path in ("chat", "draft"):
+                name = f"{path}-{fault}"
+                self.source.moves.fail(name, fault)
+                streams[name] = await self.stream(f"/{path}/a", name)
+        await asyncio.sleep(0.5)
+        leaving = await self.leave(5.2)
+        answers = {name: await stream for name, stream in streams.items()}
+        for fault in MoveFault:
+            with self.subTest(fault=fault, resumable=False):
+                answer = answers[f"chat-{fault}"]
+                self.assertEqual(answer.complete, fault not in lost)
+                self.assertEqual(answer.body, WHOLE[: len(answer.body)])
+                self.assertEqual(answer.body == WHOLE, fault not in lost)
+                self.assertEqual(self.runs()[f"chat-{fault}"], 1)
+            with self.subTest(fault=fault, resumable=True):
+                answer = answers[f"draft-{fault}"]
+                self.assertEqual((answer.complete, answer.body), (True, WHOLE))
+                self.assertLessEqual(self.runs()[f"draft-{fault}"], 2)
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.unfreed(), [])
+        self.assertEqual(self.members[0]._crash_guard.causes, [])
+        await leaving
+
+
+class TestWithoutMoves(MoveCase):
+    moves = False
+
+    async def test_nothing_is_called_and_streams_are_passed_on_as_they_come(self) -> None:
+        once, again = await self.stream("/chat/a", "once"), await self.stream("/draft/a", "again")
+        await asyncio.sleep(0.5)
+        self.assertEqual(self.mover._runs, {})
+        leaving = await self.leave(1.0)
+        cut, resumed = await once, await again
+        self.assertFalse(cut.complete)
+        self.assertEqual((resumed.complete, resumed.body), (True, WHOLE))
+        self.assertEqual([runner.moves.calls for runner in self.models], [[], [], []])
+        self.assertEqual([runner.continued for runner in self.models], [[], [], []])
+        await leaving
+
+
+class TestDecision(unittest.TestCase):
+    def test_predicted_end(self) -> None:
+        steady = RunProgress(0.0, total=11, events=11, first_events=1, first_at=1.0, last_at=2.0)
+        first = RunProgress(0.0, total=1, events=1, first_events=1, first_at=1.0, last_at=1.0)
+        cases = [
+            ("by the rate of its events", steady, 31.0, 1.0, 2.0 + 2.0),
+            ("longer than expected", steady, 5.0, 1.0, 2.0 + 0.55),
+            ("no rate yet", first, 31.0, 5.0, 5.0),
+            ("no rate, later than expected", first, 31.0, 1.5, float("inf")),
+        ]
+        for name, progress, events, expected_s, end in cases:
+            with self.subTest(name):
+                self.assertAlmostEqual(end_of(progress, events, expected_s, 2.0), end)
+
+    def test_late_runs_of_high_tiers_come_first(self) -> None:
+        def candidate(tier: int, resumable: bool, end: float) -> MoveCandidate:
+            return MoveCandidate(None, tier, resumable, end)  # type: ignore[arg-type]
+
+        leaves_at = 10.0
+        inside = candidate(1, False, leaves_at - MARGIN_S - 0.01)
+        late = [
+            candidate(1, False, float("inf")),
+            candidate(1, True, leaves_at),
+            candidate(2, False, leaves_at - MARGIN_S + 0.01),
+        ]
+        chosen = choose_moves([inside, *reversed(late)], leaves_at, 0)
+        self.assertEqual(chosen, late[:MAX_MOVES])
+        self.assertEqual(choose_moves(late, leaves_at, MAX_MOVES), [])
