--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -31,6 +31,7 @@
     "tests.test_crashing_prompts",
     "tests.test_explain",
     "tests.test_failure",
+    "tests.test_hostile_clients",
     "tests.test_http",
     "tests.test_overlay",
     "tests.test_overlay_nodes",
