Bound the memory and the connections that clients make a node hold

Cause: a body was read on after its refusal, because the event loop passes on up to 32 reads before the task of the connection runs; nothing bounded all connections together; answers to pipelined requests were written without regard to whether the client reads; small chunks were kept as objects. Change: each read is checked as it is parsed, from one buffer per server. A byte budget derived from memory_mb covers connections, heads, bodies and unread answers; when it is used up, those that hold most for longest are refused with 503, or their connection is closed. Connections are bounded in all and by address, derived from max_fds and the budget. Bodies are collected in a bytearray and not copied on their way to the endpoint. The C library maps large blocks on their own, and free memory is returned. Bodies in tiny chunks take at most a third of the event loop.

--- /dev/null
+++ b/lacewinghub/client_bounds.py
@@ -0,0 +1,228 @@
+"""Bounds on the connections of clients and on how slowly or expensively they send."""
+
+import time
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from loguru import logger
+
+from .allocator import map_large_blocks, release_free_memory
+from .memory_budget import MB, MemoryBudget, budget_bytes
+
+# Descriptors of a process that are kept for files.
+FILE_DESCRIPTORS = 200
+# Share of the other descriptors for connections of clients. A request that is being served has a
+# connection to an endpoint, too; the store, the peers and idle connections to endpoints need some.
+CLIENT_SHARE = 0.5
+MIN_CONNECTIONS = 16
+# Share of the connections that one address may have. A load balancer may pass on all clients under
+# one address, so that this only keeps an address from taking all of them.
+ADDRESS_SHARE = 0.75
+# Memory of an idle connection with its parser and its task is about 12 KB (600 idle connections,
+# 7 MB). The connections may use this share of the memory budget.
+CONNECTION_BYTES = 16 * 1024
+CONNECTION_MEMORY_SHARE = 0.25
+# A request may already be on the network for a connection that was opened or used this recently.
+IDLE_BEFORE_CLOSE_S = 0.5
+# Number of connections that are closed at once when there are too many, so that a crowd of new ones
+# does not cost a search each.
+CLOSED_AT_ONCE = 16
+# Above this share of the largest number of connections, bodies that arrive slowly are refused.
+CROWDED_SHARE = 0.5
+# While the process is strained or crowded, a body must come within this time, and after the first
+# seconds with this rate on average. At other times only the idle time-out applies.
+BODY_TOTAL_S = 60.0
+BODY_GRACE_S = 5.0
+BODY_BYTES_PER_S = 4096
+# After an expensive read, all such connections rest for this multiple of its time.
+REST_FACTOR = 2.0
+LOG_INTERVAL_S = 1.0
+# Free memory is returned when this much less is held than before.
+RELEASED_BYTES = 4 * MB
+# Reasons for which clients are refused or their connections closed.
+REASONS = (
+    "refused_for_memory",
+    "refused_slow_body",
+    "refused_no_connection",
+    "closed_answer_not_read",
+    "closed_for_new_connection",
+)
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionBounds:
+    """Largest numbers of open connections of clients; None for no limit.
+
+    Attributes:
+        total: Of all clients.
+        per_address: Of the clients with one address.
+    """
+
+    total: int | None = None
+    per_address: int | None = None
+
+
+def connection_bounds(max_descriptors: int | None, budget: int | None) -> ConnectionBounds:
+    """Return the bounds of a process.
+
+    Args:
+        max_descriptors: Descriptors that the process may have, or None if unknown.
+        budget: Size of the memory budget in bytes, or None.
+    """
+    totals: list[int] = []
+    if max_descriptors is not None:
+        files = min(FILE_DESCRIPTORS, max_descriptors // 2)
+        totals.append(int((max_descriptors - files) * CLIENT_SHARE))
+    if budget is not None:
+        totals.append(int(budget * CONNECTION_MEMORY_SHARE / CONNECTION_BYTES))
+    if not totals:
+        return ConnectionBounds()
+    total = max(MIN_CONNECTIONS, min(totals))
+    return ConnectionBounds(total, max(1, int(total * ADDRESS_SHARE)))
+
+
+@dataclass(frozen=True, slots=True)
+class OpenConnection:
+    """A connection that may be closed in favour of a new one.
+
+    Attributes:
+        address: IP address of the client.
+        idle_s: Time since the last byte or response, in seconds.
+        served: True while a request of it is being served.
+    """
+
+    address: str
+    idle_s: float
+    served: bool
+
+
+def choose_closed(connections: Sequence[OpenConnection], number: int, address: str) -> list[int]:
+    """Choose the connections to close when there are too many.
+
+    Connections of the address that has most of them go first, and among these the longest idle.
+    Those whose request is being served stay.
+
+    Args:
+        connections: The open connections.
+        number: Largest number of connections to close.
+        address: Address to which the choice is limited; empty for all.
+
+    Returns:
+        Indexes of the chosen connections.
+    """
+    counts = Counter(item.address for item in connections)
+    closable = [
+        index
+        for index, item in enumerate(connections)
+        if not item.served and item.idle_s >= IDLE_BEFORE_CLOSE_S and address in ("", item.address)
+    ]
+    closable.sort(
+        key=lambda index: (counts[connections[index].address], connections[index].idle_s),
+        reverse=True,
+    )
+    return closable[:number]
+
+
+def is_too_slow(size: int, elapsed_s: float) -> bool:
+    """Tell whether a body arrives too slowly for a strained or crowded process.
+
+    Args:
+        size: Number of bytes that have arrived.
+        elapsed_s: Time since the start of the request, in seconds.
+    """
+    if elapsed_s > BODY_TOTAL_S:
+        return True
+    return elapsed_s > BODY_GRACE_S and size < BODY_BYTES_PER_S * (elapsed_s - BODY_GRACE_S)
+
+
+class ParsePacer:
+    """Spreads expensive reads, so that bodies in tiny chunks leave time for other clients."""
+
+    def __init__(self) -> None:
+        self._free_at = 0.0
+
+    def resume_at(self, now: float, spent_s: float) -> float:
+        """Return the time at which a connection may read again.
+
+        Args:
+            now: Current time in seconds.
+            spent_s: Time that its last read took, in seconds.
+        """
+        self._free_at = max(now, self._free_at) + REST_FACTOR * spent_s
+        return self._free_at
+
+
+class Refusals:
+    """Counts refused clients, and logs them at most once per ``LOG_INTERVAL_S`` and reason.
+
+    Attributes:
+        counts: Number of refused clients by reason.
+    """
+
+    def __init__(self) -> None:
+        self.counts: Counter[str] = Counter()
+        self._logged: dict[str, tuple[float, int]] = {}
+
+    def add(self, reason: str, address: str, **details: object) -> None:
+        """Count a refused client.
+
+        Args:
+            reason: Why it was refused.
+            address: Its IP address.
+            details: Further fields of the log line.
+        """
+        self.counts[reason] += 1
+        logged_at, logged_count = self._logged.get(reason, (float("-inf"), 0))
+        now = time.monotonic()
+        if now - logged_at < LOG_INTERVAL_S:
+            return
+        count = self.counts[reason]
+        self._logged[reason] = now, count
+        log = logger.bind(reason=reason, client=address, refused=count - logged_count, **details)
+        log.warning("client refused")
+
+
+@dataclass(slots=True)
+class ClientGuard:
+    """What limits the clients of all servers of a process; by default nothing does.
+
+    Attributes:
+        budget: Memory that the clients may make the process hold.
+        bounds: Bounds on the connections to one server.
+        pacer: Spreads expensive reads.
+        refusals: Counts refused clients.
+    """
+
+    budget: MemoryBudget = field(default_factory=MemoryBudget)
+    bounds: ConnectionBounds = field(default_factory=ConnectionBounds)
+    pacer: ParsePacer = field(default_factory=ParsePacer)
+    refusals: Refusals = field(default_factory=Refusals)
+    _peak: int = 0
+
+    def release_memory(self) -> None:
+        """Return memory to the operating system if much less is held than before."""
+        held = self.budget.held
+        if self._peak - held > RELEASED_BYTES:
+            release_free_memory()
+            self._peak = held
+        self._peak = max(self._peak, held)
+
+    def gauges(self) -> dict[str, float]:
+        """Return what the metrics page shows."""
+        found = {f"clients_{reason}": 0.0 for reason in REASONS}
+        found |= {f"clients_{reason}": float(n) for reason, n in self.refusals.counts.items()}
+        return found | {"client_bytes_held": float(self.budget.held)}
+
+
+def client_guard(memory_bytes: int | None, max_descriptors: int | None) -> ClientGuard:
+    """Return what limits the clients of a process.
+
+    Args:
+        memory_bytes: Memory above which the process is killed; None if unknown.
+        max_descriptors: Descriptors that the process may have; None if unknown.
+    """
+    if memory_bytes is not None:
+        map_large_blocks()
+    budget = MemoryBudget(budget_bytes(memory_bytes))
+    return ClientGuard(budget, connection_bounds(max_descriptors, budget.capacity))
--- /dev/null
+++ b/lacewinghub/clientconnection.py
@@ -0,0 +1,475 @@
+"""One connection of a client to an HTTP server.
+
+One task serves each connection. When the client disconnects, its request is cancelled. Each read is
+checked as it is parsed: an event loop may pass on many reads before it runs a task, so that a
+refusal by the task alone would come after megabytes.
+"""
+
+import asyncio
+import socket
+import struct
+import time
+from abc import ABC, abstractmethod
+from enum import IntFlag
+from typing import cast
+
+import httptools
+from loguru import logger
+
+from .client_bounds import (
+    CONNECTION_BYTES,
+    IDLE_BEFORE_CLOSE_S,
+    ClientGuard,
+    OpenConnection,
+    is_too_slow,
+)
+from .httphandler import HttpHandler, HttpLimits
+from .httpmessage import Headers, Incoming, MessageReceiver
+from .memory_budget import Holder, Holding
+from .responder import Responder, ResponseConnection
+
+HTTP_1_0 = "1.0"
+# While more pipelined requests than this wait, nothing more is read from the connection.
+MAX_PIPELINED = 2
+HIGH_WATER_BYTES = 64 * 1024
+# Method, version and separators, which the limit on target and headers does not include.
+REQUEST_LINE_BYTES = 1024
+# Statuses that state that a request was not run, and tell the client to try again.
+UNAVAILABLE = 503
+RETRY_HEADERS: Headers = [(b"retry-after", b"1")]
+# Time for a client to read the error response to a request that was refused before its end.
+LINGER_S = 0.5
+
+
+class ConnectionOwner(ABC):
+    """What a connection needs of its server.
+
+    Attributes:
+        handler: Handles the requests.
+        guard: Limits the clients.
+        connections: Open connections.
+        buffer: Buffer into which the connections read.
+    """
+
+    handler: HttpHandler
+    guard: ClientGuard
+    connections: "set[ClientConnection]"
+    buffer: memoryview
+
+    @abstractmethod
+    def admit(self, conn: "ClientConnection") -> bool:
+        """Add a new connection; return False if there is no room for it."""
+
+    @abstractmethod
+    def forget(self, conn: "ClientConnection") -> None:
+        """Remove a connection and release what it holds."""
+
+
+class _Pause(IntFlag):
+    """Reasons for which nothing is read from a connection."""
+
+    PIPELINED = 1  # Further requests wait behind the one that is being served.
+    EXPENSIVE = 2  # The last read was expensive to parse.
+    REFUSED = 4  # The client goes on sending after a refusal.
+
+
+class ClientConnection(asyncio.BufferedProtocol, ResponseConnection, Holder):
+    """One connection of a client.
+
+    Attributes:
+        server: The server.
+        address: IP address of the client.
+    """
+
+    def __init__(self, server: ConnectionOwner) -> None:
+        self.server = server
+        self.transport: asyncio.Transport | None = None
+        self.address = ""
+        self._receiver = MessageReceiver()
+        self.on_body = self._receiver.on_body  # Saves a call per piece.
+        self._parser = httptools.HttpRequestParser(self)
+        self._changed = asyncio.Event()
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._task: asyncio.Task[None] | None = None
+        self._lost = False
+        self._malformed = False
+        self._response: Responder | None = None
+        self._resets_on_close = False
+        self._last_used = 0.0
+        self._message_started = 0.0
+        self._unread_since = 0.0
+        self._pauses = _Pause(0)
+        self._refused: Incoming | None = None
+        self._refusal = 0
+        self._discarded = 0
+
+    # Callbacks of the parser.
+    def on_message_begin(self) -> None:
+        self._message_started = asyncio.get_running_loop().time()
+        self._receiver.on_message_begin()
+
+    def on_url(self, data: bytes) -> None:
+        self._receiver.on_url(data)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._receiver.on_header(name, value)
+
+    def on_headers_complete(self) -> None:
+        last = self._receiver.messages[-1]
+        last.headers_complete = True
+        last.method = self._parser.get_method()
+        last.keep_alive = self._parser.should_keep_alive()
+        last.takes_chunks = self._parser.get_http_version() != HTTP_1_0
+        length = last.header(b"content-length")
+        last.announced = int(length) if length else 0
+        expect = last.header(b"expect")
+        if last.announced > self.server.handler.limits().body_bytes:
+            return  # Refused after this read.
+        if expect is not None and expect.lower() == b"100-continue":
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_message_complete(self) -> None:
+        self._receiver.on_message_complete()
+
+    # Callbacks of the transport.
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # The transport of uvloop is not a subclass of asyncio.Transport.
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(HIGH_WATER_BYTES)
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        peer = transport.get_extra_info("peername")
+        self.address = peer[0] if isinstance(peer, tuple) else ""
+        if not self.server.admit(self):
+            self._malformed = True
+            self._send_refusal(UNAVAILABLE)
+            self.transport.close()
+            return
+        loop = asyncio.get_running_loop()
+        self._last_used = loop.time()
+        self._task = loop.create_task(self._serve())
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        # The bytes are parsed before any connection reads again.
+        return self.server.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self._last_used = asyncio.get_running_loop().time()
+        if self._malformed or self._refused is not None:
+            self._discarded += nbytes
+            if self._discarded > self.server.handler.limits().body_bytes:
+                self._pause_reading(_Pause.REFUSED)
+            return
+        data = self.server.buffer[:nbytes]
+        receiver = self._receiver
+        receiver.count(nbytes)
+        started = time.perf_counter()
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self._malformed = True
+        receiver.settle()
+        if receiver.messages:
+            self._check_last(receiver.messages[-1], started)
+        self._charge()
+        self._changed.set()
+
+    def _check_last(self, last: Incoming, started: float) -> None:
+        """Refuse the message that is arriving if it breaks a limit, or read it more slowly."""
+        status = self._error_status(last, self.server.handler.limits())
+        if status is not None:
+            self._refuse_from(last, status)
+            return
+        messages = self._receiver.messages
+        if len(messages) > MAX_PIPELINED or (len(messages) > 1 and last.size > HIGH_WATER_BYTES):
+            self._pause_reading(_Pause.PIPELINED)
+        if self._receiver.is_expensive and not last.complete:
+            loop = asyncio.get_running_loop()
+            spent_s = time.perf_counter() - started
+            resume_at = self.server.guard.pacer.resume_at(loop.time(), spent_s)
+            self._pause_reading(_Pause.EXPENSIVE)
+            loop.call_at(resume_at, self._resume_reading, _Pause.EXPENSIVE)
+
+    def _refuse_from(self, message: Incoming, status: int) -> None:
+        """Refuse a message that is not served yet, and drop it with all that follows."""
+        self._refused, self._refusal = message, status
+        dropped = False
+        for item in self._receiver.messages:
+            dropped = dropped or item is message
+            if dropped:
+                item.drop()
+        self._charge()
+        self._changed.set()
+
+    def _charge(self) -> None:
+        """Charge to the budget what this connection holds."""
+        if self not in self.server.connections:
+            return
+        held = 0 if self._refused is not None and not self._response else self._receiver.held
+        if not self._writable.is_set() and self.transport is not None:
+            held += self.transport.get_write_buffer_size()
+        self.server.guard.budget.charge(self, CONNECTION_BYTES + held)
+
+    def holding(self) -> Holding:
+        """Return what a refusal would release; a request that is being served is kept."""
+        now = asyncio.get_running_loop().time()
+        if not self._writable.is_set() and self.transport is not None:
+            return Holding(self.charged - CONNECTION_BYTES, now - self._unread_since)
+        if self._refused is not None or not self._receiver.messages:
+            return Holding(0, 0.0)
+        messages = self._receiver.messages
+        served = messages[0].head_size + messages[0].size if self._response else 0
+        held = self.charged - CONNECTION_BYTES - served
+        return Holding(max(0, held), now - self._message_started)
+
+    def refuse_for_memory(self) -> None:
+        """Refuse the requests that are not served yet, or end an answer that is not read."""
+        reason = "refused_for_memory" if self._writable.is_set() else "closed_answer_not_read"
+        holding = self.holding()
+        self.server.guard.refusals.add(
+            reason, self.address, held=holding.refusable, held_s=round(holding.held_s, 3)
+        )
+        if not self._writable.is_set():
+            self.abort()
+            self.server.forget(self)
+            return
+        index = 1 if self._response else 0
+        if index < len(self._receiver.messages):
+            self._refuse_from(self._receiver.messages[index], UNAVAILABLE)
+
+    def refuse_if_slow(self, now: float) -> None:
+        """Refuse a body that arrives too slowly for a strained process."""
+        messages = self._receiver.messages
+        if len(messages) != 1 or self._refused is not None:
+            return
+        last = messages[0]
+        if last.complete or not last.headers_complete:
+            return
+        if is_too_slow(last.size, now - self._message_started):
+            self.server.guard.refusals.add("refused_slow_body", self.address, size=last.size)
+            self._refuse_from(last, 408)
+
+    def state(self, now: float) -> OpenConnection:
+        """Return what decides whether the connection is closed in favour of a new one."""
+        return OpenConnection(self.address, now - self._last_used, self._response is not None)
+
+    def make_room(self) -> None:
+        """Close the connection in favour of a new one; a request that is arriving is refused."""
+        self.server.guard.refusals.add("closed_for_new_connection", self.address)
+        self.server.forget(self)
+        if self._receiver.messages and not self._malformed:
+            self._malformed = True
+            self._send_refusal(UNAVAILABLE)
+        self.close()
+
+    def _pause_reading(self, reason: _Pause) -> None:
+        if not self._pauses and self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+        self._pauses |= reason
+
+    def _resume_reading(self, reason: _Pause) -> None:
+        if not self._pauses & reason:
+            return
+        self._pauses &= ~reason
+        if not self._pauses and self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def eof_received(self) -> bool:
+        """Close the connection: a client that closes its side has disconnected."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._lost = True
+        self._writable.set()
+        self._changed.set()
+        self.server.forget(self)
+        if self._task is not None:
+            self._task.cancel()
+
+    def pause_writing(self) -> None:
+        self._writable.clear()
+        self._unread_since = asyncio.get_running_loop().time()
+        self._charge()
+
+    def resume_writing(self) -> None:
+        self._writable.set()
+        self._charge()
+
+    def write(self, data: bytes) -> None:
+        """Send bytes unless the connection was lost."""
+        if self.transport is not None and not self._lost:
+            self.transport.write(data)
+            if not self._writable.is_set():
+                self._charge()
+
+    async def drain(self) -> None:
+        """Wait while the client does not read."""
+        if not self._writable.is_set():
+            await self._writable.wait()
+
+    def reset_on_close(self, enabled: bool) -> None:
+        """Choose whether closing resets the connection, also if the process dies.
+
+        With a linger time of 0 s, the operating system sends a reset whoever closes the socket.
+        """
+        self._resets_on_close = enabled
+        if self.transport is not None and not self.transport.is_closing():
+            sock = self.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", enabled, 0))
+
+    def closes_after_response(self) -> bool:
+        """Return whether the node stops and no further request has arrived behind this one."""
+        has_next_request = len(self._receiver.messages) > 1
+        return self.server.handler.is_closing() and not has_next_request
+
+    def close_if_idle(self) -> None:
+        """Close the connection if it has been idle for ``IDLE_BEFORE_CLOSE_S``."""
+        idle_s = asyncio.get_running_loop().time() - self._last_used
+        if self._response is not None or self._receiver.messages or idle_s < IDLE_BEFORE_CLOSE_S:
+            return
+        self.close()
+
+    def close(self) -> None:
+        """Close the connection so that a response that is not finished does not look whole.
+
+        The buffered bytes are sent before, unless the end of the connection has to be a reset.
+        """
+        if self._resets_on_close:
+            self.abort()
+        elif self.transport is not None:
+            if self.transport.get_write_buffer_size() and not self._lost:
+                # A client that does not read would keep the connection for good.
+                idle_s = self.server.handler.limits().idle_s
+                asyncio.get_running_loop().call_later(idle_s, self.abort)
+            self.transport.close()
+
+    def abort(self) -> None:
+        """Close the connection without sending the buffered bytes."""
+        if self.transport is not None and not self._lost:
+            self.transport.abort()
+
+    async def _serve(self) -> None:
+        try:
+            while await self._serve_one():
+                pass
+        except asyncio.CancelledError:
+            pass
+        except Exception:
+            logger.exception("unexpected error in a client connection")
+        finally:
+            self.close()
+
+    async def _serve_one(self) -> bool:
+        """Serve the next request; return whether the connection stays open."""
+        incoming = await self._next_request()
+        if incoming is None:
+            return False
+        keep_alive = incoming.keep_alive and incoming.takes_chunks and not self._malformed
+        out = self._response = Responder(self, keep_alive, incoming.takes_chunks)
+        await self.server.handler.handle(incoming, out)
+        self._receiver.messages.popleft()
+        if not out.finished:
+            return False
+        if not out.framed:
+            await self._flush()
+            self.reset_on_close(False)
+        self._response = None
+        self._last_used = asyncio.get_running_loop().time()
+        self._charge()
+        if not await self._is_read():
+            return False
+        self._resume_reading(_Pause.PIPELINED)
+        return out.keep_alive
+
+    async def _is_read(self) -> bool:
+        """Wait while the client does not read; False if it reads nothing for the idle time-out."""
+        assert self.transport is not None
+        while not self._writable.is_set() and not self._lost:
+            unread = self.transport.get_write_buffer_size()
+            try:
+                async with asyncio.timeout(self.server.handler.limits().idle_s):
+                    await self._writable.wait()
+            except TimeoutError:
+                if self.transport.get_write_buffer_size() >= unread:
+                    refusals = self.server.guard.refusals
+                    refusals.add("closed_answer_not_read", self.address, held=unread)
+                    self.abort()
+                    return False
+        return True
+
+    async def _flush(self) -> None:
+        """Wait until all bytes were passed to the operating system, which delivers them."""
+        assert self.transport is not None
+        self.transport.set_write_buffer_limits(0)
+        await self.drain()
+
+    async def _next_request(self) -> Incoming | None:
+        """Wait for a complete request; refuse one that is malformed, too large or too slow."""
+        loop = asyncio.get_running_loop()
+        while True:
+            limits = self.server.handler.limits()
+            messages = self._receiver.messages
+            current = messages[0] if messages else None
+            if self._lost:
+                return None
+            if current is not None:
+                status = self._refusal if current is self._refused else None
+                status = status or self._error_status(current, limits)
+                if status is not None:
+                    await self._refuse(status)
+                    return None
+                if current.complete:
+                    return current
+            elif self._malformed:
+                await self._refuse(400)
+                return None
+            self._changed.clear()
+            deadline = self._deadline(current, limits)
+            try:
+                async with asyncio.timeout_at(deadline):
+                    await self._changed.wait()
+            except TimeoutError:
+                if loop.time() < self._deadline(current, self.server.handler.limits()):
+                    continue  # The limits were raised in the meantime.
+                if current is not None:
+                    await self._refuse(408)
+                return None
+
+    def _error_status(self, current: Incoming, limits: HttpLimits) -> int | None:
+        if current.head_size > limits.header_bytes:
+            return 431
+        if max(current.size, current.announced) > limits.body_bytes:
+            return 413
+        if current.complete:
+            return None
+        if self._malformed:
+            return 400
+        # The message is the last one of the connection, since it is incomplete.
+        overhead = self._receiver.overhead
+        if not current.headers_complete and overhead > limits.header_bytes + REQUEST_LINE_BYTES:
+            return 431
+        return 400 if self._receiver.has_excessive_framing else None
+
+    def _deadline(self, current: Incoming | None, limits: HttpLimits) -> float:
+        if current is not None and not current.headers_complete:
+            return self._message_started + limits.header_s
+        return self._last_used + limits.idle_s
+
+    def _send_refusal(self, status: int) -> None:
+        headers = RETRY_HEADERS if status == UNAVAILABLE else []
+        Responder(self, keep_alive=False).send(status, headers, b"")
+
+    async def _refuse(self, status: int) -> None:
+        if status != UNAVAILABLE:
+            self.server.handler.on_malformed_request(status)
+        self._malformed = True  # Whatever else arrives is dropped.
+        if self._receiver.messages:
+            self._refuse_from(self._receiver.messages[0], status)
+        self._send_refusal(status)
+        if self.transport is not None and self.transport.can_write_eof():
+            # Closing with unread bytes would reset the connection before the client reads the
+            # response.
+            self.transport.write_eof()
+            await asyncio.sleep(LINGER_S)
--- a/lacewinghub/crash_guard.py
+++ b/lacewinghub/crash_guard.py
@@ -432,7 +432,9 @@
     assert req.proxy is not None
     http = req.proxy.request
     head = b"|".join((b"request", req.workspace.encode(), http.method, http.target, b""))
-    return xxhash.xxh3_64_intdigest(head + http.body)
+    digest = xxhash.xxh3_64(head)
+    digest.update(http.body)
+    return digest.intdigest()
 
 
 def _crash_prefix(endpoint: str, started: float) -> str:
--- a/lacewinghub/httpclient.py
+++ b/lacewinghub/httpclient.py
@@ -135,8 +135,8 @@
         """True if all bytes of the request were passed to the operating system."""
         return self._transport is not None and self._transport.get_write_buffer_size() == 0
 
-    def send(self, data: bytes) -> None:
-        """Send a complete request."""
+    def send(self, data: bytes | bytearray) -> None:
+        """Send a request or a part of it; the data must not change afterwards."""
         assert self._transport is not None
         self._transport.write(data)
 
@@ -210,7 +210,7 @@
 
     def _parse(self, data: bytes) -> str | None:
         """Parse received bytes; return why they are no valid response, or None."""
-        self._receiver.count(data)
+        self._receiver.count(len(data))
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
--- a/lacewinghub/httpmessage.py
+++ b/lacewinghub/httpmessage.py
@@ -32,6 +32,10 @@
 # beyond those that belong to a body: a stream of single bytes takes six bytes of framing for each.
 MAX_FRAMING_BYTES = 64 * 1024
 MAX_FRAMING_RATIO = 16
+# A read with more framing than this has about a thousand chunks or more.
+EXPENSIVE_FRAMING_BYTES = 8 * 1024
+# Larger bodies are not copied when they are read.
+COPIED_BYTES = 64 * 1024
 
 
 def end_to_end(headers: Headers, without: frozenset[bytes] = frozenset()) -> Headers:
@@ -73,9 +77,9 @@
         target: Path and query of a request.
         method: Method of a request.
         status: Status of a response.
-        body: Received pieces of the body that were not read yet.
+        body: Received bytes of the body that were not read yet; later pieces are appended to it.
         size: Number of bytes of the body received so far.
-        buffered: Number of bytes of the body that were not read yet.
+        announced: Length of the body that the headers state, in bytes.
         head_size: Number of bytes of target and headers received so far.
         headed: True once all headers were received.
         complete: True once the body ended according to its framing.
@@ -89,9 +93,9 @@
     target: bytes = b""
     method: bytes = b""
     status: int = 0
-    body: deque[bytes] = field(default_factory=deque)
+    body: bytes | bytearray = b""
     size: int = 0
-    buffered: int = 0
+    announced: int = 0
     head_size: int = 0
     headers_complete: bool = False
     complete: bool = False
@@ -105,11 +109,22 @@
 
     def take_body(self) -> bytes:
         """Remove and return the part of the body that has arrived."""
-        data = b"".join(self.body)
-        self.body.clear()
-        self.buffered = 0
+        data, self.body = self.body, b""
+        return bytes(data)
+
+    def detach_body(self) -> bytes | bytearray:
+        """Remove and return the body like ``take_body``, without a copy of a large one."""
+        if len(self.body) <= COPIED_BYTES:
+            return self.take_body()
+        data, self.body = self.body, b""
         return data
 
+    def drop(self) -> None:
+        """Release what the message holds; it is not served."""
+        self.headers = []
+        self.target = self.body = b""
+        self.size = self.head_size = 0
+
 
 class MessageReceiver:
     """Collects messages from the callbacks of an httptools parser.
@@ -128,6 +143,7 @@
         self._unsettled = 0
         self._settled_size = 0
         self._excess = 0
+        self._framing = 0
 
     @property
     def overhead(self) -> int:
@@ -139,21 +155,34 @@
         """True if far more other bytes arrived lately than bytes of a body."""
         return self._excess > MAX_FRAMING_BYTES
 
+    @property
+    def is_expensive(self) -> bool:
+        """True if the last piece of the wire had so many chunks that parsing it took long."""
+        return self._framing > EXPENSIVE_FRAMING_BYTES
+
+    @property
+    def held(self) -> int:
+        """Number of bytes that the messages hold, also if their bodies were taken."""
+        held = sum(item.head_size + item.size for item in self.messages)
+        if self.messages and not self.messages[-1].headers_complete:
+            held += self._received  # The parser holds an unfinished header.
+        return held
+
     @property
     def buffered(self) -> int:
         """Number of bytes of all bodies that were not read yet."""
-        return sum(item.buffered for item in self.messages)
+        return sum(len(item.body) for item in self.messages)
 
-    def count(self, data: bytes) -> None:
+    def count(self, size: int) -> None:
         """Count received bytes; called before they are parsed."""
-        self._received += len(data)
-        self._unsettled += len(data)
+        self._received += size
+        self._unsettled += size
 
     def settle(self) -> None:
         """Compare what was counted with the body that it brought; called after it was parsed."""
         size = self.messages[-1].size if self.messages else 0
         body = size - self._settled_size
-        framing = self._unsettled - body
+        framing = self._framing = self._unsettled - body
         self._excess = max(0, self._excess + framing - MAX_FRAMING_RATIO * body)
         self._unsettled, self._settled_size = 0, size
 
@@ -180,9 +209,14 @@
     def on_body(self, data: bytes) -> None:
         """Add a piece of the body."""
         last = self.messages[-1]
-        last.body.append(bytes(data))
         last.size += len(data)
-        last.buffered += len(data)
+        if not last.body:
+            last.body = data
+            return
+        if not isinstance(last.body, bytearray):
+            last.body = bytearray(last.body)
+        # Chunks of a few bytes would take far more memory as objects of their own.
+        last.body += data
 
     def on_message_complete(self) -> None:
         """Mark the message as complete."""
--- a/lacewinghub/metricpage.py
+++ b/lacewinghub/metricpage.py
@@ -1,5 +1,7 @@
 """Counters and latency histograms of requests in the Prometheus text format."""
 
+from collections.abc import Callable
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
@@ -13,9 +15,14 @@
 
 
 class MetricPage(HttpHandler):
-    """HTTP handler that serves metrics computed from the request events of a node."""
+    """HTTP handler that serves metrics computed from the request events of a node.
+
+    Args:
+        gauges: Returns further gauges by name when the page is read.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, gauges: Callable[[], dict[str, float]] = dict) -> None:
+        self._more_gauges = gauges
         self._registry = CollectorRegistry()
         self._events = Counter(
             "lacewinghub_events", "Events of requests", ["kind", "pool"], registry=self._registry
@@ -59,4 +66,6 @@
 
     async def handle(self, incoming: Incoming, out: Responder) -> None:
         """Respond with all metrics."""
+        for name, value in self._more_gauges().items():
+            self.set(name, value)
         out.send(200, [(b"content-type", CONTENT_TYPE)], generate_latest(self._registry))
--- a/lacewinghub/platform/caller.py
+++ b/lacewinghub/platform/caller.py
@@ -87,7 +87,7 @@
     client_deadline = arrived + (deadline_ms / 1000 if deadline_ms else route.timeout_s)
     headers = end_to_end(incoming.headers, names.ROUTER_HEADERS)
     return ProxyState(
-        request=HttpRequest(incoming.method, incoming.target, headers, incoming.take_body()),
+        request=HttpRequest(incoming.method, incoming.target, headers, incoming.detach_body()),
         streaming=route.streaming,
         repeatable=route.repeatable,
         resumable=route.resumable,
--- a/lacewinghub/platform/runner.py
+++ b/lacewinghub/platform/runner.py
@@ -9,7 +9,7 @@
 from ..endpoint import ConnectFailed, EndpointCrashed
 from ..endpoint_statements import EndpointStatements
 from ..httpclient import ConnectionBroken, ConnectionFailed, ConnectionPool, HttpConnection
-from ..httpmessage import CRLF, Incoming, encode_headers, end_to_end
+from ..httpmessage import COPIED_BYTES, CRLF, Incoming, encode_headers, end_to_end
 from ..proxyrouter import EndpointBusy, ProxyClient, ResponseHead
 from ..request import ProxyState, Request
 from ..tables import Endpoint
@@ -57,7 +57,8 @@
         state.abort = conn.close
         sent_at = asyncio.get_running_loop().time()
         try:
-            conn.send(_encode(endpoint, req, state))
+            for data in _encode(endpoint, req, state):
+                conn.send(data)
             response = await self._matching_response(conn, req)
             self._report_statements(endpoint, response, sent_at)
             await self._check_response(conn, endpoint, response)
@@ -188,7 +189,10 @@
     return response.header(names.NOT_EXECUTED) is not None or response.status == _MISDIRECTED
 
 
-def _encode(endpoint: Endpoint, req: Request, state: ProxyState) -> bytes:
+def _encode(
+    endpoint: Endpoint, req: Request, state: ProxyState
+) -> tuple[bytes, ...] | tuple[bytes, bytes | bytearray]:
+    """Return the request in pieces; a large body is not copied."""
     request = state.request
     remaining_s = state.deadline - asyncio.get_running_loop().time()
     headers = request.headers
@@ -207,4 +211,7 @@
     if request.body or request.method not in _NO_BODY:
         headers.append((b"content-length", str(len(request.body)).encode()))
     line = request.method + b" " + request.target + b" HTTP/1.1\r\n"
-    return line + encode_headers(headers) + CRLF + request.body
+    head = line + encode_headers(headers) + CRLF
+    if len(request.body) <= COPIED_BYTES:
+        return (head + request.body,)
+    return head, request.body
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -9,6 +9,7 @@
 
 from loguru import logger
 
+from .client_bounds import client_guard
 from .conditional_topic import ConditionalTopic
 from .control_api import ControlApi
 from .crash_guard import CrashGuard
@@ -289,7 +290,7 @@
 
     async def _listen(self, key: str, address: str, handler: HttpHandler) -> HttpServer:
         host, _, port = address.rpartition(":")
-        server = HttpServer(handler)
+        server = HttpServer(handler, self._client_guard)
         try:
             self.ports[key] = await server.start(host.strip("[]"), int(port))
         except OSError as exc:
@@ -368,7 +369,8 @@
 
     def _build(self) -> None:
         adapter = self._adapter
-        self._metrics = MetricPage()
+        self._client_guard = client_guard(self.cfg.memory_bytes, self.cfg.max_descriptors)
+        self._metrics = MetricPage(self._client_guard.gauges)
         history = History(self.cfg.node)
         history.add_listener(log_event)
         history.add_listener(self._metrics.count_event)
@@ -382,9 +384,8 @@
         self._connections = ConnectionPool()
         self._pauses = EndpointPauses()
         reports = LoadReports()
-        view = HealthyPools(self._tables, self._health)
         self._scheduler = ProxyScheduler(
-            view,
+            HealthyPools(self._tables, self._health),
             reports,
             history,
             allocation=self._runner_allocation,
--- a/lacewinghub/request.py
+++ b/lacewinghub/request.py
@@ -33,7 +33,7 @@
     method: bytes
     target: bytes
     headers: list[tuple[bytes, bytes]]
-    body: bytes
+    body: bytes | bytearray
 
 
 @dataclass(frozen=True, slots=True)
--- a/lacewinghub/responder.py
+++ b/lacewinghub/responder.py
@@ -11,7 +11,7 @@
 from http import HTTPStatus
 
 from .errors import ResponseTooLarge
-from .httpmessage import CRLF, LAST_CHUNK, Headers, chunk, encode_headers
+from .httpmessage import COPIED_BYTES, CRLF, LAST_CHUNK, Headers, chunk, encode_headers
 
 # Largest body that is collected for an HTTP/1.0 client.
 MAX_COLLECTED_BYTES = 256 * 1024
@@ -177,4 +177,9 @@
         if not self.keep_alive:
             headers = [*headers, (b"connection", b"close")]
         line = b"HTTP/1.1 %d %b\r\n" % (status, phrase)
-        self.conn.write(line + encode_headers(headers) + CRLF + body)
+        head = line + encode_headers(headers) + CRLF
+        if len(body) <= COPIED_BYTES:
+            self.conn.write(head + body)
+        else:
+            self.conn.write(head)
+            self.conn.write(body)
