--- a/lacewinghub/autoscaler.py
+++ b/lacewinghub/autoscaler.py
@@ -22,7 +22,7 @@
 # finds a free slot and little prefill of others in front of it.
 UTILISATION = 0.55
 MIN_UTILISATION = 0.35
-MAX_UTILISATION = 0.65
+MAX_UTILISATION = 0.6
 # Share of slots that peaks may use: requests find a slot, but answers get slower.
 PEAK_UTILISATION = 0.9
 # Shares of first events within their target below and above which the utilisation is changed, and
@@ -36,8 +36,8 @@
 IDLE_UTILISATION = 0.3
 # What must remain of the runners needed for the average demand, and of those needed for its peaks,
 # after the sudden loss of the spot runners of no, one and two zones; two zones may be reclaimed
-# within a second of each other. With 0.6 the average demand still fits into the slots until new
-# runners have booted. A peak is short, so that a loss during it may delay answers.
+# within a second of each other. With MAX_UTILISATION, the average demand still fits into
+# the slots until new runners have booted. A peak is short, so that a loss during it may delay answers.
 MEAN_SHARES = (1.0, 0.9, 0.6)
 PEAK_SHARES = (1.0, 0.8, 0.5)
 # After reclaims that leave one zone with spot runners at most, ordinary ones fill in up to these
@@ -45,7 +45,7 @@
 CLOSED_SHARES = (0.75, 0.6)
 # Ordinary runners, which are never reclaimed, as a share of those needed for the average demand:
 # enough for the highest tier if the spot runners of all zones are lost.
-ORDINARY_SHARE = 0.2
+ORDINARY_SHARE = 0.15
 # An ordinary runner is replaced by a spot one if that saves more over HORIZON_S than it costs: the
 # time for which both are billed, and answers in progress that are lost with it.
 HORIZON_S = 30.0
@@ -70,14 +70,15 @@
 # Runners needed for prompt tokens may exceed those needed for slots by this factor: the rate at
 # which first events became late may have had other causes.
 MAX_TOKEN_FACTOR = 1.5
-# First events are late while caches are cold and the demand is unknown; nothing is learnt and
-# nothing is shrunk before.
-SETTLE_S = 6.0
+# Nothing is learnt in the first seconds, in which caches are cold, and nothing is shrunk before the
+# first spot runners could replace it.
+LEARN_AFTER_S = 6.0
+SHRINK_AFTER_S = 4.0
 MAX_AGE_S = 3.0  # Older data permit no scale-in.
 # No scale-in for this time after a reclaim, since further zones may follow.
 AFTER_RECLAIM_S = 5.0
 SHRINK_INTERVAL_S = 3.0  # Leaving runners drain for this long.
-SHRINK_SHARE = 1 / 4  # Largest share of the serving runners that leave at a time.
+SHRINK_SHARE = 1 / 3  # Largest share of the serving runners that leave at a time.
 SHRINK_HYSTERESIS = 0.15
 GROW_HYSTERESIS = 0.03
 BURST = 1.4  # No scale-in while demand exceeds its average by this factor.
@@ -319,7 +320,7 @@
         learnt = replace(learnt, busy_per_token=per_token)
     serving = sum(item.serving for item in state.groups.values())
     share = load.on_time_share
-    if serving == 0 or share is None or now < since + SETTLE_S:
+    if serving == 0 or share is None or now < since + LEARN_AFTER_S:
         return learnt
     return _learn_limits(learnt, share, load.busy / (serving * state.slots), tokens / serving)
 
@@ -468,7 +469,6 @@
 def _growth(state: ScalingState, target: Mapping[Group, int]) -> dict[Group, int]:
     """Return the orders that add runners, or ask again for runners that did not come."""
     orders = {}
-    overdue_s = state.rule.boot_s + ANNOUNCE_S
     for group, count in target.items():
         item = state.groups[group]
         if not _is_open(state, group):
@@ -478,16 +478,22 @@
         # One runner more or less is no reason for an order, except where there are few.
         if count > item.ordered + (0 if item.ordered < 3 else GROW_HYSTERESIS * item.ordered + 1):
             orders[group] = count
-        elif item.serving < item.ordered and state.now >= item.ordered_at + overdue_s:
+        elif item.unconfirmed is None and _is_overdue(state, item):
             orders[group] = item.ordered
     return orders
 
 
+def _is_overdue(state: ScalingState, item: GroupState) -> bool:
+    """Tell whether fewer runners serve than were ordered, and a new one would serve by now."""
+    overdue_at = item.ordered_at + state.rule.boot_s + ANNOUNCE_S
+    return item.serving < item.ordered and state.now >= overdue_at
+
+
 def _reason_to_wait(state: ScalingState) -> str:
     """Return why no group may be shrunk now, or an empty string."""
     learnt, now = state.learnt, state.now
     last = learnt.samples[-1]
-    if learnt.since is None or now < learnt.since + SETTLE_S:
+    if learnt.since is None or now < learnt.since + SHRINK_AFTER_S:
         return "demand not known for long enough"
     if now < learnt.lost_at + AFTER_RECLAIM_S:
         return "reclaim"
--- a/tests/runner_market.py
+++ b/tests/runner_market.py
@@ -49,15 +49,21 @@
 
     Attributes:
         factor: Factor of the arrivals of a kind at a time.
-        outage: Times between which the control API does not answer.
+        answer: What the control API answers to an order at a time.
+        late_s: Time after which an order is executed that was not answered; None for never.
+        live: Number of live nodes, one of which reports.
+        silent: True if that node does not report.
     """
 
     factor: Callable[[Kind, float], float] = lambda kind, now: 1.0
-    outage: tuple[float, float] = (0.0, 0.0)
+    answer: Callable[[RunnerOrder, float], CallOutcome] = lambda order, now: CallOutcome.ACCEPTED
+    late_s: float | None = None
+    live: int = 1
+    silent: bool = False
     seed: int = 1
 
     def __post_init__(self) -> None:
-        self.rng = random.Random(self.seed)
+        self.rng, self.arrivals = random.Random(self.seed), random.Random(self.seed)
         self.runners = [Runner(z, False, 0.0) for z in "abc" for _ in range(19)][1:]
         self.waiting: list[tuple[float, Kind]] = []
         self.unavailable: dict[str, float] = {}
@@ -73,19 +79,20 @@
         raise NotImplementedError
 
     async def order_runners(self, token: int, order: RunnerOrder) -> CallOutcome:
-        await asyncio.sleep(0.02)
         now = self.now()
-        outcome = CallOutcome.ACCEPTED
-        if self.outage[0] <= now < self.outage[1]:
+        outcome = self.answer(order, now)
+        if outcome is CallOutcome.UNANSWERED:
+            if self.late_s is not None:
+                asyncio.get_running_loop().call_later(self.late_s, self._change, order)
             await asyncio.sleep(self.CALL_TIMEOUT_S)
-            outcome = CallOutcome.UNANSWERED
-        elif not self._change(order, now):
+        elif outcome is CallOutcome.ACCEPTED and not self._change(order):
             outcome = CallOutcome.UNAVAILABLE
+        await asyncio.sleep(0.02)
         self.orders.append((now, order, outcome))
         return outcome
 
-    def _change(self, order: RunnerOrder, now: float) -> bool:
-        zone, spot = order.availability_zone, order.spot
+    def _change(self, order: RunnerOrder) -> bool:
+        now, zone, spot = self.now(), order.availability_zone, order.spot
         found = [r for r in self.runners if (r.zone, r.spot) == (zone, spot) and not r.leaves_at]
         more = order.desired - len(found)
         if more > 0 and spot and now < self.unavailable.get(zone, 0.0):
@@ -107,6 +114,17 @@
             self.cut += len(runner.ends)
             runner.ends.clear()
 
+    def release(self, every_s: float = 0.5) -> None:
+        """Replace all runners, one after the other."""
+        loop = asyncio.get_running_loop()
+        for number, runner in enumerate(self.runners):
+            loop.call_later(every_s * number, self._replace, runner)
+
+    def _replace(self, runner: Runner) -> None:
+        if runner.leaves_at is None:
+            runner.leaves_at = self.now() + NOTICE_S
+            self.runners.append(Runner(runner.zone, runner.spot, self.now() + RULE.boot_s))
+
     def specs(self) -> tuple[PoolSpec, ...]:
         return (PoolSpec(POOL, "model", RULE),)
 
@@ -118,9 +136,11 @@
         ]
 
     def live_nodes(self) -> int:
-        return 1
+        return self.live
 
     def reports(self) -> list[ReceivedReport]:
+        if self.silent:
+            return []
         scale = {name: value / 3.0 for name, value in self.rates.items()}
         demand = PoolDemand(
             POOL,
@@ -148,18 +168,16 @@
             price = RULE.zone_prices[runner.zone] * (RULE.spot_price if runner.spot else 1.0)
             self.cost += STEP_S * price
             if runner.leaves_at and runner.leaves_at <= now:
-                self.cut += len(runner.ends)
+                self._move(runner)
         self.runners = [r for r in self.runners if not r.leaves_at or r.leaves_at > now]
         for kind in (CHAT, TAG, DRAFT):
             rate = kind.per_s * self.factor(kind, now) * STEP_S
-            count = int(rate) + (self.rng.random() < rate % 1)
-            self.waiting += [(now - self.rng.random() * STEP_S, kind) for _ in range(count)]
+            count = int(rate) + (self.arrivals.random() < rate % 1)
+            self.waiting += [(now - self.arrivals.random() * STEP_S, kind) for _ in range(count)]
             self.total += count
             self._count("arrivals", count)
             self._count("tokens", count * kind.prompt_tokens)
-        usable = [
-            r for r in self.runners if r.ready_at <= now and not r.leaves_at and r.down_until <= now
-        ]
+        usable = self._usable()
         rest = []
         for arrived, kind in sorted(self.waiting, key=lambda item: item[1].target_s):
             free = [r for r in usable if len(r.ends) < SLOTS]
@@ -186,6 +204,21 @@
             self.late += 1
             self._count("late", 1)
 
+    def _move(self, runner: Runner) -> None:
+        """Move the runs of a runner that ends to others with a free slot, as the nodes do."""
+        for end in runner.ends:
+            others = [r for r in self._usable() if len(r.ends) < SLOTS]
+            if others:
+                min(others, key=lambda r: len(r.ends)).ends.append(end)
+            else:
+                self.cut += 1
+
+    def _usable(self) -> list[Runner]:
+        now = self.now()
+        return [
+            r for r in self.runners if r.ready_at <= now and not r.leaves_at and r.down_until <= now
+        ]
+
     def _count(self, name: str, count: float) -> None:
         self.rates[name] += count
 
--- /dev/null
+++ b/tests/test_scaler.py
@@ -0,0 +1,169 @@
+"""Tests of the orders to a control API that is slow, down, refuses, or answers late."""
+
+import asyncio
+import itertools
+import unittest
+from collections.abc import Callable
+
+from lacewinghub.autoscaler import ANNOUNCE_S, REFUSED_PAUSE_S
+from lacewinghub.control_api import CallOutcome, RunnerOrder
+from lacewinghub.scaler import CALLS_SHARE, FIRST_ORDER_S, Scaler
+
+from .clock import simulate
+from .runner_market import RULE, FakeHolder, Market
+
+CALLS_PER_S = 50.0
+
+
+class Run:
+    """A scaler and a market for some seconds.
+
+    Args:
+        market: The market.
+        length_s: Length of the run, in seconds.
+        events: Functions to call at loop times, in seconds.
+    """
+
+    def __init__(
+        self,
+        market: Market,
+        length_s: float,
+        events: dict[float, Callable[["Run"], None]] | None = None,
+        calls_per_s: float = CALLS_PER_S,
+    ) -> None:
+        self.market, self.length_s, self.events = market, length_s, events or {}
+        self.calls_per_s = calls_per_s
+        self.gauges: dict[str, float] = {}
+        self.holder = FakeHolder()
+        simulate(self._run)
+
+    async def _run(self) -> None:
+        market = self.market
+        self.scaler = Scaler(
+            self.holder,
+            market,
+            market,  # type: ignore[arg-type]
+            market,
+            self.calls_per_s,
+            self.gauges.__setitem__,
+        )
+        loop = asyncio.get_running_loop()
+        for at, event in self.events.items():
+            loop.call_at(at, event, self)
+        task = asyncio.create_task(self.scaler.run())
+        await market.run(self.length_s)
+        task.cancel()
+
+    def times(self, outcome: CallOutcome | None = None) -> list[float]:
+        """Return when orders were sent, in seconds."""
+        return [at for at, _, seen in self.market.orders if outcome in (None, seen)]
+
+
+def answering(outcome: CallOutcome, since: float, until: float) -> Market:
+    """Return a market whose control API gives an answer for some time."""
+    return Market(
+        answer=lambda order, now: outcome if since <= now < until else CallOutcome.ACCEPTED
+    )
+
+
+class TestOutcomes(unittest.TestCase):
+    def test_orders_follow_when_the_api_is_back(self) -> None:
+        # Guards against orders that are forgotten, or sent in masses, while the API is down.
+        for late_s in (None, 2.0):
+            with self.subTest(late_s=late_s):
+                market = answering(CallOutcome.UNANSWERED, 0.0, 12.0)
+                market.late_s = late_s
+                run = Run(market, 40.0)
+                self.assertLessEqual(len(run.times(CallOutcome.UNANSWERED)), 10)
+                self.assertGreater(sum(r.spot for r in market.runners), 30)
+                self.assertLess(sum(not r.spot for r in market.runners), 20)
+
+    def test_unanswered_shrink_is_repeated_with_the_same_number(self) -> None:
+        # Guards against runners that are ordered again because an order was executed unnoticed.
+        market = Market(late_s=0.0)
+        market.answer = lambda order, now: (
+            CallOutcome.UNANSWERED if not order.spot and now < 12 else CallOutcome.ACCEPTED
+        )
+        Run(market, 30.0)
+        last: dict[str, int] = {}
+        for _, order, _ in market.orders:
+            if not order.spot:
+                self.assertLessEqual(order.desired, last.get(order.availability_zone, 19))
+                last[order.availability_zone] = order.desired
+
+    def test_unavailable_group_is_left_alone(self) -> None:
+        # Guards against an order per second for runners that are not to be had.
+        market = Market()
+        market.unavailable = {"a": 30.0}
+        Run(market, 29.0)
+        refused = [at for at, _, seen in market.orders if seen is CallOutcome.UNAVAILABLE]
+        self.assertTrue(refused)
+        for first, second in itertools.pairwise(refused):
+            self.assertGreaterEqual(second - first, REFUSED_PAUSE_S)
+        self.assertGreater(sum(r.spot and r.zone != "a" for r in market.runners), 20)
+
+    def test_limited_order_is_repeated(self) -> None:
+        # Guards against orders that are lost when all nodes together call too often.
+        run = Run(answering(CallOutcome.LIMITED, 0.0, 5.0), 20.0)
+        self.assertTrue(run.times(CallOutcome.LIMITED))
+        self.assertGreater(sum(r.spot for r in run.market.runners), 30)
+        self.assertEqual(run.gauges["scale_refused"], len(run.times(CallOutcome.LIMITED)))
+
+    def test_rate_of_calls(self) -> None:
+        # Guards against orders that take the calls of the other duties.
+        run = Run(Market(), 20.0, calls_per_s=2.0)
+        times = run.times()
+        self.assertGreater(len(times), 5)
+        for start in times:
+            count = sum(start <= at < start + 1.0 for at in times)
+            self.assertLessEqual(count, 1 + 2.0 * CALLS_SHARE)
+
+    def test_lost_runners_are_ordered_again(self) -> None:
+        # Guards against runners that were ordered, never came, and are counted for ever.
+        def lose(run: Run) -> None:
+            run.market.runners = [r for r in run.market.runners if not r.spot or r.zone != "c"]
+
+        run = Run(Market(), 45.0, {20.0: lose})
+        self.assertGreater(sum(r.spot and r.zone == "c" for r in run.market.runners), 10)
+
+
+class TestLease(unittest.TestCase):
+    def test_no_call_after_the_lease_is_lost(self) -> None:
+        # Guards against calls of a node that lost the lease between the plan and the call.
+        market = Market()
+        run = Run.__new__(Run)
+
+        def lose(order: RunnerOrder, now: float) -> CallOutcome:
+            run.holder.held = None
+            return CallOutcome.ACCEPTED
+
+        market.answer = lose
+        run.__init__(market, 10.0)  # type: ignore[misc]
+        self.assertEqual(len(market.orders), 1)
+
+    def test_new_holder_waits_and_starts_from_what_it_sees(self) -> None:
+        # Guards against orders of a holder that knows neither the demand nor the runners yet.
+        def take(run: Run) -> None:
+            run.holder.held = 7
+
+        run = Run(Market(), 60.0, {30.0: take})
+        before = run.times()
+        self.assertGreaterEqual(before[0], FIRST_ORDER_S)
+        taken = [at for at in before if at >= 30.0]
+        for at in taken:
+            self.assertGreaterEqual(at, 30.0 + FIRST_ORDER_S)
+        self.assertLess(len(taken), 10)
+
+    def test_no_order_before_most_nodes_have_reported(self) -> None:
+        # Guards against a demand that is computed from the reports of few nodes.
+        self.assertEqual(Run(Market(live=2), 20.0).market.orders, [])
+
+    def test_no_scale_in_without_reports(self) -> None:
+        # Guards against runners that leave while the demand is unknown.
+        def silence(run: Run) -> None:
+            run.market.silent = True
+
+        run = Run(Market(), 40.0, {5.0: silence})
+        left = sum(not r.spot for r in run.market.runners)
+        self.assertGreater(left, 12)
+        self.assertLess(max(run.times()), 13.0 + RULE.boot_s + ANNOUNCE_S)
