--- a/lacewinghub/autoscaler.py
+++ b/lacewinghub/autoscaler.py
@@ -36,8 +36,8 @@
 IDLE_UTILISATION = 0.3
 # What must remain of the runners needed for the average demand, and of those needed for its peaks,
 # after the sudden loss of the spot runners of no, one and two zones; two zones may be reclaimed
-# within a second of each other. With MAX_UTILISATION, the average demand still fits into
-# the slots until new runners have booted. A peak is short, so that a loss during it may delay answers.
+# within a second of each other. With MAX_UTILISATION, the average demand still fits into the slots
+# until new runners have booted. A peak is short, so that a loss during it may delay answers.
 MEAN_SHARES = (1.0, 0.9, 0.6)
 PEAK_SHARES = (1.0, 0.8, 0.5)
 # After reclaims that leave one zone with spot runners at most, ordinary ones fill in up to these
@@ -74,6 +74,9 @@
 # first spot runners could replace it.
 LEARN_AFTER_S = 6.0
 SHRINK_AFTER_S = 4.0
+# Until the demand is known for MEAN_S, it is taken to need at least this share of the runners that
+# served at the start, since it may only have begun to rise.
+INITIAL_SHARE = 0.5
 MAX_AGE_S = 3.0  # Older data permit no scale-in.
 # No scale-in for this time after a reclaim, since further zones may follow.
 AFTER_RECLAIM_S = 5.0
@@ -187,6 +190,7 @@
 
     Attributes:
         since: Time of the first data; None before.
+        initial: Runners that served at that time.
         samples: Demand of the last seconds.
         utilisation: Share of slots to use.
         busy_per_token: Busy slots per prompt token and second; None before it is known.
@@ -197,6 +201,7 @@
     """
 
     since: float | None = None
+    initial: int = 0
     samples: tuple[Sample, ...] = ()
     utilisation: float = UTILISATION
     busy_per_token: float | None = None
@@ -305,7 +310,10 @@
     """Return what is known with the newest demand."""
     load, learnt, now = state.load, state.learnt, state.now
     assert load is not None
-    since = now if learnt.since is None else learnt.since
+    serving = sum(item.serving for item in state.groups.values())
+    since, initial = learnt.since, learnt.initial
+    if since is None:
+        since, initial = now, serving
     step_s = min(1.0, now - learnt.samples[-1].time) if learnt.samples else 0.0
     busy, tokens = load.busy, load.prompt_tokens_per_s
     per_token = learnt.busy_per_token
@@ -313,12 +321,11 @@
     recent = [item.busy for item in learnt.samples if item.time > now - MEAN_S] + [expected]
     sample = Sample(now, expected, sum(recent) / len(recent), tokens)
     kept = tuple(item for item in learnt.samples if item.time > now - PEAK_HOLD_S)
-    learnt = replace(learnt, since=since, samples=(*kept, sample))
+    learnt = replace(learnt, since=since, initial=initial, samples=(*kept, sample))
     if tokens > 0 and now >= since + TREND_S:
         seen = busy / tokens
         per_token = seen if per_token is None else per_token + (seen - per_token) * step_s / LEARN_S
         learnt = replace(learnt, busy_per_token=per_token)
-    serving = sum(item.serving for item in state.groups.values())
     share = load.on_time_share
     if serving == 0 or share is None or now < since + LEARN_AFTER_S:
         return learnt
@@ -357,6 +364,8 @@
     by_mean = mean / learnt.utilisation / slots
     by_peak = peak / PEAK_UTILISATION / slots
     tokens = sum(item.tokens_per_s for item in held) / len(held)
+    if learnt.since is not None and now < learnt.since + MEAN_S:
+        by_mean = max(by_mean, INITIAL_SHARE * learnt.initial)
     most = MAX_TOKEN_FACTOR * max(by_mean, by_peak)
     largest = LARGEST_SHARE * state.rule.maximum * len(_zones(state))
     return Needed(
@@ -486,7 +495,8 @@
 def _is_overdue(state: ScalingState, item: GroupState) -> bool:
     """Tell whether fewer runners serve than were ordered, and a new one would serve by now."""
     overdue_at = item.ordered_at + state.rule.boot_s + ANNOUNCE_S
-    return item.serving < item.ordered and state.now >= overdue_at
+    # While others leave, a reclaim may be in progress.
+    return item.serving < item.ordered and item.leaving == 0 and state.now >= overdue_at
 
 
 def _reason_to_wait(state: ScalingState) -> str:
--- a/tests/runner_market.py
+++ b/tests/runner_market.py
@@ -66,7 +66,7 @@
         self.rng, self.arrivals = random.Random(self.seed), random.Random(self.seed)
         self.runners = [Runner(z, False, 0.0) for z in "abc" for _ in range(19)][1:]
         self.waiting: list[tuple[float, Kind]] = []
-        self.unavailable: dict[str, float] = {}
+        self.unavailable: dict[tuple[str, bool], float] = {}
         self.orders: list[tuple[float, RunnerOrder, CallOutcome]] = []
         self.served = self.late = self.cut = self.refused = self.total = 0
         self.cost = 0.0
@@ -95,15 +95,16 @@
         now, zone, spot = self.now(), order.availability_zone, order.spot
         found = [r for r in self.runners if (r.zone, r.spot) == (zone, spot) and not r.leaves_at]
         more = order.desired - len(found)
-        if more > 0 and spot and now < self.unavailable.get(zone, 0.0):
+        if more > 0 and now < self.unavailable.get((zone, spot), 0.0):
             return False
         self.runners += [Runner(zone, spot, now + RULE.boot_s) for _ in range(more)]
         for runner in found[order.desired :]:
             runner.leaves_at = now + NOTICE_S
         return True
 
-    def reclaim(self, zone: str, gone_s: float = 10.0) -> None:
-        self.unavailable[zone] = self.now() + gone_s
+    def reclaim(self, zone: str, gone_s: float = 10.0, kinds: tuple[bool, ...] = (True,)) -> None:
+        for spot in kinds:
+            self.unavailable[(zone, spot)] = self.now() + gone_s
         for runner in self.runners:
             if runner.spot and runner.zone == zone:
                 runner.leaves_at = min(runner.leaves_at or 1e9, self.now() + NOTICE_S)
--- a/tests/test_autoscaler.py
+++ b/tests/test_autoscaler.py
@@ -56,7 +56,7 @@
     Trace("burst", burst),
     Trace("bursts in waves", lambda kind, now: wave(kind, now) * burst(kind, now)),
     Trace("reclaim", events=((25, lambda m: m.reclaim("a", 0.0)),)),
-    Trace("reclaim, none available", events=((25, lambda m: m.reclaim("b", 15.0)),)),
+    Trace("reclaim, none available", events=((25, lambda m: m.reclaim("b", 15.0, (True, False))),)),
     Trace(
         "two zones reclaimed",
         events=((25, lambda m: m.reclaim("a")), (25.8, lambda m: m.reclaim("b"))),
--- a/tests/test_scaler.py
+++ b/tests/test_scaler.py
@@ -94,7 +94,7 @@
     def test_unavailable_group_is_left_alone(self) -> None:
         # Guards against an order per second for runners that are not to be had.
         market = Market()
-        market.unavailable = {"a": 30.0}
+        market.unavailable = {("a", True): 30.0}
         Run(market, 29.0)
         refused = [at for at, _, seen in market.orders if seen is CallOutcome.UNAVAILABLE]
         self.assertTrue(refused)
