--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -9,14 +9,16 @@
 
 from loguru import logger
 
+from .client_bounds import client_guard
 from .conditional_topic import ConditionalTopic
 from .control_api import ControlApi
 from .crash_guard import CrashGuard
 from .crash_records import CrashRecords
 from .decisionlog import log_event
-from .dependencies import DispatcherDependencies
+from .dependencies import DispatcherDependencies, RetryBudgets
 from .deployment import CurrentConfig, DeploymentConfig
 from .directory import EndpointDirectory
+from .duty_services import DutyPlatform, DutyServices, DutySettings, NodeParts
 from .endpoint_pause import EndpointPauses
 from .endpoint_quota import EndpointQuotas
 from .endpoint_statements import EndpointStatements
@@ -30,6 +32,7 @@
 from .httpserver import HttpHandler, HttpServer
 from .limit import RetryRule
 from .metricpage import MetricPage
+from .move_client import RunMoveClient
 from .node_retry_budget import NodeRetryBudgets
 from .nodelist import NodeDiscovery, WritableKeyedTopic
 from .overlay import Overlay
@@ -41,6 +44,7 @@
 from .proxyscheduler import ProxyScheduler
 from .readturns import MANY_NODES, ReadTurns, TurnTiming
 from .relayedtopic import RelayedTopic
+from .run_move import RunMover
 from .runner_allocation import DemandAllocation
 from .selection import LoadReports
 from .sharedtopic import Meaning, ReadFailures
@@ -48,7 +52,6 @@
 from .suspend import SuspendWatch
 from .tables import Endpoint, Tables
 from .transport import Peer
-from .usage import UsageCounts, UsageSettings
 
 # A long poll waits for this share of the time within which a change must be in force. A read whose
 # connection falls silent hangs for that long and the time-out of an answer.
@@ -70,27 +73,6 @@
 SETTINGS_POLL_S = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class DutySettings:
-    """Settings of the calls to the platform that one node makes at a time.
-
-    Attributes:
-        usage: True if the usage of the workspaces is reported.
-        autoscale: True if runners are ordered.
-        lease_s: Time for which the duties are held without a renewal, in seconds.
-        window_s: Length of a usage window, in seconds.
-        usage_late_s: Time after its end at which the usage of a window is due, in seconds.
-        calls_per_s: Calls per second that the platform accepts from all nodes together.
-    """
-
-    usage: bool
-    autoscale: bool
-    lease_s: float = 3.0
-    window_s: float = 5.0
-    usage_late_s: float = 10.0
-    calls_per_s: float = 10.0
-
-
 @dataclass(frozen=True, slots=True)
 class ProxySettings:
     """Settings of a node.
@@ -262,6 +244,8 @@
         supervisor.start("endpoints", self._endpoints.run)
         supervisor.start("scheduler", self._scheduler.run)
         supervisor.start("suspend", self._suspend.run)
+        if self._mover is not None:
+            supervisor.start("moves", self._mover.run)
         supervisor.start("gauges", self._update_gauges)
         supervisor.start("settings", self._watch_settings)
         await self._listen("ready", self.cfg.ready, self._adapter.readiness(self._is_ready))
@@ -287,10 +271,12 @@
         supervisor.start("membership", self._overlay.run)
         supervisor.start("nodes", nodes.run)
         supervisor.start("crashes", self._crash_records.run)
+        if self._duties is not None:
+            self._duties.start(supervisor)
 
     async def _listen(self, key: str, address: str, handler: HttpHandler) -> HttpServer:
         host, _, port = address.rpartition(":")
-        server = HttpServer(handler)
+        server = HttpServer(handler, self._client_guard)
         try:
             self.ports[key] = await server.start(host.strip("[]"), int(port))
         except OSError as exc:
@@ -306,6 +292,8 @@
         self._gateway.phase = Phase.LEAVING
         self._overlay.leave()
         self._supervisor.start("withdraw", self._withdraw, restart=False)
+        if self._duties is not None:
+            self._duties.leave(self._supervisor)
         logger.bind(in_flight=self._gateway.in_flight).info("node is leaving")
         while loop.time() < min(stop_started + LEAVE_S, self._gateway.ends_at):
             self._gateway.refuse_late_waiters()
@@ -320,6 +308,8 @@
             await asyncio.sleep(STOP_POLL_S)
         logger.bind(in_flight=self._gateway.in_flight).info("node ends")
         await self._gateway.end_requests(MARGIN_S / 2)
+        if self._duties is not None:
+            self._duties.send_report()
 
     def _build_peers(self) -> None:
         cfg = self.cfg
@@ -369,7 +359,8 @@
 
     def _build(self) -> None:
         adapter = self._adapter
-        self._metrics = MetricPage()
+        self._client_guard = client_guard(self.cfg.memory_bytes, self.cfg.max_descriptors)
+        self._metrics = MetricPage(self._client_guard.gauges)
         history = History(self.cfg.node)
         history.add_listener(log_event)
         history.add_listener(self._metrics.count_event)
@@ -380,13 +371,11 @@
         self._directory.on_endpoint_reset(self._on_restart)
         self._health = EndpointHealth()
         self._build_peers()
-        self._build_usage()
         self._connections = ConnectionPool()
         self._pauses = EndpointPauses()
         reports = LoadReports()
-        view = HealthyPools(self._tables, self._health)
         self._scheduler = ProxyScheduler(
-            view,
+            HealthyPools(self._tables, self._health),
             reports,
             history,
             allocation=self._runner_allocation,
@@ -395,6 +384,7 @@
             quotas=self._quotas,
             pauses=self._pauses,
         )
+        duties = self._duties = self._build_duties()
         dependencies = DispatcherDependencies(
             scheduler=self._scheduler,
             tables=self._tables,
@@ -402,12 +392,15 @@
             budget=NodeRetryBudgets(self.cfg.retries, self._node_count),
             guard=self._crash_guard,
             monitors=[HealthMonitor(self._health), FailureMonitor(self._failure_detector)],
-            usage=self._usage,
+            usage=duties.usage if duties is not None else None,
+            demand=duties.demand if duties is not None else None,
         )
         statements = EndpointStatements(
             reports, self._quotas, self._pauses, self._directory.mark_leaving
         )
-        router = ProxyRouter(dependencies, adapter.client(self._connections, statements))
+        client = adapter.client(self._connections, statements)
+        self._mover = self._new_mover(client, dependencies.budget)
+        router = ProxyRouter(dependencies, client, self._mover)
         self._gateway = ProxyGateway(adapter.codec(), self._current_config, router)
         self._suspend = SuspendWatch()
         self._suspend.listen(self._gateway.on_resume)
@@ -426,15 +419,25 @@
         self._suspend.listen(topic.on_resume)
         self._endpoints = Follower("endpoints", topic, endpoints.sink, self._endpoints_read_timing)
 
-    def _build_usage(self) -> None:
-        """Count the usage of the workspaces where it is reported."""
-        self._usage: UsageCounts | None = None
-        duties = self.cfg.duties
-        if duties is None or not duties.usage:
-            return
-        self._usage = UsageCounts(
-            UsageSettings(duties.window_s, duties.usage_late_s, duties.lease_s)
+    def _build_duties(self) -> DutyServices | None:
+        """Create what performs the singleton duties, if the platform has any."""
+        topic, api = self._adapter.duty_topic(), self._adapter.control_api()
+        if self.cfg.duties is None or topic is None or api is None:
+            return None
+        parts = NodeParts(
+            self._overlay,
+            self._peers,
+            self._directory,
+            self._scheduler.state,
+            self._metrics.set,
         )
+        return DutyServices(self.cfg.duties, DutyPlatform(topic, api), parts)
+
+    def _new_mover(self, client: ProxyClient, budget: RetryBudgets | None) -> RunMover | None:
+        """Return what moves runs, or None if the endpoints have no such calls."""
+        if not isinstance(client, RunMoveClient):
+            return None
+        return RunMover(self._directory, self._scheduler, client, budget, self.cfg.drain_s)
 
     def _tables(self) -> Tables:
         return self._directory.tables
@@ -496,6 +499,11 @@
             self._metrics.set("crash_causes", len(self._crash_guard.causes))
             self._metrics.set("live_nodes", len(self._overlay.live()))
             self._metrics.set("endpoint_connections_opened", self._connections.opened)
+            if self._duties is not None:
+                self._duties.update_gauges()
+            if self._mover is not None:
+                self._metrics.set("runs_moved", self._mover.moved)
+                self._metrics.set("run_moves_failed", self._mover.failed)
             await asyncio.sleep(SETTINGS_POLL_S)
 
 
