Leave restored logs to the lease, and ask for its token only before a call

The lease counts each token that it gives out as an act, so that asking ten times a second delayed a planned stop and a return of the lease.

--- a/lacewinghub/duty_services.py
+++ b/lacewinghub/duty_services.py
@@ -142,7 +142,7 @@
             set_gauge("usage_report_delay_s", self._reporter.report_delay_s)
 
     def _build_usage(self, api: ControlApi) -> None:
-        cfg = UsageSettings(self._cfg.window_s, self._cfg.usage_late_s, self._cfg.lease_s)
+        cfg = UsageSettings(self._cfg.window_s, self._cfg.usage_late_s)
         self.usage = UsageCounts(cfg)
         self.reports.add(self.usage)
         self._reporter = UsageReporter(self.lease, self.reports, api, cfg, self.usage.clock)
--- a/lacewinghub/usage.py
+++ b/lacewinghub/usage.py
@@ -86,12 +86,10 @@
     Attributes:
         window_s: Length of a window, in seconds.
         late_s: Time after its end at which the report of a window is due, in seconds.
-        lease_s: Time for which the duty is held without a renewal, in seconds.
     """
 
     window_s: float
     late_s: float
-    lease_s: float
 
     @property
     def give_up_s(self) -> float:
--- a/lacewinghub/usage_reporter.py
+++ b/lacewinghub/usage_reporter.py
@@ -10,7 +10,7 @@
 import json
 import random
 import zlib
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -18,7 +18,7 @@
 
 from ._backoff import Backoff
 from .control_api import CallOutcome, ControlApi, UsageReport
-from .duties import DutyHolder, DutyRecords, LeaseTaken, NodeReports
+from .duties import DutyHolder, DutyRecords, LeaseTaken, NodeReports, ReceivedReport
 from .message import LeaderReport, WindowUsage
 from .usage import UsageSettings, WindowClock
 
@@ -37,8 +37,6 @@
 # A checkpoint is divided into records of at most this size before compression. The log accepts
 # records of 262,144 bytes, and compression never adds more than a few bytes in a thousand.
 MAX_PART_BYTES = 200_000
-# Tokens contain the number of times that the log came back from an older copy.
-ERA_BITS = 32
 _MALFORMED = (ValueError, TypeError, KeyError, zlib.error, AttributeError)
 
 
@@ -189,9 +187,8 @@
         self._confirmed = False
         self._held = False
         self._term = 0
-        self._era = 0
         self._taken = 0.0
-        self._sole_until = 0.0
+        self._offered: Decision | None = None
         self._parts = 0
         self._backoff = Backoff(random.Random(), RETRY_MIN_S, RETRY_MAX_S, jitter=(1.0, 1.0))
         holder.attach(self)
@@ -202,61 +199,44 @@
             await self._step()
             await asyncio.sleep(STEP_S)
 
-    def gauges(self) -> dict[str, float]:
-        """Return the metrics by name."""
-        return {
-            "usage_windows_reported": self.windows_reported,
-            "usage_windows_dropped": self.windows_dropped,
-            "usage_report_delay_s": self.report_delay_s,
-        }
-
     def pending_records(self) -> list[tuple[str, bytes]]:
         """Return the newest decision and the checkpoint of the undecided windows."""
         if not self._held:
             return []
-        self._observe()
-        self._merge()
+        self._merge(self._reports.reports())
         records: list[tuple[str, bytes]] = []
         if self._decision is not None:
-            records.append((DECISION_KEY, _encode_decision(self._decision, self._era)))
+            records.append((DECISION_KEY, _encode_decision(self._decision)))
         parts = self._table.encode()
         # A part without rows replaces one of an earlier, larger checkpoint.
         unused = [_compress([])] * (self._parts - len(parts))
         records += [(_part_key(n), part) for n, part in enumerate([*parts, *unused])]
         self._parts = max(self._parts, len(parts))
+        self._offered = self._decision
         return records
 
     def on_taken(self, taken: LeaseTaken) -> None:
         """Continue from the records of the holder before."""
-        now = self._clock.steady()
         record = taken.records.get(DECISION_KEY)
-        found, era = _decode_decision(record)
+        found = _decode_decision(record)
         self._held = True
         self._term += 1
-        self._taken = now
-        self._era = taken.token >> ERA_BITS
-        self._confirmed = False
+        self._taken = self._clock.steady()
         self._parts = sum(key.startswith(_part_key("")) for key in taken.records)
         self._backoff.reset()
-        # The holder before may not have written a record since the log came back.
-        rewound = taken.rewound or (record is not None and era != self._era)
-        if rewound and now <= self._sole_until:
-            # What this node decided is newer than the log, and no other node can have acted since.
-            return
         self._merged.clear()
         self._table = UsageTable()
         for key, value in taken.records.items():
             if key.startswith(_part_key("")):
                 self._restore(key, value)
-        if rewound:
+        self._decision, self._confirmed = found, found is not None
+        if taken.rewound or (record is not None and found is None):
             # Another holder may have reported any window that has ended, with other counts.
             self._decision = Decision(self._clock.current() - 1, {}, sent=True)
-        else:
-            self._decision, self._confirmed = found, found is not None
         logger.bind(
             decided=self._decision and self._decision.window,
             sent=self._decision and self._decision.sent,
-            rewound=rewound,
+            rewound=taken.rewound,
         ).info("usage reports taken over")
 
     def on_lost(self) -> None:
@@ -265,13 +245,13 @@
         self._term += 1
 
     async def _step(self) -> None:
-        self._observe()
-        if not self._held or self._holder.token() is None:
+        if not self._held:
             return
-        self._merge()
+        reports = self._reports.reports()
+        self._merge(reports)
         self._drop_old()
         if self._decision is None or self._decision.sent:
-            self._decide()
+            self._decide([item.report for item in reports if item.live])
         decision, term = self._decision, self._term
         if decision is None or decision.sent:
             return
@@ -279,7 +259,8 @@
             confirmed = await self._holder.commit()
             if term != self._term:
                 return
-            self._confirmed = confirmed
+            # Records that could not be built are not appended with the others.
+            self._confirmed = confirmed and self._offered is decision
         if self._confirmed:
             await self._send(decision, term)
         else:
@@ -305,19 +286,15 @@
             delay_s=round(self.report_delay_s, 3),
         ).info("usage reported")
 
-    def _observe(self) -> None:
-        """Remember until when no other node can hold the duty."""
-        margin_s = self._settings.lease_s / 2
-        if self._held and self._holder.token(margin_s) is not None:
-            self._sole_until = self._clock.steady() + margin_s
-
-    def _merge(self) -> None:
+    def _merge(self, reports: Iterable[ReceivedReport]) -> None:
         """Add the reports that arrived since the last call."""
-        for item in self._reports.reports():
+        merged = self._merged
+        self._merged = {}
+        for item in reports:
             report = item.report
             key, newest = (report.node, report.incarnation), (report.seq, item.received)
-            if self._merged.get(key) != newest:
-                self._merged[key] = newest
+            self._merged[key] = newest
+            if merged.get(key) != newest:
                 self._table.add(*key, report.usage)
         # A node whose clock is ahead must not fill the checkpoint.
         self._table.keep(self._oldest(), self._clock.current() + 1)
@@ -339,10 +316,12 @@
         self._decision = Decision(oldest - 1, {}, sent=True)
         logger.bind(first=first, last=oldest - 1).error("usage windows dropped: too old")
 
-    def _decide(self) -> None:
-        """Decide the next window if that is due."""
-        reports = self._reports.reports()
-        live = [item.report for item in reports if item.live]
+    def _decide(self, live: Sequence[LeaderReport]) -> None:
+        """Decide the next window if that is due.
+
+        Args:
+            live: Newest reports of the live nodes.
+        """
         window = self._next_window(live)
         final = {item.node for item in live if item.last_window >= window}
         progress = WindowProgress(
@@ -354,7 +333,7 @@
         if not is_decidable(progress, self._settings.late_s):
             return
         decision = Decision(window, self._table.total(window))
-        if len(_encode_decision(decision, self._era)) > MAX_PART_BYTES:
+        if len(_encode_decision(decision)) > MAX_PART_BYTES:
             # The log would refuse the record, and with it each renewal of the lease.
             logger.bind(window=window).error("usage window dropped: too many workspaces")
             self.windows_dropped += 1
@@ -388,24 +367,23 @@
     return zlib.compress(f"[{','.join(rows)}]".encode(), 1)
 
 
-def _encode_decision(decision: Decision, era: int) -> bytes:
+def _encode_decision(decision: Decision) -> bytes:
     value = {
         "window": decision.window,
         "sent": decision.sent,
-        "era": era,
         "counts": dict(decision.counts),
     }
     return zlib.compress(json.dumps(value, separators=(",", ":")).encode(), 1)
 
 
-def _decode_decision(value: bytes | None) -> tuple[Decision | None, int]:
-    """Return the decision in a record, and the era in which it was written; -1 if unknown."""
+def _decode_decision(value: bytes | None) -> Decision | None:
+    """Return the decision in a record; None if there is none or it is malformed."""
     if value is None:
-        return None, -1
+        return None
     try:
         found: dict[str, Any] = json.loads(zlib.decompress(value))
         counts = {str(name): int(count) for name, count in found["counts"].items()}
-        return Decision(int(found["window"]), counts, bool(found["sent"])), int(found["era"])
+        return Decision(int(found["window"]), counts, bool(found["sent"]))
     except _MALFORMED as exc:
         logger.error("record holds no usage decision: {!r}", exc)
-        return None, -1
+        return None
