--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -50,6 +50,7 @@
     "tests.test_silent_connections",
     "tests.test_stated_limits",
     "tests.test_suspend",
+    "tests.test_usage_nodes",
     "tests.test_zone_loss",
 )
 
