--- a/lacewinghub/usage_reporter.py
+++ b/lacewinghub/usage_reporter.py
@@ -288,6 +288,8 @@
 
     def _merge(self, reports: Iterable[ReceivedReport]) -> None:
         """Add the reports that arrived since the last call."""
+        # A node whose clock is ahead must not fill the checkpoint.
+        first, last = self._oldest(), self._clock.current() + 1
         merged = self._merged
         self._merged = {}
         for item in reports:
@@ -295,9 +297,8 @@
             key, newest = (report.node, report.incarnation), (report.seq, item.received)
             self._merged[key] = newest
             if merged.get(key) != newest:
-                self._table.add(*key, report.usage)
-        # A node whose clock is ahead must not fill the checkpoint.
-        self._table.keep(self._oldest(), self._clock.current() + 1)
+                self._table.add(*key, [u for u in report.usage if first <= u.window <= last])
+        self._table.keep(first, last)
 
     def _oldest(self) -> int:
         """Return the first window that may still be decided."""
