Place requests on runners that state their speed by the state that all nodes share

Nodes spread what they observe of each runner in their heartbeats and choose runners by the predicted outcome of a request. Pools whose runners state no speed are served as before.

--- /dev/null
+++ b/lacewinghub/placement.py
@@ -0,0 +1,293 @@
+"""Chooses runners that differ in speed by the predicted outcome of a request.
+
+It serves the pools whose runners state their speed; ``promptsplit`` and ``promptgate`` decide for
+all others. All nodes see nearly the same state. So that they do not all choose the same runner, a
+node compares only a few: two random ones, weighted by speed and free slots, and the two which the
+hash order prefers for the last shared part of the prompt.
+"""
+
+import heapq
+import math
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+import xxhash
+
+from .prediction import Prediction, RunnerLoad, UsualWork, loss_s, predict
+from .promptcache import PromptCacheIndex
+from .promptsplit import affinity_key, is_long, prompt_tokens
+from .request import Request
+from .runner_allocation import RunnerAllocation
+from .runner_state import RunnerStates
+from .tables import Endpoint
+
+# Requests in a runner's own queue, as a share of its slots, beyond which it gets no further ones.
+# Some must wait there, since no node knows at once when a slot becomes free.
+QUEUE_SHARE = 0.25
+# A request is sent only where it is predicted to end within this share of the time left, or within
+# that of the second figure if a slot is free there: the prediction may be wrong.
+TIME_SHARE = 0.9
+FREE_TIME_SHARE = 1.3
+# Runners that are drawn at random.
+CHOICES = 2
+# Smallest number of free slots that counts when runners are drawn.
+MIN_FREE = 0.5
+# The second runner in the hash order of a shared part is preferred by this share of the bonus.
+SECOND_SHARE = 0.45
+# Assumed size of an event, in bytes.
+EVENT_BYTES = 200
+# A smaller bonus is ignored, since all nodes that choose the same runners would overload them.
+MIN_BONUS_S = 0.05
+# A runner of the other side is chosen if it is better by more than this, in seconds, and by the
+# time to prefill a long prompt: the request may meet one there, or hold up short ones.
+SIDE_COST_S = 0.2
+# Work of a second in a slot, in the unit in which the nodes report their demand.
+WORK_PER_S = 10_000
+# Weight of the newest value in averages over requests.
+WEIGHT = 0.05
+# Assumed until requests were measured: time in a slot, and uncached prompt tokens.
+DEFAULT_HOLD_S = {True: 2.0, False: 0.8}
+DEFAULT_TOKENS = {True: 8_000.0, False: 800.0}
+
+
+class ZoneCost(ABC):
+    """The price of sending requests to other availability zones."""
+
+    @abstractmethod
+    def extra_s(self, zone: str, request_bytes: int, response_bytes: int) -> float:
+        """Return the price of sending a request to a zone, in seconds of waiting."""
+
+    @abstractmethod
+    def may_leave(self, zone: str, now: float) -> bool:
+        """Return whether a request may be sent to a zone now."""
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A runner that may receive a request, with the predicted outcome.
+
+    Attributes:
+        endpoint: The runner.
+        load: Its estimated state.
+        prediction: What becomes of the request there.
+        loss_s: Cost of that, in seconds of waiting.
+        new_tokens: Prompt tokens that it has probably not cached.
+    """
+
+    endpoint: Endpoint
+    load: RunnerLoad
+    prediction: Prediction
+    loss_s: float
+    new_tokens: int
+
+
+class Placement:
+    """Chooses runners by the predicted outcome.
+
+    Args:
+        states: State of the runners.
+        cache: Prompt parts that the runners have cached.
+        allocation: Decides which share of the capacity serves long prompts.
+        rng: Source of randomness.
+        zone: Availability zone of this node.
+        zone_cost: Price of other availability zones; None if they cost nothing.
+    """
+
+    def __init__(
+        self,
+        states: RunnerStates,
+        cache: PromptCacheIndex,
+        allocation: RunnerAllocation,
+        rng: random.Random | None = None,
+        zone: str = "",
+        zone_cost: ZoneCost | None = None,
+    ) -> None:
+        self.states = states
+        self._cache = cache
+        self._allocation = allocation
+        self._rng = rng or random.Random()
+        self._zone = zone
+        self._zone_cost = zone_cost
+        self._hold_s = dict(DEFAULT_HOLD_S)
+        self._tokens = dict(DEFAULT_TOKENS)
+
+    def is_active(self, endpoints: Sequence[Endpoint]) -> bool:
+        """Return whether some runners of a pool are to be chosen by their state."""
+        return self.states.is_stated(endpoints)
+
+    def side(self, req: Request, endpoints: Sequence[Endpoint]) -> list[Endpoint]:
+        """Return the runners that serve prompts of the request's length.
+
+        The order is that of weighted rendezvous hashing, so that fast runners tend to serve long
+        prompts and a change of speed moves few runners.
+        """
+        if len(endpoints) < 2:
+            return list(endpoints)
+        ordered = sorted(endpoints, key=lambda item: self._rank("side", item.name))
+        capacities = [item.slots / self.states.rank_slowness(item.name) for item in ordered]
+        count = self._allocation.long_prompt_split(capacities)
+        return ordered[:count] if is_long(req) else ordered[count:]
+
+    def candidates(
+        self,
+        req: Request,
+        endpoints: Sequence[Endpoint],
+        in_flight: Mapping[str, int],
+        events: float,
+        now: float,
+        long_side: bool,
+    ) -> list[Candidate]:
+        """Predict the outcome of a request at some runners of one side.
+
+        Args:
+            req: The request.
+            endpoints: The runners.
+            in_flight: Number of this node's requests in flight, by endpoint name.
+            events: Expected number of events of the answer.
+            now: Loop time, in seconds.
+            long_side: True for the side of the long prompts.
+        """
+        usual = self._usual(req, endpoints)
+        loads = self.states.estimate(endpoints, in_flight, self._tokens[long_side])
+        left_s = _left_s(req, now)
+        found = []
+        for item in endpoints:
+            new_tokens = self.new_tokens(item.name, req)
+            prediction = predict(loads[item.name], usual, new_tokens, events)
+            loss = loss_s(prediction, req.target, left_s, now - req.arrived)
+            loss += self._zone_s(item, req, events)
+            found.append(Candidate(item, loads[item.name], prediction, loss, new_tokens))
+        return found
+
+    def open(self, req: Request, candidates: Sequence[Candidate], now: float) -> list[Candidate]:
+        """Return the candidates to which a request may be sent now."""
+        left_s = _left_s(req, now)
+        found = [item for item in candidates if self._is_open(item, left_s)]
+        if self._zone_cost is None:
+            return found
+        # Another zone is better than none.
+        return [item for item in found if self._may_enter(item.endpoint, now)] or found
+
+    def choose(
+        self, req: Request, candidates: Sequence[Candidate], others: Sequence[Candidate] = ()
+    ) -> Candidate:
+        """Choose one of the open candidates.
+
+        Args:
+            req: The request.
+            candidates: Runners of its side; at least one.
+            others: Runners of the other side.
+        """
+        found = self._choose(req, candidates)
+        if not others:
+            return found
+        other = self._draw(others, 1)[0]
+        tokens = max(self._tokens[True], other.new_tokens)
+        prefill_s = tokens / 1000 * self.states.prefill_s([other.endpoint]) * other.load.slowness
+        return other if other.loss_s + SIDE_COST_S + prefill_s < found.loss_s else found
+
+    def _draw(self, candidates: Sequence[Candidate], count: int) -> list[Candidate]:
+        weights = [max(MIN_FREE, item.load.free_slots) / item.load.slowness for item in candidates]
+        return self._rng.choices(candidates, weights, k=count)
+
+    def _choose(self, req: Request, candidates: Sequence[Candidate]) -> Candidate:
+        if len(candidates) == 1:
+            return candidates[0]
+        drawn = self._draw(candidates, CHOICES)
+        bonus_s = self._bonus_s(req, candidates)
+        if bonus_s < MIN_BONUS_S:
+            return min(drawn, key=lambda item: item.loss_s)
+        key = affinity_key(req)
+        first, second = heapq.nsmallest(
+            2, candidates, key=lambda item: self._rank(key, item.endpoint.name)
+        )
+        shared = sum(part.tokens for part in req.proxy.shared_parts) if req.proxy else 0
+
+        def cost_s(item: Candidate) -> float:
+            # What prefills nothing anew costs no more than the preferred runner.
+            if item is first or prompt_tokens(req) - item.new_tokens >= shared:
+                return item.loss_s - bonus_s
+            return item.loss_s - (SECOND_SHARE * bonus_s if item is second else 0.0)
+
+        return min([first, second, *drawn], key=cost_s)
+
+    def new_tokens(self, endpoint: str, req: Request) -> int:
+        """Return how many prompt tokens of a request a runner has probably not cached."""
+        parts = req.proxy.parts if req.proxy is not None else ()
+        return max(1, prompt_tokens(req) - self._cache.cached_tokens(endpoint, parts))
+
+    def least_s(self, req: Request, endpoints: Sequence[Endpoint], events: float) -> float:
+        """Return how long a request takes at the fastest of some runners if it is idle."""
+        usual = self._usual(req, endpoints)
+        loads = self.states.estimate(endpoints, {}, 0.0)
+        return min(
+            predict(
+                RunnerLoad(load.slots, 0.0, 0.0, load.slowness, load.gap_s),
+                usual,
+                self.new_tokens(name, req),
+                events,
+            ).finish_s
+            for name, load in loads.items()
+        )
+
+    def on_arrival(self, req: Request) -> None:
+        """Record the arrival of a request: the sides are divided by the time in slots."""
+        kind = is_long(req)
+        self._allocation.use_average()
+        self._allocation.record_arrival(kind, round(self._hold_s[kind] * WORK_PER_S), 0)
+
+    def on_sent(self, endpoint: str, req: Request, new_tokens: int) -> None:
+        """Record that a request is sent to a runner."""
+        self.states.on_sent(endpoint, new_tokens)
+        kind = is_long(req)
+        self._tokens[kind] += WEIGHT * (new_tokens - self._tokens[kind])
+
+    def on_finished(self, endpoint: str, req: Request, held_s: float) -> None:
+        """Record for how long an answer that is complete occupied a slot."""
+        kind = is_long(req)
+        usual_s = held_s / self.states.rank_slowness(endpoint)
+        self._hold_s[kind] += WEIGHT * (usual_s - self._hold_s[kind])
+
+    def _usual(self, req: Request, endpoints: Sequence[Endpoint]) -> UsualWork:
+        return UsualWork(self.states.prefill_s(endpoints), self._hold_s[is_long(req)])
+
+    def _is_open(self, item: Candidate, left_s: float) -> bool:
+        free = item.load.free_slots
+        if free <= -QUEUE_SHARE * item.load.slots:
+            return False
+        share = FREE_TIME_SHARE if free >= 1.0 else TIME_SHARE
+        return item.prediction.finish_s <= share * left_s
+
+    def _bonus_s(self, req: Request, candidates: Sequence[Candidate]) -> float:
+        """Return what it costs to prefill the shared parts at one more runner, in seconds."""
+        shared = sum(part.tokens for part in req.proxy.shared_parts) if req.proxy else 0
+        count = len(candidates)
+        slowness = sum(item.load.slowness for item in candidates) / count
+        running = sum(item.load.running for item in candidates) / count
+        usual = self.states.prefill_s([item.endpoint for item in candidates])
+        load = RunnerLoad(1, running, 0.0, slowness, 0.0)
+        once = predict(load, UsualWork(usual, 0.0), shared, 0.0)
+        return shared / 1000 * usual * slowness + once.harm_s
+
+    def _may_enter(self, item: Endpoint, now: float) -> bool:
+        zone = item.availability_zone
+        return self._zone_cost is None or zone == self._zone or self._zone_cost.may_leave(zone, now)
+
+    def _zone_s(self, item: Endpoint, req: Request, events: float) -> float:
+        """Return the price of the runner's availability zone, in seconds of waiting."""
+        zone = item.availability_zone
+        if self._zone_cost is None or zone == self._zone or req.proxy is None:
+            return 0.0
+        response_bytes = int(events * EVENT_BYTES)
+        return self._zone_cost.extra_s(zone, len(req.proxy.request.body), response_bytes)
+
+    def _rank(self, key: str, name: str) -> float:
+        """Return the place in the order of weighted rendezvous hashing; low is preferred."""
+        place = (xxhash.xxh3_64_intdigest(f"{key}|{name}".encode()) + 1) / 2**64
+        return -math.log(min(1.0, place)) * self.states.rank_slowness(name)
+
+
+def _left_s(req: Request, now: float) -> float:
+    return req.proxy.deadline - now if req.proxy is not None else math.inf
--- a/lacewinghub/promptgate.py
+++ b/lacewinghub/promptgate.py
@@ -96,8 +96,11 @@
         """Return how long a runner would need for a whole answer, in seconds; 0 if unknown."""
         if now - runner.last_event > GAP_AGE_S:
             return 0.0
-        length = self._lengths.get(req.request_class, req.max_tokens / TOKENS_PER_EVENT)
-        return runner.first_s + runner.gap_s * length
+        return runner.first_s + runner.gap_s * self.expected_events(req)
+
+    def expected_events(self, req: Request) -> float:
+        """Return the expected number of events of an answer."""
+        return self._lengths.get(req.request_class, req.max_tokens / TOKENS_PER_EVENT)
 
     def on_sent(self, endpoint: str) -> None:
         """Record that a long prompt is sent to a runner."""
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -42,6 +42,7 @@
 from .readturns import MANY_NODES, ReadTurns, TurnTiming
 from .relayedtopic import RelayedTopic
 from .runner_allocation import DemandAllocation
+from .runner_state import RunnerStates
 from .selection import LoadReports
 from .sharedtopic import Meaning, ReadFailures
 from .supervisor import Supervisor
@@ -266,8 +267,8 @@
         await self._listen("ready", self.cfg.ready, self._adapter.readiness(self._is_ready))
         await self._listen("metrics", self.cfg.metrics, self._metrics)
         self._front_server = await self._listen("front", self.cfg.front, self._gateway)
-        zone = self.cfg.availability_zone
-        logger.bind(availability_zone=zone, front=self.cfg.front).info("node started")
+        cfg = self.cfg
+        logger.bind(availability_zone=cfg.availability_zone, front=cfg.front).info("node started")
         self.started.set()
 
     async def _start_peers(self) -> None:
@@ -334,6 +335,7 @@
         )
         self._runner_allocation = DemandAllocation(self._overlay)
         self._cache_sync = PromptCacheSync(PromptCacheIndex())
+        self._runner_states = RunnerStates(self._overlay)
         self._crash_guard = CrashGuard(
             cfg.node,
             self._overlay,
@@ -352,6 +354,7 @@
             self._failure_detector,
             self._runner_allocation,
             self._cache_sync,
+            self._runner_states,
         ):
             self._overlay.add(contributor)
 
@@ -382,9 +385,8 @@
         self._connections = ConnectionPool()
         self._pauses = EndpointPauses()
         reports = LoadReports()
-        view = HealthyPools(self._tables, self._health)
         self._scheduler = ProxyScheduler(
-            view,
+            HealthyPools(self._tables, self._health),
             reports,
             history,
             allocation=self._runner_allocation,
@@ -392,6 +394,8 @@
             full=self._full_runners,
             quotas=self._quotas,
             pauses=self._pauses,
+            states=self._runner_states,
+            zone=self.cfg.availability_zone,
         )
         dependencies = DispatcherDependencies(
             scheduler=self._scheduler,
@@ -440,6 +444,7 @@
         self._connections.forget(endpoint.address)
         self._health.forget(endpoint.name)
         self._cache_sync.cache.forget(endpoint.name)
+        self._runner_states.forget(endpoint.name)
         self._failure_detector.forget(endpoint.name)
         self._quotas.forget(endpoint.name)
         self._pauses.forget(endpoint.name)
--- a/lacewinghub/runner_allocation.py
+++ b/lacewinghub/runner_allocation.py
@@ -8,6 +8,7 @@
 import asyncio
 import math
 from abc import ABC, abstractmethod
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from .membership import HeartbeatContributor, Members
@@ -28,6 +29,12 @@
 # The allocation changes once the computed number of runners differs from it by more than this.
 HYSTERESIS = 0.7
 REPORT_AGE_S = 1.5  # Older reports of peers are ignored.
+# Weight of a node's own work in the average that it tells its peers, against the mean of theirs. A
+# node hears only 8 of 75 peers, and disagreed with others about 7 of 28 runners in the load model,
+# since these few send too few requests. With this weight the average extends over about 12
+# heartbeats, which reach all nodes.
+OWN_WEIGHT = 0.08
+AVERAGED_S = 20.0  # How long the average is used after the last request for it.
 
 
 class RunnerAllocation(ABC):
@@ -37,6 +44,30 @@
     def long_prompt_runners(self, runners: int) -> int:
         """Return how many of a number of runners serve long prompts; at least 1, not all."""
 
+    def share(self) -> float:
+        """Return the share of the capacity for long prompts."""
+        return DEFAULT_SHARE
+
+    def long_prompt_split(self, capacities: Sequence[float]) -> int:
+        """Return how many of the first runners serve long prompts; at least 1, not all.
+
+        Args:
+            capacities: Capacity of each runner, in the order that all nodes agree on.
+        """
+        return _bounded(round(self.wanted(capacities)), len(capacities))
+
+    def wanted(self, capacities: Sequence[float]) -> float:
+        """Return how many of the first runners have the share of the capacity, as a fraction."""
+        left = self.share() * sum(capacities)
+        for count, capacity in enumerate(capacities):
+            if left <= capacity:
+                return count + left / capacity
+            left -= capacity
+        return len(capacities)
+
+    def use_average(self) -> None:  # noqa: B027
+        """Base the share on an average over all nodes for some time."""
+
     def record_arrival(  # noqa: B027
         self, is_long: bool, prompt_tokens: int, output_tokens: int
     ) -> None:
@@ -53,10 +84,14 @@
 
 @dataclass(slots=True)
 class _PeerReport:
-    """Work that a peer reported, and the loop time at which the report was received."""
+    """Work that a peer reported, and the loop time at which the report was received.
+
+    ``average`` is the average over all nodes as that peer sees it.
+    """
 
     received: float
     work: PromptTokenRate
+    average: PromptTokenRate | None = None
 
 
 class DemandAllocation(RunnerAllocation, HeartbeatContributor):
@@ -73,6 +108,12 @@
         self._time: float | None = None
         self._reports: dict[str, _PeerReport] = {}
         self._counts: dict[int, int] = {}
+        self._average: PromptTokenRate | None = None
+        self._average_until = 0.0
+
+    def use_average(self) -> None:
+        """Base the share on an average over all nodes for some time."""
+        self._average_until = _now() + AVERAGED_S
 
     def record_arrival(self, is_long: bool, prompt_tokens: int, output_tokens: int) -> None:
         """Record the arrival of a request at this node."""
@@ -85,15 +126,18 @@
 
     def long_prompt_runners(self, runners: int) -> int:
         """Return how many runners serve long prompts; small changes of the work do not matter."""
-        wanted = runners * self.share()
-        count = self._counts.get(runners)
-        if count is None or abs(wanted - count) > HYSTERESIS:
-            count = self._counts[runners] = _bounded(round(wanted), runners)
-        return count
+        return self._count(runners, runners * self.share())
+
+    def long_prompt_split(self, capacities: Sequence[float]) -> int:
+        """Return how many of the first runners serve long prompts, with the same hysteresis."""
+        return self._count(len(capacities), self.wanted(capacities))
 
     def share(self) -> float:
         """Return the share of runners for long prompts: their share of the work, within limits."""
-        long, short = self._total()
+        average = self._average if self._average_until > _now() else None
+        long, short = self._total() if average is None else (average.long, average.short)
+        if average is not None and long + short > 0:
+            return min(MAX_SHARE, max(MIN_SHARE, long / (long + short)))
         if long + short < MIN_WORK:
             return DEFAULT_SHARE
         return min(MAX_SHARE, max(MIN_SHARE, long / (long + short)))
@@ -104,11 +148,38 @@
         heartbeat.work.append(
             PromptTokenRate(round(self._long / WINDOW_S), round(self._short / WINDOW_S))
         )
+        if self._average_until > _now():
+            self._average = self._new_average(heartbeat.work[-1])
+            heartbeat.work.append(self._average)
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Store the work of a peer."""
-        for work in heartbeat.work:
-            self._reports[heartbeat.node] = _PeerReport(_now(), work)
+        if heartbeat.work:
+            average = heartbeat.work[1] if len(heartbeat.work) > 1 else None
+            self._reports[heartbeat.node] = _PeerReport(_now(), heartbeat.work[0], average)
+
+    def _new_average(self, own: PromptTokenRate) -> PromptTokenRate:
+        """Return the average work of a node, from this node's work and the averages of peers."""
+        limit = _now() - REPORT_AGE_S
+        peers = [
+            item.average
+            for item in self._reports.values()
+            if item.average is not None and item.received >= limit
+        ]
+        if not peers:
+            return own
+        long = sum(item.long for item in peers) / len(peers)
+        short = sum(item.short for item in peers) / len(peers)
+        return PromptTokenRate(
+            round(long + OWN_WEIGHT * (own.long - long)),
+            round(short + OWN_WEIGHT * (own.short - short)),
+        )
+
+    def _count(self, runners: int, wanted: float) -> int:
+        count = self._counts.get(runners)
+        if count is None or abs(wanted - count) > HYSTERESIS:
+            count = self._counts[runners] = _bounded(round(wanted), runners)
+        return count
 
     def _total(self) -> tuple[float, float]:
         """Return the work per second of all nodes for long and for short prompts.
--- a/lacewinghub/selection.py
+++ b/lacewinghub/selection.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from abc import ABC, abstractmethod
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
 from .prefix import PrefixCacheIndex
@@ -15,6 +15,9 @@
 REPORT_AGE_S = 1.0
 AFFINITY_BOUND = 1.25  # Maximum load of a preferred endpoint, relative to the mean load.
 
+# Receives endpoint, running, waiting, loop time and slowness of a report.
+LoadListener = Callable[[str, int, int, float, float | None], None]
+
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
@@ -44,6 +47,11 @@
     def __init__(self, max_age_s: float = REPORT_AGE_S) -> None:
         self._max_age_s = max_age_s
         self._reports: dict[str, LoadReport] = {}
+        self._listeners: list[LoadListener] = []
+
+    def listen(self, listener: LoadListener) -> None:
+        """Register a function that is called with the arguments of each ``update``."""
+        self._listeners.append(listener)
 
     def update(
         self,
@@ -65,6 +73,8 @@
         known = self._reports.get(endpoint)
         if known is None or known.time <= time:
             self._reports[endpoint] = LoadReport(running, waiting, time, slowness)
+        for listener in self._listeners:
+            listener(endpoint, running, waiting, time, slowness)
 
     def get(self, endpoint: str) -> LoadReport:
         """Return the latest report of an endpoint, or one with zero load if it is too old."""
