--- a/lacewinghub/autoscaler.py
+++ b/lacewinghub/autoscaler.py
@@ -221,7 +221,7 @@
         slots: Slots of a runner.
         groups: The runners, by group.
         load: Newest demand; None without enough reports.
-        load_age_s: Age of the oldest report in it, or of the last one.
+        load_age_s: Time since then.
         learnt: What the last plan left.
     """
 
@@ -409,43 +409,61 @@
     Groups that are closed keep what they have.
     """
     rule, zones = state.rule, _zones(state)
+    spot_groups = {zone: state.groups[Group(zone, True)] for zone in zones}
     open_zones = [zone for zone in zones if _is_open(state, Group(zone, True))]
-    kept = {
-        zone: state.groups[Group(zone, True)].serving for zone in zones if zone not in open_zones
-    }
-    price = sum(rule.zone_prices.get(zone, 1.0) for zone in zones) / len(zones)
+    kept = {zone: item.serving for zone, item in spot_groups.items() if zone not in open_zones}
     if not _pays_off(rule):
         open_zones = []
-    closed = _closed_zones(state)
-    best: tuple[float, dict[str, int], int] | None = None
     rooms = {zone: rule.maximum - kept.get(zone, 0) for zone in zones}
     for zone in zones:
         if not _is_open(state, Group(zone, False)):
             rooms[zone] = min(rooms[zone], state.groups[Group(zone, False)].ordered)
-    limit = max(0, sum(rooms.values()))
-    floor = min(limit, max(len(zones), math.ceil(ORDINARY_SHARE * needed.mean)))
-    for ordinary in range(floor, limit + 1):
-        counts = _spread(ordinary, zones, rooms)
-        room = min((rule.maximum - counts[zone] for zone in open_zones), default=0)
-        spot = _spot_per_zone(ordinary, len(open_zones), sum(kept.values()), needed, closed)
-        if spot > room and ordinary < limit:
-            continue
-        spot = min(spot, room)
-        cost = price * (ordinary + spot * len(open_zones) * rule.spot_price)
-        if best is None or cost < best[0]:
-            best = (cost, counts, spot)
-    assert best is not None
-    _, counts, spot = best
+    counts, spot = _cheapest(state, needed, rooms, open_zones, sum(kept.values()))
     target = {}
     for zone in zones:
         group = Group(zone, True)
-        target[group] = spot if zone in open_zones else state.groups[group].ordered
+        target[group] = spot if zone in open_zones else spot_groups[zone].ordered
         if not _pays_off(rule):
             target[group] = 0
         target[Group(zone, False)] = max(counts[zone], rule.minimum - target[group])
     return target
 
 
+def _cheapest(
+    state: ScalingState,
+    needed: Needed,
+    rooms: Mapping[str, int],
+    open_zones: list[str],
+    kept: int,
+) -> tuple[dict[str, int], int]:
+    """Return the numbers of ordinary runners by zone, and of spot runners in each open zone.
+
+    Args:
+        state: All that the decision depends on.
+        needed: Runners that the demand needs.
+        rooms: Largest number of ordinary runners by zone, cheapest zone first.
+        open_zones: Zones in which spot runners are to be had.
+        kept: Spot runners in the other zones.
+    """
+    rule, closed = state.rule, _closed_zones(state)
+    floor = max(len(rooms), math.ceil(ORDINARY_SHARE * needed.mean))
+    counts = dict.fromkeys(rooms, 0)
+    best: tuple[float, dict[str, int], int] | None = None
+    while True:
+        ordinary = sum(counts.values())
+        free = [zone for zone in rooms if counts[zone] < rooms[zone]]
+        if ordinary >= floor or not free:
+            room = min((rule.maximum - counts[zone] for zone in open_zones), default=0)
+            spot = _spot_per_zone(ordinary, len(open_zones), kept, needed, closed)
+            cost = ordinary + min(spot, room) * len(open_zones) * rule.spot_price
+            if (spot <= room or not free) and (best is None or cost < best[0]):
+                best = cost, dict(counts), min(spot, room)
+            if best is not None and (not free or ordinary >= best[0]):
+                return best[1:]
+        # Evenly over the zones, the cheapest first.
+        counts[min(free, key=lambda zone: counts[zone])] += 1
+
+
 def _pays_off(rule: ScalingRule) -> bool:
     """Tell whether spot runners save more than the replacement of ordinary ones costs."""
     return (1.0 - rule.spot_price) * HORIZON_S > DRAIN_S + LOST_WORK_S + rule.boot_s
@@ -462,19 +480,6 @@
     return count
 
 
-def _spread(count: int, zones: list[str], room: Mapping[str, int]) -> dict[str, int]:
-    """Distribute runners evenly over zones, the cheapest first, as far as there is room."""
-    counts = dict.fromkeys(zones, 0)
-    while count > 0:
-        free = [zone for zone in zones if counts[zone] < room[zone]]
-        if not free:
-            break
-        zone = min(free, key=lambda name: counts[name])
-        counts[zone] += 1
-        count -= 1
-    return counts
-
-
 def _growth(state: ScalingState, target: Mapping[Group, int]) -> dict[Group, int]:
     """Return the orders that add runners, or ask again for runners that did not come."""
     orders = {}
--- a/lacewinghub/scaler.py
+++ b/lacewinghub/scaler.py
@@ -113,9 +113,12 @@
         """Plan once for each pool and send the orders."""
         token = self._holder.token()
         if token is None:
-            # The next holder may have ordered something else meanwhile.
-            self._token = None
-            self._pools.clear()
+            if self._token is not None:
+                # The next holder may order something else meanwhile.
+                self._token = None
+                self._pools.clear()
+                self._set_gauge("runners_desired", 0)
+                self._set_gauge("runners_ready", 0)
             return
         if token != self._token:
             self._token = token
