--- a/lacewinghub/autoscaler.py
+++ b/lacewinghub/autoscaler.py
@@ -40,9 +40,10 @@
 # until new runners have booted. A peak is short, so that a loss during it may delay answers.
 MEAN_SHARES = (1.0, 0.9, 0.6)
 PEAK_SHARES = (1.0, 0.8, 0.5)
-# After reclaims that leave one zone with spot runners at most, ordinary ones fill in up to these
-# shares only: they boot for half of the time until spot runners are available again.
-CLOSED_SHARES = (0.75, 0.6)
+# While no, one, and two or more zones lack spot runners after reclaims, the others and ordinary
+# runners fill in up to these shares of the same: ordinary ones boot for half of the time until spot
+# runners are available again.
+CLOSED_SHARES = ((1.0, 1.0), (1.0, 0.75), (0.75, 0.6))
 # Ordinary runners, which are never reclaimed, as a share of those needed for the average demand:
 # enough for the highest tier if the spot runners of all zones are lost.
 ORDINARY_SHARE = 0.15
@@ -57,10 +58,11 @@
 MEAN_HOLD_S = 10.0
 PEAK_HOLD_S = 30.0
 TREND_S = 3.0
-# Largest share of the permitted runners that is planned for demand, so that two of three zones have
-# room for them.
-LARGEST_SHARE = 0.6
-MAX_TREND = 1.25  # Largest factor by which a forecast may exceed the demand.
+# Largest shares of the permitted runners that are planned for demand, and for demand after a loss:
+# two of three zones have room for those.
+LARGEST_SHARE = 0.95
+LARGEST_AFTER_LOSS = 0.6
+MAX_TREND = 1.15  # Largest factor by which a forecast may exceed the demand.
 LEARN_S = 15.0  # Time constant with which the busy slots per prompt token are learnt.
 MAX_STAY_S = 10.0
 # Highest prompt tokens per second and runner that may be planned, as a share of those at which
@@ -76,7 +78,7 @@
 SHRINK_AFTER_S = 4.0
 # Until the demand is known for MEAN_S, it is taken to need at least this share of the runners that
 # served at the start, since it may only have begun to rise.
-INITIAL_SHARE = 0.5
+INITIAL_SHARE = 0.35
 MAX_AGE_S = 3.0  # Older data permit no scale-in.
 # No scale-in for this time after a reclaim, since further zones may follow.
 AFTER_RECLAIM_S = 5.0
@@ -155,10 +157,11 @@
 
 
 class Needed(NamedTuple):
-    """Runners needed for the average demand, and for its peaks."""
+    """Runners needed for the average demand and for its peaks, and the number that is permitted."""
 
     mean: float
     peak: float
+    permitted: float
 
     def after(self, lost: int, closed: int) -> float:
         """Return the number of runners that must remain after the loss of zones.
@@ -167,12 +170,15 @@
             lost: Number of zones that lose their spot runners.
             closed: Number of zones that have lost them before, so that fewer losses can follow.
         """
-        if lost == 0 and closed < 2:
-            return max(self)
-        if lost + closed >= len(MEAN_SHARES) and lost > 0:
+        if lost == 0:
+            shares = CLOSED_SHARES[min(closed, len(CLOSED_SHARES) - 1)]
+        elif lost + closed < len(MEAN_SHARES):
+            shares = (MEAN_SHARES[lost + closed], PEAK_SHARES[lost + closed])
+        else:
             return 0.0
-        shares = (MEAN_SHARES[lost + closed], PEAK_SHARES[lost + closed]) if lost else CLOSED_SHARES
-        return max(self.mean * shares[0], self.peak * shares[1])
+        largest = LARGEST_AFTER_LOSS if lost or closed else LARGEST_SHARE
+        wanted = max(self.mean * shares[0], self.peak * shares[1])
+        return min(wanted, largest * self.permitted)
 
 
 class Sample(NamedTuple):
@@ -274,7 +280,7 @@
     if fresh:
         state = replace(state, learnt=_learn(state))
     if not state.learnt.samples:
-        return Plan({}, lost, until, Needed(0.0, 0.0), {}, state.learnt, "no data")
+        return Plan({}, lost, until, Needed(0.0, 0.0, 0.0), {}, state.learnt, "no data")
     needed = _needed_runners(state)
     target = _compose(state, needed)
     orders = _growth(state, target)
@@ -367,10 +373,10 @@
     if learnt.since is not None and now < learnt.since + MEAN_S:
         by_mean = max(by_mean, INITIAL_SHARE * learnt.initial)
     most = MAX_TOKEN_FACTOR * max(by_mean, by_peak)
-    largest = LARGEST_SHARE * state.rule.maximum * len(_zones(state))
     return Needed(
-        min(largest, max(1.0, by_mean, min(most, tokens / (TOKEN_MARGIN * learnt.late_tokens)))),
-        min(largest, max(1.0, by_peak, min(most, last.tokens_per_s / learnt.late_tokens))),
+        max(1.0, by_mean, min(most, tokens / (TOKEN_MARGIN * learnt.late_tokens))),
+        max(1.0, by_peak, min(most, last.tokens_per_s / learnt.late_tokens)),
+        state.rule.maximum * len(_zones(state)),
     )
 
 
@@ -488,7 +494,8 @@
         if not _is_open(state, group):
             continue
         other = state.groups[Group(group.availability_zone, not group.spot)]
-        count = min(count, state.rule.maximum - other.ordered)
+        # An order that was not answered may be in force.
+        count = min(count, state.rule.maximum - max(other.ordered, other.unconfirmed or 0))
         # One runner more or less is no reason for an order, except where there are few.
         if count > item.ordered + (0 if item.ordered < 3 else GROW_HYSTERESIS * item.ordered + 1):
             orders[group] = count
@@ -562,12 +569,12 @@
 def _suffices(state: ScalingState, serving: Mapping[Group, int], needed: Needed) -> bool:
     """Tell whether runners that serve now are enough, also after the loss of one or two zones."""
     spot = {group: count for group, count in serving.items() if group.spot}
-    closed = _closed_zones(state)
+    zones, closed = sum(_is_open(state, group) for group in spot), _closed_zones(state)
     remaining = sum(serving.values())
     for lost, count in enumerate([0, *sorted(spot.values(), reverse=True)[:2]]):
         remaining -= count
         # With all zones lost, only the floor of ordinary runners remains.
-        if lost < max(1, len(spot)) and remaining < needed.after(lost, closed):
+        if lost < max(1, zones) and remaining < needed.after(lost, closed):
             return False
     return True
 
--- a/tests/runner_market.py
+++ b/tests/runner_market.py
@@ -69,6 +69,7 @@
         self.unavailable: dict[tuple[str, bool], float] = {}
         self.orders: list[tuple[float, RunnerOrder, CallOutcome]] = []
         self.served = self.late = self.cut = self.refused = self.total = 0
+        self.beyond_limits = 0
         self.cost = 0.0
         self.rates = dict.fromkeys(("arrivals", "tokens", "on_time", "late", "refused"), 0.0)
 
@@ -95,6 +96,8 @@
         now, zone, spot = self.now(), order.availability_zone, order.spot
         found = [r for r in self.runners if (r.zone, r.spot) == (zone, spot) and not r.leaves_at]
         more = order.desired - len(found)
+        in_zone = sum(r.zone == zone and not r.leaves_at for r in self.runners) + more
+        self.beyond_limits += more != 0 and not RULE.minimum <= in_zone <= RULE.maximum
         if more > 0 and now < self.unavailable.get((zone, spot), 0.0):
             return False
         self.runners += [Runner(zone, spot, now + RULE.boot_s) for _ in range(more)]
--- a/tests/test_autoscaler.py
+++ b/tests/test_autoscaler.py
@@ -114,6 +114,7 @@
                 simple = play(trace, target_utilisation)
                 for name, market in (("plan", own), ("fixed", before), ("utilisation", simple)):
                     print(f"{trace.name}, {name}: {market.on_time:.4f}, {market.cost:.0f}")
+                self.assertEqual(own.beyond_limits, 0)
                 self.assertGreaterEqual(own.on_time, before.on_time - NOISE)
                 self.assertGreaterEqual(own.on_time, simple.on_time - NOISE)
                 self.assertLessEqual(own.cost, COST_SHARE * before.cost)
