--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -46,6 +46,7 @@
 from .relayedtopic import RelayedTopic
 from .run_move import RunMover
 from .runner_allocation import DemandAllocation
+from .runner_state import RunnerStates
 from .selection import LoadReports
 from .sharedtopic import Meaning, ReadFailures
 from .supervisor import Supervisor
@@ -251,8 +252,8 @@
         await self._listen("ready", self.cfg.ready, self._adapter.readiness(self._is_ready))
         await self._listen("metrics", self.cfg.metrics, self._metrics)
         self._front_server = await self._listen("front", self.cfg.front, self._gateway)
-        zone = self.cfg.availability_zone
-        logger.bind(availability_zone=zone, front=self.cfg.front).info("node started")
+        cfg = self.cfg
+        logger.bind(availability_zone=cfg.availability_zone, front=cfg.front).info("node started")
         self.started.set()
 
     async def _start_peers(self) -> None:
@@ -325,6 +326,7 @@
         )
         self._runner_allocation = DemandAllocation(self._overlay)
         self._cache_sync = PromptCacheSync(PromptCacheIndex())
+        self._runner_states = RunnerStates(self._overlay)
         self._crash_guard = CrashGuard(
             cfg.node,
             self._overlay,
@@ -343,6 +345,7 @@
             self._failure_detector,
             self._runner_allocation,
             self._cache_sync,
+            self._runner_states,
         ):
             self._overlay.add(contributor)
 
@@ -383,6 +386,8 @@
             full=self._full_runners,
             quotas=self._quotas,
             pauses=self._pauses,
+            states=self._runner_states,
+            zone=self.cfg.availability_zone,
         )
         duties = self._duties = self._build_duties()
         dependencies = DispatcherDependencies(
@@ -456,6 +461,7 @@
         self._connections.forget(endpoint.address)
         self._health.forget(endpoint.name)
         self._cache_sync.cache.forget(endpoint.name)
+        self._runner_states.forget(endpoint.name)
         self._failure_detector.forget(endpoint.name)
         self._quotas.forget(endpoint.name)
         self._pauses.forget(endpoint.name)
