--- a/lacewinghub/placement.py
+++ b/lacewinghub/placement.py
@@ -43,6 +43,9 @@
 # A runner of the other side is chosen if it is better by more than this, in seconds, and by the
 # time to prefill a long prompt: the request may meet one there, or hold up short ones.
 SIDE_COST_S = 0.2
+LONG_SIDE_FACTOR = 4.0
+# A long prompt goes to a runner of short ones only if this share of its slots is free.
+LONG_RESERVE_SHARE = 0.5
 # Work of a second in a slot, in the unit in which the nodes report their demand.
 WORK_PER_S = 10_000
 # Weight of the newest value in averages over requests.
@@ -161,9 +164,25 @@
             found.append(Candidate(item, loads[item.name], prediction, loss, new_tokens))
         return found
 
-    def open(self, req: Request, candidates: Sequence[Candidate], now: float) -> list[Candidate]:
-        """Return the candidates to which a request may be sent now."""
+    def open(
+        self, req: Request, candidates: Sequence[Candidate], now: float, other_side: bool = False
+    ) -> list[Candidate]:
+        """Return the candidates to which a request may be sent now.
+
+        Args:
+            req: The request.
+            candidates: Runners.
+            now: Loop time, in seconds.
+            other_side: True if they serve prompts of the other length.
+        """
         left_s = _left_s(req, now)
+        if other_side:
+            reserve = LONG_RESERVE_SHARE if is_long(req) else 0.0
+            candidates = [
+                item
+                for item in candidates
+                if item.load.free_slots >= max(1.0, reserve * item.load.slots)
+            ]
         found = [item for item in candidates if self._is_open(item, left_s)]
         if self._zone_cost is None:
             return found
@@ -184,7 +203,7 @@
         if not others:
             return found
         other = self._draw(others, 1)[0]
-        tokens = max(self._tokens[True], other.new_tokens)
+        tokens = LONG_SIDE_FACTOR * other.new_tokens if is_long(req) else self._tokens[True]
         prefill_s = tokens / 1000 * self.states.prefill_s([other.endpoint]) * other.load.slowness
         return other if other.loss_s + SIDE_COST_S + prefill_s < found.loss_s else found
 
@@ -199,19 +218,27 @@
         bonus_s = self._bonus_s(req, candidates)
         if bonus_s < MIN_BONUS_S:
             return min(drawn, key=lambda item: item.loss_s)
+        shared = sum(part.tokens for part in req.proxy.shared_parts) if req.proxy else 0
+        holders = [item for item in candidates if prompt_tokens(req) - item.new_tokens >= shared]
+        if len(holders) >= CHOICES:
+            # The more requests have the part, the more runners hold it.
+            return min(
+                [*self._draw(holders, CHOICES), *drawn],
+                key=lambda item: item.loss_s - (bonus_s if item in holders else 0.0),
+            )
         key = affinity_key(req)
         first, second = heapq.nsmallest(
             2, candidates, key=lambda item: self._rank(key, item.endpoint.name)
         )
-        shared = sum(part.tokens for part in req.proxy.shared_parts) if req.proxy else 0
-
-        def cost_s(item: Candidate) -> float:
-            # What prefills nothing anew costs no more than the preferred runner.
-            if item is first or prompt_tokens(req) - item.new_tokens >= shared:
-                return item.loss_s - bonus_s
-            return item.loss_s - (SECOND_SHARE * bonus_s if item is second else 0.0)
-
-        return min([first, second, *drawn], key=cost_s)
+        bonus = {
+            first.endpoint.name: bonus_s,
+            second.endpoint.name: SECOND_SHARE * bonus_s,
+            **{item.endpoint.name: bonus_s for item in holders},
+        }
+        return min(
+            [first, second, *holders, *drawn],
+            key=lambda item: item.loss_s - bonus.get(item.endpoint.name, 0.0),
+        )
 
     def new_tokens(self, endpoint: str, req: Request) -> int:
         """Return how many prompt tokens of a request a runner has probably not cached."""
--- a/lacewinghub/proxyscheduler.py
+++ b/lacewinghub/proxyscheduler.py
@@ -361,14 +361,18 @@
         rest = [item for item in free if item.name not in own_names]
         opened: list[list[Candidate]] = []
         closed: list[Candidate] = []
-        for group, long_side in ((side, is_long(req)), (rest, not is_long(req))):
+        for group, other_side in ((side, False), (rest, True)):
+            long_side = is_long(req) is not other_side
             found = (
                 placement.candidates(req, group, in_flight, events, now, long_side) if group else []
             )
             found = [item for item in found if item.endpoint.name in names]
             usable = [item for item in found if not self._is_full(placement, item.endpoint.name)]
             fresh = [item for item in usable if item.endpoint.name not in req.excluded_endpoints]
-            opened.append(placement.open(req, fresh, now) or placement.open(req, usable, now))
+            opened.append(
+                placement.open(req, fresh, now, other_side)
+                or placement.open(req, usable, now, other_side)
+            )
             closed += usable or found
         if not opened[0] and not opened[1] and req.proxy is not None and req.proxy.may_have_run:
             # The client of an interrupted answer has already waited and will not return.
--- a/lacewinghub/runner_state.py
+++ b/lacewinghub/runner_state.py
@@ -21,7 +21,7 @@
 
 # Time constant with which the load of a runner fades towards the mean of its pool, in seconds; it
 # is about the duration of an answer.
-FADE_S = 1.5
+FADE_S = 0.6
 # A pool is placed by this state if one of its runners stated its speed within this time, in
 # seconds.
 STATED_S = 20.0
@@ -46,7 +46,7 @@
 NEWS_SHARE = 0.1
 NEWS_AGE_S = 2.0
 # Time between two pieces of news of the same runner unless its load changes by many requests.
-NEWS_PAUSE_S = 0.6
+NEWS_PAUSE_S = 0.4
 MANY_REQUESTS = 5
 # News that this many peers have told is known to the others, too. With 8 peers per node in a graph
 # of 76 nodes, nearly all nodes are reached although half of them stay silent.
