Describe how runs are moved, and bound the repeats of failed moves

A stopped stream without framing is not taken for a whole one after an unanswered call; refusals to continue a run do not mark a runner as full; a failed move is repeated after a growing pause.

--- a/lacewinghub/movable_run.py
+++ b/lacewinghub/movable_run.py
@@ -178,8 +178,10 @@
         progress: Progress of the run.
         endpoint: Endpoint that has the run, or None between two of them.
         refused_by: Names of endpoints that could not take the run.
+        failures: Number of failed calls that were to move it.
         not_before: Loop time before which the run is not moved, in seconds.
-        paid: True once the retry budget was charged for moving it.
+        paid: True once the retry budget was charged for moving it, False if nothing was left of it;
+            None before.
         stopped: True once an endpoint stopped the run, so that it must not begin anew unless it is
             repeatable.
     """
@@ -189,12 +191,15 @@
         self.progress = RunProgress()
         self.endpoint: Endpoint | None = None
         self.refused_by: set[str] = set()
+        self.failures = 0
         self.not_before = float("-inf")
-        self.paid = False
+        self.paid: bool | None = None
         self.stopped = False
         self._owner = owner
         self._has_events = True
         self._move: Move | None = None
+        # True once the current endpoint has left a call unanswered, and may have stopped the run.
+        self._in_doubt = False
         self._stream_ended = asyncio.Event()
         self._continuation: _Continuation | None = None
 
@@ -252,6 +257,8 @@
     def begin_move(self, target: Endpoint) -> Move:
         """Return a new call that moves the run to an endpoint."""
         assert self.endpoint is not None
+        if self._move is not None and self._move.answer.result().outcome is MoveOutcome.UNANSWERED:
+            self._in_doubt = True
         answer = asyncio.get_running_loop().create_future()
         self._move = Move(self.endpoint, target, answer, self._stream_ended)
         return self._move
@@ -302,6 +309,7 @@
         self.progress.restart()
         self.endpoint = endpoint
         self._move = None
+        self._in_doubt = False
         self._stream_ended = asyncio.Event()
         self._has_events = True
         self._owner.on_attempt_started(self)
@@ -324,8 +332,8 @@
             self._continuation = _Continuation(answer.copy, deque(places))
             raise RunMoved(f"endpoint {endpoint.name!r} stopped the run", endpoint=endpoint.name)
         # A refused call should not have stopped the run, but that is likelier than a crash.
-        doubtful = (MoveOutcome.UNANSWERED, MoveOutcome.REFUSED) if broken else ()
-        if answer.outcome is MoveOutcome.UNANSWERED or answer.outcome in doubtful:
+        in_doubt = self._in_doubt or (broken and answer.outcome is MoveOutcome.REFUSED)
+        if in_doubt or answer.outcome is MoveOutcome.UNANSWERED:
             self.stopped = True
             raise RunStopped(
                 f"endpoint {endpoint.name!r} stopped the run, whose state is unknown",
--- a/lacewinghub/proxyrouter.py
+++ b/lacewinghub/proxyrouter.py
@@ -307,7 +307,8 @@
                 raise failure from exc
             if isinstance(exc, ConnectFailed) and not continues:
                 state.sent -= 1
-            if isinstance(exc, EndpointBusy):
+            # An endpoint also refuses to continue a run whose state has expired.
+            if isinstance(exc, EndpointBusy) and not continues:
                 self._dispatch_deps.scheduler.on_endpoint_full(grant)
             if isinstance(exc, ConnectFailed | EndpointBusy):
                 state.may_have_run = may_have_run_before
--- a/lacewinghub/run_move.py
+++ b/lacewinghub/run_move.py
@@ -33,8 +33,10 @@
 CALL_TIMEOUT_S = 1.0
 # Interval of the decisions while a leaving endpoint has streams.
 POLL_S = 0.1
-# Time after which a run that could not be moved is tried again.
+# Time after which a run that could not be moved is tried again; doubled with each failure, because
+# a failed move may interrupt the run.
 RETRY_S = 0.25
+MAX_DOUBLINGS = 5
 # A source that has stopped a run closes its stream at once; this node does so after this time.
 CLOSE_S = 0.2
 # Calls that are made to learn the state of a run if the first one had no answer.
@@ -42,6 +44,16 @@
 REPEAT_PAUSE_S = 0.1
 # An endpoint that leaves sooner than this continues no run that it has stopped.
 LEAST_STAY_S = 0.5
+# Outcomes that count as failures, after which another target is tried first. A run that has ended,
+# has not begun or is being moved by another call is no failure.
+FAILURES = frozenset(
+    (
+        MoveOutcome.NOT_COPIED,
+        MoveOutcome.REFUSED,
+        MoveOutcome.UNREACHED,
+        MoveOutcome.UNANSWERED,
+    )
+)
 # Share of the earlier answers of a class that were at most as long as expected.
 QUANTILE = 0.9
 # An answer that is longer than expected is assumed to go on for this share of its length.
@@ -269,10 +281,11 @@
             self._incoming[move.target.name] -= 1
             move.answer.set_result(answer)
             self._changed.set()
-        if answer.outcome is not MoveOutcome.MOVED:
+        if answer.outcome in FAILURES:
             self.failed += 1
+            run.failures += 1
             run.refused_by.add(move.target.name)
-            run.not_before = _now() + RETRY_S
+        run.not_before = _now() + RETRY_S * 2 ** min(MAX_DOUBLINGS, max(0, run.failures - 1))
         logger.bind(
             request_id=run.req.id,
             source=move.source.name,
@@ -322,11 +335,13 @@
 
     def _pay(self, run: MovableRun) -> bool:
         """Charge the retry budget once for a run; return False if nothing is left of it."""
-        if not run.paid:
-            run.paid = self._budget is None or self._budget.try_spend(run.req.pool)
-            if not run.paid:
-                logger.bind(request_id=run.req.id).info("run not moved: no retry is left")
-        return run.paid
+        if run.paid:
+            return True
+        paid = self._budget is None or self._budget.try_spend(run.req.pool)
+        if not paid and run.paid is None:
+            logger.bind(request_id=run.req.id).info("run not moved: no retry is left")
+        run.paid = paid
+        return paid
 
     def _end(self, run: MovableRun, now: float) -> float:
         req = run.req
--- a/tests/test_run_move.py
+++ b/tests/test_run_move.py
@@ -6,20 +6,20 @@
 from typing import Any
 
 from lacewinghub.fakes.platform_moves import MoveFault
-from lacewinghub.fakes.platform_runner import FakeRunner, event
+from lacewinghub.fakes.platform_runner import FakeRunner, RunnerFault, event
 from lacewinghub.movable_run import RunProgress
 from lacewinghub.run_move import MARGIN_S, MAX_MOVES, MoveCandidate, RunMover, choose_moves
 from lacewinghub.run_move import predicted_end as end_of
 
 from .platform_cluster import ClientResponse, PlatformCase, config, route
 
-EVENTS = 100
+EVENTS = 150
 EVENT_S = 0.06
 WHOLE = b"".join(event(number) for number in range(1, EVENTS + 1))
-LONG = {"Lacewinghub-Deadline-Ms": "12000"}
+LONG = {"Lacewinghub-Deadline-Ms": "30000"}
 ROUTES = [
-    route("chat", "models", "streaming", timeout_ms=12_000),
-    route("draft", "models", "streaming", timeout_ms=12_000, resumable=True),
+    route("chat", "models", "streaming", timeout_ms=30_000),
+    route("draft", "models", "streaming", timeout_ms=30_000, resumable=True),
 ]
 
 
@@ -60,7 +60,9 @@
 
     async def stream(self, path: str, attempt: str) -> asyncio.Task[ClientResponse]:
         """Begin a stream at the first runner."""
-        return asyncio.create_task(self.ask(path, attempt=attempt, tokens="100,100", headers=LONG))
+        return asyncio.create_task(
+            self.ask(path, attempt=attempt, tokens=f"100,{EVENTS}", headers=LONG)
+        )
 
     async def leave(self, notice_s: float) -> asyncio.Task[None]:
         """Announce the other runners, then that the first one leaves."""
@@ -88,6 +90,8 @@
         # Guards against streams that are cut when a runner leaves, and against events that are
         # lost, doubled or produced by a second run.
         names = [f"{kind}-{n}" for n in range(6) for kind in ("chat", "draft")]
+        # Without framing, a stopped stream ends like one that is whole.
+        self.source.fail(RunnerFault.UNFRAMED, RunnerFault.UNFRAMED)
         streams = [await self.stream(f"/{name[:-2]}/a", name) for name in names]
         await asyncio.sleep(0.5)
         leaving = await self.leave(2.0)
@@ -157,6 +161,10 @@
         # Guards against a run that begins anew although it may run only once, against a truncated
         # stream that looks whole, and against copies that fill the memory of runners.
         lost = {MoveFault.SILENT_STOP, MoveFault.EXPIRED}
+        self.source.fail(RunnerFault.UNFRAMED)
+        self.source.moves.fail("unframed", MoveFault.SILENT_STOP)
+        unframed = await self.stream("/chat/a", "unframed")
+        await asyncio.sleep(0.1)
         streams = {}
         for fault in MoveFault:
             for path in ("chat", "draft"):
@@ -164,7 +172,7 @@
                 self.source.moves.fail(name, fault)
                 streams[name] = await self.stream(f"/{path}/a", name)
         await asyncio.sleep(0.5)
-        leaving = await self.leave(5.2)
+        leaving = await self.leave(7.0)
         answers = {name: await stream for name, stream in streams.items()}
         for fault in MoveFault:
             with self.subTest(fault=fault, resumable=False):
@@ -177,6 +185,7 @@
                 answer = answers[f"draft-{fault}"]
                 self.assertEqual((answer.complete, answer.body), (True, WHOLE))
                 self.assertLessEqual(self.runs()[f"draft-{fault}"], 2)
+        self.assertFalse((await unframed).complete)
         await asyncio.sleep(0.1)
         self.assertEqual(self.unfreed(), [])
         self.assertEqual(self.members[0]._crash_guard.causes, [])
