--- a/lacewinghub/platform/runner.py
+++ b/lacewinghub/platform/runner.py
@@ -247,20 +247,26 @@
 
 def _move_answer(source: Endpoint, status: int, data: bytes) -> MoveAnswer:
     """Decode the answer to a call that moves a run."""
-    try:
-        body: Any = json.loads(data)
-    except ValueError:
-        body = None
-    handle = str(body.get("handle", "")) if isinstance(body, dict) else ""
-    copy = RunCopy(source.address, handle) if _HANDLE.fullmatch(handle) else None
+    if status in _MOVE_OUTCOMES:
+        return MoveAnswer(_MOVE_OUTCOMES[status])
+    copy = _copy(source, data)
     if status == 200:
         # Without its handle the run can be continued nowhere, like one whose answer was lost.
         return MoveAnswer(MoveOutcome.MOVED if copy else MoveOutcome.UNANSWERED, copy)
     if status == _UNAVAILABLE:
         return MoveAnswer(MoveOutcome.NOT_COPIED if copy else MoveOutcome.REFUSED, copy)
-    if status >= 500:
-        return MoveAnswer(MoveOutcome.UNANSWERED)
-    return MoveAnswer(_MOVE_OUTCOMES.get(status, MoveOutcome.REFUSED))
+    return MoveAnswer(MoveOutcome.UNANSWERED if status >= 500 else MoveOutcome.REFUSED)
+
+
+def _copy(source: Endpoint, data: bytes) -> RunCopy | None:
+    """Decode the handle of a copied state; None if there is none that could be sent on."""
+    try:
+        body: Any = json.loads(data)
+    except ValueError:
+        return None
+    handle = body.get("handle") if isinstance(body, dict) else None
+    text = str(handle) if isinstance(handle, str | int) else ""
+    return RunCopy(source.address, text) if _HANDLE.fullmatch(text) else None
 
 
 def _encode(endpoint: Endpoint, req: Request, state: ProxyState) -> bytes:
--- a/tests/test_run_move.py
+++ b/tests/test_run_move.py
@@ -8,8 +8,12 @@
 from lacewinghub.fakes.platform_moves import MoveFault
 from lacewinghub.fakes.platform_runner import FakeRunner, RunnerFault, event
 from lacewinghub.movable_run import RunProgress
+from lacewinghub.move_client import MoveAnswer, MoveOutcome
+from lacewinghub.platform.runner import _move_answer
+from lacewinghub.request import RunCopy
 from lacewinghub.run_move import MARGIN_S, MAX_MOVES, MoveCandidate, RunMover, choose_moves
 from lacewinghub.run_move import predicted_end as end_of
+from lacewinghub.tables import Endpoint
 
 from .platform_cluster import ClientResponse, PlatformCase, config, route
 
@@ -222,6 +226,28 @@
             with self.subTest(name):
                 self.assertAlmostEqual(end_of(progress, events, expected_s, 2.0), end)
 
+    def test_answers_of_runners(self) -> None:
+        # Guards against a handle that spoils a header, and against a run that is continued although
+        # it goes on at the source.
+        source = Endpoint("s", "127.0.0.1:1", "z", 1)
+        cases = [
+            (200, b'{"handle": "h-1", "create_revision": 3}', MoveOutcome.MOVED),
+            (200, b'{"handle": "h\\r\\nx: y"}', MoveOutcome.UNANSWERED),
+            (200, b'{"handle": null}', MoveOutcome.UNANSWERED),
+            (200, b"[]", MoveOutcome.UNANSWERED),
+            (503, b'{"handle": "h-1"}', MoveOutcome.NOT_COPIED),
+            (503, b"no json", MoveOutcome.REFUSED),
+            (404, b'{"handle": "h-1"}', MoveOutcome.NO_RUN),
+            (409, b"", MoveOutcome.BUSY),
+            (400, b"", MoveOutcome.REFUSED),
+            (500, b"", MoveOutcome.UNANSWERED),
+        ]
+        stopped = (MoveOutcome.MOVED, MoveOutcome.NOT_COPIED)
+        for status, body, outcome in cases:
+            with self.subTest(status=status, body=body):
+                copy = RunCopy(source.address, "h-1") if outcome in stopped else None
+                self.assertEqual(_move_answer(source, status, body), MoveAnswer(outcome, copy))
+
     def test_late_runs_of_high_tiers_come_first(self) -> None:
         def candidate(tier: int, resumable: bool, end: float) -> MoveCandidate:
             return MoveCandidate(None, tier, resumable, end)  # type: ignore[arg-type]
