Test the decisions about clients that keep no limits; count small headers

Cause: headers of a few bytes took 20 times their size, which the budget did not count; servers for readiness and metrics had the bounds of the one for clients; a closed connection was kept by its timer. Change: each header is charged with the memory of its objects; internal servers take few connections; the timer ends with its connection; the rest of expensive reads is bounded.

--- a/lacewinghub/client_bounds.py
+++ b/lacewinghub/client_bounds.py
@@ -3,7 +3,7 @@
 import time
 from collections import Counter
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from loguru import logger
 
@@ -16,6 +16,8 @@
 # connection to an endpoint, too; the store, the peers and idle connections to endpoints need some.
 CLIENT_SHARE = 0.5
 MIN_CONNECTIONS = 16
+# Connections to a server for readiness checks or metrics.
+INTERNAL_CONNECTIONS = 32
 # Share of the connections that one address may have. A load balancer may pass on all clients under
 # one address, so that this only keeps an address from taking all of them.
 ADDRESS_SHARE = 0.75
@@ -37,6 +39,8 @@
 BODY_BYTES_PER_S = 4096
 # After an expensive read, all such connections rest for this multiple of its time.
 REST_FACTOR = 2.0
+# The rest ends well before the idle time-out, however many connections take part.
+MAX_REST_S = 5.0
 LOG_INTERVAL_S = 1.0
 # Free memory is returned when this much less is held than before.
 RELEASED_BYTES = 4 * MB
@@ -150,6 +154,7 @@
             spent_s: Time that its last read took, in seconds.
         """
         self._free_at = max(now, self._free_at) + REST_FACTOR * spent_s
+        self._free_at = min(self._free_at, now + MAX_REST_S)
         return self._free_at
 
 
@@ -200,6 +205,14 @@
     refusals: Refusals = field(default_factory=Refusals)
     _peak: int = 0
 
+    def for_server(self, public: bool) -> "ClientGuard":
+        """Return the guard of a server; one that is not for clients needs few connections."""
+        if public:
+            return self
+        limited = self.bounds.total is not None
+        bounds = ConnectionBounds(INTERNAL_CONNECTIONS) if limited else ConnectionBounds()
+        return replace(self, bounds=bounds)
+
     def release_memory(self) -> None:
         """Return memory to the operating system if much less is held than before."""
         held = self.budget.held
--- a/lacewinghub/clientconnection.py
+++ b/lacewinghub/clientconnection.py
@@ -24,7 +24,7 @@
     is_too_slow,
 )
 from .httphandler import HttpHandler, HttpLimits
-from .httpmessage import Headers, Incoming, MessageReceiver
+from .httpmessage import Headers, Incoming, MessageReceiver, held_by
 from .memory_budget import Holder, Holding
 from .responder import Responder, ResponseConnection
 
@@ -103,6 +103,7 @@
         self._refused: Incoming | None = None
         self._refusal = 0
         self._discarded = 0
+        self._close_timer: asyncio.TimerHandle | None = None
 
     # Callbacks of the parser.
     def on_message_begin(self) -> None:
@@ -220,7 +221,7 @@
         if self._refused is not None or not self._receiver.messages:
             return Holding(0, 0.0)
         messages = self._receiver.messages
-        served = messages[0].head_size + messages[0].size if self._response else 0
+        served = held_by(messages[0]) if self._response else 0
         held = self.charged - CONNECTION_BYTES - served
         return Holding(max(0, held), now - self._message_started)
 
@@ -285,6 +286,8 @@
         self._writable.set()
         self._changed.set()
         self.server.forget(self)
+        if self._close_timer is not None:
+            self._close_timer.cancel()
         if self._task is not None:
             self._task.cancel()
 
@@ -339,10 +342,12 @@
         if self._resets_on_close:
             self.abort()
         elif self.transport is not None:
-            if self.transport.get_write_buffer_size() and not self._lost:
+            waits = self._close_timer is not None or self._lost
+            if not waits and self.transport.get_write_buffer_size():
                 # A client that does not read would keep the connection for good.
                 idle_s = self.server.handler.limits().idle_s
-                asyncio.get_running_loop().call_later(idle_s, self.abort)
+                loop = asyncio.get_running_loop()
+                self._close_timer = loop.call_later(idle_s, self.abort)
             self.transport.close()
 
     def abort(self) -> None:
--- a/lacewinghub/httpmessage.py
+++ b/lacewinghub/httpmessage.py
@@ -32,6 +32,8 @@
 # beyond those that belong to a body: a stream of single bytes takes six bytes of framing for each.
 MAX_FRAMING_BYTES = 64 * 1024
 MAX_FRAMING_RATIO = 16
+# Memory of a header beside its text: three objects and their place in a list.
+HEADER_BYTES = 160
 # A read with more framing than this has about a thousand chunks or more.
 EXPENSIVE_FRAMING_BYTES = 8 * 1024
 # Larger bodies are not copied when they are read.
@@ -126,6 +128,11 @@
         self.size = self.head_size = 0
 
 
+def held_by(message: Incoming) -> int:
+    """Return the number of bytes that a message holds, also if its body was taken."""
+    return message.head_size + message.size + HEADER_BYTES * len(message.headers)
+
+
 class MessageReceiver:
     """Collects messages from the callbacks of an httptools parser.
 
@@ -163,7 +170,7 @@
     @property
     def held(self) -> int:
         """Number of bytes that the messages hold, also if their bodies were taken."""
-        held = sum(item.head_size + item.size for item in self.messages)
+        held = sum(map(held_by, self.messages))
         if self.messages and not self.messages[-1].headers_complete:
             held += self._received  # The parser holds an unfinished header.
         return held
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -290,7 +290,7 @@
 
     async def _listen(self, key: str, address: str, handler: HttpHandler) -> HttpServer:
         host, _, port = address.rpartition(":")
-        server = HttpServer(handler, self._client_guard)
+        server = HttpServer(handler, self._client_guard.for_server(public=key == "front"))
         try:
             self.ports[key] = await server.start(host.strip("[]"), int(port))
         except OSError as exc:
--- /dev/null
+++ b/tests/test_client_bounds.py
@@ -0,0 +1,321 @@
+"""Tests of the decisions about clients that keep no limits, and of what a server does with them."""
+
+import asyncio
+import contextlib
+import re
+import unittest
+
+from lacewinghub.client_bounds import (
+    BODY_GRACE_S,
+    BODY_TOTAL_S,
+    MAX_REST_S,
+    ClientGuard,
+    ConnectionBounds,
+    OpenConnection,
+    ParsePacer,
+    choose_closed,
+    connection_bounds,
+    is_too_slow,
+)
+from lacewinghub.httphandler import HttpHandler, HttpLimits
+from lacewinghub.httpmessage import Incoming
+from lacewinghub.httpserver import HttpServer
+from lacewinghub.memory_budget import (
+    MB,
+    MIN_BUDGET_BYTES,
+    Holder,
+    Holding,
+    MemoryBudget,
+    budget_bytes,
+    choose_refused,
+)
+from lacewinghub.responder import Responder
+
+KB = 1024
+
+
+class TestChoice(unittest.TestCase):
+    def test_those_that_hold_most_for_longest_are_refused_first(self) -> None:
+        # Guards against an ordinary caller that is refused for what others hold.
+        stalled = Holding(4 * MB, 10.0)
+        arriving = Holding(4 * MB, 0.1)
+        tiny_chunks = Holding(192 * KB, 12.0)
+        ordinary = Holding(2 * KB, 0.01)
+        nothing = Holding(0, 100.0)
+        every = [ordinary, arriving, tiny_chunks, nothing, stalled]
+        cases = [
+            ("nothing to release", every, 0, 1, []),
+            ("largest and slowest", every, 1, 1, [4]),
+            ("the next one as well", every, 5 * MB, 1, [4, 2, 1]),
+            ("ordinary ones last", every, 100 * MB, 1, [4, 2, 1, 0]),
+            ("no small ones", every, 100 * MB, 64 * KB, [4, 2, 1]),
+            ("none", [], 1, 1, []),
+            ("only those that hold nothing", [nothing], 1, 1, []),
+            ("size decides at first", [Holding(10, 0.0), Holding(20, 0.0)], 1, 1, [1]),
+            ("time decides for equals", [Holding(10, 5.0), Holding(10, 6.0)], 1, 1, [1]),
+        ]
+        for name, holdings, excess, smallest, expected in cases:
+            with self.subTest(name):
+                self.assertEqual(choose_refused(holdings, excess, smallest), expected)
+
+    def test_budget_by_memory(self) -> None:
+        cases = [
+            (None, None),
+            (10 * MB, MIN_BUDGET_BYTES),
+            (128 * MB, 28 * MB),
+            (160 * MB, 44 * MB),
+            (552 * MB, 240 * MB),
+        ]
+        for memory, expected in cases:
+            with self.subTest(memory):
+                self.assertEqual(budget_bytes(memory), expected)
+
+    def test_connections_by_descriptors_and_memory(self) -> None:
+        cases = [
+            (None, None, ConnectionBounds()),
+            (400, None, ConnectionBounds(100, 75)),
+            (1638, None, ConnectionBounds(719, 539)),
+            (1638, 44 * MB, ConnectionBounds(704, 528)),
+            (10_250, 44 * MB, ConnectionBounds(704, 528)),
+            (10_250, 240 * MB, ConnectionBounds(3840, 2880)),
+            (20, None, ConnectionBounds(16, 12)),
+        ]
+        for descriptors, budget, expected in cases:
+            with self.subTest(descriptors=descriptors, budget=budget):
+                self.assertEqual(connection_bounds(descriptors, budget), expected)
+
+    def test_the_longest_idle_of_the_largest_address_are_closed(self) -> None:
+        conns = [
+            OpenConnection("a", 9.0, served=False),
+            OpenConnection("b", 1.0, served=False),
+            OpenConnection("b", 2.0, served=False),
+            OpenConnection("b", 3.0, served=True),
+            OpenConnection("b", 0.1, served=False),
+        ]
+        cases = [
+            ("one", 1, "", [2]),
+            ("all that may be closed", 9, "", [2, 1, 0]),
+            ("of an address", 9, "a", [0]),
+            ("of an unknown address", 9, "c", []),
+        ]
+        for name, number, address, expected in cases:
+            with self.subTest(name):
+                self.assertEqual(choose_closed(conns, number, address), expected)
+
+    def test_slow_bodies(self) -> None:
+        cases = [
+            (0, 0.0, False),
+            (0, BODY_GRACE_S, False),
+            (100, BODY_GRACE_S + 1.0, True),
+            (5000, BODY_GRACE_S + 1.0, False),
+            (4 * MB, BODY_TOTAL_S - 1.0, False),
+            (4 * MB, BODY_TOTAL_S + 1.0, True),
+        ]
+        for size, elapsed_s, expected in cases:
+            with self.subTest(size=size, elapsed_s=elapsed_s):
+                self.assertEqual(is_too_slow(size, elapsed_s), expected)
+
+    def test_expensive_reads_rest_one_after_the_other(self) -> None:
+        pacer = ParsePacer()
+        self.assertEqual([pacer.resume_at(10.0, 0.5), pacer.resume_at(10.0, 0.5)], [11.0, 12.0])
+        self.assertEqual(pacer.resume_at(10.0, 100.0), 10.0 + MAX_REST_S)
+        self.assertEqual(pacer.resume_at(50.0, 0.5), 51.0)
+
+
+class _Client(Holder):
+    def __init__(self, held_s: float) -> None:
+        self.held_s = held_s
+        self.refused = False
+        self.budget: MemoryBudget | None = None
+
+    def holding(self) -> Holding:
+        return Holding(self.charged, self.held_s)
+
+    def refuse_for_memory(self) -> None:
+        self.refused = True
+        assert self.budget is not None
+        self.budget.charge(self, 0)
+
+
+class TestBudget(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clients = [_Client(held_s) for held_s in (0.0, 1.0, 2.0)]
+        self.budget = MemoryBudget(1 * MB)
+        self.budget.add_holders(lambda: self.clients)
+        for client in self.clients:
+            client.budget = self.budget
+
+    def refused(self) -> list[bool]:
+        return [client.refused for client in self.clients]
+
+    def test_what_is_charged_counts_once(self) -> None:
+        first, second, _ = self.clients
+        self.budget.charge(first, 1000)
+        self.budget.charge(second, 500)
+        self.budget.charge(first, 700)
+        self.assertEqual(self.budget.held, 1200)
+        self.budget.charge(first, 0)
+        self.assertEqual(self.budget.held, 500)
+
+    def test_large_holders_leave_room_for_small_ones(self) -> None:
+        first, second, third = self.clients
+        self.budget.charge(first, 300 * KB)
+        self.budget.charge(second, 300 * KB)
+        self.assertEqual(self.refused(), [False, False, False])
+        self.budget.charge(third, 60 * KB)  # The large ones have three quarters.
+        self.assertEqual(self.refused(), [False, False, False])
+        self.budget.charge(first, 500 * KB)
+        self.assertEqual(self.refused(), [False, True, False])
+
+    def test_without_a_capacity_nobody_is_refused(self) -> None:
+        budget = MemoryBudget(None)
+        budget.add_holders(lambda: self.clients)
+        budget.charge(self.clients[0], 1 << 40)
+        self.assertFalse(budget.strained)
+        self.assertEqual(self.refused(), [False, False, False])
+
+
+class _Held(HttpHandler):
+    """Answers requests when it is told to; ``/large`` gets an answer that fills the buffers."""
+
+    def __init__(self) -> None:
+        self.go = asyncio.Event()
+        self.seen: list[bytes] = []
+        self.idle_s = 5.0
+
+    def limits(self) -> HttpLimits:
+        return HttpLimits(body_bytes=MB, header_s=5.0, idle_s=self.idle_s)
+
+    async def handle(self, incoming: Incoming, out: Responder) -> None:
+        self.seen.append(incoming.target)
+        await self.go.wait()
+        out.send(200, [], bytes(16 * MB) if incoming.target == b"/large" else b"ok")
+
+
+def post(target: str, length: int) -> bytes:
+    """Return the head of a request."""
+    return f"POST {target} HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n".encode()
+
+
+class TestServer(unittest.IsolatedAsyncioTestCase):
+    async def start(self, capacity: int | None, bounds: ConnectionBounds | None = None) -> None:
+        self.handler = _Held()
+        self.writers: list[asyncio.StreamWriter] = []
+        self.guard = ClientGuard(MemoryBudget(capacity), bounds or ConnectionBounds())
+        self.server = HttpServer(self.handler, self.guard)
+        self.port = await self.server.start("127.0.0.1", 0)
+        self.addAsyncCleanup(self.server.close)
+
+    async def open(self, data: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        self.addCleanup(writer.transport.abort)
+        self.writers.append(writer)  # A writer that is collected closes its connection.
+        writer.write(data)
+        return reader, writer
+
+    async def until(self, check: object, limit_s: float = 5.0) -> None:
+        async with asyncio.timeout(limit_s):
+            while not check():  # type: ignore[operator]
+                await asyncio.sleep(0.01)
+
+    async def read_all(self, reader: asyncio.StreamReader) -> bytes:
+        with contextlib.suppress(ConnectionError):
+            async with asyncio.timeout(5.0):
+                return await reader.read(-1)
+        return b""
+
+    async def test_a_body_behind_a_served_request_is_refused_and_the_request_is_answered(
+        self,
+    ) -> None:
+        # Guards against an answer to one request that its client takes for that of another.
+        await self.start(MB)
+        reader, writer = await self.open(post("/first", 0) + post("/second", 900 * KB))
+        await self.until(lambda: self.handler.seen)
+        writer.write(bytes(50 * KB))
+        other, _ = await self.open(post("/other", 900 * KB) + bytes(800 * KB))
+        answer = await self.read_all(other)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 503"), answer)
+        self.assertIn(b"retry-after: ", answer)
+        self.guard.budget.charge(_Client(0.0), 980 * KB)
+        writer.write(bytes(30 * KB))
+        await self.until(lambda: self.guard.refusals.counts["refused_for_memory"] == 2)
+        self.handler.go.set()
+        answer = await self.read_all(reader)
+        self.assertEqual(re.findall(rb"HTTP/1.1 (\d+)", answer), [b"200", b"503"])
+        self.assertEqual(self.handler.seen, [b"/first"])
+
+    async def test_what_is_held_is_released_with_each_end(self) -> None:
+        await self.start(8 * MB)
+        self.handler.go.set()
+        for target, body in (("/a", bytes(900 * KB)), ("/b", bytes(10)), ("/short", b"")):
+            with self.subTest(target):
+                length = len(body) or 900 * KB
+                reader, writer = await self.open(post(target, length) + body)
+                if body:
+                    await reader.readuntil(b"ok")
+                await self.until(lambda: len(self.server.connections) == 1)
+                writer.transport.abort()
+                await self.until(lambda: not self.server.connections)
+                self.assertEqual(self.guard.budget.held, 0)
+
+    async def test_announced_bodies_are_refused_before_they_come(self) -> None:
+        await self.start(None)
+        for head in (post("/a", 2 * MB), post("/a", 2 * MB)[:-2] + b"Expect: 100-continue\r\n\r\n"):
+            reader, _ = await self.open(head)
+            answer = await self.read_all(reader)
+            self.assertTrue(answer.startswith(b"HTTP/1.1 413"), answer)
+
+    async def test_a_slow_body_is_refused_only_by_a_strained_process(self) -> None:
+        await self.start(MB)
+        reader, _ = await self.open(post("/slow", 1000) + b"x")
+        await self.until(lambda: self.server.connections)
+        conn = next(iter(self.server.connections))
+        await self.until(lambda: conn.holding().refusable > 0)
+        self.server._sweep()
+        conn._message_started -= BODY_TOTAL_S + 1.0
+        self.server._sweep()
+        self.assertEqual(self.guard.refusals.counts["refused_slow_body"], 0)
+        self.guard.budget.charge(_Client(0.0), 600 * KB)
+        await self.until(lambda: self.guard.refusals.counts["refused_slow_body"])
+        answer = await self.read_all(reader)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 408"), answer)
+
+    async def test_a_client_that_does_not_read_is_closed(self) -> None:
+        await self.start(None)
+        self.handler.go.set()
+        self.handler.idle_s = 0.3
+        _, writer = await self.open(post("/large", 0) * 3)
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        await self.until(lambda: self.handler.seen and not self.server.connections)
+        self.assertEqual(self.handler.seen, [b"/large"])
+        self.assertEqual(self.guard.refusals.counts["closed_answer_not_read"], 1)
+
+    async def test_unread_answers_are_given_up_for_memory(self) -> None:
+        await self.start(24 * MB)
+        self.handler.go.set()
+        for _ in range(2):
+            _, writer = await self.open(post("/large", 0))
+            writer.transport.pause_reading()  # type: ignore[attr-defined]
+        await self.until(lambda: len(self.handler.seen) == 2 and len(self.server.connections) < 2)
+        self.assertLess(self.guard.budget.held, 24 * MB)
+
+    async def test_connections_in_use_stay_and_idle_ones_make_room(self) -> None:
+        await self.start(None, ConnectionBounds(3, 3))
+        served, _ = await self.open(post("/a", 0))
+        idle, _ = await self.open(b"")
+        arriving, _ = await self.open(post("/b", 10) + b"x")
+        await self.until(lambda: len(self.server.connections) == 3 and self.handler.seen)
+        refused, _ = await self.open(post("/c", 0))
+        self.assertTrue((await self.read_all(refused)).startswith(b"HTTP/1.1 503"))
+        await asyncio.sleep(0.6)
+        last, _ = await self.open(post("/d", 0))
+        self.assertEqual(await self.read_all(idle), b"")
+        self.assertTrue((await self.read_all(arriving)).startswith(b"HTTP/1.1 503"))
+        self.handler.go.set()
+        for reader in (served, last):
+            self.assertTrue((await reader.readuntil(b"ok")).startswith(b"HTTP/1.1 200"))
+        self.assertEqual(self.handler.seen, [b"/a", b"/d"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -348,7 +348,13 @@
             writer.write(head("Content-Length: 4") + b"body")
             await writer.drain()
 
+        async def many_headers(writer: asyncio.StreamWriter) -> None:
+            # Each takes far more memory than its five bytes on the wire.
+            writer.write(head("Content-Length: 4\r\n" + "ab:c\r\n" * 1800))
+            await writer.drain()
+
         for name, send in (
+            ("heads with many small headers", many_headers),
             ("idle connections", idle),
             ("heads that never end", unfinished_head),
             ("idle after one request", after_one_request),
