--- a/lacewinghub/duty_lease_state.py
+++ b/lacewinghub/duty_lease_state.py
@@ -178,6 +178,7 @@
         self._acts_from = float("-inf")
         self._in_doubt = False
         self._kept: dict[str, bytes] = {}
+        self._kept_rewound = False
 
     def token(self, now: float, margin_s: float) -> int | None:
         """Return the token to act with; None if the lease is not held for ``margin_s`` more."""
@@ -343,6 +344,9 @@
         valid_until = self._valid_until
         if self._token is not None:
             self._kept = dict(self.records)
+            # Without a renewal since, the duties have not yet written what they start from.
+            record = self._seen.record if self._seen is not None else None
+            self._kept_rewound = record is not None and record.rewound
             self._lose("the log came back from an older copy")
             self._valid_until = valid_until
         self._era, self._end = era, None
@@ -395,7 +399,7 @@
         rewound = self._era > 0 if before is None else before.era < self._era or before.rewound
         kept: Mapping[str, bytes] = {}
         if self._held_through_rewind(now):
-            rewound, kept = False, self._kept
+            rewound, kept = self._kept_rewound, self._kept
         token = (self._era << ERA_SHIFT) + (self._end or 0) + 1
         record = LeaseRecord(self._node, self._incarnation, token, self._era, nonce, rewound)
         return record, kept.items()
