Keep shared prompt parts at few runners

Change: the first of three runners in the hash order of the last shared part that has room is taken.

--- a/lacewinghub/placement.py
+++ b/lacewinghub/placement.py
@@ -34,8 +34,12 @@
 CHOICES = 2
 # Smallest number of free slots that counts when runners are drawn.
 MIN_FREE = 0.5
-# The second runner in the hash order of a shared part is preferred by this share of the bonus.
-SECOND_SHARE = 0.45
+# Runners that are preferred for a shared part, in the order of their hashes, while they have room.
+AFFINITY_RUNNERS = 3
+# A preferred runner has room with this share of its slots free, and if the first event is predicted
+# within this share of its target.
+ROOM_SHARE = 0.25
+ROOM_TARGET_SHARE = 0.5
 # Assumed size of an event, in bytes.
 EVENT_BYTES = 200
 # A smaller bonus is ignored, since all nodes that choose the same runners would overload them.
@@ -218,26 +222,18 @@
         bonus_s = self._bonus_s(req, candidates)
         if bonus_s < MIN_BONUS_S:
             return min(drawn, key=lambda item: item.loss_s)
-        shared = sum(part.tokens for part in req.proxy.shared_parts) if req.proxy else 0
-        holders = [item for item in candidates if prompt_tokens(req) - item.new_tokens >= shared]
-        if len(holders) >= CHOICES:
-            # The more requests have the part, the more runners hold it.
-            return min(
-                [*self._draw(holders, CHOICES), *drawn],
-                key=lambda item: item.loss_s - (bonus_s if item in holders else 0.0),
-            )
+        # All nodes prefer the same few runners for a shared part, in the same order, so that its
+        # prefill is repeated rarely and it stays in their memory. What is beyond them spreads.
         key = affinity_key(req)
-        first, second = heapq.nsmallest(
-            2, candidates, key=lambda item: self._rank(key, item.endpoint.name)
+        preferred = heapq.nsmallest(
+            AFFINITY_RUNNERS, candidates, key=lambda item: self._rank(key, item.endpoint.name)
         )
-        bonus = {
-            first.endpoint.name: bonus_s,
-            second.endpoint.name: SECOND_SHARE * bonus_s,
-            **{item.endpoint.name: bonus_s for item in holders},
-        }
+        for item in preferred:
+            if _has_room(item, req):
+                return item
         return min(
-            [first, second, *holders, *drawn],
-            key=lambda item: item.loss_s - bonus.get(item.endpoint.name, 0.0),
+            [*preferred, *drawn],
+            key=lambda item: item.loss_s - (bonus_s if item in preferred else 0.0),
         )
 
     def new_tokens(self, endpoint: str, req: Request) -> int:
@@ -316,5 +312,13 @@
         return -math.log(min(1.0, place)) * self.states.rank_slowness(name)
 
 
+def _has_room(item: Candidate, req: Request) -> bool:
+    """Tell whether a preferred runner takes a request without delaying it or others much."""
+    target_s = req.target.first_token_s
+    if target_s is not None and item.prediction.first_s > ROOM_TARGET_SHARE * target_s:
+        return False
+    return item.load.free_slots >= ROOM_SHARE * item.load.slots
+
+
 def _left_s(req: Request, now: float) -> float:
     return req.proxy.deadline - now if req.proxy is not None else math.inf
