--- a/lacewinghub/duty_services.py
+++ b/lacewinghub/duty_services.py
@@ -11,6 +11,7 @@
 from .leader_hint import LeaderHints
 from .leader_reports import LeaderReports
 from .local import PoolState
+from .message import LeaderHint
 from .overlay import Overlay
 from .peer import PeerServer
 from .scaler import Scaler
@@ -108,7 +109,7 @@
         overlay.add(hints)
         self.reports = LeaderReports(identity, overlay, parts.peers, hints.leader)
         if cfg.usage:
-            self._build_usage(platform.api)
+            self._build_usage(platform.api, hints)
         if cfg.autoscale:
             self._build_scaler(platform.api)
 
@@ -141,9 +142,9 @@
             set_gauge("usage_windows_dropped", self._reporter.windows_dropped)
             set_gauge("usage_report_delay_s", self._reporter.report_delay_s)
 
-    def _build_usage(self, api: ControlApi) -> None:
+    def _build_usage(self, api: ControlApi, hints: LeaderHints) -> None:
         cfg = UsageSettings(self._cfg.window_s, self._cfg.usage_late_s)
-        self.usage = UsageCounts(cfg)
+        self.usage = UsageCounts(cfg, holder=lambda: _token(hints.leader()))
         self.reports.add(self.usage)
         self._reporter = UsageReporter(self.lease, self.reports, api, cfg, self.usage.clock)
 
@@ -162,3 +163,7 @@
             self._cfg.calls_per_s,
             parts.set_gauge,
         )
+
+
+def _token(leader: LeaderHint | None) -> int | None:
+    return None if leader is None else leader.token
--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -676,11 +676,10 @@
 
 @dataclass(slots=True)
 class WindowUsage:
-    """Requests of one workspace that began in one window at the sender, since its start."""
+    """Requests that began in one window at the sender, since its start, by workspace."""
 
     window: int
-    workspace: str
-    requests: int
+    requests: dict[str, int]
 
 
 @dataclass(slots=True)
@@ -719,7 +718,7 @@
         incarnation: Its incarnation.
         seq: Number of the report.
         last_window: Newest window for which the counts are final.
-        usage: Counts of the windows that are not reported yet.
+        usage: Counts of the windows that may not be reported yet.
         demand: Demand by pool.
     """
 
--- a/lacewinghub/usage.py
+++ b/lacewinghub/usage.py
@@ -15,6 +15,10 @@
 STEP_HOLD_S = 60.0
 # Smaller differences between the clocks do not move requests into another window.
 STEP_TOLERANCE_S = 0.1
+# A holder of the duty that is new to this node gets the counts of all windows for this time, and
+# later only those of windows that ended no longer ago than this.
+NEW_HOLDER_S = 5.0
+RECENT_S = 5.0
 # Windows whose report is late by more than this are given up.
 GIVE_UP_S = 10.0
 
@@ -111,18 +115,27 @@
     Args:
         settings: Settings of the usage reports.
         clock: Tells the window; None for the clocks of the host.
+        holder: Returns what identifies the current holder of the duty, as far as it is known.
 
     Attributes:
         settings: The settings.
         clock: The clock.
     """
 
-    def __init__(self, settings: UsageSettings, clock: WindowClock | None = None) -> None:
+    def __init__(
+        self,
+        settings: UsageSettings,
+        clock: WindowClock | None = None,
+        holder: Callable[[], object] = lambda: None,
+    ) -> None:
         self.settings = settings
         self.clock = clock or WindowClock(settings.window_s)
         # The window in which the period begins and the current one are not complete.
         self._kept = math.ceil(settings.give_up_s / settings.window_s) + 2
         self._counts: dict[int, dict[str, int]] = {}
+        self._holder = holder
+        self._last_holder: object = None
+        self._all_until = self.clock.steady() + NEW_HOLDER_S
 
     def count(self, workspace: str) -> None:
         """Count a request that begins now; one without a workspace is not counted."""
@@ -140,13 +153,23 @@
         self.clock.check_step()
         current = self.clock.current()
         self._forget(current)
+        first = self._first_to_report()
         report.last_window = current - 1
         report.usage = [
-            WindowUsage(window, workspace, requests)
+            WindowUsage(window, dict(counts))
             for window, counts in self._counts.items()
-            for workspace, requests in counts.items()
+            if window >= first
         ]
 
+    def _first_to_report(self) -> int:
+        holder, now = self._holder(), self.clock.steady()
+        if holder != self._last_holder:
+            self._last_holder = holder
+            self._all_until = now + NEW_HOLDER_S
+        if now < self._all_until:
+            return 0
+        return self.clock.window(self.clock.now() - RECENT_S)
+
     def _forget(self, current: int) -> None:
         for window in [item for item in self._counts if item <= current - self._kept]:
             del self._counts[window]
--- a/lacewinghub/usage_reporter.py
+++ b/lacewinghub/usage_reporter.py
@@ -10,7 +10,7 @@
 import json
 import random
 import zlib
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -66,12 +66,12 @@
         """Windows with counts."""
         return self._windows.keys()
 
-    def add(self, node: str, incarnation: int, items: Iterable[WindowUsage]) -> None:
+    def add(self, node: str, incarnation: int, usage: WindowUsage) -> None:
         """Merge counts of one incarnation, which only grow, so that the largest one is newest."""
-        for item in items:
-            nodes = self._windows.setdefault(item.window, {})
-            counts = nodes.setdefault((node, incarnation), {})
-            counts[item.workspace] = max(item.requests, counts.get(item.workspace, 0))
+        nodes = self._windows.setdefault(usage.window, {})
+        counts = nodes.setdefault((node, incarnation), {})
+        for workspace, requests in usage.requests.items():
+            counts[workspace] = max(requests, counts.get(workspace, 0))
 
     def keep(self, first: int, last: int) -> None:
         """Forget the windows outside a range."""
@@ -106,8 +106,8 @@
             ValueError: Or a similar error, if it is malformed.
         """
         for window, node, incarnation, counts in json.loads(zlib.decompress(part)):
-            usage = [WindowUsage(int(window), name, int(count)) for name, count in counts.items()]
-            self.add(node, incarnation, usage)
+            usage = {name: int(count) for name, count in counts.items()}
+            self.add(node, incarnation, WindowUsage(int(window), usage))
 
     def _rows(self) -> Iterator[str]:
         for window, nodes in self._windows.items():
@@ -188,6 +188,7 @@
         self._held = False
         self._term = 0
         self._taken = 0.0
+        self._taken_at = 0.0
         self._offered: Decision | None = None
         self._parts = 0
         self._backoff = Backoff(random.Random(), RETRY_MIN_S, RETRY_MAX_S, jitter=(1.0, 1.0))
@@ -222,6 +223,7 @@
         self._held = True
         self._term += 1
         self._taken = self._clock.steady()
+        self._taken_at = asyncio.get_running_loop().time()
         self._parts = sum(key.startswith(_part_key("")) for key in taken.records)
         self._backoff.reset()
         self._merged.clear()
@@ -251,7 +253,7 @@
         self._merge(reports)
         self._drop_old()
         if self._decision is None or self._decision.sent:
-            self._decide([item.report for item in reports if item.live])
+            self._decide(reports)
         decision, term = self._decision, self._term
         if decision is None or decision.sent:
             return
@@ -297,7 +299,9 @@
             key, newest = (report.node, report.incarnation), (report.seq, item.received)
             self._merged[key] = newest
             if merged.get(key) != newest:
-                self._table.add(*key, [u for u in report.usage if first <= u.window <= last])
+                for usage in report.usage:
+                    if first <= usage.window <= last:
+                        self._table.add(*key, usage)
         self._table.keep(first, last)
 
     def _oldest(self) -> int:
@@ -317,12 +321,10 @@
         self._decision = Decision(oldest - 1, {}, sent=True)
         logger.bind(first=first, last=oldest - 1).error("usage windows dropped: too old")
 
-    def _decide(self, live: Sequence[LeaderReport]) -> None:
-        """Decide the next window if that is due.
-
-        Args:
-            live: Newest reports of the live nodes.
-        """
+    def _decide(self, reports: Iterable[ReceivedReport]) -> None:
+        """Decide the next window if that is due."""
+        # Reports from before this node took the lease may lack older windows.
+        live = [item.report for item in reports if item.live and item.received >= self._taken_at]
         window = self._next_window(live)
         final = {item.node for item in live if item.last_window >= window}
         progress = WindowProgress(
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -115,12 +115,13 @@
         self.load_from = load_from
         self.silent: set[str] = set()
         self.nodes = {name: (int(EPOCH_S * 1000), self.counts()) for name in NODES}
-        self.newest: dict[tuple[str, int], LeaderReport] = {}
+        self.newest: dict[tuple[str, int], tuple[LeaderReport, float]] = {}
         self.dead: set[tuple[str, int]] = set()
         self.tasks = [asyncio.create_task(part()) for part in (self.serve, self.send_reports)]
 
     def counts(self) -> UsageCounts:
-        return UsageCounts(SETTINGS, WindowClock(5.0, wall, loop_time))
+        clock = WindowClock(5.0, wall, loop_time)
+        return UsageCounts(SETTINGS, clock, lambda: self.tokens)
 
     async def serve(self) -> None:
         rng = random.Random(7)
@@ -137,11 +138,14 @@
                 if name not in self.silent:
                     report = LeaderReport(name, incarnation, round(loop_time() * 1000), 0)
                     counts.fill_report(report)
-                    self.newest[name, incarnation] = report
+                    self.newest[name, incarnation] = report, loop_time()
             await asyncio.sleep(REPORT_S)
 
     def reports(self) -> list[ReceivedReport]:
-        return [ReceivedReport(r, 0.0, key not in self.dead) for key, r in self.newest.items()]
+        return [
+            ReceivedReport(report, at, key not in self.dead)
+            for key, (report, at) in self.newest.items()
+        ]
 
     def live_nodes(self) -> int:
         return len(self.nodes)
@@ -409,8 +413,9 @@
         rng = random.Random(1)
         for node in range(330):
             names = [rng.randbytes(24).hex() for _ in range(60)]
-            usage = [WindowUsage(w, name, rng.randrange(900)) for w in range(6) for name in names]
-            table.add(f"node-{node}", 1_800_000_000_000 + node, usage)
+            for window in range(6):
+                usage = WindowUsage(window, {name: rng.randrange(900) for name in names})
+                table.add(f"node-{node}", 1_800_000_000_000 + node, usage)
         parts = table.encode()
         self.assertLess(max(map(len, parts)), MAX_RECORD_BYTES)
         restored = UsageTable()
@@ -439,17 +444,20 @@
 
     def test_boundaries_and_retention(self) -> None:
         now = [0.0]
-        counts = UsageCounts(SETTINGS, WindowClock(5.0, lambda: EPOCH_S, lambda: now[0]))
+        holder = ["a"]
+        clock = WindowClock(5.0, lambda: EPOCH_S, lambda: now[0])
+        counts = UsageCounts(SETTINGS, clock, lambda: holder[0])
         for now[0] in (0.0, 4.999, 5.0, 9.999, 10.0):
             counts.count("w")
         counts.count("")
         report = LeaderReport("n", 1, 1, 0)
         counts.fill_report(report)
-        found = [(item.window - FIRST, item.requests) for item in report.usage]
+        found = [(item.window - FIRST, item.requests["w"]) for item in report.usage]
         self.assertEqual((found, report.last_window), ([(0, 2), (1, 2), (2, 1)], FIRST + 1))
         now[0] = 34.0
-        counts.fill_report(report)
-        self.assertEqual([item.window - FIRST for item in report.usage], [1, 2])
+        for holder[0], windows in (("a", []), ("b", [1, 2])):
+            counts.fill_report(report)
+            self.assertEqual([item.window - FIRST for item in report.usage], windows)
 
 
 class Recorder(UsageMeter):
