--- a/lacewinghub/usage_reporter.py
+++ b/lacewinghub/usage_reporter.py
@@ -187,8 +187,8 @@
         self._confirmed = False
         self._held = False
         self._term = 0
-        self._taken = 0.0
-        self._taken_at = 0.0
+        self._taken_steady = 0.0
+        self._taken_loop = 0.0
         self._offered: Decision | None = None
         self._parts = 0
         self._backoff = Backoff(random.Random(), RETRY_MIN_S, RETRY_MAX_S, jitter=(1.0, 1.0))
@@ -222,8 +222,9 @@
         found = _decode_decision(record)
         self._held = True
         self._term += 1
-        self._taken = self._clock.steady()
-        self._taken_at = asyncio.get_running_loop().time()
+        # The clock of the loop, which dates the reports, stops while the host is suspended.
+        self._taken_steady = self._clock.steady()
+        self._taken_loop = asyncio.get_running_loop().time()
         self._parts = sum(key.startswith(_part_key("")) for key in taken.records)
         self._backoff.reset()
         self._merged.clear()
@@ -247,7 +248,7 @@
         self._term += 1
 
     async def _step(self) -> None:
-        if not self._held:
+        if not self._held or self._is_early():
             return
         reports = self._reports.reports()
         self._merge(reports)
@@ -268,6 +269,13 @@
         else:
             await self._backoff.pause()
 
+    def _is_early(self) -> bool:
+        """Return whether the next window cannot be decided yet."""
+        decision = self._decision
+        if decision is None or not decision.sent:
+            return False
+        return self._clock.now() < self._clock.end_of(decision.window + 1) + MIN_WAIT_S
+
     async def _send(self, decision: Decision, term: int) -> None:
         token = self._holder.token()
         if token is None:
@@ -324,12 +332,12 @@
     def _decide(self, reports: Iterable[ReceivedReport]) -> None:
         """Decide the next window if that is due."""
         # Reports from before this node took the lease may lack older windows.
-        live = [item.report for item in reports if item.live and item.received >= self._taken_at]
+        live = [item.report for item in reports if item.live and item.received >= self._taken_loop]
         window = self._next_window(live)
         final = {item.node for item in live if item.last_window >= window}
         progress = WindowProgress(
             self._clock.now() - self._clock.end_of(window),
-            self._clock.steady() - self._taken,
+            self._clock.steady() - self._taken_steady,
             len(final),
             self._reports.live_nodes(),
         )
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -253,6 +253,17 @@
     await change_holder(world, lease)
 
 
+async def _old_reports(world: World) -> None:
+    lease = world.take(world.holder())
+    await until(9.8)
+    world.lose(lease)  # The last checkpoint lacks the end of the window.
+    await until(15.6)
+    world.silent.add("b")  # Its last report does not contain that window any more.
+    world.take(lease)
+    await until(16.4)
+    world.silent.clear()
+
+
 async def _same_holder_after_copy(world: World) -> None:
     lease = world.take(world.holder())
     await until(9.0)
@@ -336,6 +347,7 @@
             (_lost_before_mark, 0.0, 8.0, 0.0),
             (_lost_answers, 0.0, 6.0, 0.0),
             (_lost_without_record, 0.0, 10.0, 0.0),
+            (_old_reports, 0.0, 7.0, 0.0),
             (_same_holder_after_copy, 0.0, 2.5, 0.0),
             (_node_restarts, 0.0, 1.5, TOLERANCE),
             (_late_reports, 0.0, 4.2, 0.0),
