Treat statuses that are none as broken answers

Cause: every status below 200 was skipped as an interim answer, so that the client waited until its deadline, and statuses above 599 were passed on to clients. Change: only 100, 102 and 103 are interim; any other status outside 200 to 599 ends the attempt as a broken response. 101 already did so: the parser takes it for a change of the protocol.

--- a/lacewinghub/httpclient.py
+++ b/lacewinghub/httpclient.py
@@ -20,6 +20,8 @@
 MAX_RESPONSES = 4
 # Largest number of interim responses (1xx) to one request.
 MAX_INTERIM = 8
+# Interim statuses in use; 101 would answer a request to change the protocol, which is never sent.
+INTERIM_STATUSES = frozenset((100, 102, 103))
 # Keep-alive probes detect a dead host within about four seconds.
 PROBE_AFTER_S = 1
 PROBE_EVERY_S = 1
@@ -61,6 +63,7 @@
         self._changed = asyncio.Event()
         self._ended = False
         self._broken: str | None = None
+        self._invalid_status: int | None = None
         self._peer_ended = False
         self._reading_paused = False
         self._closed = False
@@ -75,8 +78,11 @@
 
     def on_headers_complete(self) -> None:
         last = self._receiver.messages[-1]
-        last.headers_complete = True
         last.status = self._parser.get_status_code()
+        if last.status not in INTERIM_STATUSES and not 200 <= last.status < 600:
+            self._invalid_status = last.status
+            return  # The message stays without its headers, so that nobody reads it.
+        last.headers_complete = True
         last.keep_alive = self._parser.should_keep_alive()
         names = {name for name, _ in last.headers}
         empty = last.status in (204, 304) or last.status < 200
@@ -215,6 +221,8 @@
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
             return f"invalid response: {exc}"
+        if self._invalid_status is not None:
+            return f"invalid status {self._invalid_status}"
         self._receiver.settle()
         if len(self._receiver.messages) > MAX_RESPONSES:
             return "more responses than requests"
