--- a/lacewinghub/duty_lease.py
+++ b/lacewinghub/duty_lease.py
@@ -22,6 +22,7 @@
 # Membership and clocks are looked at this often; the clock of the event loop stops while the host
 # is suspended.
 POLL_S = 0.25
+MIN_PAUSE_S = 0.001
 BACKOFF_FIRST_S = 0.1
 BACKOFF_LIMIT_S = 1.0
 # A commit appends once more if an append was not executed.
@@ -107,7 +108,7 @@
             plan = self._state.plan(now, self._rank())
             self._report_changes()
             if plan.step is Step.IDLE or plan.due > now:
-                await asyncio.sleep(min(POLL_S, plan.due - now))
+                await asyncio.sleep(min(POLL_S, max(MIN_PAUSE_S, plan.due - now)))
                 continue
             try:
                 async with self._lock:
--- a/lacewinghub/duty_lease_state.py
+++ b/lacewinghub/duty_lease_state.py
@@ -309,9 +309,11 @@
         return True
 
     def is_newest(self, attempt: Attempt) -> bool:
-        """Return whether the newest known record of the lease is that of an append."""
+        """Return whether an append is known to be the newest one and valid in the current era."""
         seen = self._seen
-        return seen is not None and seen.era == self._era and seen.record == attempt.record
+        if seen is None or seen.record != attempt.record:
+            return False
+        return seen.era == attempt.record.era == self._era
 
     def _confirm(self, attempt: Attempt, now: float) -> None:
         """Count the lease from when an append was sent that is known to be the newest."""
