--- a/lacewinghub/fakes/platform_moves.py
+++ b/lacewinghub/fakes/platform_moves.py
@@ -1,6 +1,7 @@
 """Moves of a fake runner: stops runs, copies their state to other fake runners, frees copies."""
 
 import asyncio
+import contextlib
 import itertools
 import json
 from dataclasses import dataclass, field
@@ -46,6 +47,13 @@
     stopped: asyncio.Event = field(default_factory=asyncio.Event)
     stays_open: bool = False
 
+    async def is_stopped_within(self, seconds: float) -> bool:
+        """Wait for some time, or until the run is stopped; return whether it is."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self.stopped.wait()
+        return self.stopped.is_set()
+
 
 @dataclass(slots=True, eq=False)
 class StateCopy:
@@ -140,8 +148,8 @@
     async def _move(self, order: dict[str, str], out: Responder) -> None:
         self.calls.append(order["target"])
         attempt = order["id"]
-        fault = self._faults.pop(attempt, None)
         run = self.live.get(attempt)
+        fault = None if run is None else self._faults.pop(attempt, None)
         if attempt in self._late:
             self._answer(out, 200, self._late.pop(attempt))
         elif fault is MoveFault.SILENT:
