--- a/lacewinghub/run_move.py
+++ b/lacewinghub/run_move.py
@@ -156,10 +156,17 @@
         directory.listen(lambda _: self._changed.set())
 
     def track(self, req: Request) -> MovableRun | None:
-        """Return a new run if the endpoints of the request's pool can move it, otherwise None."""
+        """Return a new run if the endpoints of the request's pool can move it, otherwise None.
+
+        Runs are moved only in pools whose runners are ordered and reclaimed while they work.
+        """
         if req.proxy is None or not req.proxy.streaming:
             return None
-        moves = any(spec.engine.moves for spec in self._directory.specs() if spec.name == req.pool)
+        moves = any(
+            spec.engine.moves and spec.scaling is not None
+            for spec in self._directory.specs()
+            if spec.name == req.pool
+        )
         return MovableRun(req, self) if moves else None
 
     def occupy(self, run: MovableRun, endpoint: Endpoint) -> Grant:
--- a/tests/test_run_move.py
+++ b/tests/test_run_move.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 from collections import Counter
-from typing import Any
+from typing import Any, ClassVar
 
 from lacewinghub.fakes.platform_moves import MoveFault
 from lacewinghub.fakes.platform_runner import FakeRunner, RunnerFault, event
@@ -30,12 +30,13 @@
 
     runners = 3
     moves = True
+    scaling: ClassVar[dict[str, Any]] = {"scaling": {"min": 0, "max": 9}}
     events = 80
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         services: list[dict[str, Any]] = [
-            {"name": "models", "engine": {"slots": 8, "moves": self.moves}},
+            {"name": "models", "engine": {"slots": 8, "moves": self.moves}, **self.scaling},
             {"name": "apps"},
         ]
         self.store.put("keyed.op", "config", config(2, ROUTES, services=services))
@@ -219,6 +220,13 @@
         await leaving
 
 
+class TestWithoutScaling(TestWithoutMoves):
+    """Guards against new calls in deployments whose runners cannot be ordered."""
+
+    moves = True
+    scaling: ClassVar[dict[str, Any]] = {}
+
+
 class TestDecision(unittest.TestCase):
     def test_predicted_end(self) -> None:
         steady = RunProgress(0.0, total=11, events=11, first_events=1, first_at=1.0, last_at=2.0)
