--- a/lacewinghub/placement.py
+++ b/lacewinghub/placement.py
@@ -24,8 +24,10 @@
 from .tables import Endpoint
 
 # Requests in a runner's own queue, as a share of its slots, beyond which it gets no further ones.
-# Some must wait there, since no node knows at once when a slot becomes free.
+# Some must wait there, since no node knows at once when a slot becomes free. Each lower tier has a
+# smaller share: the first divided by one and this figure for each higher tier.
 QUEUE_SHARE = 0.25
+TIER_SHARE = 0.5
 # A request is sent only where it is predicted to end within this share of the time left, or within
 # that of the second figure if a slot is free there: the prediction may be wrong.
 TIME_SHARE = 0.9
@@ -44,8 +46,10 @@
 # time to prefill a long prompt: the request may meet one there, or hold up short ones.
 SIDE_COST_S = 0.2
 LONG_SIDE_FACTOR = 4.0
-# A long prompt goes to a runner of short ones only if this share of its slots is free.
+# A long prompt goes to a runner of short ones only if this share of its slots is free, before and
+# after its target for the first event has passed.
 LONG_RESERVE_SHARE = 0.5
+LATE_RESERVE_SHARE = 0.25
 # Work of a second in a slot, in the unit in which the nodes report their demand.
 WORK_PER_S = 10_000
 # Weight of the newest value in averages over requests.
@@ -140,7 +144,7 @@
         in_flight: Mapping[str, int],
         events: float,
         now: float,
-        long_side: bool,
+        other_side: bool = False,
     ) -> list[Candidate]:
         """Predict the outcome of a request at some runners of one side.
 
@@ -150,10 +154,12 @@
             in_flight: Number of this node's requests in flight, by endpoint name.
             events: Expected number of events of the answer.
             now: Loop time, in seconds.
-            long_side: True for the side of the long prompts.
+            other_side: True if they serve prompts of the other length.
         """
         usual = self._usual(req, endpoints)
-        loads = self.states.estimate(endpoints, in_flight, self._tokens[long_side])
+        loads = self.states.estimate(
+            endpoints, in_flight, self._tokens[is_long(req) is not other_side]
+        )
         left_s = _left_s(req, now)
         found = []
         for item in endpoints:
@@ -177,13 +183,13 @@
         """
         left_s = _left_s(req, now)
         if other_side:
-            reserve = LONG_RESERVE_SHARE if is_long(req) else 0.0
+            reserve = self._reserve(req, now)
             candidates = [
                 item
                 for item in candidates
                 if item.load.free_slots >= max(1.0, reserve * item.load.slots)
             ]
-        found = [item for item in candidates if self._is_open(item, left_s)]
+        found = [item for item in candidates if self._is_open(item, req, left_s)]
         if self._zone_cost is None:
             return found
         # Another zone is better than none.
@@ -245,19 +251,20 @@
         parts = req.proxy.parts if req.proxy is not None else ()
         return max(1, prompt_tokens(req) - self._cache.cached_tokens(endpoint, parts))
 
-    def least_s(self, req: Request, endpoints: Sequence[Endpoint], events: float) -> float:
-        """Return how long a request takes at the fastest of some runners if it is idle."""
+    def least(self, req: Request, endpoints: Sequence[Endpoint], events: float) -> Prediction:
+        """Return the outcome of a request at the fastest of some runners if it is idle."""
         usual = self._usual(req, endpoints)
         loads = self.states.estimate(endpoints, {}, 0.0)
-        return min(
+        outcomes = [
             predict(
                 RunnerLoad(load.slots, 0.0, 0.0, load.slowness, load.gap_s),
                 usual,
                 self.new_tokens(name, req),
                 events,
-            ).finish_s
+            )
             for name, load in loads.items()
-        )
+        ]
+        return min(outcomes, key=lambda item: item.finish_s)
 
     def on_arrival(self, req: Request) -> None:
         """Record the arrival of a request: the sides are divided by the time in slots."""
@@ -277,12 +284,21 @@
         usual_s = held_s / self.states.rank_slowness(endpoint)
         self._hold_s[kind] += WEIGHT * (usual_s - self._hold_s[kind])
 
+    def _reserve(self, req: Request, now: float) -> float:
+        """Return the share of free slots that a runner of the other side keeps."""
+        if not is_long(req):
+            return 0.0
+        target_s = req.target.first_token_s
+        is_late = target_s is not None and now - req.arrived > target_s
+        return LATE_RESERVE_SHARE if is_late else LONG_RESERVE_SHARE
+
     def _usual(self, req: Request, endpoints: Sequence[Endpoint]) -> UsualWork:
         return UsualWork(self.states.prefill_s(endpoints), self._hold_s[is_long(req)])
 
-    def _is_open(self, item: Candidate, left_s: float) -> bool:
+    def _is_open(self, item: Candidate, req: Request, left_s: float) -> bool:
         free = item.load.free_slots
-        if free <= -QUEUE_SHARE * item.load.slots:
+        # Higher tiers find a place first, also before requests that other nodes hold back.
+        if free <= -QUEUE_SHARE * item.load.slots / (1.0 + TIER_SHARE * (req.tier - 1)):
             return False
         share = FREE_TIME_SHARE if free >= 1.0 else TIME_SHARE
         return item.prediction.finish_s <= share * left_s
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -38,7 +38,6 @@
 from .promptcache import PromptCacheIndex, PromptCacheSync
 from .proxygateway import ProxyCodec, ProxyGateway
 from .proxyrouter import ProxyClient, ProxyRouter
-from .proxyscheduler import ProxyScheduler
 from .readturns import MANY_NODES, ReadTurns, TurnTiming
 from .relayedtopic import RelayedTopic
 from .runner_allocation import DemandAllocation
@@ -49,6 +48,7 @@
 from .suspend import SuspendWatch
 from .tables import Endpoint, Tables
 from .transport import Peer
+from .unevenscheduler import UnevenScheduler
 
 # A long poll waits for this share of the time within which a change must be in force. A read whose
 # connection falls silent hangs for that long and the time-out of an answer.
@@ -385,17 +385,17 @@
         self._connections = ConnectionPool()
         self._pauses = EndpointPauses()
         reports = LoadReports()
-        self._scheduler = ProxyScheduler(
+        self._scheduler = UnevenScheduler(
             HealthyPools(self._tables, self._health),
             reports,
-            history,
+            states=self._runner_states,
+            zone=self.cfg.availability_zone,
+            history=history,
             allocation=self._runner_allocation,
             cached=self._cache_sync,
             full=self._full_runners,
             quotas=self._quotas,
             pauses=self._pauses,
-            states=self._runner_states,
-            zone=self.cfg.availability_zone,
         )
         dependencies = DispatcherDependencies(
             scheduler=self._scheduler,
--- a/lacewinghub/proxyscheduler.py
+++ b/lacewinghub/proxyscheduler.py
@@ -15,14 +15,12 @@
 from .fullrunner import FullRunners
 from .history import History
 from .local import DirectScheduler, PoolState
-from .placement import Candidate, Placement, ZoneCost
 from .promptcache import PromptCacheIndex, PromptCacheSync
 from .promptgate import PromptGate
 from .promptsplit import PromptSplit, is_long, is_urgent
 from .queue import Fits, TierQueue, Waiter, WaitQueue
 from .request import AttemptResult, Grant, ProxyState, Request
 from .runner_allocation import FixedAllocation, RunnerAllocation
-from .runner_state import RunnerStates
 from .scheduler import PoolView
 from .selection import LoadReports, TwoChoices
 from .tables import Endpoint
@@ -50,6 +48,7 @@
     """One tier queue for each traffic class, such as long and short prompts.
 
     A traffic class of which no request can be served at the moment does not block the others.
+    Waiters that are late are served after all others of their tier.
 
     Args:
         traffic_class: Returns the traffic class of a request.
@@ -57,11 +56,16 @@
 
     def __init__(self, traffic_class: Callable[[Request], int]) -> None:
         self._traffic_class = traffic_class
-        self._queues: dict[int, TierQueue] = {}
+        self._queues: dict[tuple[bool, int], TierQueue] = {}
 
     def push(self, waiter: Waiter) -> None:
         """Add a waiter to the queue of its traffic class."""
-        self._queues.setdefault(self._traffic_class(waiter.req), TierQueue()).push(waiter)
+        key = self._key(waiter)
+        if key not in self._queues:
+            self._queues[key] = TierQueue()
+            # The sort is stable: the queues of late waiters come last.
+            self._queues = dict(sorted(self._queues.items(), key=lambda item: item[0][0]))
+        self._queues[key].push(waiter)
 
     def pop(self, fits: Fits | None = None, tier: int | None = None) -> Waiter | None:
         """Remove and return the next waiter of the highest tier that has a fitting one."""
@@ -75,7 +79,7 @@
 
     def remove(self, waiter: Waiter) -> bool:
         """Remove a waiter; return False if it is not queued."""
-        queue = self._queues.get(self._traffic_class(waiter.req))
+        queue = self._queues.get(self._key(waiter))
         return queue is not None and queue.remove(waiter)
 
     def lowest(self) -> Waiter | None:
@@ -100,6 +104,9 @@
         for queue in self._queues.values():
             yield from queue
 
+    def _key(self, waiter: Waiter) -> tuple[bool, int]:
+        return waiter.late, self._traffic_class(waiter.req)
+
     def __len__(self) -> int:
         """Return the number of waiters."""
         return sum(len(queue) for queue in self._queues.values())
@@ -114,14 +121,12 @@
         sent_at: Loop time at which it was sent, in seconds.
         last_event: Loop time of the last event of its answer, in seconds.
         events: Number of events received.
-        new_tokens: Prompt tokens that the runner has probably not cached.
     """
 
     req: Request
     sent_at: float
     last_event: float = 0.0
     events: int = 0
-    new_tokens: int = 0
 
 
 class ProxyScheduler(DirectScheduler):
@@ -140,9 +145,6 @@
         full: Runners that recently refused a request because they were full.
         quotas: Rates of requests that endpoints state; None if they state none.
         pauses: Endpoints that want no requests of this node for some time.
-        states: State of the runners that state their speed; None if none does.
-        zone: Availability zone of this node.
-        zone_cost: Price of other availability zones; None if they cost nothing.
     """
 
     def __init__(
@@ -156,13 +158,10 @@
         full: FullRunners | None = None,
         quotas: EndpointQuotas | None = None,
         pauses: EndpointPauses | None = None,
-        states: RunnerStates | None = None,
-        zone: str = "",
-        zone_cost: ZoneCost | None = None,
     ) -> None:
         self._cached = cached or PromptCacheSync(PromptCacheIndex())
-        allocation = allocation or FixedAllocation()
-        self._split = PromptSplit(reports, allocation, self._cached.cache)
+        self._allocation = allocation or FixedAllocation()
+        self._split = PromptSplit(reports, self._allocation, self._cached.cache)
         self._gate = PromptGate()
         self._full = full or FullRunners()
         self._quotas = quotas
@@ -170,12 +169,6 @@
         self._pump_timers: dict[str, asyncio.TimerHandle] = {}
         self._rng = rng or random.Random()
         self._attempts: dict[int, _Attempt] = {}
-        self._placement: Placement | None = None
-        if states is not None:
-            reports.listen(states.on_report)
-            self._placement = Placement(
-                states, self._cached.cache, allocation, self._rng, zone, zone_cost
-            )
         super().__init__(
             view,
             lambda: TrafficClassQueue(lambda req: int(is_long(req))),
@@ -189,13 +182,18 @@
         """Queue the request and wait for an endpoint."""
         if req.proxy is not None and req.proxy.prompt_tokens:
             if not req.proxy.sent:
-                self._record_arrival(req)
-            req.patience_s = _patience_s(req, req.proxy, asyncio.get_running_loop().time())
+                self.record_arrival(req)
+            req.patience_s = self.patience_s(req, asyncio.get_running_loop().time())
         return await super().acquire(req)
 
-    def _record_arrival(self, req: Request) -> None:
-        placement = self._active_placement(req, self.view.usable(req.pool))
-        (placement or self._split).on_arrival(req)
+    def record_arrival(self, req: Request) -> None:
+        """Record the arrival of a prompt."""
+        self._split.on_arrival(req)
+
+    def patience_s(self, req: Request, now: float) -> float:
+        """Return how long after its arrival a prompt may wait for a runner, in seconds."""
+        assert req.proxy is not None
+        return _patience_s(req, req.proxy, now)
 
     def make_waiter(self, req: Request, fut: asyncio.Future[Grant]) -> Waiter:
         """Return the queue entry of a request.
@@ -211,8 +209,6 @@
     def on_endpoint_full(self, grant: Grant) -> None:
         """Send no further prompts to a full runner for a short time."""
         self._full.record_refusal(grant.endpoint)
-        if self._placement is not None:
-            self._placement.states.on_refused(grant.endpoint)
 
     def retry_after_s(self, waiter: Waiter) -> float:
         """Return after how many seconds the client of a shed request should retry."""
@@ -262,10 +258,7 @@
         self._pauses.on_sent(grant.endpoint)
         if req.proxy is not None and req.proxy.prompt_tokens:
             now = asyncio.get_running_loop().time()
-            attempt = self._attempts[grant.id] = _Attempt(req, now)
-            if self._placement is not None:
-                attempt.new_tokens = self._placement.new_tokens(grant.endpoint, req)
-                self._placement.on_sent(grant.endpoint, req, attempt.new_tokens)
+            self._attempts[grant.id] = _Attempt(req, now)
             self._split.on_sent(grant.endpoint, req)
             self._cached.on_sent(grant.endpoint, req.proxy.parts)
             if is_long(req):
@@ -283,8 +276,6 @@
             self.pump(grant.pool)
         else:
             self._gate.on_answer_event(grant.endpoint, now - attempt.last_event, now)
-            if self._placement is not None:
-                self._placement.states.on_gap(grant.endpoint, now - attempt.last_event)
         attempt.events += 1
         attempt.last_event = now
 
@@ -295,15 +286,10 @@
             self._on_answer_began(grant.endpoint, attempt, None)
         elif attempt is not None and result.ok:
             self._gate.record_length(attempt.req.request_class, attempt.events)
-            if self._placement is not None:
-                held_s = asyncio.get_running_loop().time() - attempt.sent_at
-                self._placement.on_finished(grant.endpoint, attempt.req, held_s)
         super().release(grant, result)
 
     def _on_answer_began(self, endpoint: str, attempt: _Attempt, first_s: float | None) -> None:
         self._split.on_answer_began(endpoint, attempt.req)
-        if self._placement is not None:
-            self._placement.states.on_answer_began(endpoint, attempt.new_tokens, first_s)
         if is_long(attempt.req):
             self._gate.on_answer_began(endpoint, first_s)
 
@@ -312,10 +298,6 @@
         permitted = self._permitted(free)
         if req.proxy is None or not req.proxy.prompt_tokens:
             return permitted
-        placement = self._active_placement(req, free)
-        if placement is not None:
-            opened, other_side = self._placed(placement, req, free, permitted)
-            return [item.endpoint for item in opened or other_side]
         side = self._split.side(req, free)
         own_side = [item for item in side if item in permitted]
         not_full = [item for item in own_side if not self._full.is_full(item.name)]
@@ -337,51 +319,6 @@
             return others or own_side
         return found
 
-    def _active_placement(self, req: Request, endpoints: Sequence[Endpoint]) -> Placement | None:
-        """Return what places a request by the state of the runners, or None if they state none."""
-        placement = self._placement
-        if placement is None or req.proxy is None or not req.proxy.prompt_tokens:
-            return None
-        return placement if placement.is_active(endpoints) else None
-
-    def _placed(
-        self,
-        placement: Placement,
-        req: Request,
-        free: Sequence[Endpoint],
-        permitted: Sequence[Endpoint],
-    ) -> tuple[list[Candidate], list[Candidate]]:
-        """Return the runners that may receive a request now: those of its side, and the others."""
-        now = asyncio.get_running_loop().time()
-        in_flight = self.state(req.pool).in_flight
-        events = self._gate.expected_events(req)
-        names = {item.name for item in permitted}
-        side = placement.side(req, free)
-        own_names = {item.name for item in side}
-        rest = [item for item in free if item.name not in own_names]
-        opened: list[list[Candidate]] = []
-        closed: list[Candidate] = []
-        for group, other_side in ((side, False), (rest, True)):
-            long_side = is_long(req) is not other_side
-            found = (
-                placement.candidates(req, group, in_flight, events, now, long_side) if group else []
-            )
-            found = [item for item in found if item.endpoint.name in names]
-            usable = [item for item in found if not self._is_full(placement, item.endpoint.name)]
-            fresh = [item for item in usable if item.endpoint.name not in req.excluded_endpoints]
-            opened.append(
-                placement.open(req, fresh, now, other_side)
-                or placement.open(req, usable, now, other_side)
-            )
-            closed += usable or found
-        if not opened[0] and not opened[1] and req.proxy is not None and req.proxy.may_have_run:
-            # The client of an interrupted answer has already waited and will not return.
-            return closed, []
-        return opened[0], opened[1]
-
-    def _is_full(self, placement: Placement, endpoint: str) -> bool:
-        return self._full.is_full(endpoint) or placement.states.is_full(endpoint)
-
     def _permitted(self, endpoints: Sequence[Endpoint]) -> list[Endpoint]:
         """Return the endpoints that permit a request now, by what they state in their answers."""
         return [item for item in endpoints if not self._wait_s(item)]
@@ -397,10 +334,6 @@
     def _choose_endpoint(
         self, req: Request, free: Sequence[Endpoint], state: PoolState
     ) -> Endpoint:
-        placement = self._active_placement(req, free)
-        if placement is not None:
-            own, others = self._placed(placement, req, free, self._permitted(free))
-            return placement.choose(req, own or others, others if own else ()).endpoint
         candidates = self._open_endpoints(req, free)
         candidates = [
             item for item in candidates if item.name not in req.excluded_endpoints
--- a/lacewinghub/queue.py
+++ b/lacewinghub/queue.py
@@ -27,6 +27,8 @@
         queued: True while the request is in a queue.
         since: Loop time at which it was queued; later than its arrival for a resumed request.
         group: Name of the runner group whose broker is asked for a slot, or empty.
+        late: True for a request that can no longer begin within its target and yields to others.
+        late_at: Loop time from which on that is so, in seconds.
     """
 
     req: Request
@@ -38,6 +40,8 @@
     queued: bool = False
     group: str = ""
     since: float = 0.0
+    late: bool = False
+    late_at: float = float("inf")
 
     @property
     def protected(self) -> bool:
--- /dev/null
+++ b/lacewinghub/unevenscheduler.py
@@ -0,0 +1,260 @@
+"""Scheduler of proxied requests for pools whose runners state how fast they are now.
+
+Such pools are served by the state that all nodes share: ``placement`` chooses the runner, and
+``latecomers`` decides what becomes of requests for which there is too little room. All other pools
+are served by ``ProxyScheduler`` alone.
+"""
+
+import asyncio
+from collections.abc import Sequence
+from functools import partial
+from typing import Any
+
+from .latecomers import is_hopeless, late_at, patience_s, retry_after_s
+from .local import PoolState
+from .placement import Candidate, Placement, ZoneCost
+from .proxyscheduler import ProxyScheduler
+from .queue import Fits, Waiter
+from .request import AttemptResult, Grant, Request
+from .runner_state import RunnerStates
+from .scheduler import PoolView
+from .selection import LoadReports
+from .tables import Endpoint
+
+HOPELESS = "no runner can complete the answer before the deadline"
+
+
+class UnevenScheduler(ProxyScheduler):
+    """Serves pools whose runners state their speed by the state that all nodes share.
+
+    Args:
+        view: Pools and usable endpoints.
+        reports: Reported loads.
+        states: State of the runners.
+        zone: Availability zone of this node.
+        zone_cost: Price of other availability zones; None if they cost nothing.
+        kwargs: Further arguments of ``ProxyScheduler``.
+    """
+
+    def __init__(
+        self,
+        view: PoolView,
+        reports: LoadReports,
+        *,
+        states: RunnerStates,
+        zone: str = "",
+        zone_cost: ZoneCost | None = None,
+        **kwargs: Any,
+    ) -> None:
+        super().__init__(view, reports, **kwargs)
+        reports.listen(states.on_report)
+        self._placement = Placement(
+            states, self._cached.cache, self._allocation, self._rng, zone, zone_cost
+        )
+        self._new_tokens: dict[int, int] = {}
+        # The last request whose runners were determined, for its choice in the same dispatch.
+        self._last_placed: tuple[Request, list[Candidate], list[Candidate]] | None = None
+
+    def record_arrival(self, req: Request) -> None:
+        """Record the arrival of a prompt."""
+        if self._is_placed(req, self.view.usable(req.pool)):
+            self._placement.on_arrival(req)
+        else:
+            super().record_arrival(req)
+
+    def patience_s(self, req: Request, now: float) -> float:
+        """Return how long after its arrival a prompt may wait: as long as it could still finish."""
+        usable = self.view.usable(req.pool)
+        if not self._is_placed(req, usable):
+            return super().patience_s(req, now)
+        least = self._placement.least(req, usable, self._gate.expected_events(req))
+        return patience_s(req, least.finish_s, now)
+
+    def make_waiter(self, req: Request, fut: asyncio.Future[Grant]) -> Waiter:
+        """Return the queue entry of a request."""
+        waiter = super().make_waiter(req, fut)
+        usable = self.view.usable(req.pool)
+        if self._is_placed(req, usable) and not waiter.resumed:
+            least = self._placement.least(req, usable, 1.0)
+            waiter.late_at = late_at(req, least.first_s)
+        return waiter
+
+    def retry_after_s(self, waiter: Waiter) -> float:
+        """Return after how many seconds the client of a shed request should retry."""
+        if not self._is_placed(waiter.req, self.view.usable(waiter.req.pool)):
+            return super().retry_after_s(waiter)
+        return retry_after_s(waiter.req, asyncio.get_running_loop().time(), self._rng)
+
+    def on_endpoint_full(self, grant: Grant) -> None:
+        """Send no further prompts to a full runner for a short time."""
+        super().on_endpoint_full(grant)
+        self._placement.states.on_refused(grant.endpoint)
+
+    def assign(self, waiter: Waiter, grant: Grant) -> None:
+        """Hand a grant to a waiter that was removed from its queue."""
+        req = waiter.req
+        if req.proxy is not None and req.proxy.prompt_tokens:
+            new_tokens = self._placement.new_tokens(grant.endpoint, req)
+            self._new_tokens[grant.id] = new_tokens
+            self._placement.on_sent(grant.endpoint, req, new_tokens)
+        super().assign(waiter, grant)
+
+    def on_answer_event(self, grant: Grant) -> None:
+        """Update the measured speed of the runner with an event of an answer."""
+        attempt = self._attempts.get(grant.id)
+        now = asyncio.get_running_loop().time()
+        if attempt is not None and attempt.events == 0:
+            self._on_began(grant, now - attempt.sent_at)
+        elif attempt is not None:
+            self._placement.states.on_gap(grant.endpoint, now - attempt.last_event)
+        super().on_answer_event(grant)
+
+    def release(self, grant: Grant, result: AttemptResult) -> None:
+        """Return a slot and dispatch the next waiter."""
+        attempt = self._attempts.get(grant.id)
+        if attempt is not None and attempt.events == 0:
+            self._on_began(grant, None)
+        elif attempt is not None and result.ok:
+            held_s = asyncio.get_running_loop().time() - attempt.sent_at
+            self._placement.on_finished(grant.endpoint, attempt.req, held_s)
+        super().release(grant, result)
+
+    def _on_began(self, grant: Grant, first_s: float | None) -> None:
+        new_tokens = self._new_tokens.pop(grant.id, 0)
+        self._placement.states.on_answer_began(grant.endpoint, new_tokens, first_s)
+
+    def _dispatch_waiters(self, pool: str, state: PoolState) -> None:
+        if not self._placement.is_active(self.view.usable(pool)):
+            super()._dispatch_waiters(pool, state)
+            return
+        self._set_late(state)
+        hopeless: list[Waiter] = []
+        closed: set[tuple[str, int]] = set()
+        while len(state.queue):
+            free = self.free(pool, state)
+            waiter = state.queue.pop(self._fits_placed(free, closed, hopeless)) if free else None
+            if waiter is None:
+                break
+            if not waiter.fut.done():
+                self.assign_chosen(
+                    waiter,
+                    pool,
+                    partial(self._choose_endpoint, waiter.req, free, state),
+                )
+        for waiter in hopeless:
+            if waiter.queued and not waiter.protected:
+                self._shed(waiter, HOPELESS)
+
+    def _set_late(self, state: PoolState) -> None:
+        """Let the waiters that can no longer begin in time yield to the others of their tier."""
+        now = asyncio.get_running_loop().time()
+        for waiter in [item for item in state.queue if not item.late and item.late_at <= now]:
+            state.queue.remove(waiter)
+            waiter.late = True
+            state.queue.push(waiter)
+
+    def _fits_placed(
+        self,
+        free: Sequence[Endpoint],
+        closed: set[tuple[str, int]],
+        hopeless: list[Waiter],
+    ) -> Fits:
+        """Return the rating of waiters; it collects the hopeless ones.
+
+        Args:
+            free: Endpoints below the limit of this node.
+            closed: Classes and tiers of requests for which no runner was found in this dispatch;
+                others of them are not tried, since each trial takes half a millisecond.
+            hopeless: Receives the waiters that cannot finish before their deadlines.
+        """
+
+        def fits(waiter: Waiter) -> int:
+            req = waiter.req
+            key = (req.request_class, req.tier)
+            if key in closed and not waiter.resumed:
+                return 0
+            if self._open_endpoints(req, free):
+                return 1
+            closed.add(key)
+            if self._is_hopeless(req, free):
+                hopeless.append(waiter)
+            return 0
+
+        return fits
+
+    def _is_hopeless(self, req: Request, free: Sequence[Endpoint]) -> bool:
+        if req.proxy is None or not req.proxy.prompt_tokens:
+            return False
+        permitted = self._permitted(free)
+        if not permitted:
+            return False
+        now = asyncio.get_running_loop().time()
+        found = self._candidates(req, permitted, now, other_side=False)
+        if any(item.load.free_slots >= 1.0 for item in found):
+            return False
+        return is_hopeless(
+            min(item.prediction.finish_s for item in found), req.proxy.deadline - now
+        )
+
+    def _open_endpoints(self, req: Request, free: Sequence[Endpoint]) -> list[Endpoint]:
+        if not self._is_placed(req, free):
+            return super()._open_endpoints(req, free)
+        own, others = self._open_candidates(req, free)
+        self._last_placed = (req, own, others)
+        return [item.endpoint for item in own or others]
+
+    def _choose_endpoint(
+        self, req: Request, free: Sequence[Endpoint], state: PoolState
+    ) -> Endpoint:
+        placed, self._last_placed = self._last_placed, None
+        if not self._is_placed(req, free):
+            return super()._choose_endpoint(req, free, state)
+        if placed is not None and placed[0] is req:
+            _, own, others = placed
+        else:
+            own, others = self._open_candidates(req, free)
+        return self._placement.choose(req, own or others, others if own else ()).endpoint
+
+    def _is_placed(self, req: Request, endpoints: Sequence[Endpoint]) -> bool:
+        """Return whether a request is placed by the state of the runners."""
+        has_prompt = req.proxy is not None and req.proxy.prompt_tokens > 0
+        return has_prompt and self._placement.is_active(endpoints)
+
+    def _open_candidates(
+        self, req: Request, free: Sequence[Endpoint]
+    ) -> tuple[list[Candidate], list[Candidate]]:
+        """Return the runners that may receive a request now: those of its side, and the others."""
+        assert req.proxy is not None
+        now = asyncio.get_running_loop().time()
+        names = {item.name for item in self._permitted(free)}
+        side = self._placement.side(req, free)
+        side_names = {item.name for item in side}
+        rest = [item for item in free if item.name not in side_names]
+        opened: list[list[Candidate]] = []
+        closed: list[Candidate] = []
+        for group, other_side in ((side, False), (rest, True)):
+            found = self._candidates(req, group, now, other_side)
+            found = [item for item in found if item.endpoint.name in names]
+            usable = [item for item in found if not self._is_full(item.endpoint.name)]
+            fresh = [item for item in usable if item.endpoint.name not in req.excluded_endpoints]
+            opened.append(
+                self._placement.open(req, fresh, now, other_side)
+                or self._placement.open(req, usable, now, other_side)
+            )
+            closed += usable or found
+        if not opened[0] and not opened[1] and req.proxy.may_have_run:
+            # The client of an interrupted answer has already waited and will not return.
+            return closed, []
+        return opened[0], opened[1]
+
+    def _candidates(
+        self, req: Request, group: Sequence[Endpoint], now: float, other_side: bool
+    ) -> list[Candidate]:
+        if not group:
+            return []
+        in_flight = self.state(req.pool).in_flight
+        events = self._gate.expected_events(req)
+        return self._placement.candidates(req, group, in_flight, events, now, other_side)
+
+    def _is_full(self, endpoint: str) -> bool:
+        return self._full.is_full(endpoint) or self._placement.states.is_full(endpoint)
--- a/tests/load_model.py
+++ b/tests/load_model.py
@@ -6,7 +6,9 @@
 import asyncio
 import random
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from lacewinghub.errors import LacewingError
 from lacewinghub.fullrunner import FullRunners
@@ -21,6 +23,7 @@
 from lacewinghub.scheduler import TablesView
 from lacewinghub.selection import LoadReports
 from lacewinghub.tables import Endpoint, Pool, Tables, Target
+from lacewinghub.unevenscheduler import UnevenScheduler
 
 from .test_shared_news import FixedMembers
 
@@ -138,14 +141,15 @@
         self.items = 0
         parts = [self.states, self.full, self.allocation, self.cache]
         self.contributors: list[HeartbeatContributor] = list(parts)  # type: ignore[arg-type]
-        self.scheduler = ProxyScheduler(
+        create: Callable[..., ProxyScheduler]
+        create = partial(UnevenScheduler, states=self.states) if states else ProxyScheduler
+        self.scheduler: ProxyScheduler = create(
             TablesView(lambda: tables),
             self.reports,
             rng=rng,
             allocation=self.allocation,
             cached=self.cache,
             full=self.full,
-            states=self.states if states else None,
         )
 
     async def beat(self) -> None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -14,6 +14,7 @@
 from lacewinghub.scheduler import TablesView
 from lacewinghub.selection import LoadReports
 from lacewinghub.tables import Endpoint, Pool, Tables, Target
+from lacewinghub.unevenscheduler import UnevenScheduler
 
 from .clock import simulate
 from .load_model import LoadModel, MeshMembers
@@ -136,13 +137,11 @@
             tables = Tables(version=1)
             tables.pools = {"p": Pool("p", RUNNERS, queue_limit=1000)}
             reports = LoadReports()
-            scheduler = ProxyScheduler(
-                TablesView(lambda: tables),
-                reports,
-                rng=random.Random(1),
-                full=FullRunners(),
-                states=RunnerStates(MeshMembers(40)) if states else None,
-            )
+            view, rng, full = TablesView(lambda: tables), random.Random(1), FullRunners()
+            scheduler = ProxyScheduler(view, reports, rng=rng, full=full)
+            if states:
+                shared = RunnerStates(MeshMembers(40))
+                scheduler = UnevenScheduler(view, reports, states=shared, rng=rng, full=full)
             found = []
             for number in range(120):
                 tokens = 12_000 if number % 3 == 0 else 800
