--- a/lacewinghub/placement.py
+++ b/lacewinghub/placement.py
@@ -16,6 +16,7 @@
 import xxhash
 
 from .prediction import Prediction, RunnerLoad, UsualWork, loss_s, predict
+from .prediction_error import PredictionErrors
 from .promptcache import PromptCacheIndex
 from .promptsplit import affinity_key, is_long, prompt_tokens
 from .request import Request
@@ -28,6 +29,8 @@
 # smaller share: the first divided by one and this figure for each higher tier.
 QUEUE_SHARE = 0.25
 TIER_SHARE = 0.5
+# Requests that a node may send at once to runners without a free slot.
+QUEUE_BURST = 2.0
 # A request is sent only where it is predicted to end within this share of the time left, or within
 # that of the second figure if a slot is free there: the prediction may be wrong.
 TIME_SHARE = 0.9
@@ -81,6 +84,7 @@
         prediction: What becomes of the request there.
         loss_s: Cost of that, in seconds of waiting.
         new_tokens: Prompt tokens that it has probably not cached.
+        raw: The prediction without correction.
     """
 
     endpoint: Endpoint
@@ -88,11 +92,47 @@
     prediction: Prediction
     loss_s: float
     new_tokens: int
+    raw: Prediction
+
+
+class QueuePermits:
+    """Limits what a node sends to runners without a free slot to its share of what they complete.
+
+    Otherwise all nodes would send their waiting requests to the few runners that seem least loaded,
+    whose queues would grow until the next observation.
+    """
+
+    def __init__(self) -> None:
+        self._permits = QUEUE_BURST
+        self._per_s = 0.0
+        self._at = 0.0
+
+    def refill(self, per_s: float, now: float) -> None:
+        """Add the permits since the last call.
+
+        Args:
+            per_s: Requests per second that the runners complete, divided by the number of nodes.
+            now: Loop time, in seconds.
+        """
+        self._permits = min(QUEUE_BURST, self._permits + self._per_s * (now - self._at))
+        self._per_s, self._at = per_s, now
+
+    def is_available(self) -> bool:
+        """Return whether a request may be sent to a runner without a free slot."""
+        return self._permits >= 1.0
+
+    def spend(self) -> None:
+        """Record that a request is sent to any runner."""
+        self._permits = max(-QUEUE_BURST, self._permits - 1.0)
 
 
 class Placement:
     """Chooses runners by the predicted outcome.
 
+    Attributes:
+        states: State of the runners.
+        errors: Errors of the predictions.
+
     Args:
         states: State of the runners.
         cache: Prompt parts that the runners have cached.
@@ -112,11 +152,13 @@
         zone_cost: ZoneCost | None = None,
     ) -> None:
         self.states = states
+        self.errors = PredictionErrors()
         self._cache = cache
         self._allocation = allocation
         self._rng = rng or random.Random()
         self._zone = zone
         self._zone_cost = zone_cost
+        self._permits = {True: QueuePermits(), False: QueuePermits()}
         self._hold_s = dict(DEFAULT_HOLD_S)
         self._tokens = dict(DEFAULT_TOKENS)
 
@@ -160,14 +202,17 @@
         loads = self.states.estimate(
             endpoints, in_flight, self._tokens[is_long(req) is not other_side]
         )
+        if not other_side:
+            self._refill(req, loads, now)
         left_s = _left_s(req, now)
         found = []
         for item in endpoints:
             new_tokens = self.new_tokens(item.name, req)
-            prediction = predict(loads[item.name], usual, new_tokens, events)
+            raw = predict(loads[item.name], usual, new_tokens, events)
+            prediction = self.errors.correct(raw, is_long(req))
             loss = loss_s(prediction, req.target, left_s, now - req.arrived)
             loss += self._zone_s(item, req, events)
-            found.append(Candidate(item, loads[item.name], prediction, loss, new_tokens))
+            found.append(Candidate(item, loads[item.name], prediction, loss, new_tokens, raw))
         return found
 
     def open(
@@ -270,12 +315,14 @@
         """Record the arrival of a request: the sides are divided by the time in slots."""
         kind = is_long(req)
         self._allocation.use_average()
-        self._allocation.record_arrival(kind, round(self._hold_s[kind] * WORK_PER_S), 0)
+        work = self._hold_s[kind] * WORK_PER_S
+        self._allocation.record_arrival(kind, round(work), 0)
 
     def on_sent(self, endpoint: str, req: Request, new_tokens: int) -> None:
         """Record that a request is sent to a runner."""
         self.states.on_sent(endpoint, new_tokens)
         kind = is_long(req)
+        self._permits[kind].spend()
         self._tokens[kind] += WEIGHT * (new_tokens - self._tokens[kind])
 
     def on_finished(self, endpoint: str, req: Request, held_s: float) -> None:
@@ -292,6 +339,12 @@
         is_late = target_s is not None and now - req.arrived > target_s
         return LATE_RESERVE_SHARE if is_late else LONG_RESERVE_SHARE
 
+    def _refill(self, req: Request, loads: Mapping[str, RunnerLoad], now: float) -> None:
+        kind = is_long(req)
+        slots = sum(item.slots / item.slowness for item in loads.values())
+        per_s = slots / self._hold_s[kind] / self.states.nodes()
+        self._permits[kind].refill(per_s, now)
+
     def _usual(self, req: Request, endpoints: Sequence[Endpoint]) -> UsualWork:
         return UsualWork(self.states.prefill_s(endpoints), self._hold_s[is_long(req)])
 
@@ -300,6 +353,8 @@
         # Higher tiers find a place first, also before requests that other nodes hold back.
         if free <= -QUEUE_SHARE * item.load.slots / (1.0 + TIER_SHARE * (req.tier - 1)):
             return False
+        if free < 1.0 and not self._permits[is_long(req)].is_available():
+            return False
         share = FREE_TIME_SHARE if free >= 1.0 else TIME_SHARE
         return item.prediction.finish_s <= share * left_s
 
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -485,6 +485,8 @@
             self._metrics.set("config_version", self._current_config.current.version)
             self._metrics.set("config_age_s", self._config_topic.age_s)
             self._metrics.set("endpoints_age_s", self._endpoints_topic.age_s)
+            self._metrics.set("first_event_error_s", self._scheduler.errors.first_event_s)
+            self._metrics.set("finish_error_s", self._scheduler.errors.finish_s)
             self._metrics.set("crash_causes", len(self._crash_guard.causes))
             self._metrics.set("live_nodes", len(self._overlay.live()))
             self._metrics.set("endpoint_connections_opened", self._connections.opened)
--- a/lacewinghub/runner_state.py
+++ b/lacewinghub/runner_state.py
@@ -21,7 +21,12 @@
 
 # Time constant with which the load of a runner fades towards the mean of its pool, in seconds; it
 # is about the duration of an answer.
-FADE_S = 0.6
+FADE_S = 0.8
+# A runner of which no node has had an answer for this long, in seconds, probably has less to do
+# than the mean: in the load model, such runners had 1 request instead of 13 after 2 s. It is not
+# assumed to be idle, since all nodes would choose it.
+UNSEEN_S = 1.0
+UNSEEN_SHARE = 0.3
 # A pool is placed by this state if one of its runners stated its speed within this time, in
 # seconds.
 STATED_S = 20.0
@@ -164,6 +169,10 @@
         self._runners: dict[str, _Runner] = {}
         self._stated_at = -math.inf
 
+    def nodes(self) -> int:
+        """Return the number of live nodes."""
+        return max(1, len(self._members.live()))
+
     def is_stated(self, endpoints: Sequence[Endpoint]) -> bool:
         """Return whether one of some endpoints stated its speed to any node recently."""
         limit = _now() - STATED_S
@@ -285,8 +294,9 @@
         found = {}
         for endpoint, runner, weight in zip(endpoints, known, weights, strict=True):
             sent, sent_tokens = _sent_since(runner, now)
-            load = weight * runner.running + (1 - weight) * running * endpoint.slots
-            queued = weight * runner.waiting + (1 - weight) * waiting * endpoint.slots
+            rest = (1 - weight) * endpoint.slots * _unseen_share(now - runner.at)
+            load = weight * runner.running + rest * running
+            queued = weight * runner.waiting + rest * waiting
             total_load = max(load + queued + sent, float(in_flight.get(endpoint.name, 0)))
             if runner.full_until > now:
                 total_load = max(total_load, endpoint.slots + 1.0)
@@ -380,7 +390,7 @@
     def _max_items(self, partial_mesh: bool) -> int:
         if not partial_mesh:
             return MESH_ITEMS
-        return max(MIN_ITEMS, min(MAX_ITEMS, ITEMS_NODES // max(1, len(self._members.live()))))
+        return max(MIN_ITEMS, min(MAX_ITEMS, ITEMS_NODES // self.nodes()))
 
     def _runner(self, endpoint: str) -> _Runner:
         found = self._runners.get(endpoint)
@@ -389,6 +399,11 @@
         return found
 
 
+def _unseen_share(age_s: float) -> float:
+    """Return the load, relative to the mean, of a runner that no node has observed for a time."""
+    return max(UNSEEN_SHARE, math.exp(min(0.0, (UNSEEN_S - age_s) / UNSEEN_S)))
+
+
 def _sent_since(runner: _Runner, now: float) -> tuple[int, float]:
     """Return the number and prompt tokens of what was sent since the last observation."""
     while runner.sent and runner.sent[0][0] < now - 2 * FADE_S:
--- a/lacewinghub/unevenscheduler.py
+++ b/lacewinghub/unevenscheduler.py
@@ -7,12 +7,15 @@
 
 import asyncio
 from collections.abc import Sequence
+from dataclasses import dataclass
 from functools import partial
 from typing import Any
 
 from .latecomers import is_hopeless, late_at, patience_s, retry_after_s
 from .local import PoolState
 from .placement import Candidate, Placement, ZoneCost
+from .prediction import Prediction
+from .promptsplit import is_long
 from .proxyscheduler import ProxyScheduler
 from .queue import Fits, Waiter
 from .request import AttemptResult, Grant, Request
@@ -24,6 +27,21 @@
 HOPELESS = "no runner can complete the answer before the deadline"
 
 
+@dataclass(slots=True)
+class _Sent:
+    """A request that was sent to a runner.
+
+    Attributes:
+        new_tokens: Prompt tokens that the runner has probably not cached.
+        predicted: The predicted outcome without correction, or None.
+        first_s: Time from sending to the first event, in seconds; None before it.
+    """
+
+    new_tokens: int
+    predicted: Prediction | None
+    first_s: float | None = None
+
+
 class UnevenScheduler(ProxyScheduler):
     """Serves pools whose runners state their speed by the state that all nodes share.
 
@@ -34,6 +52,9 @@
         zone: Availability zone of this node.
         zone_cost: Price of other availability zones; None if they cost nothing.
         kwargs: Further arguments of ``ProxyScheduler``.
+
+    Attributes:
+        errors: Errors of the predicted outcomes.
     """
 
     def __init__(
@@ -51,7 +72,9 @@
         self._placement = Placement(
             states, self._cached.cache, self._allocation, self._rng, zone, zone_cost
         )
-        self._new_tokens: dict[int, int] = {}
+        self._sent: dict[int, _Sent] = {}
+        self._chosen: tuple[Request, Candidate] | None = None
+        self.errors = self._placement.errors
         # The last request whose runners were determined, for its choice in the same dispatch.
         self._last_placed: tuple[Request, list[Candidate], list[Candidate]] | None = None
 
@@ -95,16 +118,22 @@
         req = waiter.req
         if req.proxy is not None and req.proxy.prompt_tokens:
             new_tokens = self._placement.new_tokens(grant.endpoint, req)
-            self._new_tokens[grant.id] = new_tokens
+            chosen, self._chosen = self._chosen, None
+            raw = chosen[1].raw if chosen is not None and chosen[0] is req else None
+            self._sent[grant.id] = _Sent(new_tokens, raw)
             self._placement.on_sent(grant.endpoint, req, new_tokens)
         super().assign(waiter, grant)
 
     def on_answer_event(self, grant: Grant) -> None:
         """Update the measured speed of the runner with an event of an answer."""
         attempt = self._attempts.get(grant.id)
+        sent = self._sent.get(grant.id)
         now = asyncio.get_running_loop().time()
-        if attempt is not None and attempt.events == 0:
-            self._on_began(grant, now - attempt.sent_at)
+        if attempt is not None and sent is not None and attempt.events == 0:
+            sent.first_s = now - attempt.sent_at
+            self._placement.states.on_answer_began(grant.endpoint, sent.new_tokens, sent.first_s)
+            if sent.predicted is not None:
+                self.errors.on_first_event(sent.predicted, is_long(attempt.req), sent.first_s)
         elif attempt is not None:
             self._placement.states.on_gap(grant.endpoint, now - attempt.last_event)
         super().on_answer_event(grant)
@@ -112,17 +141,19 @@
     def release(self, grant: Grant, result: AttemptResult) -> None:
         """Return a slot and dispatch the next waiter."""
         attempt = self._attempts.get(grant.id)
-        if attempt is not None and attempt.events == 0:
-            self._on_began(grant, None)
-        elif attempt is not None and result.ok:
+        sent = self._sent.pop(grant.id, None)
+        if attempt is not None and sent is not None:
             held_s = asyncio.get_running_loop().time() - attempt.sent_at
-            self._placement.on_finished(grant.endpoint, attempt.req, held_s)
+            if sent.first_s is None:
+                self._placement.states.on_answer_began(grant.endpoint, sent.new_tokens, None)
+            elif result.ok:
+                self._placement.on_finished(grant.endpoint, attempt.req, held_s)
+                if sent.predicted is not None:
+                    self.errors.on_finished(
+                        sent.predicted, is_long(attempt.req), sent.first_s, held_s
+                    )
         super().release(grant, result)
 
-    def _on_began(self, grant: Grant, first_s: float | None) -> None:
-        new_tokens = self._new_tokens.pop(grant.id, 0)
-        self._placement.states.on_answer_began(grant.endpoint, new_tokens, first_s)
-
     def _dispatch_waiters(self, pool: str, state: PoolState) -> None:
         if not self._placement.is_active(self.view.usable(pool)):
             super()._dispatch_waiters(pool, state)
@@ -213,7 +244,9 @@
             _, own, others = placed
         else:
             own, others = self._open_candidates(req, free)
-        return self._placement.choose(req, own or others, others if own else ()).endpoint
+        found = self._placement.choose(req, own or others, others if own else ())
+        self._chosen = (req, found)
+        return found.endpoint
 
     def _is_placed(self, req: Request, endpoints: Sequence[Endpoint]) -> bool:
         """Return whether a request is placed by the state of the runners."""
