--- a/lacewinghub/placement.py
+++ b/lacewinghub/placement.py
@@ -16,6 +16,7 @@
 import xxhash
 
 from .prediction import Prediction, RunnerLoad, UsualWork, loss_s, predict
+from .prediction_error import PredictionErrors
 from .promptcache import PromptCacheIndex
 from .promptsplit import affinity_key, is_long, prompt_tokens
 from .request import Request
@@ -24,8 +25,12 @@
 from .tables import Endpoint
 
 # Requests in a runner's own queue, as a share of its slots, beyond which it gets no further ones.
-# Some must wait there, since no node knows at once when a slot becomes free.
+# Some must wait there, since no node knows at once when a slot becomes free. Each lower tier has a
+# smaller share: the first divided by one and this figure for each higher tier.
 QUEUE_SHARE = 0.25
+TIER_SHARE = 0.5
+# Requests that a node may send at once to runners without a free slot.
+QUEUE_BURST = 2.0
 # A request is sent only where it is predicted to end within this share of the time left, or within
 # that of the second figure if a slot is free there: the prediction may be wrong.
 TIME_SHARE = 0.9
@@ -48,8 +53,10 @@
 # time to prefill a long prompt: the request may meet one there, or hold up short ones.
 SIDE_COST_S = 0.2
 LONG_SIDE_FACTOR = 4.0
-# A long prompt goes to a runner of short ones only if this share of its slots is free.
+# A long prompt goes to a runner of short ones only if this share of its slots is free, before and
+# after its target for the first event has passed.
 LONG_RESERVE_SHARE = 0.5
+LATE_RESERVE_SHARE = 0.25
 # Work of a second in a slot, in the unit in which the nodes report their demand.
 WORK_PER_S = 10_000
 # Weight of the newest value in averages over requests.
@@ -81,6 +88,7 @@
         prediction: What becomes of the request there.
         loss_s: Cost of that, in seconds of waiting.
         new_tokens: Prompt tokens that it has probably not cached.
+        raw: The prediction without correction.
     """
 
     endpoint: Endpoint
@@ -88,11 +96,47 @@
     prediction: Prediction
     loss_s: float
     new_tokens: int
+    raw: Prediction
+
+
+class QueuePermits:
+    """Limits what a node sends to runners without a free slot to its share of what they complete.
+
+    Otherwise all nodes would send their waiting requests to the few runners that seem least loaded,
+    whose queues would grow until the next observation.
+    """
+
+    def __init__(self) -> None:
+        self._permits = QUEUE_BURST
+        self._per_s = 0.0
+        self._at = 0.0
+
+    def refill(self, per_s: float, now: float) -> None:
+        """Add the permits since the last call.
+
+        Args:
+            per_s: Requests per second that the runners complete, divided by the number of nodes.
+            now: Loop time, in seconds.
+        """
+        self._permits = min(QUEUE_BURST, self._permits + self._per_s * (now - self._at))
+        self._per_s, self._at = per_s, now
+
+    def is_available(self) -> bool:
+        """Return whether a request may be sent to a runner without a free slot."""
+        return self._permits >= 1.0
+
+    def spend(self) -> None:
+        """Record that a request is sent to any runner."""
+        self._permits = max(-QUEUE_BURST, self._permits - 1.0)
 
 
 class Placement:
     """Chooses runners by the predicted outcome.
 
+    Attributes:
+        states: State of the runners.
+        errors: Errors of the predictions.
+
     Args:
         states: State of the runners.
         cache: Prompt parts that the runners have cached.
@@ -112,11 +156,13 @@
         zone_cost: ZoneCost | None = None,
     ) -> None:
         self.states = states
+        self.errors = PredictionErrors()
         self._cache = cache
         self._allocation = allocation
         self._rng = rng or random.Random()
         self._zone = zone
         self._zone_cost = zone_cost
+        self._permits = {True: QueuePermits(), False: QueuePermits()}
         self._hold_s = dict(DEFAULT_HOLD_S)
         self._tokens = dict(DEFAULT_TOKENS)
 
@@ -144,7 +190,7 @@
         in_flight: Mapping[str, int],
         events: float,
         now: float,
-        long_side: bool,
+        other_side: bool = False,
     ) -> list[Candidate]:
         """Predict the outcome of a request at some runners of one side.
 
@@ -154,18 +200,23 @@
             in_flight: Number of this node's requests in flight, by endpoint name.
             events: Expected number of events of the answer.
             now: Loop time, in seconds.
-            long_side: True for the side of the long prompts.
+            other_side: True if they serve prompts of the other length.
         """
         usual = self._usual(req, endpoints)
-        loads = self.states.estimate(endpoints, in_flight, self._tokens[long_side])
+        loads = self.states.estimate(
+            endpoints, in_flight, self._tokens[is_long(req) is not other_side]
+        )
+        if not other_side:
+            self._refill(req, loads, now)
         left_s = _left_s(req, now)
         found = []
         for item in endpoints:
             new_tokens = self.new_tokens(item.name, req)
-            prediction = predict(loads[item.name], usual, new_tokens, events)
+            raw = predict(loads[item.name], usual, new_tokens, events)
+            prediction = self.errors.correct(raw, is_long(req))
             loss = loss_s(prediction, req.target, left_s, now - req.arrived)
             loss += self._zone_s(item, req, events)
-            found.append(Candidate(item, loads[item.name], prediction, loss, new_tokens))
+            found.append(Candidate(item, loads[item.name], prediction, loss, new_tokens, raw))
         return found
 
     def open(
@@ -181,13 +232,13 @@
         """
         left_s = _left_s(req, now)
         if other_side:
-            reserve = LONG_RESERVE_SHARE if is_long(req) else 0.0
+            reserve = self._reserve(req, now)
             candidates = [
                 item
                 for item in candidates
                 if item.load.free_slots >= max(1.0, reserve * item.load.slots)
             ]
-        found = [item for item in candidates if self._is_open(item, left_s)]
+        found = [item for item in candidates if self._is_open(item, req, left_s)]
         if self._zone_cost is None:
             return found
         # Another zone is better than none.
@@ -241,30 +292,33 @@
         parts = req.proxy.parts if req.proxy is not None else ()
         return max(1, prompt_tokens(req) - self._cache.cached_tokens(endpoint, parts))
 
-    def least_s(self, req: Request, endpoints: Sequence[Endpoint], events: float) -> float:
-        """Return how long a request takes at the fastest of some runners if it is idle."""
+    def least(self, req: Request, endpoints: Sequence[Endpoint], events: float) -> Prediction:
+        """Return the outcome of a request at the fastest of some runners if it is idle."""
         usual = self._usual(req, endpoints)
         loads = self.states.estimate(endpoints, {}, 0.0)
-        return min(
+        outcomes = [
             predict(
                 RunnerLoad(load.slots, 0.0, 0.0, load.slowness, load.gap_s),
                 usual,
                 self.new_tokens(name, req),
                 events,
-            ).finish_s
+            )
             for name, load in loads.items()
-        )
+        ]
+        return min(outcomes, key=lambda item: item.finish_s)
 
     def on_arrival(self, req: Request) -> None:
         """Record the arrival of a request: the sides are divided by the time in slots."""
         kind = is_long(req)
         self._allocation.use_average()
-        self._allocation.record_arrival(kind, round(self._hold_s[kind] * WORK_PER_S), 0)
+        work = self._hold_s[kind] * WORK_PER_S
+        self._allocation.record_arrival(kind, round(work), 0)
 
     def on_sent(self, endpoint: str, req: Request, new_tokens: int) -> None:
         """Record that a request is sent to a runner."""
         self.states.on_sent(endpoint, new_tokens)
         kind = is_long(req)
+        self._permits[kind].spend()
         self._tokens[kind] += WEIGHT * (new_tokens - self._tokens[kind])
 
     def on_finished(self, endpoint: str, req: Request, held_s: float) -> None:
@@ -273,12 +327,29 @@
         usual_s = held_s / self.states.rank_slowness(endpoint)
         self._hold_s[kind] += WEIGHT * (usual_s - self._hold_s[kind])
 
+    def _reserve(self, req: Request, now: float) -> float:
+        """Return the share of free slots that a runner of the other side keeps."""
+        if not is_long(req):
+            return 0.0
+        target_s = req.target.first_token_s
+        is_late = target_s is not None and now - req.arrived > target_s
+        return LATE_RESERVE_SHARE if is_late else LONG_RESERVE_SHARE
+
+    def _refill(self, req: Request, loads: Mapping[str, RunnerLoad], now: float) -> None:
+        kind = is_long(req)
+        slots = sum(item.slots / item.slowness for item in loads.values())
+        per_s = slots / self._hold_s[kind] / self.states.nodes()
+        self._permits[kind].refill(per_s, now)
+
     def _usual(self, req: Request, endpoints: Sequence[Endpoint]) -> UsualWork:
         return UsualWork(self.states.prefill_s(endpoints), self._hold_s[is_long(req)])
 
-    def _is_open(self, item: Candidate, left_s: float) -> bool:
+    def _is_open(self, item: Candidate, req: Request, left_s: float) -> bool:
         free = item.load.free_slots
-        if free <= -QUEUE_SHARE * item.load.slots:
+        # Higher tiers find a place first, also before requests that other nodes hold back.
+        if free <= -QUEUE_SHARE * item.load.slots / (1.0 + TIER_SHARE * (req.tier - 1)):
+            return False
+        if free < 1.0 and not self._permits[is_long(req)].is_available():
             return False
         share = FREE_TIME_SHARE if free >= 1.0 else TIME_SHARE
         return item.prediction.finish_s <= share * left_s
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -41,7 +41,6 @@
 from .promptcache import PromptCacheIndex, PromptCacheSync
 from .proxygateway import ProxyCodec, ProxyGateway
 from .proxyrouter import ProxyClient, ProxyRouter
-from .proxyscheduler import ProxyScheduler
 from .readturns import MANY_NODES, ReadTurns, TurnTiming
 from .relayedtopic import RelayedTopic
 from .run_move import RunMover
@@ -53,6 +52,7 @@
 from .suspend import SuspendWatch
 from .tables import Endpoint, Tables
 from .transport import Peer
+from .unevenscheduler import UnevenScheduler
 
 # A long poll waits for this share of the time within which a change must be in force. A read whose
 # connection falls silent hangs for that long and the time-out of an answer.
@@ -377,17 +377,17 @@
         self._connections = ConnectionPool()
         self._pauses = EndpointPauses()
         reports = LoadReports()
-        self._scheduler = ProxyScheduler(
+        self._scheduler = UnevenScheduler(
             HealthyPools(self._tables, self._health),
             reports,
-            history,
+            states=self._runner_states,
+            zone=self.cfg.availability_zone,
+            history=history,
             allocation=self._runner_allocation,
             cached=self._cache_sync,
             full=self._full_runners,
             quotas=self._quotas,
             pauses=self._pauses,
-            states=self._runner_states,
-            zone=self.cfg.availability_zone,
         )
         duties = self._duties = self._build_duties()
         dependencies = DispatcherDependencies(
@@ -502,6 +502,8 @@
             self._metrics.set("config_version", self._current_config.current.version)
             self._metrics.set("config_age_s", self._config_topic.age_s)
             self._metrics.set("endpoints_age_s", self._endpoints_topic.age_s)
+            self._metrics.set("first_event_error_s", self._scheduler.errors.first_event_s)
+            self._metrics.set("finish_error_s", self._scheduler.errors.finish_s)
             self._metrics.set("crash_causes", len(self._crash_guard.causes))
             self._metrics.set("live_nodes", len(self._overlay.live()))
             self._metrics.set("endpoint_connections_opened", self._connections.opened)
