--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -44,6 +44,7 @@
     "tests.test_region_cut",
     "tests.test_restored_store",
     "tests.test_retry_storm",
+    "tests.test_run_move",
     "tests.test_runner_failure",
     "tests.test_runner_statements",
     "tests.test_silent_connections",
--- a/tests/test_run_move.py
+++ b/tests/test_run_move.py
@@ -3,7 +3,9 @@
 import asyncio
 import unittest
 from collections import Counter
+from itertools import chain, repeat
 from typing import Any
+from unittest.mock import Mock
 
 from lacewinghub.fakes.platform_moves import MoveFault
 from lacewinghub.fakes.platform_runner import FakeRunner, RunnerFault, event
@@ -148,6 +150,17 @@
         self.assertEqual(self.runs()["s"], 1)
         self.assertEqual(len([c for c in self.source.moves.copies.values() if c.used_by]), 1)
 
+    async def test_nothing_is_moved_beyond_the_retry_budget(self) -> None:
+        self.mover._budget = budget = Mock()
+        budget.try_spend.side_effect = chain([True], repeat(False))
+        streams = [await self.stream("/chat/a", f"s-{number}") for number in range(3)]
+        await asyncio.sleep(0.3)
+        leaving = await self.leave(1.5)
+        answers = await asyncio.gather(*streams)
+        self.assertEqual([answer.body == self.whole for answer in answers].count(True), 1)
+        self.assertEqual(len(self.source.moves.calls), 1)
+        await leaving
+
     async def test_the_state_is_freed_if_the_client_leaves_during_the_move(self) -> None:
         self.source.moves.move_s = 0.5
         stream = await self.stream("/chat/a", "gone")
