Describe the limits on clients; show them on the metrics page

Cause: refused connections were reset before their clients read the refusal, which promises nothing; dead connections were kept until the collector of cycles ran; the bound left too few descriptors for endpoints; what an unread answer holds towards its endpoint was not counted. Change: refused connections linger, up to a quarter of the bound; a connection drops its parser at its end; the bound is 0.4 of the descriptors; unread answers are charged with the endpoint's buffer.

--- a/lacewinghub/client_bounds.py
+++ b/lacewinghub/client_bounds.py
@@ -12,19 +12,25 @@
 
 # Descriptors of a process that are kept for files.
 FILE_DESCRIPTORS = 200
-# Share of the other descriptors for connections of clients. A request that is being served has a
-# connection to an endpoint, too; the store, the peers and idle connections to endpoints need some.
-CLIENT_SHARE = 0.5
+# Share of the other descriptors for connections of clients. Each may have a connection to an
+# endpoint, too; the rest is for idle connections to endpoints (4 each), the store and the peers.
+CLIENT_SHARE = 0.4
 MIN_CONNECTIONS = 16
 # Connections to a server for readiness checks or metrics.
 INTERNAL_CONNECTIONS = 32
 # Share of the connections that one address may have. A load balancer may pass on all clients under
 # one address, so that this only keeps an address from taking all of them.
 ADDRESS_SHARE = 0.75
+# Refused connections stay open until their clients have read the refusal, up to this share of the
+# connections; more of them are closed at once, which resets those whose request has arrived.
+LINGER_SHARE = 0.25
 # Memory of an idle connection with its parser and its task is about 12 KB (600 idle connections,
 # 7 MB). The connections may use this share of the memory budget.
 CONNECTION_BYTES = 16 * 1024
 CONNECTION_MEMORY_SHARE = 0.25
+# While a client does not read, the connection to the endpoint holds up to its high-water mark and
+# one read of the event loop.
+ENDPOINT_BYTES = 64 * 1024 + 256 * 1024
 # A request may already be on the network for a connection that was opened or used this recently.
 IDLE_BEFORE_CLOSE_S = 0.5
 # Number of connections that are closed at once when there are too many, so that a crowd of new ones
@@ -197,12 +203,14 @@
         bounds: Bounds on the connections to one server.
         pacer: Spreads expensive reads.
         refusals: Counts refused clients.
+        connections: Number of open connections.
     """
 
     budget: MemoryBudget = field(default_factory=MemoryBudget)
     bounds: ConnectionBounds = field(default_factory=ConnectionBounds)
     pacer: ParsePacer = field(default_factory=ParsePacer)
     refusals: Refusals = field(default_factory=Refusals)
+    connections: int = 0
     _peak: int = 0
 
     def for_server(self, public: bool) -> "ClientGuard":
@@ -225,7 +233,8 @@
         """Return what the metrics page shows."""
         found = {f"clients_{reason}": 0.0 for reason in REASONS}
         found |= {f"clients_{reason}": float(n) for reason, n in self.refusals.counts.items()}
-        return found | {"client_bytes_held": float(self.budget.held)}
+        found["client_bytes_held"] = float(self.budget.held)
+        return found | {"client_connections": float(self.connections)}
 
 
 def client_guard(memory_bytes: int | None, max_descriptors: int | None) -> ClientGuard:
--- a/lacewinghub/clientconnection.py
+++ b/lacewinghub/clientconnection.py
@@ -18,6 +18,7 @@
 
 from .client_bounds import (
     CONNECTION_BYTES,
+    ENDPOINT_BYTES,
     IDLE_BEFORE_CLOSE_S,
     ClientGuard,
     OpenConnection,
@@ -60,6 +61,10 @@
     def admit(self, conn: "ClientConnection") -> bool:
         """Add a new connection; return False if there is no room for it."""
 
+    @abstractmethod
+    def lingers(self, conn: "ClientConnection") -> bool:
+        """Tell whether a refused connection stays open until its client has read the refusal."""
+
     @abstractmethod
     def forget(self, conn: "ClientConnection") -> None:
         """Remove a connection and release what it holds."""
@@ -144,14 +149,23 @@
         peer = transport.get_extra_info("peername")
         self.address = peer[0] if isinstance(peer, tuple) else ""
         if not self.server.admit(self):
-            self._malformed = True
-            self._send_refusal(UNAVAILABLE)
-            self.transport.close()
+            self._refuse_connection()
             return
         loop = asyncio.get_running_loop()
         self._last_used = loop.time()
         self._task = loop.create_task(self._serve())
 
+    def _refuse_connection(self) -> None:
+        assert self.transport is not None
+        self._malformed = True
+        self._send_refusal(UNAVAILABLE)
+        if self.server.lingers(self) and self.transport.can_write_eof():
+            self.transport.write_eof()
+            loop = asyncio.get_running_loop()
+            self._close_timer = loop.call_later(LINGER_S, self.abort)
+        else:
+            self.transport.close()
+
     def get_buffer(self, sizehint: int) -> memoryview:
         # The bytes are parsed before any connection reads again.
         return self.server.buffer
@@ -211,6 +225,8 @@
         held = 0 if self._refused is not None and not self._response else self._receiver.held
         if not self._writable.is_set() and self.transport is not None:
             held += self.transport.get_write_buffer_size()
+            if self._response is not None and not self._response.finished:
+                held += ENDPOINT_BYTES
         self.server.guard.budget.charge(self, CONNECTION_BYTES + held)
 
     def holding(self) -> Holding:
@@ -228,10 +244,8 @@
     def refuse_for_memory(self) -> None:
         """Refuse the requests that are not served yet, or end an answer that is not read."""
         reason = "refused_for_memory" if self._writable.is_set() else "closed_answer_not_read"
-        holding = self.holding()
-        self.server.guard.refusals.add(
-            reason, self.address, held=holding.refusable, held_s=round(holding.held_s, 3)
-        )
+        held, held_s = self.holding().refusable, round(self.holding().held_s, 3)
+        self.server.guard.refusals.add(reason, self.address, held=held, held_s=held_s)
         if not self._writable.is_set():
             self.abort()
             self.server.forget(self)
@@ -286,6 +300,10 @@
         self._writable.set()
         self._changed.set()
         self.server.forget(self)
+        # The parser and this object refer to each other, and cycles are collected rarely.
+        del self._parser
+        for item in self._receiver.messages:
+            item.drop()
         if self._close_timer is not None:
             self._close_timer.cancel()
         if self._task is not None:
--- a/lacewinghub/httpclient.py
+++ b/lacewinghub/httpclient.py
@@ -116,6 +116,8 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
+        # The parser and this object refer to each other, and cycles are collected rarely.
+        del self._parser
         self._ended = True
         self._peer_ended = not self._closed and not isinstance(exc, TimeoutError)
         if exc is None and not self._closed and self._broken is None and self._ends_with_connection:
--- a/lacewinghub/httpserver.py
+++ b/lacewinghub/httpserver.py
@@ -7,6 +7,7 @@
     CLOSED_AT_ONCE,
     CONNECTION_BYTES,
     CROWDED_SHARE,
+    LINGER_SHARE,
     ClientGuard,
     choose_closed,
 )
@@ -42,6 +43,7 @@
         self.connections: set[ClientConnection] = set()
         self.buffer = memoryview(bytearray(READ_BYTES))
         self._addresses: Counter[str] = Counter()
+        self._lingering: set[ClientConnection] = set()
         self._search_after = float("-inf")
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._server: asyncio.Server | None = None
@@ -81,16 +83,27 @@
             self.guard.refusals.add("refused_no_connection", conn.address)
             return False
         self.connections.add(conn)
+        self.guard.connections += 1
         self._addresses[conn.address] += 1
         self.guard.budget.charge(conn, CONNECTION_BYTES)
         return True
 
+    def lingers(self, conn: ClientConnection) -> bool:
+        """Tell whether a refused connection stays open; see ``ConnectionOwner``."""
+        total = self.guard.bounds.total or 0
+        if len(self._lingering) >= LINGER_SHARE * total:
+            return False
+        self._lingering.add(conn)
+        return True
+
     def forget(self, conn: ClientConnection) -> None:
         """Remove a connection and release what it holds."""
+        self._lingering.discard(conn)
         if conn not in self.connections:
             return
         self.guard.budget.charge(conn, 0)
         self.connections.discard(conn)
+        self.guard.connections -= 1
         self._addresses[conn.address] -= 1
         if not self._addresses[conn.address]:
             del self._addresses[conn.address]
