--- a/tests/test_duty_nodes.py
+++ b/tests/test_duty_nodes.py
@@ -51,16 +51,16 @@
         self.assertFalse(await _holds(first))
         # The stopped node goes on reporting while it drains, for the last time when it ends.
         await self.until(lambda: _has_report(other, first.cfg.node))
-        at_the_end = [first._leader_reports._seq]
-        send = first._leader_reports.send
+        at_the_end = [first._duties.reports._seq]
+        send = first._duties.reports.send
 
         def send_last() -> None:
-            at_the_end.append(first._leader_reports._seq + 1)
+            at_the_end.append(first._duties.reports._seq + 1)
             send()
 
-        first._leader_reports.send = send_last
+        first._duties.reports.send = send_last
         await asyncio.wait([self.tasks[self.members.index(first)]])
-        found = {item.report.node: item.report.seq for item in other._leader_reports.reports()}
+        found = {item.report.node: item.report.seq for item in other._duties.reports.reports()}
         self.assertEqual(found[first.cfg.node], at_the_end[-1])
         self.assertEqual(len(at_the_end), 2)
 
