Keep the scaling state while the token is absent for a moment

A renewal that is late or in doubt makes the token absent; forgetting the orders cancelled runners that still booted. Only another token clears the state.

--- a/lacewinghub/scaler.py
+++ b/lacewinghub/scaler.py
@@ -113,14 +113,10 @@
         """Plan once for each pool and send the orders."""
         token = self._holder.token()
         if token is None:
-            if self._token is not None:
-                # The next holder may order something else meanwhile.
-                self._token = None
-                self._pools.clear()
-                self._set_gauge("runners_desired", 0)
-                self._set_gauge("runners_ready", 0)
+            # The same token may come back, for example after a renewal that was late.
             return
         if token != self._token:
+            # Another holder may have ordered something else meanwhile.
             self._token = token
             self._pools.clear()
         specs = [(spec, spec.scaling) for spec in self._directory.specs()]
--- a/tests/test_scaler.py
+++ b/tests/test_scaler.py
@@ -10,7 +10,7 @@
 from lacewinghub.scaler import CALLS_SHARE, FIRST_ORDER_S, Scaler
 
 from .clock import simulate
-from .runner_market import RULE, FakeHolder, Market
+from .runner_market import POOL, RULE, FakeHolder, Market
 
 CALLS_PER_S = 50.0
 
@@ -154,6 +154,33 @@
             self.assertGreaterEqual(at, 30.0 + FIRST_ORDER_S)
         self.assertLess(len(taken), 10)
 
+    def test_a_short_gap_of_the_token(self) -> None:
+        # Guards against a holder that forgets its orders while a renewal is late, and then cancels
+        # runners that still boot.
+        for token, forgets in ((1, False), (2, True)):
+            with self.subTest(token=token):
+                market = Market(factor=lambda kind, now: 1.0 if now < 40.0 else 2.2)
+
+                def give(run: Run, token: int | None) -> None:
+                    run.holder.held = token
+
+                run = Run(
+                    market,
+                    55.0,
+                    {43.2: lambda run: give(run, None), 44.1: lambda run, t=token: give(run, t)},
+                )
+                since = run.scaler._pools[POOL].since
+                self.assertEqual(since > 40.0, forgets)
+                # Spot runners ordered for the burst, 3 s before the gap at the most.
+                grown: dict[str, int] = {}
+                for at, order, outcome in market.orders:
+                    if outcome is not CallOutcome.ACCEPTED or not order.spot:
+                        continue
+                    if not forgets and 43.2 <= at < 48.0:
+                        least = grown.get(order.availability_zone, 0)
+                        self.assertGreaterEqual(order.desired, least)
+                    grown[order.availability_zone] = order.desired
+
     def test_no_order_before_most_nodes_have_reported(self) -> None:
         # Guards against a demand that is computed from the reports of few nodes.
         self.assertEqual(Run(Market(live=2), 20.0).market.orders, [])
