Read the topic of the lease less often

A node that has just started falsely counts itself among the candidates, and does not read for 2 s. The second and third candidates read every 1.5 s. Tests wait for the first holder accordingly.

--- a/lacewinghub/duty_lease_state.py
+++ b/lacewinghub/duty_lease_state.py
@@ -23,7 +23,11 @@
 # not run at the same rate, and a holder that is late to notice the end of its lease.
 WAIT_SLACK_S = 0.5
 RENEWALS_PER_LEASE = 3
-READ_EVERY_S = 1.0  # Interval of the reads of a candidate.
+# Intervals of the reads of the first candidate, and of the others. Each read costs a call.
+READ_EVERY_S = 1.0
+LATER_READ_EVERY_S = 1.5
+# A node that has just started knows few others, and may falsely count itself among the candidates.
+SETTLE_S = 2.0
 # Delay by which each candidate lets the one before it go first, which saves refused appends.
 RANK_DELAY_S = 0.3
 ERA_SHIFT = 32
@@ -212,7 +216,10 @@
         if rank is None:
             self._end = None  # Nothing is read any more, so that the end will be another one.
             return Plan(Step.IDLE, float("inf"))
-        next_read = now if self._must_read else max(now, self._read_at + READ_EVERY_S)
+        every_s = READ_EVERY_S if rank == 0 else LATER_READ_EVERY_S
+        next_read = now if self._must_read else max(now, self._read_at + every_s)
+        if not self._held_through_rewind(now):
+            next_read = max(next_read, self._started + SETTLE_S)
         if self._end is None or self._must_read:
             return Plan(Step.READ, next_read)
         take = max(now, self._take_at(now, rank))
