Let a new holder of the duties wait before it decides a usage window

The first holder of a deployment may know only itself. Windows that are almost due are still decided at once.

--- a/lacewinghub/usage_reporter.py
+++ b/lacewinghub/usage_reporter.py
@@ -141,9 +141,11 @@
     """
     if progress.ended_s < MIN_WAIT_S:
         return False
+    is_new = progress.held_s < FIND_HOLDER_S
     if progress.final_nodes >= progress.live_nodes:
-        return True
-    if progress.ended_s < MAX_WAIT_S or progress.held_s < FIND_HOLDER_S:
+        # The first holder of a deployment may still know only itself.
+        return not is_new or progress.ended_s >= late_s - SEND_S
+    if progress.ended_s < MAX_WAIT_S or is_new:
         return False
     return progress.held_s >= MAX_WAIT_S or progress.ended_s >= late_s - SEND_S
 
