Let clients finish sending before a refused connection is closed

Cause: a refused connection was closed 0.5 s after its refusal. Change: it stays open until the client has sent nothing for 0.5 s, at most 3 s. The status of a refusal is decided by a function of its own.

--- a/lacewinghub/clientconnection.py
+++ b/lacewinghub/clientconnection.py
@@ -24,7 +24,7 @@
     OpenConnection,
     is_too_slow,
 )
-from .httphandler import HttpHandler, HttpLimits
+from .httphandler import HttpHandler, HttpLimits, error_status
 from .httpmessage import Headers, Incoming, MessageReceiver, held_by
 from .memory_budget import Holder, Holding
 from .responder import Responder, ResponseConnection
@@ -33,13 +33,13 @@
 # While more pipelined requests than this wait, nothing more is read from the connection.
 MAX_PIPELINED = 2
 HIGH_WATER_BYTES = 64 * 1024
-# Method, version and separators, which the limit on target and headers does not include.
-REQUEST_LINE_BYTES = 1024
 # Statuses that state that a request was not run, and tell the client to try again.
 UNAVAILABLE = 503
 RETRY_HEADERS: Headers = [(b"retry-after", b"1")]
-# Time for a client to read the error response to a request that was refused before its end.
+# Time for a client to read the error response to a request that was refused before its end: since
+# it last sent something, and at most in all.
 LINGER_S = 0.5
+MAX_LINGER_S = 3.0
 
 
 class ConnectionOwner(ABC):
@@ -160,9 +160,7 @@
         self._malformed = True
         self._send_refusal(UNAVAILABLE)
         if self.server.lingers(self) and self.transport.can_write_eof():
-            self.transport.write_eof()
-            loop = asyncio.get_running_loop()
-            self._close_timer = loop.call_later(LINGER_S, self.abort)
+            self._task = asyncio.get_running_loop().create_task(self._linger())
         else:
             self.transport.close()
 
@@ -193,7 +191,8 @@
 
     def _check_last(self, last: Incoming, started: float) -> None:
         """Refuse the message that is arriving if it breaks a limit, or read it more slowly."""
-        status = self._error_status(last, self.server.handler.limits())
+        limits = self.server.handler.limits()
+        status = error_status(last, self._receiver, limits, self._malformed)
         if status is not None:
             self._refuse_from(last, status)
             return
@@ -439,7 +438,7 @@
                 return None
             if current is not None:
                 status = self._refusal if current is self._refused else None
-                status = status or self._error_status(current, limits)
+                status = status or error_status(current, self._receiver, limits, self._malformed)
                 if status is not None:
                     await self._refuse(status)
                     return None
@@ -460,21 +459,6 @@
                     await self._refuse(408)
                 return None
 
-    def _error_status(self, current: Incoming, limits: HttpLimits) -> int | None:
-        if current.head_size > limits.header_bytes:
-            return 431
-        if max(current.size, current.announced) > limits.body_bytes:
-            return 413
-        if current.complete:
-            return None
-        if self._malformed:
-            return 400
-        # The message is the last one of the connection, since it is incomplete.
-        overhead = self._receiver.overhead
-        if not current.headers_complete and overhead > limits.header_bytes + REQUEST_LINE_BYTES:
-            return 431
-        return 400 if self._receiver.has_excessive_framing else None
-
     def _deadline(self, current: Incoming | None, limits: HttpLimits) -> float:
         if current is not None and not current.headers_complete:
             return self._message_started + limits.header_s
@@ -492,7 +476,18 @@
             self._refuse_from(self._receiver.messages[0], status)
         self._send_refusal(status)
         if self.transport is not None and self.transport.can_write_eof():
-            # Closing with unread bytes would reset the connection before the client reads the
-            # response.
-            self.transport.write_eof()
+            await self._linger()
+
+    async def _linger(self) -> None:
+        """Close the connection once the client has stopped sending.
+
+        Closing with unread bytes would reset the connection before it reads the response.
+        """
+        assert self.transport is not None
+        self.transport.write_eof()
+        loop = asyncio.get_running_loop()
+        latest, seen = loop.time() + MAX_LINGER_S, -1
+        while self._discarded != seen and loop.time() < latest:
+            seen = self._discarded
             await asyncio.sleep(LINGER_S)
+        self.abort()
--- a/lacewinghub/httphandler.py
+++ b/lacewinghub/httphandler.py
@@ -3,9 +3,12 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
-from .httpmessage import Incoming
+from .httpmessage import Incoming, MessageReceiver
 from .responder import Responder
 
+# Method, version and separators, which the limit on target and headers does not include.
+REQUEST_LINE_BYTES = 1024
+
 
 @dataclass(slots=True)
 class HttpLimits:
@@ -46,3 +49,28 @@
 
     def on_malformed_request(self, status: int) -> None:  # noqa: B027
         """Called when the server refused a request that is malformed, too large or too slow."""
+
+
+def error_status(
+    current: Incoming, receiver: MessageReceiver, limits: HttpLimits, malformed: bool
+) -> int | None:
+    """Return the status with which a message is refused, or None.
+
+    Args:
+        current: The message.
+        receiver: Receives it; if the message is incomplete, it is the last one.
+        limits: Limits on the requests of clients.
+        malformed: True if the parser found an error in the last message.
+    """
+    if current.head_size > limits.header_bytes:
+        return 431
+    if max(current.size, current.announced) > limits.body_bytes:
+        return 413
+    if current.complete:
+        return None
+    if malformed:
+        return 400
+    overhead = receiver.overhead
+    if not current.headers_complete and overhead > limits.header_bytes + REQUEST_LINE_BYTES:
+        return 431
+    return 400 if receiver.has_excessive_framing else None
