--- a/lacewinghub/usage_reporter.py
+++ b/lacewinghub/usage_reporter.py
@@ -10,7 +10,7 @@
 import json
 import random
 import zlib
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -23,6 +23,10 @@
 from .usage import UsageSettings, WindowClock
 
 STEP_S = 0.1
+# With this many reports of the last seconds, a window must have ended for half of them, so that a
+# holder whose wall clock is ahead does not decide windows that go on.
+MEDIAN_REPORTS = 3
+FRESH_S = 2.0
 # The last reports of nodes that stop are on their way when a window ends.
 MIN_WAIT_S = 1.0
 # Longest wait for the reports of live nodes, after the end of the window or the take-over.
@@ -191,6 +195,7 @@
         self._term = 0
         self._taken_steady = 0.0
         self._taken_loop = 0.0
+        self._ahead_s = 0.0
         self._offered: Decision | None = None
         self._parts = 0
         self._backoff = Backoff(random.Random(), RETRY_MIN_S, RETRY_MAX_S, jitter=(1.0, 1.0))
@@ -298,10 +303,28 @@
             delay_s=round(self.report_delay_s, 3),
         ).info("usage reported")
 
-    def _merge(self, reports: Iterable[ReceivedReport]) -> None:
+    def _now(self) -> float:
+        """Return the time in seconds since the epoch, no later than most nodes see it."""
+        return self._clock.now() - self._ahead_s
+
+    def _measure_lead(self, reports: Iterable[ReceivedReport]) -> float:
+        """Return by how much the clock of this node is ahead of most others, in whole windows."""
+        since = asyncio.get_running_loop().time() - FRESH_S
+        ended = sorted(
+            item.report.last_window
+            for item in reports
+            if item.live and item.received >= since and item.report.last_window >= 0
+        )
+        if len(ended) < MEDIAN_REPORTS:
+            return 0.0
+        median = ended[(len(ended) - 1) // 2]
+        return max(0, self._clock.current() - 1 - median) * self._settings.window_s
+
+    def _merge(self, reports: Sequence[ReceivedReport]) -> None:
         """Add the reports that arrived since the last call."""
+        self._ahead_s = self._measure_lead(reports)
         # A node whose clock is ahead must not fill the checkpoint.
-        first, last = self._oldest(), self._clock.current() + 1
+        first, last = self._oldest(), self._clock.window(self._now()) + 1
         merged = self._merged
         self._merged = {}
         for item in reports:
@@ -316,11 +339,11 @@
 
     def _oldest(self) -> int:
         """Return the first window that may still be decided."""
-        oldest = self._clock.window(self._clock.now() - self._settings.give_up_s)
+        oldest = self._clock.window(self._now() - self._settings.give_up_s)
         return max(oldest, self._decision.window + 1) if self._decision is not None else oldest
 
     def _drop_old(self) -> None:
-        oldest = self._clock.window(self._clock.now() - self._settings.give_up_s)
+        oldest = self._clock.window(self._now() - self._settings.give_up_s)
         decision = self._decision
         if decision is None:
             return
@@ -338,7 +361,7 @@
         window = self._next_window(live)
         final = {item.node for item in live if item.last_window >= window}
         progress = WindowProgress(
-            self._clock.now() - self._clock.end_of(window),
+            self._now() - self._clock.end_of(window),
             self._clock.steady() - self._taken_steady,
             len(final),
             self._reports.live_nodes(),
@@ -353,7 +376,7 @@
             decision = Decision(window, {}, sent=True)
         self._decision = decision
         self._confirmed = False
-        self._table.keep(window + 1, self._clock.current() + 1)
+        self._table.keep(window + 1, self._clock.window(self._now()) + 1)
         logger.bind(window=window, final=len(final), live=progress.live_nodes).info(
             "usage window decided"
         )
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -158,11 +158,11 @@
     def start(self, name: str) -> None:
         self.nodes[name] = (int(wall() * 1000), self.counts())
 
-    def holder(self) -> Lease:
-        """Return a node that does not hold the duty yet."""
+    def holder(self, ahead_s: float = 0.0) -> Lease:
+        """Return a node that does not hold the duty yet, and by how much its clock is ahead."""
         lease = Lease(self)
-        counts = self.counts()
-        reporter = UsageReporter(lease, self, self.api, SETTINGS, counts.clock)
+        clock = WindowClock(5.0, lambda: wall() + ahead_s, loop_time)
+        reporter = UsageReporter(lease, self, self.api, SETTINGS, clock)
 
         async def renew() -> None:
             while True:
@@ -208,6 +208,14 @@
     world.take(world.holder())
 
 
+async def _clock_ahead(world: World) -> None:
+    world.take(world.holder(ahead_s=20.0))
+
+
+async def _clock_slightly_ahead(world: World) -> None:
+    world.take(world.holder(ahead_s=2.0))
+
+
 async def _lost_before_report(world: World) -> None:
     lease = world.take(world.holder())
 
@@ -343,6 +351,8 @@
         cases: list[tuple[Scenario, float, float, float]] = [
             (_calm, 0.0, 1.5, 0.0),
             (_calm, 12.0, 1.5, 0.0),  # The windows before the first requests are empty.
+            (_clock_ahead, 0.0, 1.7, 0.0),
+            (_clock_slightly_ahead, 0.0, 1.7, 0.0),
             (_lost_before_report, 0.0, 8.0, 0.0),
             (_lost_before_mark, 0.0, 8.0, 0.0),
             (_lost_answers, 0.0, 6.0, 0.0),
