--- a/tests/test_leader_reports.py
+++ b/tests/test_leader_reports.py
@@ -24,7 +24,7 @@
     def fill_report(self, report: LeaderReport) -> None:
         if self.requests < 0:
             raise ValueError("no count")
-        report.usage.append(WindowUsage(1, "w", self.requests))
+        report.usage.append(WindowUsage(1, {"w": self.requests}))
 
 
 class ReportCluster(Cluster):
@@ -65,7 +65,7 @@
 
     def counts(self, holder: str) -> dict[str, int]:
         return {
-            item.report.node: item.report.usage[0].requests if item.report.usage else -1
+            item.report.node: item.report.usage[0].requests["w"] if item.report.usage else -1
             for item in self.reports[holder].reports()
         }
 
