Wait for the usage of nodes that may only be cut off

The counts of a node that came back before the report was due were lost: its window had been decided 4 s after its end, and the node no longer sent it. The holder now waits until 3 s before the report is due for each incarnation that fell silent without announcing a stop, and nodes repeat windows for as long.

--- a/lacewinghub/leader_reports.py
+++ b/lacewinghub/leader_reports.py
@@ -112,6 +112,7 @@
         self._seq += 1
         own = self._identity
         report = LeaderReport(own.node, own.incarnation, self._seq, NO_WINDOW)
+        report.leaving = self._members.state(own.node) is MemberState.LEAVING
         for item in self._contributors:
             try:
                 item.fill_report(report)
--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -720,6 +720,7 @@
         last_window: Newest window for which the counts are final.
         usage: Counts of the windows that may not be reported yet.
         demand: Demand by pool.
+        leaving: True once the sender has announced that it stops.
     """
 
     CODE: ClassVar[int] = 25
@@ -730,6 +731,7 @@
     last_window: int
     usage: list[WindowUsage] = field(default_factory=list)
     demand: list[PoolDemand] = field(default_factory=list)
+    leaving: bool = False
 
 
 Message = (
--- a/lacewinghub/usage.py
+++ b/lacewinghub/usage.py
@@ -16,9 +16,10 @@
 # Smaller differences between the clocks do not move requests into another window.
 STEP_TOLERANCE_S = 0.1
 # A holder of the duty that is new to this node gets the counts of all windows for this time, and
-# later only those of windows that ended no longer ago than this.
+# later only those of windows that may still be undecided.
 NEW_HOLDER_S = 5.0
-RECENT_S = 5.0
+# Time to commit and send a decision, and to repeat the call once, before the report is due.
+SEND_S = 1.5
 # Windows whose report is late by more than this are given up.
 GIVE_UP_S = 10.0
 
@@ -100,6 +101,14 @@
         """Time after its end at which a window is no longer reported, in seconds."""
         return self.late_s + GIVE_UP_S
 
+    @property
+    def recent_s(self) -> float:
+        """Time after its end for which the counts of a window are repeated, in seconds.
+
+        A node that was cut off and comes back reports the windows that wait for it.
+        """
+        return max(NEW_HOLDER_S, self.late_s - SEND_S)
+
 
 class UsageMeter(ABC):
     """Counts the requests that began to run."""
@@ -168,7 +177,7 @@
             self._all_until = now + NEW_HOLDER_S
         if now < self._all_until:
             return 0
-        return self.clock.window(self.clock.now() - RECENT_S)
+        return self.clock.window(self.clock.now() - self.settings.recent_s)
 
     def _forget(self, current: int) -> None:
         for window in [item for item in self._counts if item <= current - self._kept]:
--- a/lacewinghub/usage_reporter.py
+++ b/lacewinghub/usage_reporter.py
@@ -20,7 +20,7 @@
 from .control_api import CallOutcome, ControlApi, UsageReport
 from .duties import DutyHolder, DutyRecords, LeaseTaken, NodeReports, ReceivedReport
 from .message import LeaderReport, WindowUsage
-from .usage import UsageSettings, WindowClock
+from .usage import SEND_S, UsageSettings, WindowClock
 
 STEP_S = 0.1
 # With this many reports of the last seconds, a window must have ended for half of them, so that a
@@ -29,12 +29,13 @@
 FRESH_S = 2.0
 # The last reports of nodes that stop are on their way when a window ends.
 MIN_WAIT_S = 1.0
-# Longest wait for the reports of live nodes, after the end of the window or the take-over.
-MAX_WAIT_S = 4.0
+# Time in which the nodes find a new holder, if they can reach it.
+ALL_FIND_HOLDER_S = 4.0
 # A holder that takes over when a report is almost due waits for the nodes to find it.
 FIND_HOLDER_S = 1.5
-# Time to commit and send a decision, and to repeat the call once, before the report is due.
-SEND_S = 1.5
+# A holder that waits for a node decides this long before a new holder has to, so that another one
+# can still take over.
+SPARE_S = 1.5
 RETRY_MIN_S = 0.5
 RETRY_MAX_S = 2.0
 DECISION_KEY = "usage"
@@ -126,14 +127,14 @@
     Attributes:
         ended_s: Time since the end of the window, in seconds; negative before it.
         held_s: Time since this node took the lease, in seconds.
-        final_nodes: Number of live nodes whose counts of the window are final.
-        live_nodes: Number of live nodes.
+        final_nodes: Number of nodes whose counts of the window are final, of those expected.
+        expected_nodes: Number of nodes that are alive or may only be cut off.
     """
 
     ended_s: float
     held_s: float
     final_nodes: int
-    live_nodes: int
+    expected_nodes: int
 
 
 def is_decidable(progress: WindowProgress, late_s: float) -> bool:
@@ -146,12 +147,12 @@
     if progress.ended_s < MIN_WAIT_S:
         return False
     is_new = progress.held_s < FIND_HOLDER_S
-    if progress.final_nodes >= progress.live_nodes:
+    if progress.final_nodes >= progress.expected_nodes:
         # The first holder of a deployment may still know only itself.
         return not is_new or progress.ended_s >= late_s - SEND_S
-    if progress.ended_s < MAX_WAIT_S or is_new:
+    if is_new or progress.ended_s < late_s - SEND_S - SPARE_S:
         return False
-    return progress.held_s >= MAX_WAIT_S or progress.ended_s >= late_s - SEND_S
+    return progress.held_s >= ALL_FIND_HOLDER_S or progress.ended_s >= late_s - SEND_S
 
 
 class UsageReporter(DutyRecords):
@@ -354,17 +355,22 @@
         self._decision = Decision(oldest - 1, {}, sent=True)
         logger.bind(first=first, last=oldest - 1).error("usage windows dropped: too old")
 
-    def _decide(self, reports: Iterable[ReceivedReport]) -> None:
+    def _decide(self, reports: Sequence[ReceivedReport]) -> None:
         """Decide the next window if that is due."""
         # Reports from before this node took the lease may lack older windows.
-        live = [item.report for item in reports if item.live and item.received >= self._taken_loop]
-        window = self._next_window(live)
-        final = {item.node for item in live if item.last_window >= window}
+        recent = [item for item in reports if item.received >= self._taken_loop]
+        window = self._next_window(item.report for item in recent if item.live)
+        cut_off = _cut_off(reports)
+        final = {
+            (item.report.node, item.report.incarnation)
+            for item in recent
+            if item.report.last_window >= window and (item.live or item in cut_off)
+        }
         progress = WindowProgress(
             self._now() - self._clock.end_of(window),
             self._clock.steady() - self._taken_steady,
             len(final),
-            self._reports.live_nodes(),
+            self._reports.live_nodes() + len(cut_off),
         )
         if not is_decidable(progress, self._settings.late_s):
             return
@@ -377,7 +383,7 @@
         self._decision = decision
         self._confirmed = False
         self._table.keep(window + 1, self._clock.window(self._now()) + 1)
-        logger.bind(window=window, final=len(final), live=progress.live_nodes).info(
+        logger.bind(window=window, final=len(final), expected=progress.expected_nodes).info(
             "usage window decided"
         )
 
@@ -395,6 +401,21 @@
             logger.bind(key=key).error("record holds no usage: {!r}", exc)
 
 
+def _cut_off(reports: Sequence[ReceivedReport]) -> list[ReceivedReport]:
+    """Return the reports of nodes that fell silent without a stop, and may come back."""
+    newest: dict[str, int] = {}
+    for item in reports:
+        report = item.report
+        newest[report.node] = max(report.incarnation, newest.get(report.node, 0))
+    return [
+        item
+        for item in reports
+        if not item.live
+        and not item.report.leaving
+        and item.report.incarnation == newest[item.report.node]
+    ]
+
+
 def _part_key(part: int | str) -> str:
     return f"usage-counts-{part}"
 
--- a/tests/test_leader_reports.py
+++ b/tests/test_leader_reports.py
@@ -182,6 +182,20 @@
 
         self.run_simulated(test, 5)
 
+    def test_last_reports_of_nodes_that_leave_say_so(self) -> None:
+        # Guards against a holder that waits for the counts of nodes that have ended.
+        async def test(cluster: Any) -> None:
+            cluster.tokens = {"n001": 10}
+            await cluster.until(lambda: len(cluster.counts("n001")) == 5, 3.0)
+            cluster.members["n002"].leave()
+            cluster.reports["n002"].send()
+            await asyncio.sleep(0.1)
+            found = {item.report.node: item.report for item in cluster.reports["n001"].reports()}
+            leaving = [node for node, report in found.items() if report.leaving]
+            self.assertEqual(leaving, ["n002"])
+
+        self.run_simulated(test, 5)
+
     def test_holder_keeps_the_reports_if_it_loses_the_lease_for_a_moment(self) -> None:
         async def test(cluster: Any) -> None:
             cluster.tokens = {"n001": 10}
