Never run a request that was refused, and count unfinished heads

A connection whose last answer was still being read counted as idle: a complete request behind the answer got 503 and then ran. Bytes of the read that starts a message were not counted. A head was read slowly while expensive bodies rested. A whole answer without framing was waited for without end, and a closing connection was cut although its client read.

--- a/lacewinghub/clientconnection.py
+++ b/lacewinghub/clientconnection.py
@@ -200,7 +200,8 @@
         messages = self._receiver.messages
         if len(messages) > MAX_PIPELINED or (len(messages) > 1 and last.size > HIGH_WATER_BYTES):
             self._pause_reading(_Pause.PIPELINED)
-        if self._receiver.is_expensive and not last.complete:
+        # A head has a time-out of its own, within which the node has to read it.
+        if self._receiver.is_expensive and last.headers_complete and not last.complete:
             loop = asyncio.get_running_loop()
             spent_s = time.perf_counter() - started
             resume_at = self.server.guard.pacer.resume_at(loop.time(), spent_s)
@@ -268,13 +269,22 @@
 
     def state(self, now: float) -> OpenConnection:
         """Return what decides whether the connection is closed in favour of a new one."""
-        return OpenConnection(self.address, now - self._last_used, self._response is not None)
+        messages = self._receiver.messages
+        # An answer that the client is still reading belongs to its request, and a request that has
+        # arrived is about to be served.
+        served = (
+            self._response is not None
+            or not self._writable.is_set()
+            or bool(messages and messages[0].complete)
+        )
+        return OpenConnection(self.address, now - self._last_used, served)
 
     def make_room(self) -> None:
         """Close the connection in favour of a new one; a request that is arriving is refused."""
         self.server.guard.refusals.add("closed_for_new_connection", self.address)
         self.server.forget(self)
         if self._receiver.messages and not self._malformed:
+            self._refuse_from(self._receiver.messages[0], UNAVAILABLE)
             self._malformed = True
             self._send_refusal(UNAVAILABLE)
         self.close()
@@ -360,14 +370,27 @@
         if self._resets_on_close:
             self.abort()
         elif self.transport is not None:
-            waits = self._close_timer is not None or self._lost
-            if not waits and self.transport.get_write_buffer_size():
-                # A client that does not read would keep the connection for good.
-                idle_s = self.server.handler.limits().idle_s
-                loop = asyncio.get_running_loop()
-                self._close_timer = loop.call_later(idle_s, self.abort)
+            if self._close_timer is None and not self._lost:
+                self._abort_if_not_read(None)
             self.transport.close()
 
+    def _abort_if_not_read(self, unread: int | None) -> None:
+        """Abort a closing connection whose client reads nothing for the idle time-out.
+
+        Such a client would keep the connection for good.
+
+        Args:
+            unread: Number of bytes that were not read one idle time-out ago; None at the start.
+        """
+        assert self.transport is not None
+        left = self.transport.get_write_buffer_size()
+        if unread is not None and left >= unread:
+            self.abort()
+        elif left:
+            loop = asyncio.get_running_loop()
+            idle_s = self.server.handler.limits().idle_s
+            self._close_timer = loop.call_later(idle_s, self._abort_if_not_read, left)
+
     def abort(self) -> None:
         """Close the connection without sending the buffered bytes."""
         if self.transport is not None and not self._lost:
@@ -396,7 +419,8 @@
         if not out.finished:
             return False
         if not out.framed:
-            await self._flush()
+            if not await self._flush():
+                return False
             self.reset_on_close(False)
         self._response = None
         self._last_used = asyncio.get_running_loop().time()
@@ -422,20 +446,25 @@
                     return False
         return True
 
-    async def _flush(self) -> None:
-        """Wait until all bytes were passed to the operating system, which delivers them."""
+    async def _flush(self) -> bool:
+        """Wait until all bytes were passed to the operating system, which delivers them.
+
+        Returns:
+            False if the client reads nothing for the idle time-out.
+        """
         assert self.transport is not None
         self.transport.set_write_buffer_limits(0)
-        await self.drain()
+        return await self._is_read()
 
     async def _next_request(self) -> Incoming | None:
         """Wait for a complete request; refuse one that is malformed, too large or too slow."""
+        assert self.transport is not None
         loop = asyncio.get_running_loop()
         while True:
             limits = self.server.handler.limits()
             messages = self._receiver.messages
             current = messages[0] if messages else None
-            if self._lost:
+            if self._lost or self.transport.is_closing():
                 return None
             if current is not None:
                 status = self._refusal if current is self._refused else None
--- a/lacewinghub/httpmessage.py
+++ b/lacewinghub/httpmessage.py
@@ -151,6 +151,10 @@
         self._settled_size = 0
         self._excess = 0
         self._framing = 0
+        # True if a message ended in the piece of the wire that is being parsed.
+        self._has_ended = False
+        # True once the head of the last message has been settled.
+        self._is_head_settled = False
 
     @property
     def overhead(self) -> int:
@@ -172,7 +176,8 @@
         """Number of bytes that the messages hold, also if their bodies were taken."""
         held = sum(map(held_by, self.messages))
         if self.messages and not self.messages[-1].headers_complete:
-            held += self._received  # The parser holds an unfinished header.
+            # The parser holds an unfinished header.
+            held += max(0, self._received - self.messages[-1].head_size)
         return held
 
     @property
@@ -187,18 +192,28 @@
 
     def settle(self) -> None:
         """Compare what was counted with the body that it brought; called after it was parsed."""
-        size = self.messages[-1].size if self.messages else 0
+        last = self.messages[-1] if self.messages else None
+        size = last.size if last is not None else 0
         body = size - self._settled_size
-        framing = self._framing = self._unsettled - body
+        framing = self._unsettled - body
+        if not self._is_head_settled and last is not None:
+            # A head is no framing. What of it came with earlier pieces is not known, so that this
+            # may count too little once for each message.
+            framing = max(0, framing - last.head_size) if last.headers_complete else 0
+            self._is_head_settled = last.headers_complete
+        self._framing = framing
         self._excess = max(0, self._excess + framing - MAX_FRAMING_RATIO * body)
-        self._unsettled, self._settled_size = 0, size
+        self._unsettled, self._settled_size, self._has_ended = 0, size, False
 
     def on_message_begin(self) -> None:
         """Start a message."""
         self.messages.append(Incoming())
-        # What arrived together with the end of the previous message is not counted.
-        self._received = 0
-        self._unsettled = self._settled_size = self._excess = 0
+        if self._has_ended:
+            # How much of this piece belongs to the previous message is not known.
+            self._unsettled = 0
+        self._received = self._unsettled
+        self._settled_size = self._excess = 0
+        self._is_head_settled = False
 
     def on_url(self, data: bytes) -> None:
         """Add a piece of the target."""
@@ -228,3 +243,4 @@
     def on_message_complete(self) -> None:
         """Mark the message as complete."""
         self.messages[-1].complete = True
+        self._has_ended = True
--- a/tests/test_client_bounds.py
+++ b/tests/test_client_bounds.py
@@ -3,8 +3,11 @@
 import asyncio
 import contextlib
 import re
+import socket
 import unittest
 
+import httptools
+
 from lacewinghub.client_bounds import (
     BODY_GRACE_S,
     BODY_TOTAL_S,
@@ -17,8 +20,9 @@
     connection_bounds,
     is_too_slow,
 )
+from lacewinghub.clientconnection import ClientConnection
 from lacewinghub.httphandler import HttpHandler, HttpLimits
-from lacewinghub.httpmessage import Incoming
+from lacewinghub.httpmessage import Incoming, MessageReceiver, chunk
 from lacewinghub.httpserver import HttpServer
 from lacewinghub.memory_budget import (
     MB,
@@ -122,6 +126,60 @@
         self.assertEqual(pacer.resume_at(50.0, 0.5), 51.0)
 
 
+class TestCounting(unittest.TestCase):
+    def test_bytes_that_belong_to_no_body(self) -> None:
+        # Guards against heads that are held but not counted, and against a head that is read
+        # slowly because its bytes count as framing of a body.
+        start = b"POST / HTTP/1.1\r\n"
+        chunked = start + b"Transfer-Encoding: chunked\r\n"
+        short = start + b"Content-Length: 2\r\n\r\nab"
+        filler = b"X: " + b"y" * (9 * KB)
+        ended = filler + b"\r\n\r\n"
+        tiny = chunk(b"x") * 2000
+        cases: list[tuple[str, list[bytes], bool, bool]] = [
+            ("unfinished in one read", [start + filler], True, False),
+            ("unfinished in two reads", [start, filler], True, False),
+            ("unfinished after another message", [short, start + filler], True, False),
+            ("unfinished behind another message", [short + start + filler], False, False),
+            ("unfinished header goes on", [start + filler, b"y" * 9 * KB], True, False),
+            ("complete in one read", [chunked + ended], False, False),
+            (
+                "complete in two reads",
+                [chunked + filler, b"y" * 9 * KB + b"\r\n\r\n"],
+                False,
+                False,
+            ),
+            ("chunks with the head", [chunked + ended + tiny], False, True),
+            ("chunks after the head", [chunked + ended, tiny], False, True),
+        ]
+        for name, reads, holds, is_expensive in cases:
+            with self.subTest(name):
+                receiver = MessageReceiver()
+                parser = httptools.HttpRequestParser(_Callbacks(receiver))
+                for data in reads:
+                    receiver.count(len(data))
+                    parser.feed_data(data)
+                    receiver.settle()
+                last = receiver.messages[-1]
+                unfinished = 0 if last.headers_complete else receiver.overhead
+                self.assertEqual(unfinished > 9 * KB, holds)
+                self.assertEqual(receiver.held >= 9 * KB, holds or last.headers_complete)
+                self.assertEqual(receiver.is_expensive, is_expensive)
+                self.assertFalse(receiver.has_excessive_framing)
+
+
+class _Callbacks:
+    """Passes the callbacks of a parser to a receiver, as a connection does."""
+
+    def __init__(self, receiver: MessageReceiver) -> None:
+        self._receiver = receiver
+        for name in ("message_begin", "url", "header", "body", "message_complete"):
+            setattr(self, f"on_{name}", getattr(receiver, f"on_{name}"))
+
+    def on_headers_complete(self) -> None:
+        self._receiver.messages[-1].headers_complete = True
+
+
 class _Client(Holder):
     def __init__(self, held_s: float) -> None:
         self.held_s = held_s
@@ -176,19 +234,28 @@
 
 
 class _Held(HttpHandler):
-    """Answers requests when it is told to; ``/large`` gets an answer that fills the buffers."""
+    """Answers requests when it is told to.
+
+    ``/large`` gets an answer that fills the buffers, ``/unframed`` the same without a length.
+    """
 
     def __init__(self) -> None:
         self.go = asyncio.Event()
         self.seen: list[bytes] = []
         self.idle_s = 5.0
+        self.header_bytes = 16 * KB
 
     def limits(self) -> HttpLimits:
-        return HttpLimits(body_bytes=MB, header_s=5.0, idle_s=self.idle_s)
+        return HttpLimits(self.header_bytes, MB, header_s=5.0, idle_s=self.idle_s)
 
     async def handle(self, incoming: Incoming, out: Responder) -> None:
         self.seen.append(incoming.target)
         await self.go.wait()
+        if incoming.target == b"/unframed":
+            out.start(200, [], framed=False)
+            out.conn.write(bytes(16 * MB))
+            out.finish()
+            return
         out.send(200, [], bytes(16 * MB) if incoming.target == b"/large" else b"ok")
 
 
@@ -290,6 +357,88 @@
         self.assertEqual(self.handler.seen, [b"/large"])
         self.assertEqual(self.guard.refusals.counts["closed_answer_not_read"], 1)
 
+    async def test_a_whole_answer_without_framing_is_not_waited_for_without_end(self) -> None:
+        await self.start(None)
+        self.handler.go.set()
+        self.handler.idle_s = 0.3
+        _, writer = await self.open(post("/unframed", 0))
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        await self.until(lambda: self.handler.seen and not self.server.connections)
+        self.assertEqual(self.guard.refusals.counts["closed_answer_not_read"], 1)
+
+    async def open_unread(self, data: bytes) -> tuple[asyncio.StreamReader, ClientConnection]:
+        """Send requests and read nothing until the first answer fills the buffers."""
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 * KB)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", self.port))
+        reader, writer = await asyncio.open_connection(sock=sock)
+        self.addCleanup(writer.transport.abort)
+        self.writers.append(writer)
+        writer.write(data)
+        await self.until(lambda: self.handler.seen)
+        conn = next(iter(self.server.connections))
+        await self.until(lambda: not conn._writable.is_set())
+        await asyncio.sleep(0.6)
+        return reader, conn
+
+    async def test_a_request_behind_an_unread_answer_is_not_refused_and_then_run(self) -> None:
+        # Guards against a 503 for a request that runs all the same.
+        for name, closes in (("new connections", False), ("closed all the same", True)):
+            with self.subTest(name):
+                await self.start(None, ConnectionBounds(2, 2))
+                self.handler.go.set()
+                reader, conn = await self.open_unread(post("/large", 0) + post("/once", 0))
+                # The task goes on while the connection still has bytes to send.
+                assert conn.transport is not None
+                conn.transport.set_write_buffer_limits(8 * MB, 4 * MB)
+                if closes:
+                    conn.make_room()
+                else:
+                    await self.open(b"")
+                    refused, _ = await self.open(post("/new", 0))
+                    self.assertTrue((await self.read_all(refused)).startswith(b"HTTP/1.1 503"))
+                answer = b""
+                with contextlib.suppress(TimeoutError, ConnectionError):
+                    while data := await asyncio.wait_for(reader.read(MB), 1.0):
+                        answer = (answer + data)[-300:]
+                statuses = re.findall(rb"HTTP/1.1 (\d+)", answer)
+                self.assertEqual(statuses, [b"503" if closes else b"200"])
+                self.assertEqual(b"/once" in self.handler.seen, not closes)
+
+    async def test_an_answer_that_is_read_steadily_is_not_cut_by_a_stop(self) -> None:
+        await self.start(None)
+        self.handler.go.set()
+        reader, _ = await self.open_unread(post("/large", 0))
+        self.handler.idle_s = 0.3
+        await self.server.close()
+        loop = asyncio.get_running_loop()
+        started, size = loop.time(), 0
+        while data := await reader.read(64 * KB):
+            size += len(data)
+            await asyncio.sleep(0.005)
+        self.assertGreater(loop.time() - started, 2 * self.handler.idle_s)
+        self.assertGreater(size, 16 * MB)
+
+    async def test_unfinished_heads_are_held(self) -> None:
+        await self.start(None)
+        self.handler.header_bytes = MB
+        for _ in range(20):
+            await self.open(b"GET / HTTP/1.1\r\nX: " + b"y" * (63 * KB))
+        await self.until(lambda: self.guard.budget.held >= 20 * 63 * KB)
+
+    async def test_a_head_is_read_while_expensive_bodies_rest(self) -> None:
+        # Guards against a 408 for a client whose head the node itself did not read.
+        await self.start(None)
+        self.handler.go.set()
+        self.guard.pacer.resume_at(asyncio.get_running_loop().time(), 100.0)
+        reader, writer = await self.open(b"GET / HTTP/1.1\r\nX: y")
+        for data in (b"y" * (9 * KB), b"y" * (3 * KB) + b"\r\n\r\n"):
+            await asyncio.sleep(0.05)
+            writer.write(data)
+        async with asyncio.timeout(MAX_REST_S / 2):
+            self.assertTrue((await reader.readuntil(b"ok")).startswith(b"HTTP/1.1 200"))
+
     async def test_unread_answers_are_given_up_for_memory(self) -> None:
         await self.start(24 * MB)
         self.handler.go.set()
