--- a/lacewinghub/placement.py
+++ b/lacewinghub/placement.py
@@ -318,12 +318,12 @@
         work = self._hold_s[kind] * WORK_PER_S
         self._allocation.record_arrival(kind, round(work), 0)
 
-    def on_sent(self, endpoint: str, req: Request, new_tokens: int) -> None:
-        """Record that a request is sent to a runner."""
-        self.states.on_sent(endpoint, new_tokens)
+    def on_sent(self, endpoint: str, req: Request, new_tokens: int) -> float:
+        """Record that a request is sent to a runner; return the loop time."""
         kind = is_long(req)
         self._permits[kind].spend()
         self._tokens[kind] += WEIGHT * (new_tokens - self._tokens[kind])
+        return self.states.on_sent(endpoint, new_tokens)
 
     def on_finished(self, endpoint: str, req: Request, held_s: float) -> None:
         """Record for how long an answer that is complete occupied a slot."""
--- a/lacewinghub/prediction.py
+++ b/lacewinghub/prediction.py
@@ -12,8 +12,9 @@
 # Share of its time in a slot for which a running request is still being prefilled, as assumed for
 # the requests of other nodes.
 PREFILL_SHARE = 0.15
-# Typical error of the number of free slots: requests of other nodes since the last observation.
-LOAD_ERROR = 2.0
+# Typical error of the number of free slots, as a share of all: requests of other nodes since the
+# last observation.
+LOAD_ERROR_SHARE = 1 / 6
 # Increase of the time between two events for each other request in the batch.
 STEP_SHARE = 0.02
 # Tokens of a prompt that a runner prefills between two steps of its batch.
@@ -99,7 +100,9 @@
     token_s = usual.prefill_s / 1000 * load.slowness
     # Slots become free one after the other, each after the time for which a request holds one. The
     # number of free ones is uncertain, so that the wait grows gradually.
-    ahead = LOAD_ERROR * math.log1p(math.exp(min(40.0, (1.0 - load.free_slots) / LOAD_ERROR)))
+    error = LOAD_ERROR_SHARE * load.slots
+    missing = (1.0 - load.free_slots) / error
+    ahead = error * (missing if missing > 30.0 else math.log1p(math.exp(missing)))
     slot_s = ahead * usual.hold_s * load.slowness / load.slots
     prefill_s = new_tokens * token_s
     first_s = slot_s + load.unread_tokens * token_s + prefill_s + load.gap_s
--- a/lacewinghub/runner_state.py
+++ b/lacewinghub/runner_state.py
@@ -216,11 +216,25 @@
         if runner is not None:
             runner.full_until = _now() + FULL_S
 
-    def on_sent(self, endpoint: str, new_tokens: float) -> None:
-        """Record that this node sends a prompt to a runner."""
+    def on_sent(self, endpoint: str, new_tokens: float) -> float:
+        """Record that this node sends a prompt to a runner; return the loop time."""
         runner = self._runner(endpoint)
-        runner.sent.append((_now(), new_tokens))
+        now = _now()
+        runner.sent.append((now, new_tokens))
         runner.unread += new_tokens
+        return now
+
+    def on_ended(self, endpoint: str, new_tokens: float, sent_at: float) -> None:
+        """Record the end of an attempt, which the newest observation may not contain any more.
+
+        Args:
+            endpoint: Name of the runner.
+            new_tokens: Prompt tokens as given to ``on_sent``.
+            sent_at: Loop time that ``on_sent`` returned.
+        """
+        runner = self._runners.get(endpoint)
+        if runner is not None and (sent_at, new_tokens) in runner.sent:
+            runner.sent.remove((sent_at, new_tokens))
 
     def on_answer_began(self, endpoint: str, new_tokens: float, first_s: float | None) -> None:
         """Record that an answer began, or with ``first_s`` None that the attempt ended before.
--- a/lacewinghub/unevenscheduler.py
+++ b/lacewinghub/unevenscheduler.py
@@ -33,11 +33,13 @@
 
     Attributes:
         new_tokens: Prompt tokens that the runner has probably not cached.
+        sent_at: Loop time at which it was sent, in seconds.
         predicted: The predicted outcome without correction, or None.
         first_s: Time from sending to the first event, in seconds; None before it.
     """
 
     new_tokens: int
+    sent_at: float
     predicted: Prediction | None
     first_s: float | None = None
 
@@ -120,8 +122,8 @@
             new_tokens = self._placement.new_tokens(grant.endpoint, req)
             chosen, self._chosen = self._chosen, None
             raw = chosen[1].raw if chosen is not None and chosen[0] is req else None
-            self._sent[grant.id] = _Sent(new_tokens, raw)
-            self._placement.on_sent(grant.endpoint, req, new_tokens)
+            sent_at = self._placement.on_sent(grant.endpoint, req, new_tokens)
+            self._sent[grant.id] = _Sent(new_tokens, sent_at, raw)
         super().assign(waiter, grant)
 
     def on_answer_event(self, grant: Grant) -> None:
@@ -144,6 +146,7 @@
         sent = self._sent.pop(grant.id, None)
         if attempt is not None and sent is not None:
             held_s = asyncio.get_running_loop().time() - attempt.sent_at
+            self._placement.states.on_ended(grant.endpoint, sent.new_tokens, sent.sent_at)
             if sent.first_s is None:
                 self._placement.states.on_answer_began(grant.endpoint, sent.new_tokens, None)
             elif result.ok:
