Keep the orders of runners and what was learnt under the lease

A new holder forgot what was ordered: it cancelled runners that booted and ordered others, and learnt the demand again. Without a record a new holder only grows at first.

--- a/lacewinghub/autoscaler.py
+++ b/lacewinghub/autoscaler.py
@@ -229,6 +229,7 @@
         load: Newest demand; None without enough reports.
         load_age_s: Time since then.
         learnt: What the last plan left.
+        grow_only: True while runners may boot of which nothing is known.
     """
 
     now: float
@@ -238,6 +239,7 @@
     load: PoolLoad | None
     load_age_s: float
     learnt: Learnt = field(default_factory=Learnt)
+    grow_only: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -515,6 +517,8 @@
     """Return why no group may be shrunk now, or an empty string."""
     learnt, now = state.learnt, state.now
     last = learnt.samples[-1]
+    if state.grow_only:
+        return "orders of the holder before not known"
     if learnt.since is None or now < learnt.since + SHRINK_AFTER_S:
         return "demand not known for long enough"
     if now < learnt.lost_at + AFTER_RECLAIM_S:
--- a/lacewinghub/scaler.py
+++ b/lacewinghub/scaler.py
@@ -1,6 +1,7 @@
 """Orders runners while this node holds the duties; see ``autoscaler`` for what it orders."""
 
 import asyncio
+import time
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field, replace
@@ -21,9 +22,10 @@
 )
 from .control_api import CallOutcome, ControlApi, RunnerOrder
 from .directory import EndpointDirectory, PoolSpec
-from .duties import DutyHolder, NodeReports, ReceivedReport
+from .duties import DutyHolder, DutyRecords, LeaseTaken, NodeReports, ReceivedReport
 from .message import PoolDemand
 from .scaling import RunnerInfo, ScalingRule
+from .scaling_record import KEY_PREFIX, MALFORMED, MAX_RECORD_BYTES, decode_pool, encode_pool
 
 INTERVAL_S = 1.0
 # A new holder waits for this long and for the reports of this share of the live nodes.
@@ -38,9 +40,15 @@
 
 @dataclass(slots=True)
 class _PoolOrders:
-    """What this holder knows of the orders of one pool."""
+    """What this holder knows of the orders of one pool.
+
+    Attributes:
+        since: Time at which it began to see the pool.
+        restored: True if it knows the orders of the holder before.
+    """
 
     since: float
+    restored: bool = False
     groups: dict[Group, GroupState] = field(default_factory=dict)
     learnt: Learnt = field(default_factory=Learnt)
     load: PoolLoad | None = None
@@ -66,7 +74,7 @@
         return True
 
 
-class Scaler:
+class Scaler(DutyRecords):
     """Plans once per second, and sends what has changed.
 
     Args:
@@ -76,6 +84,7 @@
         api: The control API.
         calls_per_s: Calls per second that the platform accepts from all nodes together.
         set_gauge: Receives the metrics.
+        wall: Returns the wall time, in seconds since the epoch.
     """
 
     def __init__(
@@ -86,6 +95,7 @@
         api: ControlApi,
         calls_per_s: float,
         set_gauge: SetGauge = lambda name, value: None,
+        wall: Callable[[], float] = time.time,
     ) -> None:
         self._holder = holder
         self._reports = reports
@@ -93,10 +103,55 @@
         self._api = api
         self._budget = CallBudget(calls_per_s * CALLS_SHARE)
         self._set_gauge = set_gauge
+        self._wall = wall
         self._token: int | None = None
         self._pools: dict[str, _PoolOrders] = {}
         self._sent = 0
         self._refused = 0
+        holder.attach(self)
+
+    def pending_records(self) -> list[tuple[str, bytes]]:
+        """Return the orders of each pool and what was learnt."""
+        now, wall_s = asyncio.get_running_loop().time(), self._wall()
+        records = []
+        for name, pool in self._pools.items():
+            if not pool.restored and pool.learnt.since is None:
+                continue  # Nothing is planned yet.
+            record = encode_pool(pool.groups, pool.learnt, now, wall_s)
+            if len(record) <= MAX_RECORD_BYTES:
+                records.append((KEY_PREFIX + name, record))
+            else:
+                logger.bind(pool=name).error("orders not recorded: too many availability zones")
+        return records
+
+    def on_taken(self, taken: LeaseTaken) -> None:
+        """Continue from the orders of the holder before."""
+        self._token = taken.token
+        self._pools.clear()
+        now, wall_s = asyncio.get_running_loop().time(), self._wall()
+        for key, value in taken.records.items():
+            if not key.startswith(KEY_PREFIX):
+                continue
+            if taken.rewound:
+                logger.bind(key=key).warning("orders not taken over: the log lost records")
+                continue
+            try:
+                groups, learnt = decode_pool(value, now, wall_s)
+            except MALFORMED as exc:
+                logger.bind(key=key).error("record holds no orders: {!r}", exc)
+                continue
+            name = key.removeprefix(KEY_PREFIX)
+            self._pools[name] = _PoolOrders(now, True, groups, learnt)
+            logger.bind(
+                pool=name, ordered=_text((group, item.ordered) for group, item in groups.items())
+            ).info("orders taken over")
+
+    def on_lost(self) -> None:
+        """Forget the orders, since the next holder may change them."""
+        self._token = None
+        self._pools.clear()
+        self._set_gauge("runners_desired", 0)
+        self._set_gauge("runners_ready", 0)
 
     async def run(self) -> None:
         """Plan and order once per second while this node holds the duties."""
@@ -155,6 +210,8 @@
             pool.load,
             now - pool.load_at,
             pool.learnt,
+            # Runners that the holder before ordered may still boot.
+            not pool.restored and now < pool.since + rule.boot_s + ANNOUNCE_S,
         )
         decision = plan(state)
         pool.learnt = decision.learnt
--- a/tests/runner_market.py
+++ b/tests/runner_market.py
@@ -246,7 +246,7 @@
         return self.held
 
     def attach(self, duty: DutyRecords) -> None:
-        raise NotImplementedError
+        return None
 
     async def commit(self) -> bool:
         return True
--- a/tests/test_scaler.py
+++ b/tests/test_scaler.py
@@ -5,11 +5,20 @@
 import unittest
 from collections.abc import Callable
 
-from lacewinghub.autoscaler import ANNOUNCE_S, REFUSED_PAUSE_S
+from lacewinghub.autoscaler import (
+    ANNOUNCE_S,
+    REFUSED_PAUSE_S,
+    Group,
+    GroupState,
+    Learnt,
+    Sample,
+)
 from lacewinghub.control_api import CallOutcome, RunnerOrder
+from lacewinghub.duties import LeaseTaken
 from lacewinghub.scaler import CALLS_SHARE, FIRST_ORDER_S, Scaler
+from lacewinghub.scaling_record import decode_pool, encode_pool
 
-from .clock import simulate
+from .clock import simulate, wall
 from .runner_market import POOL, RULE, FakeHolder, Market
 
 CALLS_PER_S = 50.0
@@ -38,6 +47,15 @@
         simulate(self._run)
 
     async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        for at, event in self.events.items():
+            loop.call_at(at, event, self)
+        self.start()
+        await self.market.run(self.length_s)
+        self.task.cancel()
+
+    def start(self) -> None:
+        """Start the scaler of a node."""
         market = self.market
         self.scaler = Scaler(
             self.holder,
@@ -46,13 +64,21 @@
             market,
             self.calls_per_s,
             self.gauges.__setitem__,
+            wall,
         )
-        loop = asyncio.get_running_loop()
-        for at, event in self.events.items():
-            loop.call_at(at, event, self)
-        task = asyncio.create_task(self.scaler.run())
-        await market.run(self.length_s)
-        task.cancel()
+        self.task = asyncio.create_task(self.scaler.run())
+
+    def lose(self) -> None:
+        """Stop the node that holds the duties."""
+        self.records = dict(self.scaler.pending_records())
+        self.holder.held = None
+        self.task.cancel()
+
+    def take(self, token: int, records: dict[str, bytes], rewound: bool = False) -> None:
+        """Give the duties to another node."""
+        self.start()
+        self.holder.held = token
+        self.scaler.on_taken(LeaseTaken(token, records, rewound))
 
     def times(self, outcome: CallOutcome | None = None) -> list[float]:
         """Return when orders were sent, in seconds."""
@@ -181,6 +207,89 @@
                         self.assertGreaterEqual(order.desired, least)
                     grown[order.availability_zone] = order.desired
 
+    def test_new_holder_continues_from_the_record(self) -> None:
+        # Guards against a new holder that cancels runners that boot, and orders others instead.
+        def burst(kind: object, now: float) -> float:
+            return 1.0 if now < 40.0 else 2.2
+
+        calm = Run(Market(factor=burst), 70.0).market
+        for taken_at in (43.7, 46.2, 48.2):
+            with self.subTest(taken_at=taken_at):
+                run = Run(
+                    Market(factor=burst),
+                    70.0,
+                    {42.2: Run.lose, taken_at: lambda run: run.take(2, run.records)},
+                )
+                self.assertLess(run.market.cost, 1.03 * calm.cost)
+                self.assertGreater(run.market.good, 0.97 * calm.good)
+                last: dict[str, int] = {}
+                for at, order, outcome in run.market.orders:
+                    if order.spot and outcome is CallOutcome.ACCEPTED:
+                        if 42.2 < at < 42.2 + RULE.boot_s + ANNOUNCE_S:
+                            self.assertGreaterEqual(order.desired, last[order.availability_zone])
+                        last[order.availability_zone] = order.desired
+
+    def test_new_holder_without_a_record_only_grows_at_first(self) -> None:
+        # Guards against a holder that trusts a record that is malformed or older than another one.
+        cases: list[tuple[str, Callable[[bytes], bytes], bool]] = [
+            ("rewound", lambda record: record, True),
+            ("no JSON", lambda record: b"{", False),
+            ("not an object", lambda record: b"[]", False),
+            (
+                "negative",
+                lambda record: record.replace(b'"good_tokens":', b'"good_tokens":-'),
+                False,
+            ),
+            ("not a number", lambda record: record.replace(b'"at":', b'"at":"x","a":'), False),
+            ("infinite", lambda record: record.replace(b'"at":', b'"at":Infinity,"a":'), False),
+        ]
+        for name, change, rewound in cases:
+            with self.subTest(name):
+
+                def take(run: Run, change=change, rewound=rewound) -> None:
+                    records = {key: change(value) for key, value in run.records.items()}
+                    run.take(2, records, rewound)
+                    run.found = dict(run.scaler._pools)
+
+                def fall(kind: object, now: float) -> float:
+                    return 1.0 if now < 40.0 else 0.3
+
+                run = Run(Market(factor=fall), 60.0, {42.2: Run.lose, 43.7: take})
+                self.assertEqual(run.found, {})
+                shrinks = []
+                last: dict[tuple[str, bool], int] = {}
+                for at, order, _ in run.market.orders:
+                    group = (order.availability_zone, order.spot)
+                    if at > 43.7 and order.desired < last.get(group, 0):
+                        shrinks.append(at)
+                    last[group] = order.desired
+                self.assertTrue(shrinks)
+                self.assertGreaterEqual(min(shrinks), 43.7 + RULE.boot_s + ANNOUNCE_S)
+
+    def test_record_is_bounded_and_exact(self) -> None:
+        # Guards against a record that grows with time, and orders that are dated wrongly.
+        groups = {
+            Group("a", True): GroupState(ordered=5, ordered_at=90.0, unconfirmed=7),
+            Group("b", False): GroupState(ordered=2, closed_until=106.0),
+        }
+        samples = tuple(Sample(50.0 + at / 10, at % 31, at % 17, at % 7) for at in range(501))
+        learnt = Learnt(60.0, 9, samples, 0.4, 0.01, 3.0, 9.0, 95.0, 97.0)
+        record = encode_pool(groups, learnt, 100.0, 1e9)
+        self.assertLess(len(record), 2000)
+        for skew_s, age_s in ((2.0, 2.0), (-50.0, 0.0)):
+            with self.subTest(skew_s=skew_s):
+                found, known = decode_pool(record, 500.0, 1e9 + skew_s)
+                then = 500.0 - age_s
+                self.assertEqual(
+                    found[Group("a", True)],
+                    GroupState(ordered=5, ordered_at=then - 10.0, unconfirmed=7),
+                )
+                self.assertEqual(found[Group("b", False)].closed_until, then + 6.0)
+                self.assertEqual((known.since, known.lost_at), (then - 40.0, then - 3.0))
+                self.assertEqual(max(item.busy for item in known.samples), 30)
+                self.assertEqual(known.samples[-1].time, then)
+                self.assertEqual(known.late_tokens, 9.0)
+
     def test_no_order_before_most_nodes_have_reported(self) -> None:
         # Guards against a demand that is computed from the reports of few nodes.
         self.assertEqual(Run(Market(live=2), 20.0).market.orders, [])
