--- a/lacewinghub/scaler.py
+++ b/lacewinghub/scaler.py
@@ -195,9 +195,9 @@
             pool = self._pools[spec.name] = _PoolOrders(now)
         runners = self._directory.inventory(spec.name)
         self._update_groups(pool, runners, rule, now)
-        load = self._sum_load(spec.name, now)
-        if load is not None:
-            pool.load, pool.load_at = load, now
+        found = self._sum_load(spec.name, now)
+        if found is not None:
+            pool.load, pool.load_at = found
         if runners:
             pool.slots = sum(item.slots for item in runners) / len(runners)
         if now < pool.since + FIRST_ORDER_S or pool.load is None or not pool.slots:
@@ -249,8 +249,12 @@
                 item, serving=serving[group], leaving=leaving[group], ordered=ordered
             )
 
-    def _sum_load(self, pool: str, now: float) -> PoolLoad | None:
-        """Add up the newest reports, and scale the sum to the live nodes."""
+    def _sum_load(self, pool: str, now: float) -> tuple[PoolLoad, float] | None:
+        """Add up the newest reports, and scale the sum to the live nodes.
+
+        Returns:
+            The demand, and when the oldest report in it arrived; None with too few reports.
+        """
         fresh = [
             item
             for item in self._reports.reports()
@@ -259,7 +263,8 @@
         live = max(1, self._reports.live_nodes())
         if not fresh or len(fresh) < REPORTED_SHARE * live:
             return None
-        return _total(_demand_of(pool, fresh), max(1.0, live / len(fresh)))
+        total = _total(_demand_of(pool, fresh), max(1.0, live / len(fresh)))
+        return total, min(item.received for item in fresh)
 
     async def _send(
         self, token: int, name: str, pool: _PoolOrders, decision: Plan
--- a/tests/runner_market.py
+++ b/tests/runner_market.py
@@ -53,6 +53,7 @@
         late_s: Time after which an order is executed that was not answered; None for never.
         live: Number of live nodes, one of which reports.
         silent: True if that node does not report.
+        age_s: Age of its reports, in seconds.
     """
 
     factor: Callable[[Kind, float], float] = lambda kind, now: 1.0
@@ -60,6 +61,7 @@
     late_s: float | None = None
     live: int = 1
     silent: bool = False
+    age_s: float = 0.0
     seed: int = 1
 
     def __post_init__(self) -> None:
@@ -157,7 +159,8 @@
             scale["late"],
             scale["refused"],
         )
-        return [ReceivedReport(LeaderReport("n", 1, 1, 0, demand=[demand]), self.now(), True)]
+        report = LeaderReport("n", 1, 1, 0, demand=[demand])
+        return [ReceivedReport(report, self.now() - self.age_s, True)]
 
     async def run(self, length_s: float) -> None:
         while self.now() < length_s:
--- a/tests/test_scaler.py
+++ b/tests/test_scaler.py
@@ -294,6 +294,13 @@
         # Guards against a demand that is computed from the reports of few nodes.
         self.assertEqual(Run(Market(live=2), 20.0).market.orders, [])
 
+    def test_age_of_the_demand(self) -> None:
+        # Guards against demand that is taken for current although its reports are seconds old.
+        for age_s in (0.0, 1.5, 2.9):
+            with self.subTest(age_s=age_s):
+                run = Run(Market(age_s=age_s), 10.5)
+                self.assertAlmostEqual(run.scaler._pools[POOL].load_at, 10.0 - age_s, 1)
+
     def test_no_scale_in_without_reports(self) -> None:
         # Guards against runners that leave while the demand is unknown.
         def silence(run: Run) -> None:
