--- a/lacewinghub/usage_reporter.py
+++ b/lacewinghub/usage_reporter.py
@@ -36,6 +36,9 @@
 # A holder that waits for a node decides this long before a new holder has to, so that another one
 # can still take over.
 SPARE_S = 1.5
+# A report that is refused this often for a reason that no repetition cures is given up, since the
+# windows after it wait for it.
+MAX_REFUSALS = 2
 RETRY_MIN_S = 0.5
 RETRY_MAX_S = 2.0
 DECISION_KEY = "usage"
@@ -167,7 +170,8 @@
 
     Attributes:
         windows_reported: Number of windows that the platform accepted from this node.
-        windows_dropped: Number of windows that were too old to be reported.
+        windows_dropped: Number of windows that were not reported, because they were too old, too
+            large or refused.
         report_delay_s: Time from the end of the newest reported window until it was accepted.
     """
 
@@ -197,6 +201,7 @@
         self._taken_steady = 0.0
         self._taken_loop = 0.0
         self._ahead_s = 0.0
+        self._refusals = 0
         self._offered: Decision | None = None
         self._parts = 0
         self._backoff = Backoff(random.Random(), RETRY_MIN_S, RETRY_MAX_S, jitter=(1.0, 1.0))
@@ -235,6 +240,7 @@
         self._taken_loop = asyncio.get_running_loop().time()
         self._parts = sum(key.startswith(_part_key("")) for key in taken.records)
         self._backoff.reset()
+        self._refusals = 0
         self._merged.clear()
         self._table = UsageTable()
         for key, value in taken.records.items():
@@ -291,9 +297,21 @@
         outcome = await self._api.report_usage(token, UsageReport(decision.window, decision.counts))
         if term != self._term:
             return
+        if outcome in (CallOutcome.REJECTED, CallOutcome.UNAVAILABLE):
+            self._refusals += 1
+            if self._refusals >= MAX_REFUSALS:
+                self._refusals = 0
+                self._backoff.reset()
+                self._decision = replace(decision, sent=True)
+                self.windows_dropped += 1
+                logger.bind(window=decision.window, outcome=str(outcome)).error(
+                    "usage window dropped: the report was refused"
+                )
+                return
         if outcome is not CallOutcome.ACCEPTED:
             await self._backoff.pause()
             return
+        self._refusals = 0
         self._backoff.reset()
         self._decision = replace(decision, sent=True)
         self.windows_reported += 1
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -120,6 +120,7 @@
         self.nodes = {name: (int(EPOCH_S * 1000), self.counts()) for name in NODES}
         self.newest: dict[tuple[str, int], tuple[LeaderReport, float]] = {}
         self.dead: set[tuple[str, int]] = set()
+        self.reporters: list[UsageReporter] = []
         self.tasks = [asyncio.create_task(part()) for part in (self.serve, self.send_reports)]
 
     def counts(self) -> UsageCounts:
@@ -168,6 +169,8 @@
         clock = WindowClock(5.0, lambda: wall() + ahead_s, loop_time)
         reporter = UsageReporter(lease, self, self.api, SETTINGS, clock)
 
+        self.reporters.append(reporter)
+
         async def renew() -> None:
             while True:
                 await asyncio.sleep(RENEWAL_S)
@@ -452,6 +455,28 @@
         self.assertEqual(list(world.api.sent), [FIRST + n for n in WINDOWS])
         self.assertTrue(all(len(sent) == 1 for sent in world.api.sent.values()))
 
+    def test_a_refused_report_does_not_delay_the_others(self) -> None:
+        # Guards against windows that wait for a report that is refused for good.
+        for outcome in (CallOutcome.REJECTED, CallOutcome.UNAVAILABLE):
+            with self.subTest(outcome):
+
+                async def scenario(world: World, outcome: CallOutcome = outcome) -> None:
+                    self.refused = 0
+
+                    def answer(report: UsageReport) -> tuple[bool, CallOutcome]:
+                        if report.window != FIRST + 1:
+                            return True, CallOutcome.ACCEPTED
+                        self.refused += 1
+                        return False, outcome
+
+                    world.api.answer = answer
+                    world.take(world.holder())
+
+                world = self.play(scenario)
+                self.assertEqual([w - FIRST for w in world.api.sent], [0, 2, 3, 4, 5])
+                self.assertLessEqual(max(world.api.delays.values()), 1.7)
+                self.assertEqual((self.refused, world.reporters[0].windows_dropped), (2, 1))
+
     def test_windows_that_are_too_old_are_dropped(self) -> None:
         async def scenario(world: World) -> None:
             world.take(world.holder())
