--- a/lacewinghub/duty_services.py
+++ b/lacewinghub/duty_services.py
@@ -7,6 +7,7 @@
 from .control_api import ControlApi
 from .demand import DemandMeter
 from .directory import EndpointDirectory
+from .duties import CALL_MARGIN_S
 from .duty_lease import DutyLease
 from .leader_hint import LeaderHints
 from .leader_reports import LeaderReports
@@ -42,6 +43,11 @@
     usage_late_s: float = 10.0
     calls_per_s: float = 10.0
 
+    @property
+    def is_lease_usable(self) -> bool:
+        """Whether the lease leaves time for calls between its renewals, every third of it."""
+        return self.lease_s >= 1.5 * CALL_MARGIN_S
+
 
 @dataclass(frozen=True, slots=True)
 class DutyPlatform:
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -429,6 +429,11 @@
         topic, api = self._adapter.duty_topic(), self._adapter.control_api()
         if self.cfg.duties is None or topic is None or api is None:
             return None
+        if not self.cfg.duties.is_lease_usable:
+            logger.bind(lease_s=self.cfg.duties.lease_s).error(
+                "singleton duties are off: the lease is too short for a call"
+            )
+            return None
         parts = NodeParts(
             self._overlay,
             self._peers,
--- a/tests/test_duty_nodes.py
+++ b/tests/test_duty_nodes.py
@@ -3,6 +3,8 @@
 import asyncio
 import unittest
 
+from loguru import logger
+
 from lacewinghub.conditional_topic import AppendConflict, Appended
 from lacewinghub.duties import ReceivedReport
 from lacewinghub.errors import LogUnavailable
@@ -86,6 +88,25 @@
         self.assertNotIn(TOPIC, self.store._topics)
 
 
+class TestShortLease(PlatformCase):
+    nodes = 1
+    settings = DUTIES | {"bounds": {"budget_min_retries": 1200, "lease_ms": LEASE_MS - 10}}
+
+    async def asyncSetUp(self) -> None:
+        self.lines: list[str] = []
+        logger.enable("lacewinghub")
+        sink = logger.add(lambda line: self.lines.append(str(line)), level="ERROR")
+        self.addCleanup(logger.remove, sink)
+        self.addCleanup(logger.disable, "lacewinghub")
+        await super().asyncSetUp()
+
+    async def test_duties_are_off_and_the_reason_is_logged(self) -> None:
+        # Guards against a lease that is held without ever leaving time for a call.
+        self.assertIsNone(self.members[0]._duties)
+        self.assertEqual(sum("singleton duties are off" in line for line in self.lines), 1)
+        self.assertNotIn(TOPIC, self.store._topics)
+
+
 class TestStoreTopic(unittest.IsolatedAsyncioTestCase):
     async def test_conditional_appends(self) -> None:
         # Guards against records that are appended although another node has appended meanwhile, or
