--- a/lacewinghub/duties.py
+++ b/lacewinghub/duties.py
@@ -69,6 +69,9 @@
     def fill_report(self, report: LeaderReport) -> None:
         """Write figures into an outgoing report."""
 
+    def on_sent(self) -> None:  # noqa: B027
+        """Handle that the report filled last was sent to the holder of the duties."""
+
 
 @dataclass(frozen=True, slots=True)
 class ReceivedReport:
--- a/lacewinghub/leader_reports.py
+++ b/lacewinghub/leader_reports.py
@@ -1,6 +1,7 @@
 """Reports of all nodes to the node that holds the singleton duties."""
 
 import asyncio
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -14,6 +15,10 @@
 REPORT_EVERY_S = 0.5
 # With more nodes than REPORT_EVERY_S times this, the holder gets this many reports per second.
 REPORTS_PER_S = 300.0
+# With more nodes than this, their first reports to a new holder, each of which opens a connection,
+# are spread over some time.
+SPREAD_NODES = 64
+SPREAD_S = 1.0
 TICK_S = 0.1  # A new holder is noticed this soon.
 # First pause until a report that found no connection is sent over the one that is being opened.
 CONNECT_S = 0.1
@@ -83,7 +88,8 @@
         while True:
             leader, now = self._leader(), _now()
             if leader is not None and leader.token != told:
-                told, due, retry_s = leader.token, now, CONNECT_S
+                delay_s = random.uniform(0.0, SPREAD_S) if self.live_nodes() > SPREAD_NODES else 0.0
+                told, due, retry_s = leader.token, now + delay_s, CONNECT_S
             if leader is not None and now >= due:
                 if self._send_to(leader):
                     due = now + self._period_s()
@@ -104,6 +110,8 @@
         if leader.node == self._identity.node:
             return True
         if self._transport.send(leader.node, self._build()):
+            for item in self._contributors:
+                item.on_sent()
             return True
         self._transport.connect_on_demand(leader.address)
         return False
--- a/lacewinghub/usage.py
+++ b/lacewinghub/usage.py
@@ -144,7 +144,8 @@
         self._counts: dict[int, dict[str, int]] = {}
         self._holder = holder
         self._last_holder: object = None
-        self._all_until = self.clock.steady() + NEW_HOLDER_S
+        # Infinite until a report was sent to the holder.
+        self._all_until = float("inf")
 
     def count(self, workspace: str) -> None:
         """Count a request that begins now; one without a workspace is not counted."""
@@ -170,11 +171,15 @@
             if window >= first
         ]
 
+    def on_sent(self) -> None:
+        """Begin the time in which a new holder gets all windows, with the first report to it."""
+        self._all_until = min(self._all_until, self.clock.steady() + NEW_HOLDER_S)
+
     def _first_to_report(self) -> int:
         holder, now = self._holder(), self.clock.steady()
         if holder != self._last_holder:
             self._last_holder = holder
-            self._all_until = now + NEW_HOLDER_S
+            self._all_until = float("inf")
         if now < self._all_until:
             return 0
         return self.clock.window(self.clock.now() - self.settings.recent_s)
--- a/tests/test_leader_reports.py
+++ b/tests/test_leader_reports.py
@@ -5,14 +5,20 @@
 
 from lacewinghub.duties import ReportContributor
 from lacewinghub.leader_hint import FORGET_S, TELL_EVERY_S, LeaderHints
-from lacewinghub.leader_reports import REPORT_EVERY_S, LeaderReports
+from lacewinghub.leader_reports import (
+    REPORT_EVERY_S,
+    SPREAD_NODES,
+    SPREAD_S,
+    TICK_S,
+    LeaderReports,
+)
 from lacewinghub.message import Heartbeat, LeaderHint, LeaderReport, WindowUsage
 from lacewinghub.overlay import Overlay
 
 from .overlay_cluster import Cluster, SimulatedCase
 
 # News crosses a partial mesh of 40 nodes in a few hops, with a delay of 20 ms and a relay of 50 ms.
-SPREAD_S = 0.5
+NEWS_S = 0.5
 
 
 class Usage(ReportContributor):
@@ -97,7 +103,7 @@
                             cluster.usage[name].requests = number
                         cluster.tokens = {"n001": 10}
                         await cluster.until(
-                            lambda: cluster.known() == {"n001"}, TELL_EVERY_S + SPREAD_S
+                            lambda: cluster.known() == {"n001"}, TELL_EVERY_S + NEWS_S
                         )
                         await cluster.until(lambda: set(cluster.counts("n001")) == names, 1.0)
                         self.assertEqual(
@@ -122,7 +128,7 @@
             self.assertEqual(cluster.known(), {"n001"})
             cluster.kill("n001")
             cluster.tokens = {}
-            await cluster.until(lambda: cluster.known() == {None}, FORGET_S + SPREAD_S)
+            await cluster.until(lambda: cluster.known() == {None}, FORGET_S + NEWS_S)
             cluster.tokens = {"n002": 10}  # A lower token than that of the dead holder.
             await cluster.until(lambda: cluster.known() == {"n002"}, 2.0)
 
@@ -182,6 +188,34 @@
 
         self.run_simulated(test, 5)
 
+    def test_first_reports_of_many_nodes_are_spread(self) -> None:
+        # Guards against a new holder to which hundreds of nodes connect at the same moment.
+        for nodes, is_spread in ((SPREAD_NODES, False), (SPREAD_NODES + 1, True)):
+            with self.subTest(nodes):
+
+                async def test(cluster: Any, nodes: int = nodes, is_spread: bool = is_spread):
+                    first: dict[str, float] = {}
+                    loop = asyncio.get_running_loop()
+                    for name, reports in cluster.reports.items():
+                        reports.live_nodes = lambda: nodes
+
+                        def record(leader: LeaderHint, name: str = name) -> bool:
+                            first.setdefault(name, loop.time())
+                            return True
+
+                        reports._send_to = record
+                    hint = LeaderHint("n001", "memory:n001", 10, 1)
+                    started = loop.time()
+                    for reports in cluster.reports.values():
+                        reports._leader = lambda: hint
+                    await asyncio.sleep(SPREAD_S + 2 * TICK_S)
+                    self.assertEqual(set(first), set(cluster.members))
+                    spread_s = max(first.values()) - started
+                    self.assertEqual(spread_s > 2 * TICK_S, is_spread)
+                    self.assertLessEqual(spread_s, SPREAD_S + 2 * TICK_S)
+
+                self.run_simulated(test, 12)
+
     def test_last_reports_of_nodes_that_leave_say_so(self) -> None:
         # Guards against a holder that waits for the counts of nodes that have ended.
         async def test(cluster: Any) -> None:
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -142,6 +142,7 @@
                 if name not in self.silent:
                     report = LeaderReport(name, incarnation, round(loop_time() * 1000), 0)
                     counts.fill_report(report)
+                    counts.on_sent()
                     report.leaving = name in self.leaving
                     self.newest[name, incarnation] = report, loop_time()
             await asyncio.sleep(REPORT_S)
@@ -557,10 +558,21 @@
         counts.fill_report(report)
         found = [(item.window - FIRST, item.requests["w"]) for item in report.usage]
         self.assertEqual((found, report.last_window), ([(0, 2), (1, 2), (2, 1)], FIRST + 1))
-        now[0] = 34.0
-        for holder[0], windows in (("a", []), ("b", [1, 2])):
-            counts.fill_report(report)
-            self.assertEqual([item.window - FIRST for item in report.usage], windows)
+        # A holder gets all windows for some time from the first report that was sent to it.
+        steps = [
+            ("a", 29.0, True, [0, 1, 2]),
+            ("a", 33.9, True, [1, 2]),
+            ("a", 34.0, True, []),
+            ("b", 34.0, False, [1, 2]),
+            ("b", 39.5, True, [2]),
+            ("b", 39.9, True, [2]),
+        ]
+        for holder[0], now[0], is_sent, windows in steps:
+            with self.subTest(f"{holder[0]} {now[0]}"):
+                counts.fill_report(report)
+                if is_sent:
+                    counts.on_sent()
+                self.assertEqual([item.window - FIRST for item in report.usage], windows)
 
 
 class Recorder(UsageMeter):
