--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -120,6 +120,7 @@
         self.nodes = {name: (int(EPOCH_S * 1000), self.counts()) for name in NODES}
         self.newest: dict[tuple[str, int], tuple[LeaderReport, float]] = {}
         self.dead: set[tuple[str, int]] = set()
+        self.reporters: list[UsageReporter] = []
         self.tasks = [asyncio.create_task(part()) for part in (self.serve, self.send_reports)]
 
     def counts(self) -> UsageCounts:
@@ -141,6 +142,7 @@
                 if name not in self.silent:
                     report = LeaderReport(name, incarnation, round(loop_time() * 1000), 0)
                     counts.fill_report(report)
+                    counts.on_sent()
                     report.leaving = name in self.leaving
                     self.newest[name, incarnation] = report, loop_time()
             await asyncio.sleep(REPORT_S)
@@ -168,6 +170,8 @@
         clock = WindowClock(5.0, lambda: wall() + ahead_s, loop_time)
         reporter = UsageReporter(lease, self, self.api, SETTINGS, clock)
 
+        self.reporters.append(reporter)
+
         async def renew() -> None:
             while True:
                 await asyncio.sleep(RENEWAL_S)
@@ -452,6 +456,28 @@
         self.assertEqual(list(world.api.sent), [FIRST + n for n in WINDOWS])
         self.assertTrue(all(len(sent) == 1 for sent in world.api.sent.values()))
 
+    def test_a_refused_report_does_not_delay_the_others(self) -> None:
+        # Guards against windows that wait for a report that is refused for good.
+        for outcome in (CallOutcome.REJECTED, CallOutcome.UNAVAILABLE):
+            with self.subTest(outcome):
+
+                async def scenario(world: World, outcome: CallOutcome = outcome) -> None:
+                    self.refused = 0
+
+                    def answer(report: UsageReport) -> tuple[bool, CallOutcome]:
+                        if report.window != FIRST + 1:
+                            return True, CallOutcome.ACCEPTED
+                        self.refused += 1
+                        return False, outcome
+
+                    world.api.answer = answer
+                    world.take(world.holder())
+
+                world = self.play(scenario)
+                self.assertEqual([w - FIRST for w in world.api.sent], [0, 2, 3, 4, 5])
+                self.assertLessEqual(max(world.api.delays.values()), 1.7)
+                self.assertEqual((self.refused, world.reporters[0].windows_dropped), (2, 1))
+
     def test_windows_that_are_too_old_are_dropped(self) -> None:
         async def scenario(world: World) -> None:
             world.take(world.holder())
@@ -532,10 +558,21 @@
         counts.fill_report(report)
         found = [(item.window - FIRST, item.requests["w"]) for item in report.usage]
         self.assertEqual((found, report.last_window), ([(0, 2), (1, 2), (2, 1)], FIRST + 1))
-        now[0] = 34.0
-        for holder[0], windows in (("a", []), ("b", [1, 2])):
-            counts.fill_report(report)
-            self.assertEqual([item.window - FIRST for item in report.usage], windows)
+        # A holder gets all windows for some time from the first report that was sent to it.
+        steps = [
+            ("a", 29.0, True, [0, 1, 2]),
+            ("a", 33.9, True, [1, 2]),
+            ("a", 34.0, True, []),
+            ("b", 34.0, False, [1, 2]),
+            ("b", 39.5, True, [2]),
+            ("b", 39.9, True, [2]),
+        ]
+        for holder[0], now[0], is_sent, windows in steps:
+            with self.subTest(f"{holder[0]} {now[0]}"):
+                counts.fill_report(report)
+                if is_sent:
+                    counts.on_sent()
+                self.assertEqual([item.window - FIRST for item in report.usage], windows)
 
 
 class Recorder(UsageMeter):
