--- a/lacewinghub/client_bounds.py
+++ b/lacewinghub/client_bounds.py
@@ -33,9 +33,10 @@
 ENDPOINT_BYTES = 64 * 1024 + 256 * 1024
 # A request may already be on the network for a connection that was opened or used this recently.
 IDLE_BEFORE_CLOSE_S = 0.5
-# Number of connections that are closed at once when there are too many, so that a crowd of new ones
-# does not cost a search each.
+# Largest number of connections that are closed at once when there are too many, so that a crowd of
+# new ones does not cost a search each. Of few connections only this share is closed, at least one.
 CLOSED_AT_ONCE = 16
+CLOSED_SHARE = 1 / 16
 # Above this share of the largest number of connections, bodies that arrive slowly are refused.
 CROWDED_SHARE = 0.5
 # While the process is strained or crowded, a body must come within this time, and after the first
@@ -45,11 +46,15 @@
 BODY_BYTES_PER_S = 4096
 # After an expensive read, all such connections rest for this multiple of its time.
 REST_FACTOR = 2.0
-# The rest ends well before the idle time-out, however many connections take part.
+# Longest rest. Where so many connections take part that they would rest longer, they read again at
+# the same time. It is well below the default idle time-out of 15 s: no client is late because the
+# node does not read. A shorter idle time-out may end bodies that rest.
 MAX_REST_S = 5.0
 LOG_INTERVAL_S = 1.0
-# Free memory is returned when this much less is held than before.
+# Free memory is returned when this much less is held than before, and only so often: it stops the
+# process while the allocator looks through the whole heap.
 RELEASED_BYTES = 4 * MB
+RELEASE_INTERVAL_S = 5.0
 # Reasons for which clients are refused or their connections closed.
 REASONS = (
     "refused_for_memory",
@@ -99,19 +104,32 @@
     Attributes:
         address: IP address of the client.
         idle_s: Time since the last byte or response, in seconds.
-        served: True while a request of it is being served.
+        served: True while a request of it is being served or an answer is not read.
+        started: True if a request has arrived in part.
     """
 
     address: str
     idle_s: float
     served: bool
+    started: bool = False
+
+
+def closed_at_once(count: int) -> int:
+    """Return how many connections may be closed at once.
+
+    Args:
+        count: Number of open connections among which they are chosen.
+    """
+    return max(1, min(CLOSED_AT_ONCE, int(count * CLOSED_SHARE)))
 
 
 def choose_closed(connections: Sequence[OpenConnection], number: int, address: str) -> list[int]:
     """Choose the connections to close when there are too many.
 
-    Connections of the address that has most of them go first, and among these the longest idle.
-    Those whose request is being served stay.
+    Connections of the address that has most of them go first, among these the ones without a part
+    of a request, and among these the longest idle. Each address loses ``closed_at_once`` of its
+    connections at most, and one with less than half as many as the first loses none. Connections
+    in use stay: those that are served, and those used within ``IDLE_BEFORE_CLOSE_S``.
 
     Args:
         connections: The open connections.
@@ -128,10 +146,22 @@
         if not item.served and item.idle_s >= IDLE_BEFORE_CLOSE_S and address in ("", item.address)
     ]
     closable.sort(
-        key=lambda index: (counts[connections[index].address], connections[index].idle_s),
-        reverse=True,
+        key=lambda index: (
+            -counts[connections[index].address],
+            connections[index].started,
+            -connections[index].idle_s,
+        )
     )
-    return closable[:number]
+    chosen: list[int] = []
+    closed: Counter[str] = Counter()
+    for index in closable:
+        owner = connections[index].address
+        if len(chosen) == number or 2 * counts[owner] < counts[connections[closable[0]].address]:
+            break
+        if closed[owner] < closed_at_once(counts[owner]):
+            closed[owner] += 1
+            chosen.append(index)
+    return chosen
 
 
 def is_too_slow(size: int, elapsed_s: float) -> bool:
@@ -194,6 +224,27 @@
         log.warning("client refused")
 
 
+class FreeMemory:
+    """Decides when the process returns free memory to the operating system."""
+
+    def __init__(self) -> None:
+        self._peak = 0
+        self._released_at = float("-inf")
+
+    def should_release(self, held: int, now: float) -> bool:
+        """Tell whether much less is held than before; the caller then releases free memory.
+
+        Args:
+            held: Number of bytes that are held.
+            now: Current time in seconds.
+        """
+        self._peak = max(self._peak, held)
+        if self._peak - held <= RELEASED_BYTES or now - self._released_at < RELEASE_INTERVAL_S:
+            return False
+        self._peak, self._released_at = held, now
+        return True
+
+
 @dataclass(slots=True)
 class ClientGuard:
     """What limits the clients of all servers of a process; by default nothing does.
@@ -203,15 +254,17 @@
         bounds: Bounds on the connections to one server.
         pacer: Spreads expensive reads.
         refusals: Counts refused clients.
-        connections: Number of open connections.
+        free_memory: Decides when free memory is returned.
+        connections: Number of open connections of clients; those of servers that are not for
+            clients are not counted.
     """
 
     budget: MemoryBudget = field(default_factory=MemoryBudget)
     bounds: ConnectionBounds = field(default_factory=ConnectionBounds)
     pacer: ParsePacer = field(default_factory=ParsePacer)
     refusals: Refusals = field(default_factory=Refusals)
+    free_memory: FreeMemory = field(default_factory=FreeMemory)
     connections: int = 0
-    _peak: int = 0
 
     def for_server(self, public: bool) -> "ClientGuard":
         """Return the guard of a server; one that is not for clients needs few connections."""
@@ -219,15 +272,12 @@
             return self
         limited = self.bounds.total is not None
         bounds = ConnectionBounds(INTERNAL_CONNECTIONS) if limited else ConnectionBounds()
-        return replace(self, bounds=bounds)
+        return replace(self, bounds=bounds, connections=0)
 
     def release_memory(self) -> None:
         """Return memory to the operating system if much less is held than before."""
-        held = self.budget.held
-        if self._peak - held > RELEASED_BYTES:
+        if self.free_memory.should_release(self.budget.held, time.monotonic()):
             release_free_memory()
-            self._peak = held
-        self._peak = max(self._peak, held)
 
     def gauges(self) -> dict[str, float]:
         """Return what the metrics page shows."""
--- a/lacewinghub/httpserver.py
+++ b/lacewinghub/httpserver.py
@@ -4,12 +4,12 @@
 from collections import Counter
 
 from .client_bounds import (
-    CLOSED_AT_ONCE,
     CONNECTION_BYTES,
     CROWDED_SHARE,
     LINGER_SHARE,
     ClientGuard,
     choose_closed,
+    closed_at_once,
 )
 from .clientconnection import ClientConnection, ConnectionOwner
 from .httphandler import HttpHandler, HttpLimits
@@ -72,14 +72,12 @@
     def admit(self, conn: ClientConnection) -> bool:
         """Add a new connection; others may be closed in its favour. See ``ConnectionOwner``."""
         bounds = self.guard.bounds
-        of_address = self._addresses[conn.address]
-        if bounds.per_address is not None and of_address >= bounds.per_address:
+        if self._is_address_full(conn.address):
             self._make_room(conn.address)
         elif bounds.total is not None and len(self.connections) >= bounds.total:
             self._make_room("")
-        if (
-            bounds.per_address is not None and self._addresses[conn.address] >= bounds.per_address
-        ) or (bounds.total is not None and len(self.connections) >= bounds.total):
+        is_full = bounds.total is not None and len(self.connections) >= bounds.total
+        if is_full or self._is_address_full(conn.address):
             self.guard.refusals.add("refused_no_connection", conn.address)
             return False
         self.connections.add(conn)
@@ -124,14 +122,21 @@
         for conn in list(self.connections):
             conn.close()
 
+    def _is_address_full(self, address: str) -> bool:
+        """Tell whether an address has all the connections that it may have beside others."""
+        limit = self.guard.bounds.per_address
+        # A single address, as that of a balancer, takes nothing from others.
+        return limit is not None and len(self._addresses) > 1 and self._addresses[address] >= limit
+
     def _make_room(self, address: str) -> None:
         """Close connections that are not in use, of one address or of all."""
         now = asyncio.get_running_loop().time()
         if now < self._search_after:
             return
         conns = list(self.connections)
-        chosen = choose_closed([conn.state(now) for conn in conns], CLOSED_AT_ONCE, address)
-        if len(chosen) < CLOSED_AT_ONCE:
+        number = closed_at_once(self._addresses[address] if address else len(conns))
+        chosen = choose_closed([conn.state(now) for conn in conns], number, address)
+        if 2 * len(chosen) < number:
             self._search_after = now + SEARCH_PAUSE_S
         for index in chosen:
             conns[index].make_room()
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import re
 import unittest
 from dataclasses import dataclass
 
@@ -142,6 +143,35 @@
         self.assertEqual(response.count(b"HTTP/1.1 200 OK"), 5)
         self.assertEqual(len(self.handler.seen), 5)
 
+    async def test_an_interim_response_waits_for_the_turn_of_its_request(self) -> None:
+        # Guards against 100 Continue in the body of the answer to another request.
+        head = REQUEST[: -len(b"abc")].removesuffix(b"\r\n")
+        expecting = head + b"Expect: 100-continue\r\n\r\n"
+        pieces = b"GET /pieces HTTP/1.1\r\nHost: x\r\n\r\n"
+        cases = [
+            ("alone", [expecting, b"abc"], [b"100", b"200"]),
+            ("behind a request", [pieces + expecting, b"abc"], [b"200", b"100", b"200"]),
+            ("during a request", [pieces, expecting, b"abc"], [b"200", b"100", b"200"]),
+            ("with its body", [pieces + expecting + b"abc"], [b"200", b"200"]),
+        ]
+        for name, parts, statuses in cases:
+            with self.subTest(name):
+                self.handler.hold.clear()
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                for part in parts:
+                    if part == b"abc":  # The request before has been answered.
+                        self.handler.hold.set()
+                        await asyncio.sleep(0.05)
+                    writer.write(part)
+                    await asyncio.sleep(0.05)
+                self.handler.hold.set()
+                answer = await asyncio.wait_for(reader.read(-1), 3.0)
+                writer.close()
+                self.assertEqual(re.findall(rb"HTTP/1.1 (\d+)", answer), statuses)
+                if parts[0].startswith(pieces):
+                    self.assertIn(b"\r\n\r\n3\r\none\r\n3\r\ntwo\r\n0\r\n\r\n", answer)
+                self.assertTrue(answer.endswith(b"abc"))
+
     async def test_an_unfinished_response_does_not_look_complete(self) -> None:
         # Guards against presenting a truncated response as a complete one.
         complete = await self.exchange(b"GET /pieces HTTP/1.1\r\nHost: x\r\n\r\n", 0.2)
