Bound the load of the runners that are preferred for a shared part by the mean

Change: a preferred runner takes a request while its slots are used at most 1.25 times as much as the mean.

--- a/lacewinghub/placement.py
+++ b/lacewinghub/placement.py
@@ -41,9 +41,10 @@
 MIN_FREE = 0.5
 # Runners that are preferred for a shared part, in the order of their hashes, while they have room.
 AFFINITY_RUNNERS = 3
-# A preferred runner has room with this share of its slots free, and if the first event is predicted
-# within this share of its target.
-ROOM_SHARE = 0.25
+# A preferred runner has room if the share of its slots in use exceeds the mean of all by at most
+# this factor and share, and if the first event is predicted within this share of its target.
+ROOM_FACTOR = 1.25
+ROOM_SHARE = 0.05
 ROOM_TARGET_SHARE = 0.5
 # Assumed size of an event, in bytes.
 EVENT_BYTES = 200
@@ -279,8 +280,9 @@
         preferred = heapq.nsmallest(
             AFFINITY_RUNNERS, candidates, key=lambda item: self._rank(key, item.endpoint.name)
         )
+        used = sum(_used_share(item) for item in candidates) / len(candidates)
         for item in preferred:
-            if _has_room(item, req):
+            if _has_room(item, req, used):
                 return item
         return min(
             [*preferred, *drawn],
@@ -383,12 +385,23 @@
         return -math.log(min(1.0, place)) * self.states.rank_slowness(name)
 
 
-def _has_room(item: Candidate, req: Request) -> bool:
-    """Tell whether a preferred runner takes a request without delaying it or others much."""
+def _used_share(item: Candidate) -> float:
+    """Return the share of a runner's slots that is in use; waiting requests count as well."""
+    return 1.0 - item.load.free_slots / item.load.slots
+
+
+def _has_room(item: Candidate, req: Request, used: float) -> bool:
+    """Tell whether a preferred runner takes a request without delaying it or others much.
+
+    Args:
+        item: The runner.
+        req: The request.
+        used: Mean share of the slots in use at all runners that may take the request.
+    """
     target_s = req.target.first_token_s
     if target_s is not None and item.prediction.first_s > ROOM_TARGET_SHARE * target_s:
         return False
-    return item.load.free_slots >= ROOM_SHARE * item.load.slots
+    return _used_share(item) <= ROOM_FACTOR * used + ROOM_SHARE
 
 
 def _left_s(req: Request, now: float) -> float:
