--- a/lacewinghub/autoscaler.py
+++ b/lacewinghub/autoscaler.py
@@ -294,7 +294,9 @@
     cautious = not fresh or state.now < state.learnt.lost_at + AFTER_RECLAIM_S
     for group, item in groups.items():
         if group not in orders and item.unconfirmed is not None:
-            # It may have been executed; the same order again does no harm.
+            # It may have been executed; the same order again does no harm. A shrink that was not
+            # answered is raised again, at most to the number before it, if the target has risen
+            # since or if no runner should leave at the moment.
             wanted = item.ordered if cautious else min(item.ordered, target[group])
             orders[group] = max(item.unconfirmed, wanted)
     for group, count in shrinks.items():
--- a/lacewinghub/duties.py
+++ b/lacewinghub/duties.py
@@ -4,11 +4,14 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from .control_api import ControlApi
 from .message import LeaderReport
 
+# Time for a call that timed out to be closed, and for clocks that do not run at the same rate.
+CALL_SLACK_S = 0.2
 # Shortest validity of the lease with which a call to the control API may start: it is longer than
 # the call can take, so that none arrives after another node has taken over.
-CALL_MARGIN_S = 1.0
+CALL_MARGIN_S = ControlApi.CALL_TIMEOUT_S + CALL_SLACK_S
 
 
 @dataclass(frozen=True, slots=True)
--- a/lacewinghub/duty_lease.py
+++ b/lacewinghub/duty_lease.py
@@ -3,8 +3,7 @@
 import asyncio
 import contextlib
 import random
-import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 
 import xxhash
 from loguru import logger
@@ -15,6 +14,7 @@
 from .duty_lease_state import Attempt, LeaseLost, LeaseState, Step
 from .errors import LogUnavailable
 from .membership import Members
+from .suspend import boot_time_s
 from .transport import Peer
 
 # Number of live nodes, chosen by hash, that read the topic and may take the lease.
@@ -30,11 +30,6 @@
 NONCE_BITS = 64
 
 
-def boot_time() -> float:
-    """Return the time since the host booted, with the time for which it was suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class DutyLease(DutyHolder):
     """Takes, renews and gives up the lease.
 
@@ -56,7 +51,7 @@
         members: Members,
         topic: ConditionalTopic,
         lease_s: float,
-        clock: Callable[[], float] = boot_time,
+        clock: Callable[[], float] = boot_time_s,
         rng: random.Random | None = None,
     ) -> None:
         self.changes = 0
@@ -84,10 +79,6 @@
         """Add a duty whose records are appended with the renewals."""
         self._duties.append(duty)
 
-    def records(self) -> Mapping[str, bytes]:
-        """Return the newest records of the duties by key, as last read or appended."""
-        return self._state.records
-
     async def commit(self) -> bool:
         """Append the pending records now, which also renews the lease.
 
--- a/lacewinghub/duty_lease_state.py
+++ b/lacewinghub/duty_lease_state.py
@@ -94,7 +94,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Plan:
+class LeaseStep:
     """The next step, and the time at which it is due, in seconds."""
 
     step: Step
@@ -197,7 +197,7 @@
         """Return the token if the lease is held, without the right to act with it."""
         return self._token if now < self._valid_until else None
 
-    def plan(self, now: float, rank: int | None) -> Plan:
+    def plan(self, now: float, rank: int | None) -> LeaseStep:
         """Return the next step.
 
         Args:
@@ -207,23 +207,27 @@
         self._expire(now)
         if self._token is not None:
             if self._must_read or self._end is None:
-                return Plan(Step.READ, now)
-            return Plan(Step.APPEND, max(now, self._sent_at + self._lease_s / RENEWALS_PER_LEASE))
+                return LeaseStep(Step.READ, now)
+            return LeaseStep(
+                Step.APPEND, max(now, self._sent_at + self._lease_s / RENEWALS_PER_LEASE)
+            )
         if self.resigning:
-            return Plan(Step.IDLE, float("inf"))
+            return LeaseStep(Step.IDLE, float("inf"))
         if self._is_mine() or self._held_through_rewind(now):
             rank = 0
         if rank is None:
             self._end = None  # Nothing is read any more, so that the end will be another one.
-            return Plan(Step.IDLE, float("inf"))
+            return LeaseStep(Step.IDLE, float("inf"))
         every_s = READ_EVERY_S if rank == 0 else LATER_READ_EVERY_S
         next_read = now if self._must_read else max(now, self._read_at + every_s)
         if not self._held_through_rewind(now):
             next_read = max(next_read, self._started + SETTLE_S)
         if self._end is None or self._must_read:
-            return Plan(Step.READ, next_read)
+            return LeaseStep(Step.READ, next_read)
         take = max(now, self._take_at(now, rank))
-        return Plan(Step.APPEND, take) if take <= next_read else Plan(Step.READ, next_read)
+        return (
+            LeaseStep(Step.APPEND, take) if take <= next_read else LeaseStep(Step.READ, next_read)
+        )
 
     def begin_append(
         self, now: float, nonce: str, duties: Iterable[tuple[str, bytes]] = (), resign: bool = False
--- a/lacewinghub/duty_services.py
+++ b/lacewinghub/duty_services.py
@@ -15,13 +15,11 @@
 from .message import LeaderHint
 from .overlay import Overlay
 from .peer import PeerServer
-from .scaler import Scaler
+from .scaler import Scaler, SetGauge
 from .supervisor import Supervisor
 from .usage import UsageCounts, UsageSettings
 from .usage_reporter import UsageReporter
 
-SetGauge = Callable[[str, float], None]
-
 
 @dataclass(frozen=True, slots=True)
 class DutySettings:
--- a/lacewinghub/suspend.py
+++ b/lacewinghub/suspend.py
@@ -15,9 +15,14 @@
 MIN_SUSPENDED_S = 0.1
 
 
+def boot_time_s() -> float:
+    """Return the time since the host booted, including suspensions, in seconds."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def suspended_s() -> float:
     """Return how long the host has been suspended since it booted, in seconds."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.clock_gettime(time.CLOCK_MONOTONIC)
+    return boot_time_s() - time.clock_gettime(time.CLOCK_MONOTONIC)
 
 
 class SuspendWatch:
--- a/lacewinghub/usage.py
+++ b/lacewinghub/usage.py
@@ -10,6 +10,7 @@
 
 from .duties import ReportContributor
 from .message import LeaderReport, WindowUsage
+from .suspend import boot_time_s
 
 # A different wall clock is adopted after this time; a shorter step is an error of the clock.
 STEP_HOLD_S = 60.0
@@ -24,11 +25,6 @@
 GIVE_UP_S = 10.0
 
 
-def boot_time_s() -> float:
-    """Return the time since the host booted, including suspensions, in seconds."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class WindowClock:
     """Wall clock that ignores short steps: it is read once and advanced by a steady clock.
 
