--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -42,13 +42,16 @@
     """Return the demand that a node reports after one request."""
     tables = Tables(version=1)
     tables.pools = {"p": Pool("p", RUNNERS)}
-    dependencies = DispatcherDependencies(
-        scheduler=SingleGrantScheduler(), tables=lambda: tables, history=History("node")
-    )
     state = PoolState(TierQueue())
     state.in_flight.update(r1=2, r2=3)
     meter = DemandMeter(lambda: ["p"], lambda pool: state)
-    router = ProxyRouter(dependencies, SlowClient(wait_s, busy), meter)
+    dependencies = DispatcherDependencies(
+        scheduler=SingleGrantScheduler(),
+        tables=lambda: tables,
+        history=History("node"),
+        demand=meter,
+    )
+    router = ProxyRouter(dependencies, SlowClient(wait_s, busy))
     req = prompt(800)
     req.target = Target(first_token_s=TARGET_S)
     assert req.proxy is not None
