--- a/lacewinghub/httpmessage.py
+++ b/lacewinghub/httpmessage.py
@@ -83,7 +83,7 @@
         size: Number of bytes of the body received so far.
         announced: Length of the body that the headers state, in bytes.
         head_size: Number of bytes of target and headers received so far.
-        headed: True once all headers were received.
+        headers_complete: True once all headers were received.
         complete: True once the body ended according to its framing.
         keep_alive: True if the connection may carry another message after this one.
         framed: True if the body has a length or is chunked; False if the end of the connection ends
