Do not continue a moved run after an event without an id

Such an event may arrive while the call is in progress; no id then tells the other runner where to go on, and the client would get events twice. The copy is freed. A resumable stream is not resumed after such an event either.

--- a/lacewinghub/eventstream.py
+++ b/lacewinghub/eventstream.py
@@ -41,6 +41,19 @@
         self._dropping = after is not None
         self._buffer = bytearray()
         self._padding_bytes = 0
+        self._last_events = b""
+
+    @property
+    def ends_without_id(self) -> bool:
+        """True if an event without an id was returned after the one with the last id.
+
+        No id tells another endpoint to go on after such an event.
+        """
+        found = _LAST_ID.match(self._last_events)
+        if found is None:
+            return bool(self._last_events)
+        end = _TERMINATOR.search(self._last_events, found.end())
+        return end is not None and _CONTENT.search(self._last_events[end.end() :]) is not None
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes of the stream.
@@ -58,7 +71,8 @@
         events = bytes(self._buffer[:end])
         del self._buffer[:end]
         # Empty lines and comments are passed on at once, but are no progress of the answer.
-        self._padding_bytes = 0 if _CONTENT.search(events) else self._padding_bytes + len(events)
+        has_content = _CONTENT.search(events) is not None
+        self._padding_bytes = 0 if has_content else self._padding_bytes + len(events)
         if self._padding_bytes + len(self._buffer) > MAX_EVENT_BYTES:
             raise EventTooLarge(f"an event has more than {MAX_EVENT_BYTES} bytes")
         if self._dropping:
@@ -66,6 +80,8 @@
         found = _LAST_ID.match(events)
         if found is not None:
             self.last_event_id = found[1].strip()
+        if has_content and events:
+            self._last_events = events
         return events
 
     def restart(self) -> None:
--- a/lacewinghub/fakes/platform_moves.py
+++ b/lacewinghub/fakes/platform_moves.py
@@ -87,6 +87,7 @@
         calls: Received calls: method and path, or the target of a move.
         most_at_once: Largest number of calls for moves in progress at once.
         move_s: Time that a move takes, in seconds.
+        stop_after_s: Time from a call to the stop of its run, in seconds.
     """
 
     _by_address: ClassVar[WeakValueDictionary[str, "RunMoves"]] = WeakValueDictionary()
@@ -98,6 +99,7 @@
         self.calls: list[str] = []
         self.most_at_once = 0
         self.move_s = 0.005
+        self.stop_after_s = 0.0
         self._name = name
         self._handle_s = handle_s
         self._faults: dict[str, MoveFault] = {}
@@ -167,6 +169,8 @@
         self, run: LiveRun, target: str, fault: MoveFault | None, out: Responder
     ) -> None:
         run.stays_open = fault is MoveFault.OPEN
+        if self.stop_after_s:
+            await asyncio.sleep(self.stop_after_s)
         run.stopped.set()
         del self.live[run.attempt]
         copy = StateCopy(run.attempt, run.events, usable=fault is not MoveFault.EXPIRED)
--- a/lacewinghub/fakes/platform_runner.py
+++ b/lacewinghub/fakes/platform_runner.py
@@ -88,6 +88,7 @@
         arrivals: Loop times at which requests arrived, in seconds.
         queue_s: Time that a request waits before its execution begins, in seconds.
         first_s: Time from the beginning of a run to the head of its stream, in seconds.
+        has_ids: False to send events without ids.
         moves: Moves of its runs to other runners.
         runs: Executed requests, in order.
         continued: Requests that continued a moved run, in order.
@@ -116,6 +117,7 @@
         self.arrivals: list[float] = []
         self.queue_s = 0.0
         self.first_s = 0.0
+        self.has_ids = True
         self.moves = RunMoves(name)
         self.continued: list[ReceivedRequest] = []
         self._faults: deque[RunnerFault] = deque()
@@ -329,7 +331,7 @@
             if fault is RunnerFault.CUT and number == after + 3:
                 out.conn.write(chunk(event(number)[:5]))
                 return
-            await out.write(event(number))
+            await out.write(event(number) if self.has_ids else event(number).partition(b"\n")[2])
             run.events = number
         out.finish()
 
--- a/lacewinghub/movable_run.py
+++ b/lacewinghub/movable_run.py
@@ -32,7 +32,7 @@
 
 
 class RunStopped(EndpointError):
-    """The endpoint probably stopped the run because of a call to move it, but its state is lost."""
+    """The endpoint probably stopped the run because of a call to move it, and none can continue."""
 
     code = "run_stopped"
     neutral = True
@@ -218,6 +218,8 @@
         """
         if not self._has_events or (self._move is not None and not self._move.has_failed):
             return False
+        if self.state.unnumbered:
+            return False
         if self.state.last_event is None:
             return not self.progress.total and not self.state.repeatable
         return True
@@ -327,7 +329,15 @@
             return
         answer = await self._answer_to(move)
         if answer.copy is not None:
-            move.claimed = self.stopped = True
+            self.stopped = True
+            if self.state.unnumbered:
+                # Passed on while the call was in progress. The copy is freed, as it is not claimed.
+                self._owner.on_state_lost(self)
+                raise RunStopped(
+                    f"endpoint {endpoint.name!r} stopped the run after an event without an id",
+                    endpoint=endpoint.name,
+                )
+            move.claimed = True
             places = self._owner.places(self, move, answer)
             self._continuation = _Continuation(answer.copy, deque(places))
             raise RunMoved(f"endpoint {endpoint.name!r} stopped the run", endpoint=endpoint.name)
--- a/lacewinghub/proxyrouter.py
+++ b/lacewinghub/proxyrouter.py
@@ -299,6 +299,9 @@
                     if progress.splitter is not None:
                         state.last_event = progress.splitter.last_event_id
                     if data:
+                        if progress.run is not None:
+                            splitter = progress.splitter
+                            state.unnumbered = splitter is None or splitter.ends_without_id
                         yield data
             if head is not None and _is_broken_off(state, head, event_end, loop.time()):
                 raise EndpointCrashed(
@@ -384,6 +387,8 @@
             progress.run.drop_state()
         # Only a stream of events continues after the part that the client has received.
         resumes = not progress.head_sent or (progress.splitter is not None and state.resumable)
+        if state.unnumbered:
+            resumes = False  # Another endpoint would repeat events.
         if progress.run is not None and progress.run.stopped and not state.repeatable:
             resumes = False  # Whatever the endpoint says of this attempt, the run has begun.
         retries = resumes and attempt < MAX_ATTEMPTS and self._may_retry(req, exc)
--- a/lacewinghub/request.py
+++ b/lacewinghub/request.py
@@ -77,6 +77,8 @@
         may_have_run: True unless every endpoint to which it was sent stated that it did not execute
             it.
         last_event: Id of the last event that was passed on, or None.
+        unnumbered: True if a part of the body was passed on after that event, which no id states;
+            known only for streams whose run may be moved.
         answering_since: Loop time of the first bytes of the body at the current endpoint, in
             seconds; None before them.
         abort: Closes the connection to the current endpoint; None without one.
@@ -98,6 +100,7 @@
     sent: int = 0
     may_have_run: bool = False
     last_event: bytes | None = None
+    unnumbered: bool = False
     answering_since: float | None = None
     abort: Callable[[], None] | None = None
     withdrawn: bool = False
--- a/tests/test_eventstream.py
+++ b/tests/test_eventstream.py
@@ -58,6 +58,31 @@
         splitter.restart()
         self.assertEqual(splitter.feed(A + B + C), C)
 
+    def test_events_after_the_last_id(self) -> None:
+        # Guards against a run that goes on elsewhere after an event that no id states.
+        one, two, plain = b"id: 1\ndata: a\n\n", b"data: b\nid: 2\n\n", b"data: c\n\n"
+        cases: list[tuple[str, list[bytes], bool]] = [
+            ("nothing", [], False),
+            ("with ids", [one, two], False),
+            ("with ids in one piece", [one + two], False),
+            ("without an id", [plain], True),
+            ("without an id after one", [one, plain], True),
+            ("without an id after one, in one piece", [one + plain], True),
+            ("an id after one without", [plain, one], False),
+            ("an id after one without, in one piece", [plain + one], False),
+            ("comments only", [b": c\n\n"], False),
+            ("a comment after an id", [one, b": c\n\n"], False),
+            ("a comment after an id, in one piece", [one + b": c\n\n"], False),
+            ("a comment after an event without an id", [plain, b": c\n\n"], True),
+            ("an incomplete event", [one, plain[:-1]], False),
+        ]
+        for name, pieces, expected in cases:
+            with self.subTest(name):
+                splitter = EventSplitter()
+                for piece in pieces:
+                    splitter.feed(piece)
+                self.assertEqual(splitter.ends_without_id, expected)
+
     def test_work_is_proportional_to_the_bytes(self) -> None:
         # Guards against many short events in one read that keep the event loop busy for seconds.
         pieces = [
--- a/tests/test_run_move.py
+++ b/tests/test_run_move.py
@@ -138,6 +138,26 @@
         self.assertEqual(moved, {"once", "lost"})
         await leaving
 
+    async def test_a_run_does_not_go_on_after_events_without_ids(self) -> None:
+        # Guards against events that are repeated because no id says where the run must go on.
+        for runner in self.models:
+            runner.has_ids = False
+        self.source.first_s, self.source.moves.stop_after_s = 1.0, 0.8
+        stream = await self.stream("/chat/a", "s")
+        await asyncio.sleep(0.5)
+        leaving = await self.leave(2.5)
+        answer = await stream
+        self.assertEqual(len(self.source.moves.copies), 1)
+        self.assertIn(b"piece 1\n", answer.body)
+        self.assertFalse(answer.complete)
+        self.assertEqual(answer.body.count(b"piece 1\n"), 1)
+        self.assertEqual(self.runs(), Counter({"s": 1}))
+        self.assertEqual([runner.continued for runner in self.models], [[], [], []])
+        await asyncio.sleep(0.3)
+        self.assertEqual(self.unfreed(), [])
+        self.assertEqual((self.mover.moved, self.mover.failed), (0, 1))
+        leaving.cancel()
+
     async def test_a_runner_that_says_no_time_is_left_within_the_drain_time(self) -> None:
         stream = await self.stream("/chat/a", "s")
         await asyncio.sleep(0.3)
