--- a/lacewinghub/placement.py
+++ b/lacewinghub/placement.py
@@ -202,8 +202,6 @@
         loads = self.states.estimate(
             endpoints, in_flight, self._tokens[is_long(req) is not other_side]
         )
-        if not other_side:
-            self._refill(req, loads, now)
         left_s = _left_s(req, now)
         found = []
         for item in endpoints:
@@ -215,6 +213,18 @@
             found.append(Candidate(item, loads[item.name], prediction, loss, new_tokens, raw))
         return found
 
+    def refill(self, req: Request, candidates: Sequence[Candidate], now: float) -> None:
+        """Determine how many requests this node may send to runners without a free slot.
+
+        Args:
+            req: The request.
+            candidates: All runners of its side.
+            now: Loop time, in seconds.
+        """
+        kind = is_long(req)
+        slots = sum(item.load.slots / item.load.slowness for item in candidates)
+        self._permits[kind].refill(slots / self._hold_s[kind] / self.states.nodes(), now)
+
     def open(
         self, req: Request, candidates: Sequence[Candidate], now: float, other_side: bool = False
     ) -> list[Candidate]:
@@ -339,12 +349,6 @@
         is_late = target_s is not None and now - req.arrived > target_s
         return LATE_RESERVE_SHARE if is_late else LONG_RESERVE_SHARE
 
-    def _refill(self, req: Request, loads: Mapping[str, RunnerLoad], now: float) -> None:
-        kind = is_long(req)
-        slots = sum(item.slots / item.slowness for item in loads.values())
-        per_s = slots / self._hold_s[kind] / self.states.nodes()
-        self._permits[kind].refill(per_s, now)
-
     def _usual(self, req: Request, endpoints: Sequence[Endpoint]) -> UsualWork:
         return UsualWork(self.states.prefill_s(endpoints), self._hold_s[is_long(req)])
 
--- a/lacewinghub/prediction_error.py
+++ b/lacewinghub/prediction_error.py
@@ -4,7 +4,7 @@
 predicted on average. The correction is a factor for each kind of prompts.
 """
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from .prediction import Prediction
 
@@ -58,7 +58,7 @@
         kind = self._kinds[is_long]
         first_s = prediction.first_s * kind.first.factor
         rest_s = (prediction.finish_s - prediction.first_s) * kind.rest.factor
-        return replace(prediction, first_s=first_s, finish_s=first_s + rest_s)
+        return Prediction(first_s, prediction.pause_s, first_s + rest_s, prediction.harm_s)
 
     def on_first_event(self, predicted: Prediction, is_long: bool, first_s: float) -> None:
         """Record the time to the first event.
--- a/lacewinghub/unevenscheduler.py
+++ b/lacewinghub/unevenscheduler.py
@@ -270,6 +270,8 @@
         closed: list[Candidate] = []
         for group, other_side in ((side, False), (rest, True)):
             found = self._candidates(req, group, now, other_side)
+            if not other_side:
+                self._placement.refill(req, found, now)
             found = [item for item in found if item.endpoint.name in names]
             usable = [item for item in found if not self._is_full(item.endpoint.name)]
             fresh = [item for item in usable if item.endpoint.name not in req.excluded_endpoints]
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -139,8 +139,8 @@
             reports = LoadReports()
             view, rng, full = TablesView(lambda: tables), random.Random(1), FullRunners()
             scheduler = ProxyScheduler(view, reports, rng=rng, full=full)
+            shared = RunnerStates(MeshMembers(40))
             if states:
-                shared = RunnerStates(MeshMembers(40))
                 scheduler = UnevenScheduler(view, reports, states=shared, rng=rng, full=full)
             found = []
             for number in range(120):
@@ -152,6 +152,9 @@
                 scheduler.on_answer_event(grant)
                 await asyncio.sleep(0.01)
                 scheduler.on_answer_event(grant)
+            heartbeat = Heartbeat("n", 1, 1, "live")
+            shared.fill_heartbeat(heartbeat)
+            self.assertEqual(bool(heartbeat.runners), states and slowness is not None)
             return found
 
         return simulate(main)
