--- a/lacewinghub/placement.py
+++ b/lacewinghub/placement.py
@@ -365,13 +365,9 @@
     def _bonus_s(self, req: Request, candidates: Sequence[Candidate]) -> float:
         """Return what it costs to prefill the shared parts at one more runner, in seconds."""
         shared = sum(part.tokens for part in req.proxy.shared_parts) if req.proxy else 0
-        count = len(candidates)
-        slowness = sum(item.load.slowness for item in candidates) / count
-        running = sum(item.load.running for item in candidates) / count
-        usual = self.states.prefill_s([item.endpoint for item in candidates])
-        load = RunnerLoad(1, running, 0.0, slowness, 0.0)
-        once = predict(load, UsualWork(usual, 0.0), shared, 0.0)
-        return shared / 1000 * usual * slowness + once.harm_s
+        slowness = sum(item.load.slowness for item in candidates) / len(candidates)
+        prefill_s = self.states.prefill_s([item.endpoint for item in candidates])
+        return shared / 1000 * prefill_s * slowness
 
     def _may_enter(self, item: Endpoint, now: float) -> bool:
         zone = item.availability_zone
