--- a/lacewinghub/scaler.py
+++ b/lacewinghub/scaler.py
@@ -25,7 +25,14 @@
 from .duties import DutyHolder, DutyRecords, LeaseTaken, NodeReports, ReceivedReport
 from .message import PoolDemand
 from .scaling import RunnerInfo, ScalingRule
-from .scaling_record import KEY_PREFIX, MALFORMED, MAX_RECORD_BYTES, decode_pool, encode_pool
+from .scaling_record import (
+    KEY_PREFIX,
+    MALFORMED,
+    MAX_RECORD_BYTES,
+    VOID,
+    decode_pool,
+    encode_pool,
+)
 
 INTERVAL_S = 1.0
 # A new holder waits for this long and for the reports of this share of the live nodes.
@@ -106,6 +113,7 @@
         self._wall = wall
         self._token: int | None = None
         self._pools: dict[str, _PoolOrders] = {}
+        self._void: set[str] = set()
         self._sent = 0
         self._refused = 0
         holder.attach(self)
@@ -113,7 +121,7 @@
     def pending_records(self) -> list[tuple[str, bytes]]:
         """Return the orders of each pool and what was learnt."""
         now, wall_s = asyncio.get_running_loop().time(), self._wall()
-        records = []
+        records: list[tuple[str, bytes]] = []
         for name, pool in self._pools.items():
             if not pool.restored and pool.learnt.since is None:
                 continue  # Nothing is planned yet.
@@ -122,17 +130,20 @@
                 records.append((KEY_PREFIX + name, record))
             else:
                 logger.bind(pool=name).error("orders not recorded: too many availability zones")
-        return records
+        written = {key for key, _ in records}
+        return [*records, *((key, VOID) for key in sorted(self._void - written))]
 
     def on_taken(self, taken: LeaseTaken) -> None:
         """Continue from the orders of the holder before."""
         self._token = taken.token
         self._pools.clear()
+        self._void.clear()
         now, wall_s = asyncio.get_running_loop().time(), self._wall()
         for key, value in taken.records.items():
-            if not key.startswith(KEY_PREFIX):
+            if not key.startswith(KEY_PREFIX) or value == VOID:
                 continue
             if taken.rewound:
+                self._void.add(key)
                 logger.bind(key=key).warning("orders not taken over: the log lost records")
                 continue
             try:
--- a/lacewinghub/scaling_record.py
+++ b/lacewinghub/scaling_record.py
@@ -22,6 +22,8 @@
 )
 
 KEY_PREFIX = "scaling-"
+# Replaces a record that must not be used, because the log lost a later one.
+VOID = b"null"
 # Samples are written as the maxima of this time, so that a record has at most 11 of them.
 BUCKET_S = 3.0
 MAX_SAMPLES = math.ceil(PEAK_HOLD_S / BUCKET_S) + 1
--- a/tests/test_scaler.py
+++ b/tests/test_scaler.py
@@ -250,6 +250,11 @@
                     records = {key: change(value) for key, value in run.records.items()}
                     run.take(2, records, rewound)
                     run.found = dict(run.scaler._pools)
+                    if rewound:
+                        # Another holder that takes over at once does not trust it either.
+                        run.lose()
+                        run.take(3, records | run.records)
+                        run.found = run.found | run.scaler._pools
 
                 def fall(kind: object, now: float) -> float:
                     return 1.0 if now < 40.0 else 0.3
