Count heads as framing only while they are unfinished

An endless head of an endpoint's response must still end the exchange, while a large head leaves all of the allowance to the chunks that follow.

--- a/lacewinghub/clientconnection.py
+++ b/lacewinghub/clientconnection.py
@@ -520,9 +520,9 @@
         if self._malformed:
             return 400
         # The message is the last one of the connection, since it is incomplete.
-        overhead = self._receiver.overhead
-        if not current.headers_complete and overhead > limits.header_bytes + REQUEST_LINE_BYTES:
-            return 431
+        if not current.headers_complete:
+            is_too_large = self._receiver.overhead > limits.header_bytes + REQUEST_LINE_BYTES
+            return 431 if is_too_large else None
         return 400 if self._receiver.has_excessive_framing else None
 
     def _deadline(self, current: Incoming | None, limits: HttpLimits) -> float:
--- a/lacewinghub/httpmessage.py
+++ b/lacewinghub/httpmessage.py
@@ -196,12 +196,16 @@
         size = last.size if last is not None else 0
         body = size - self._settled_size
         framing = self._unsettled - body
-        if not self._is_head_settled and last is not None:
-            # A head is no framing. What of it came with earlier pieces is not known, so that this
-            # may count too little once for each message.
-            framing = max(0, framing - last.head_size) if last.headers_complete else 0
-            self._is_head_settled = last.headers_complete
-        self._framing = framing
+        if self._is_head_settled or last is None:
+            self._framing = framing
+        elif last.headers_complete:
+            # A head is no framing of chunks. What of it came with earlier pieces is not known, so
+            # that this may count too little once for each message.
+            self._framing = framing = max(0, framing - last.head_size)
+            self._excess = 0
+            self._is_head_settled = True
+        else:
+            self._framing = 0  # Only a head without end is excessive.
         self._excess = max(0, self._excess + framing - MAX_FRAMING_RATIO * body)
         self._unsettled, self._settled_size, self._has_ended = 0, size, False
 
--- a/tests/test_client_bounds.py
+++ b/tests/test_client_bounds.py
@@ -175,6 +175,7 @@
         filler = b"X: " + b"y" * (9 * KB)
         ended = filler + b"\r\n\r\n"
         tiny = chunk(b"x") * 2000
+        large = [filler + b"\r\n"] * 7
         cases: list[tuple[str, list[bytes], bool, bool]] = [
             ("unfinished in one read", [start + filler], True, False),
             ("unfinished in two reads", [start, filler], True, False),
@@ -190,6 +191,7 @@
             ),
             ("chunks with the head", [chunked + ended + tiny], False, True),
             ("chunks after the head", [chunked + ended, tiny], False, True),
+            ("chunks after a large head", [chunked, *large, b"\r\n", tiny], False, True),
         ]
         for name, reads, holds, is_expensive in cases:
             with self.subTest(name):
