--- a/lacewinghub/httphandler.py
+++ b/lacewinghub/httphandler.py
@@ -70,7 +70,7 @@
         return None
     if malformed:
         return 400
-    overhead = receiver.overhead
-    if not current.headers_complete and overhead > limits.header_bytes + REQUEST_LINE_BYTES:
-        return 431
+    if not current.headers_complete:
+        is_too_large = receiver.overhead > limits.header_bytes + REQUEST_LINE_BYTES
+        return 431 if is_too_large else None
     return 400 if receiver.has_excessive_framing else None
