Keep every shared part at few runners, in an order that all nodes agree on

Cause: the hash order was weighted by the speed of runners, of which each node sees another average, so that nodes kept a part at different runners; parts of short prompts had no order at all, and what found no room spread over random runners. Change: an order by hashes alone, for all prompts with shared parts; four runners and those that have the part are compared if the first two have no room.

--- a/lacewinghub/placement.py
+++ b/lacewinghub/placement.py
@@ -13,12 +13,10 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
-import xxhash
-
 from .prediction import Prediction, RunnerLoad, UsualWork, loss_s, predict
 from .prediction_error import PredictionErrors
 from .promptcache import PromptCacheIndex
-from .promptsplit import affinity_key, is_long, prompt_tokens
+from .promptsplit import affinity_key, is_long, prompt_tokens, rendezvous_rank
 from .request import Request
 from .runner_allocation import RunnerAllocation
 from .runner_state import RunnerStates
@@ -40,16 +38,14 @@
 # Smallest number of free slots that counts when runners are drawn.
 MIN_FREE = 0.5
 # Runners that are preferred for a shared part, in the order of their hashes, while they have room.
-AFFINITY_RUNNERS = 3
-# A preferred runner has room if the share of its slots in use exceeds the mean of all by at most
-# this factor and share, and if the first event is predicted within this share of its target.
-ROOM_FACTOR = 1.25
-ROOM_SHARE = 0.05
+AFFINITY_RUNNERS = 2
+# Without room there, the best of this many and of those that have the part cached is taken.
+SPILL_RUNNERS = 4
+# A preferred runner has room if the share of its slots in use does not exceed the mean of all, and if
+# the first event is predicted within this share of its target.
 ROOM_TARGET_SHARE = 0.5
 # Assumed size of an event, in bytes.
 EVENT_BYTES = 200
-# A smaller bonus is ignored, since all nodes that choose the same runners would overload them.
-MIN_BONUS_S = 0.05
 # A runner of the other side is chosen if it is better by more than this, in seconds, and by the
 # time to prefill a long prompt: the request may meet one there, or hold up short ones.
 SIDE_COST_S = 0.2
@@ -174,12 +170,11 @@
     def side(self, req: Request, endpoints: Sequence[Endpoint]) -> list[Endpoint]:
         """Return the runners that serve prompts of the request's length.
 
-        The order is that of weighted rendezvous hashing, so that fast runners tend to serve long
-        prompts and a change of speed moves few runners.
+        The order is that of a hash of their names: nodes that see different speeds agree on it.
         """
         if len(endpoints) < 2:
             return list(endpoints)
-        ordered = sorted(endpoints, key=lambda item: self._rank("side", item.name))
+        ordered = sorted(endpoints, key=lambda item: rendezvous_rank("side", item.name))
         capacities = [item.slots / self.states.rank_slowness(item.name) for item in ordered]
         count = self._allocation.long_prompt_split(capacities)
         return ordered[:count] if is_long(req) else ordered[count:]
@@ -280,23 +275,24 @@
     def _choose(self, req: Request, candidates: Sequence[Candidate]) -> Candidate:
         if len(candidates) == 1:
             return candidates[0]
-        drawn = self._draw(candidates, CHOICES)
-        bonus_s = self._bonus_s(req, candidates)
-        if bonus_s < MIN_BONUS_S:
-            return min(drawn, key=lambda item: item.loss_s)
+        shared = sum(part.tokens for part in req.proxy.shared_parts) if req.proxy else 0
+        if not shared:
+            return min(self._draw(candidates, CHOICES), key=lambda item: item.loss_s)
         # All nodes prefer the same few runners for a shared part, in the same order, so that its
         # prefill is repeated rarely and it stays in their memory. What is beyond them spreads.
         key = affinity_key(req)
         preferred = heapq.nsmallest(
-            AFFINITY_RUNNERS, candidates, key=lambda item: self._rank(key, item.endpoint.name)
+            SPILL_RUNNERS, candidates, key=lambda item: rendezvous_rank(key, item.endpoint.name)
         )
         used = sum(_used_share(item) for item in candidates) / len(candidates)
-        for item in preferred:
+        for item in preferred[:AFFINITY_RUNNERS]:
             if _has_room(item, req, used):
                 return item
+        bonus_s = self._bonus_s(req, candidates)
+        holders = [item for item in candidates if prompt_tokens(req) - item.new_tokens >= shared]
         return min(
-            [*preferred, *drawn],
-            key=lambda item: item.loss_s - (bonus_s if item in preferred else 0.0),
+            [*preferred, *holders],
+            key=lambda item: item.loss_s - (bonus_s if item in holders else 0.0),
         )
 
     def new_tokens(self, endpoint: str, req: Request) -> int:
@@ -379,11 +375,6 @@
         response_bytes = int(events * EVENT_BYTES)
         return self._zone_cost.extra_s(zone, len(req.proxy.request.body), response_bytes)
 
-    def _rank(self, key: str, name: str) -> float:
-        """Return the place in the order of weighted rendezvous hashing; low is preferred."""
-        place = (xxhash.xxh3_64_intdigest(f"{key}|{name}".encode()) + 1) / 2**64
-        return -math.log(min(1.0, place)) * self.states.rank_slowness(name)
-
 
 def _used_share(item: Candidate) -> float:
     """Return the share of a runner's slots that is in use; waiting requests count as well."""
@@ -401,7 +392,7 @@
     target_s = req.target.first_token_s
     if target_s is not None and item.prediction.first_s > ROOM_TARGET_SHARE * target_s:
         return False
-    return _used_share(item) <= ROOM_FACTOR * used + ROOM_SHARE
+    return _used_share(item) <= used
 
 
 def _left_s(req: Request, now: float) -> float:
--- a/lacewinghub/promptsplit.py
+++ b/lacewinghub/promptsplit.py
@@ -61,7 +61,7 @@
         if len(candidates) == 1:
             return candidates[0]
         key = affinity_key(req)
-        ranked = sorted(candidates, key=lambda item: _rank(key, item.name))
+        ranked = sorted(candidates, key=lambda item: rendezvous_rank(key, item.name))
         bonus = {ranked[0].name: FIRST_BONUS_TOKENS, ranked[1].name: SECOND_BONUS_TOKENS}
         return min(
             ranked,
@@ -84,7 +84,7 @@
         """Return the candidates that serve prompts of the request's length."""
         if len(candidates) < 2:
             return candidates
-        ordered = sorted(candidates, key=lambda item: _rank("side", item.name))
+        ordered = sorted(candidates, key=lambda item: rendezvous_rank("side", item.name))
         count = self._allocation.long_prompt_runners(len(ordered))
         return ordered[:count] if is_long(req) else ordered[count:]
 
@@ -120,5 +120,10 @@
     return parts[0].id if parts else req.id
 
 
-def _rank(key: str, name: str) -> int:
+def rendezvous_rank(key: str, name: str) -> int:
+    """Return the place of a runner in the order of rendezvous hashing; low is preferred.
+
+    It does not depend on the speed of the runner, of which the nodes see different averages: each
+    would keep a shared part at other runners.
+    """
     return xxhash.xxh3_64_intdigest(f"{key}|{name}".encode())
