--- a/lacewinghub/placement.py
+++ b/lacewinghub/placement.py
@@ -41,8 +41,8 @@
 AFFINITY_RUNNERS = 2
 # Without room there, the best of this many and of those that have the part cached is taken.
 SPILL_RUNNERS = 4
-# A preferred runner has room if the share of its slots in use does not exceed the mean of all, and if
-# the first event is predicted within this share of its target.
+# A preferred runner has room if the share of its slots in use does not exceed the mean of all, and
+# if the first event is predicted within this share of its target.
 ROOM_TARGET_SHARE = 0.5
 # Assumed size of an event, in bytes.
 EVENT_BYTES = 200
