--- a/lacewinghub/clientconnection.py
+++ b/lacewinghub/clientconnection.py
@@ -131,12 +131,16 @@
         last.method = parser.get_method()
         last.keep_alive = parser.should_keep_alive()
         last.takes_chunks = parser.get_http_version() != HTTP_1_0
-        length = last.header(b"content-length")
-        last.announced = int(length) if length else 0
-        expect = last.header(b"expect")
+        expects_continue = False
+        # One pass costs less than a search for each name.
+        for name, value in last.headers:
+            if name == b"content-length":
+                last.announced = int(value) if value else 0
+            elif name == b"expect":
+                expects_continue = value.lower() == b"100-continue"
         if last.announced > self.server.handler.limits().body_bytes:
             return  # Refused after this read.
-        if expect is not None and expect.lower() == b"100-continue":
+        if expects_continue:
             self._awaits_continue = last
             self._send_continue()
 
