--- a/lacewinghub/placement.py
+++ b/lacewinghub/placement.py
@@ -40,9 +40,10 @@
 # Runners that are preferred for a shared part, in the order of their hashes, while they have room.
 AFFINITY_RUNNERS = 2
 # Without room there, the best of this many and of those that have the part cached is taken.
-SPILL_RUNNERS = 4
-# A preferred runner has room if the share of its slots in use does not exceed the mean of all, and
-# if the first event is predicted within this share of its target.
+SPILL_RUNNERS = 3
+# A preferred runner has room with this share of its slots free, and if the first event is predicted
+# within this share of its target.
+ROOM_SHARE = 0.25
 ROOM_TARGET_SHARE = 0.5
 # Assumed size of an event, in bytes.
 EVENT_BYTES = 200
@@ -284,9 +285,8 @@
         preferred = heapq.nsmallest(
             SPILL_RUNNERS, candidates, key=lambda item: rendezvous_rank(key, item.endpoint.name)
         )
-        used = sum(_used_share(item) for item in candidates) / len(candidates)
         for item in preferred[:AFFINITY_RUNNERS]:
-            if _has_room(item, req, used):
+            if _has_room(item, req):
                 return item
         bonus_s = self._bonus_s(req, candidates)
         holders = [item for item in candidates if prompt_tokens(req) - item.new_tokens >= shared]
@@ -376,23 +376,12 @@
         return self._zone_cost.extra_s(zone, len(req.proxy.request.body), response_bytes)
 
 
-def _used_share(item: Candidate) -> float:
-    """Return the share of a runner's slots that is in use; waiting requests count as well."""
-    return 1.0 - item.load.free_slots / item.load.slots
-
-
-def _has_room(item: Candidate, req: Request, used: float) -> bool:
-    """Tell whether a preferred runner takes a request without delaying it or others much.
-
-    Args:
-        item: The runner.
-        req: The request.
-        used: Mean share of the slots in use at all runners that may take the request.
-    """
+def _has_room(item: Candidate, req: Request) -> bool:
+    """Tell whether a preferred runner takes a request without delaying it or others much."""
     target_s = req.target.first_token_s
     if target_s is not None and item.prediction.first_s > ROOM_TARGET_SHARE * target_s:
         return False
-    return _used_share(item) <= used
+    return item.load.free_slots >= ROOM_SHARE * item.load.slots
 
 
 def _left_s(req: Request, now: float) -> float:
