--- a/lacewinghub/movable_run.py
+++ b/lacewinghub/movable_run.py
@@ -143,7 +143,9 @@
         """Record that the request of a run has ended."""
 
     @abstractmethod
-    def places(self, run: "MovableRun", move: Move, answer: MoveAnswer) -> Sequence[Endpoint]:
+    def continuation_targets(
+        self, run: "MovableRun", move: Move, answer: MoveAnswer
+    ) -> Sequence[Endpoint]:
         """Return the endpoints that are asked to continue a stopped run, in order."""
 
     @abstractmethod
@@ -157,12 +159,12 @@
 
     Attributes:
         copy: The state.
-        places: Endpoints that are asked next to continue the run.
+        continuation_targets: Endpoints that are asked next to continue the run.
         used: True once one of them has continued it.
     """
 
     copy: RunCopy
-    places: deque[Endpoint]
+    continuation_targets: deque[Endpoint]
     used: bool = False
 
 
@@ -180,8 +182,8 @@
         refused_by: Names of endpoints that could not take the run.
         failures: Number of failed calls that were to move it.
         not_before: Loop time before which the run is not moved, in seconds.
-        paid: True once the retry budget was charged for moving it, False if nothing was left of it;
-            None before.
+        retry_charged: True once the retry budget was charged for moving it, False if nothing was
+            left of it; None before.
         stopped: True once an endpoint stopped the run, so that it must not begin anew unless it is
             repeatable.
     """
@@ -193,7 +195,7 @@
         self.refused_by: set[str] = set()
         self.failures = 0
         self.not_before = float("-inf")
-        self.paid: bool | None = None
+        self.retry_charged: bool | None = None
         self.stopped = False
         self._owner = owner
         self._has_events = True
@@ -225,19 +227,19 @@
         return True
 
     @property
-    def has_place(self) -> bool:
+    def has_target(self) -> bool:
         """True if another endpoint can be asked to continue the stopped run."""
         found = self._continuation
-        return found is not None and not found.used and bool(found.places)
+        return found is not None and not found.used and bool(found.continuation_targets)
 
-    def next_place(self) -> Endpoint | None:
+    def next_target(self) -> Endpoint | None:
         """Return the next endpoint that is asked to continue the stopped run, or None."""
-        if not self.has_place:
+        if not self.has_target:
             self.drop_state()
             return None
         assert self._continuation is not None
         self.state.continued = self._continuation.copy
-        return self._continuation.places.popleft()
+        return self._continuation.continuation_targets.popleft()
 
     def drop_state(self) -> None:
         """Forget the state of a stopped run, and free it if no endpoint has continued the run."""
@@ -338,8 +340,8 @@
                     endpoint=endpoint.name,
                 )
             move.claimed = True
-            places = self._owner.places(self, move, answer)
-            self._continuation = _Continuation(answer.copy, deque(places))
+            continuation_targets = self._owner.continuation_targets(self, move, answer)
+            self._continuation = _Continuation(answer.copy, deque(continuation_targets))
             raise RunMoved(f"endpoint {endpoint.name!r} stopped the run", endpoint=endpoint.name)
         # A refused call should not have stopped the run, but that is likelier than a crash.
         in_doubt = self._in_doubt or (broken and answer.outcome is MoveOutcome.REFUSED)
--- a/lacewinghub/proxyrouter.py
+++ b/lacewinghub/proxyrouter.py
@@ -193,9 +193,9 @@
             attempt = 0
             while True:
                 self._check_quarantine(req)
-                place = self._next_place(progress)
-                attempt += place is None
-                grant, endpoint = place or await self._acquire(req)
+                target = self._next_target(progress)
+                attempt += target is None
+                grant, endpoint = target or await self._acquire(req)
                 failure: EndpointError | None = None
                 try:
                     answer = self._attempt(req, grant, endpoint, progress)
@@ -231,11 +231,11 @@
                 progress.run.close(complete)
         self._record(EventKind.FINISHED, req, tokens=state.sent, **latency_timer.finish())
 
-    def _next_place(self, progress: _Progress) -> tuple[Grant, Endpoint] | None:
+    def _next_target(self, progress: _Progress) -> tuple[Grant, Endpoint] | None:
         """Return a slot of the next endpoint that is asked to continue a stopped run, or None."""
         if self._mover is None or progress.run is None:
             return None
-        endpoint = progress.run.next_place()
+        endpoint = progress.run.next_target()
         return None if endpoint is None else (self._mover.occupy(progress.run, endpoint), endpoint)
 
     def _pieces(
@@ -433,7 +433,7 @@
 
     An endpoint that failed in any other way than by a refusal may have begun to continue it.
     """
-    if progress.run is None or not progress.run.has_place:
+    if progress.run is None or not progress.run.has_target:
         return False
     if progress.splitter is not None:
         progress.splitter.restart()
--- a/lacewinghub/run_move.py
+++ b/lacewinghub/run_move.py
@@ -221,7 +221,9 @@
         self._known_classes.add(req.request_class)
         self._answer_times.record(req.request_class, _now() - progress.started)
 
-    def places(self, run: MovableRun, move: Move, answer: MoveAnswer) -> Sequence[Endpoint]:
+    def continuation_targets(
+        self, run: MovableRun, move: Move, answer: MoveAnswer
+    ) -> Sequence[Endpoint]:
         """Return the endpoints that are asked to continue a stopped run, in order.
 
         If only the source has the state, it continues the run unless it leaves too soon.
@@ -270,7 +272,7 @@
         assert run.endpoint is not None
         run.not_before = now + RETRY_S
         target = self._target(run, run.endpoint)
-        if target is None or not self._pay(run):
+        if target is None or not self._charge_retry(run):
             return
         move = run.begin_move(target)
         self._outgoing[move.source.name] += 1
@@ -340,15 +342,15 @@
             found = self._scheduler.move_target(run.req, source, (), self._incoming)
         return found
 
-    def _pay(self, run: MovableRun) -> bool:
+    def _charge_retry(self, run: MovableRun) -> bool:
         """Charge the retry budget once for a run; return False if nothing is left of it."""
-        if run.paid:
+        if run.retry_charged:
             return True
-        paid = self._budget is None or self._budget.try_spend(run.req.pool)
-        if not paid and run.paid is None:
+        retry_charged = self._budget is None or self._budget.try_spend(run.req.pool)
+        if not retry_charged and run.retry_charged is None:
             logger.bind(request_id=run.req.id).info("run not moved: no retry is left")
-        run.paid = paid
-        return paid
+        run.retry_charged = retry_charged
+        return retry_charged
 
     def _end(self, run: MovableRun, now: float) -> float:
         req = run.req
