--- a/lacewinghub/client_bounds.py
+++ b/lacewinghub/client_bounds.py
@@ -24,8 +24,8 @@
 # Refused connections stay open until their clients have read the refusal, up to this share of the
 # connections; more of them are closed at once, which resets those whose request has arrived.
 LINGER_SHARE = 0.25
-# Memory of an idle connection with its parser and its task is about 12 KB (600 idle connections,
-# 7 MB). The connections may use this share of the memory budget.
+# Memory of an idle connection with its parser and its task is about 12 KB. The connections
+# may use this share of the memory budget.
 CONNECTION_BYTES = 16 * 1024
 CONNECTION_MEMORY_SHARE = 0.25
 # While a client does not read, the connection to the endpoint holds up to its high-water mark and
--- a/lacewinghub/leader_hint.py
+++ b/lacewinghub/leader_hint.py
@@ -15,7 +15,7 @@
 
 # The holder tells that it is alive this often. Each time the news, about 45 bytes, crosses each
 # connection once; in each heartbeat it would be 900 bytes/s per node.
-TELL_EVERY_S = 1.0
+ADVERTISE_INTERVAL_S = 1.0
 # A holder of which nothing was heard for this long is forgotten. The news of a live one may be late
 # by a few heartbeats in a partial mesh.
 FORGET_S = 5.0
@@ -49,8 +49,8 @@
         self._known: LeaderHint | None = None
         self._heard_at = float("-inf")
         self._number = 0
-        self._told_at = float("-inf")
-        self._told_token = 0
+        self._advertised_at = float("-inf")
+        self._advertised_token = 0
         self._pending = False
 
     def leader(self) -> LeaderHint | None:
@@ -65,10 +65,10 @@
         """Add the holder if it is this node, or if it is news to be passed on."""
         token, now = self._held_token(), _now()
         if token is not None:
-            if token == self._told_token and now - self._told_at < TELL_EVERY_S:
+            if token == self._advertised_token and now - self._advertised_at < ADVERTISE_INTERVAL_S:
                 return
             self._number += 1
-            self._told_token, self._told_at = token, now
+            self._advertised_token, self._advertised_at = token, now
             heartbeat.leaders.append(LeaderHint(self._node, self._address(), token, self._number))
         elif self._pending and self._known is not None:
             heartbeat.leaders.append(self._known)
--- a/lacewinghub/prediction_error.py
+++ b/lacewinghub/prediction_error.py
@@ -75,7 +75,14 @@
     def on_finished(
         self, predicted: Prediction, is_long: bool, first_s: float, finish_s: float
     ) -> None:
-        """Record the time to the last event; the arguments are as for ``on_first_event``."""
+        """Record the time to the last event.
+
+        Args:
+            predicted: The prediction without correction.
+            is_long: Whether the prompt is long.
+            first_s: Time from sending the request to the first event, in seconds.
+            finish_s: Time from sending the request to the last event, in seconds.
+        """
         error_s = abs(self.correct(predicted, is_long).finish_s - finish_s)
         self.finish_s += WEIGHT * (error_s - self.finish_s)
         self._kinds[is_long].rest.add(predicted.finish_s - predicted.first_s, finish_s - first_s)
--- a/lacewinghub/runner_allocation.py
+++ b/lacewinghub/runner_allocation.py
@@ -30,9 +30,8 @@
 HYSTERESIS = 0.7
 REPORT_AGE_S = 1.5  # Older reports of peers are ignored.
 # Weight of a node's own work in the average that it tells its peers, against the mean of theirs. A
-# node hears only 8 of 75 peers, and disagreed with others about 7 of 28 runners in the load model,
-# since these few send too few requests. With this weight the average extends over about 12
-# heartbeats, which reach all nodes.
+# node hears only some peers, so that a small weight of its own averages over heartbeats that reach
+# all nodes.
 OWN_WEIGHT = 0.08
 AVERAGED_S = 20.0  # How long the average is used after the last request for it.
 
--- a/lacewinghub/runner_state.py
+++ b/lacewinghub/runner_state.py
@@ -22,9 +22,8 @@
 # Time constant with which the load of a runner fades towards the mean of its pool, in seconds; it
 # is about the duration of an answer.
 FADE_S = 0.8
-# A runner of which no node has had an answer for this long, in seconds, probably has less to do
-# than the mean: in the load model, such runners had 1 request instead of 13 after 2 s. It is not
-# assumed to be idle, since all nodes would choose it.
+# A runner without an observation for this long, in seconds, probably has less load than the mean.
+# It is not assumed to be idle, since all nodes would choose it.
 UNSEEN_S = 1.0
 UNSEEN_SHARE = 0.3
 # A pool is placed by this state if one of its runners stated its speed within this time, in
@@ -45,22 +44,22 @@
 DEFAULT_PREFILL_S = 1 / 60
 DEFAULT_GAP_S = 0.03
 
-# An own observation is news if the load differs from what was told by this many requests and by a
-# tenth, the speed by a tenth, or if what was told is this old.
+# An own observation is news if the load differs from what was advertised by this many requests and
+# by a tenth, the speed by a tenth, or if what was advertised is this old.
 NEWS_REQUESTS = 2
 NEWS_SHARE = 0.1
 NEWS_AGE_S = 2.0
 # Time between two pieces of news of the same runner unless its load changes by many requests.
 NEWS_PAUSE_S = 0.4
 MANY_REQUESTS = 5
-# News that this many peers have told is known to the others, too. With 8 peers per node in a graph
-# of 76 nodes, nearly all nodes are reached although half of them stay silent.
-MAX_COPIES = 3
+# Largest age that adds to the importance of an observation, in seconds.
+IMPORTANCE_AGE_S = 5.0
+# An observation received from this many peers is assumed to be known to the others.
+MAX_DUPLICATES = 3
 # Old news is no longer passed on.
 MAX_RELAY_AGE_S = 1.5
-# Observations in one heartbeat. One takes about 32 bytes and a heartbeat goes to 8 peers 2.5 times
-# per second: 8 of them are 5.1 KB/s at 76 nodes, 3 are 1.9 KB/s at 330 nodes, where heartbeats take
-# 6.1 of the permitted 8 KB/s under pressure. In a full mesh there are more peers and no relaying.
+# Observations per heartbeat, about 32 bytes each, reduced as the number of nodes grows so that
+# heartbeats stay within the traffic limit. A full mesh needs fewer, as nothing is relayed.
 MAX_ITEMS, MIN_ITEMS, MESH_ITEMS = 8, 3, 4
 ITEMS_NODES = 800
 MAX_AGE_MS = 60_000
@@ -104,7 +103,7 @@
         news: Newest observation worth telling, or None.
         news_at: Time of that observation.
         copies: Number of peers that told it.
-        told: Load and slowness that peers probably know, and the time of that observation.
+        advertised: Load and slowness that peers probably know, and the time of that observation.
         measured: Gap and prefill time of this node's newest answers, in ms, and their time.
     """
 
@@ -121,7 +120,7 @@
     news: RunnerObservation | None = None
     news_at: float = -math.inf
     copies: int = 0
-    told: tuple[int, float, float] = (0, 0.0, -math.inf)
+    advertised: tuple[int, float, float] = (0, 0.0, -math.inf)
     measured: tuple[int, int, float] = (0, 0, -math.inf)
 
     def add_speed(self, slowness: float, now: float) -> None:
@@ -140,16 +139,16 @@
 
     def importance(self, load: int, slowness: float, now: float) -> float:
         """Return how much an observation differs from what peers probably know; 0 if little."""
-        told_load, told_slowness, told_at = self.told
-        age_s, change = now - told_at, abs(load - told_load)
+        advertised_load, advertised_slowness, advertised_at = self.advertised
+        age_s, change = now - advertised_at, abs(load - advertised_load)
         if age_s < NEWS_PAUSE_S and change < MANY_REQUESTS:
             return 0.0
         if (
-            change >= max(NEWS_REQUESTS, NEWS_SHARE * told_load)
-            or abs(slowness - told_slowness) > NEWS_SHARE * told_slowness
+            change >= max(NEWS_REQUESTS, NEWS_SHARE * advertised_load)
+            or abs(slowness - advertised_slowness) > NEWS_SHARE * advertised_slowness
             or age_s >= NEWS_AGE_S
         ):
-            return change + min(age_s, 5.0)
+            return change + min(age_s, IMPORTANCE_AGE_S)
         return 0.0
 
 
@@ -252,7 +251,7 @@
             runner.measured = (runner.measured[0], round(prefill_s * 1000), _now())
 
     def on_gap(self, endpoint: str, gap_s: float) -> None:
-        """Record the mean time between the last events of an answer."""
+        """Record the time between two events of an answer, in seconds."""
         runner = self._runner(endpoint)
         runner.add_gap(gap_s, _now())
         runner.measured = (round(gap_s * 1000), runner.measured[1], _now())
@@ -262,7 +261,10 @@
         self._runners.pop(endpoint, None)
 
     def is_full(self, endpoint: str) -> bool:
-        """Return whether a runner refused a request and has not stated a free slot since."""
+        """Return whether a runner counts as full.
+
+        It does if it refused a request within ``FULL_S`` and has not reported an empty queue since.
+        """
         runner = self._runners.get(endpoint)
         return runner is not None and runner.full_until > _now()
 
@@ -273,7 +275,10 @@
         return 1.0 if value is None else max(0.1, round(value, 1))
 
     def prefill_s(self, endpoints: Sequence[Endpoint]) -> float:
-        """Return the usual time in which some runners prefill 1,000 prompt tokens, in seconds."""
+        """Return the time in which some runners usually prefill 1,000 prompt tokens, in seconds.
+
+        It is the lower-third quantile of their times, because waits inflate the larger values.
+        """
         found = [
             runner.prefill_s
             for runner in map(self._runners.get, (item.name for item in endpoints))
@@ -340,18 +345,20 @@
                 continue
             own = news.source == self._source
             too_old = now - runner.news_at > MAX_RELAY_AGE_S
-            if too_old or runner.copies >= MAX_COPIES or not (own or relays):
+            if too_old or runner.copies >= MAX_DUPLICATES or not (own or relays):
                 runner.news = None
                 continue
             load, slowness = news.running + news.waiting, news.slowness / 100
-            change = abs(load - runner.told[0]) + abs(slowness - runner.told[1])
-            pending.append((change + min(5.0, now - runner.told[2]), runner, news))
+            change = abs(load - runner.advertised[0]) + abs(slowness - runner.advertised[1])
+            pending.append(
+                (change + min(IMPORTANCE_AGE_S, now - runner.advertised[2]), runner, news)
+            )
         pending.sort(key=lambda item: item[0], reverse=True)
         for _, runner, news in pending[: self._max_items(relays)]:
             age_ms = min(MAX_AGE_MS, max(0, round((now - runner.news_at) * 1000)))
             heartbeat.runners.append(replace(news, age_ms=age_ms))
             runner.news = None
-            self._mark_told(runner, news, runner.news_at)
+            self._mark_advertised(runner, news, runner.news_at)
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Store the observations of peers that are newer than what is known."""
@@ -368,7 +375,7 @@
             if item.slowness <= 0 or item.running < 0 or item.waiting < 0:
                 continue
             if at <= runner.at:
-                self._mark_told(runner, item, at)
+                self._mark_advertised(runner, item, at)
                 continue
             self._observe(runner, item.running, item.waiting, at, item.slowness / 100)
             if item.gap_ms > 0:
@@ -390,9 +397,9 @@
         while runner.sent and runner.sent[0][0] <= at:
             runner.sent.popleft()
 
-    def _mark_told(self, runner: _Runner, news: RunnerObservation, at: float) -> None:
-        if at > runner.told[2]:
-            runner.told = (news.running + news.waiting, news.slowness / 100, at)
+    def _mark_advertised(self, runner: _Runner, news: RunnerObservation, at: float) -> None:
+        if at > runner.advertised[2]:
+            runner.advertised = (news.running + news.waiting, news.slowness / 100, at)
 
     def _slowness(self, runner: _Runner, now: float) -> float:
         """Return the present slowness; without recent statements the average of a longer time."""
--- a/tests/test_leader_reports.py
+++ b/tests/test_leader_reports.py
@@ -4,7 +4,7 @@
 from typing import Any, ClassVar
 
 from lacewinghub.duties import ReportContributor
-from lacewinghub.leader_hint import FORGET_S, TELL_EVERY_S, LeaderHints
+from lacewinghub.leader_hint import ADVERTISE_INTERVAL_S, FORGET_S, LeaderHints
 from lacewinghub.leader_reports import (
     REPORT_EVERY_S,
     SPREAD_NODES,
@@ -103,7 +103,7 @@
                             cluster.usage[name].requests = number
                         cluster.tokens = {"n001": 10}
                         await cluster.until(
-                            lambda: cluster.known() == {"n001"}, TELL_EVERY_S + NEWS_S
+                            lambda: cluster.known() == {"n001"}, ADVERTISE_INTERVAL_S + NEWS_S
                         )
                         await cluster.until(lambda: set(cluster.counts("n001")) == names, 1.0)
                         self.assertEqual(
