--- a/lacewinghub/zone_cost.py
+++ b/lacewinghub/zone_cost.py
@@ -3,12 +3,16 @@
 Every node computes this by itself from the shared state of the zones. What leaves a zone follows
 the demand that arises there, which does not change when requests leave, so that nodes that decide
 at once do not drive each other up and down.
+
+No composition root connects it yet.
 """
 
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from .placement import ZoneCost
+
 # Older states say nothing about a zone; it may be cut off.
 MAX_AGE_S = 3.0
 # A zone starts to receive requests if they gain more than this beyond the price, and continues
@@ -103,7 +107,7 @@
         self.time = now
 
 
-class ZoneCost:
+class ZoneBalance(ZoneCost):
     """Weighs the zones for the requests of one node and one pool.
 
     Args:
--- a/tests/test_zone_cost.py
+++ b/tests/test_zone_cost.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field, replace
 from functools import partial
 
-from lacewinghub.zone_cost import ZoneCost, ZoneState
+from lacewinghub.zone_cost import ZoneBalance, ZoneState
 
 ZONES = ("a", "b", "c")
 NODES = (24, 110)  # Per zone.
@@ -21,7 +21,7 @@
 BYTES = (40_000, 10_000)
 END_S = 60
 
-Choose = Callable[[ZoneCost, str, dict[str, ZoneState], float], str]
+Choose = Callable[[ZoneBalance, str, dict[str, ZoneState], float], str]
 
 
 @dataclass
@@ -70,12 +70,12 @@
         self.slots = slots
         self.cut_off = cut_off
         self.rng = random.Random(3)
-        self.queues: dict[str, deque[tuple[float, ZoneCost, str]]] = {z: deque() for z in ZONES}
+        self.queues: dict[str, deque[tuple[float, ZoneBalance, str]]] = {z: deque() for z in ZONES}
         self.running: dict[str, int] = dict.fromkeys(ZONES, 0)
         self.rate = {zone: load[zone] * SLOTS / SERVICE_S for zone in ZONES}
-        self.ends: list[tuple[float, int, ZoneCost, str]] = []
+        self.ends: list[tuple[float, int, ZoneBalance, str]] = []
         self.nodes = {
-            z: [ZoneCost(z, position=(n + 0.5) / nodes) for n in range(nodes)] for z in ZONES
+            z: [ZoneBalance(z, position=(n + 0.5) / nodes) for n in range(nodes)] for z in ZONES
         }
         self.result = Result()
 
@@ -137,17 +137,17 @@
             node.on_done(target, now)
 
 
-def never(node: ZoneCost, zone: str, late: dict[str, ZoneState], now: float) -> str:
+def never(node: ZoneBalance, zone: str, late: dict[str, ZoneState], now: float) -> str:
     """Stay in the zone."""
     return zone
 
 
-def cheapest(node: ZoneCost, zone: str, late: dict[str, ZoneState], now: float) -> str:
+def cheapest(node: ZoneBalance, zone: str, late: dict[str, ZoneState], now: float) -> str:
     """Go wherever the wait and the round trip are shortest."""
     return min(late, key=lambda item: late[item].wait_s + node.extra_s(item, *BYTES))
 
 
-def weighed(node: ZoneCost, zone: str, late: dict[str, ZoneState], now: float) -> str:
+def weighed(node: ZoneBalance, zone: str, late: dict[str, ZoneState], now: float) -> str:
     """Go where the rule under test permits it and the wait is shortest."""
     options = node.options(*BYTES, now)
     return min(options, key=lambda item: late[item].expected_s + options[item])
@@ -197,9 +197,9 @@
 
 
 class TestRule(unittest.TestCase):
-    def states(self, **changes: ZoneState) -> ZoneCost:
+    def states(self, **changes: ZoneState) -> ZoneBalance:
         """Return the rule at a node of zone a, which has a wait of a second."""
-        cost = ZoneCost("a", position=0.5)
+        cost = ZoneBalance("a", position=0.5)
         found = {
             "a": ZoneState("a", 1.0, 100.0, 140.0, 10, 0.0),
             "b": ZoneState("b", 0.0, 100.0, 50.0, 10, 0.0),
@@ -236,7 +236,7 @@
         for spare, nodes in ((45.0, 10), (45.0, 200), (3.0, 73)):
             sent = 0
             for number in range(nodes):
-                cost = ZoneCost("a", position=(number + 0.5) / nodes)
+                cost = ZoneBalance("a", position=(number + 0.5) / nodes)
                 cost.update(ZoneState("a", 5.0, 100.0, 300.0, nodes, 0.0))
                 cost.update(ZoneState("b", 0.0, 100.0, 95.0 - spare, nodes, 0.0))
                 while cost.may_leave("b", 0.0):
