--- a/lacewinghub/autoscaler.py
+++ b/lacewinghub/autoscaler.py
@@ -17,20 +17,21 @@
 
 from .scaling import ScalingRule
 
-# Share of slots in use, averaged over a wave of the load: the initial value and the limits within
-# which it follows the share of first events within their target. At the upper limit a chat still
-# finds a free slot and little prefill of others in front of it.
+# Share of slots in use, averaged over MEAN_S: the initial value and the limits within which it
+# follows the share of first events within their target. At the upper limit a chat still finds a
+# free slot and little prefill of others in front of it.
 UTILISATION = 0.55
 MIN_UTILISATION = 0.35
 MAX_UTILISATION = 0.6
 # Share of slots that peaks may use: requests find a slot, but answers get slower.
 PEAK_UTILISATION = 0.9
 # Shares of first events within their target below and above which the utilisation is changed, and
-# its factors per second. It falls fast, because callers wait, and rises slowly.
+# the factors applied at each call of ``plan``, about once per second. It falls fast, because
+# callers wait, and rises slowly.
 LATE_SHARE = 0.95
 ON_TIME_SHARE = 0.985
-FALL_PER_S = 0.97
-RISE_PER_S = 1.005
+FALL_FACTOR = 0.97
+RISE_FACTOR = 1.005
 MIN_SAMPLES_PER_S = 2.0  # With fewer first events per second, their share means little.
 # Below this share of slots in use, late first events have other causes than too few runners.
 IDLE_UTILISATION = 0.3
@@ -43,7 +44,7 @@
 # While no, one, and two or more zones lack spot runners after reclaims, the others and ordinary
 # runners fill in up to these shares of the same: ordinary ones boot for half of the time until spot
 # runners are available again.
-CLOSED_SHARES = ((1.0, 1.0), (1.0, 0.75), (0.75, 0.6))
+BACKED_OFF_SHARES = ((1.0, 1.0), (1.0, 0.75), (0.75, 0.6))
 # Ordinary runners, which are never reclaimed, as a share of those needed for the average demand:
 # enough for the highest tier if the spot runners of all zones are lost.
 ORDINARY_SHARE = 0.15
@@ -52,8 +53,10 @@
 HORIZON_S = 30.0
 DRAIN_S = 3.0
 LOST_WORK_S = 5.0
-# Demand is averaged over two waves. The highest average and the highest value of some time count;
-# bursts recur every 20 to 30 s.
+# Windows in seconds. Demand is averaged over MEAN_S, so that short fluctuations do not change the
+# number of runners. The highest average within MEAN_HOLD_S and the highest demand within
+# PEAK_HOLD_S count, so that runners are kept for a burst that may recur. The forecast follows the
+# slope within TREND_S.
 MEAN_S = 22.0
 MEAN_HOLD_S = 10.0
 PEAK_HOLD_S = 30.0
@@ -64,11 +67,13 @@
 LARGEST_AFTER_LOSS = 0.6
 MAX_TREND = 1.15  # Largest factor by which a forecast may exceed the demand.
 LEARN_S = 15.0  # Time constant with which the busy slots per prompt token are learnt.
-MAX_STAY_S = 10.0
+MAX_SERVICE_TIME_S = 10.0
 # Highest prompt tokens per second and runner that may be planned, as a share of those at which
 # first events were late.
 TOKEN_MARGIN = 0.85
-FORGET_PER_S = 1.01
+# Factor applied at each call of ``plan``, about once per second, by which ``late_tokens`` rises and
+# ``good_tokens`` falls, so that old values are forgotten.
+FORGET_FACTOR = 1.01
 # Runners needed for prompt tokens may exceed those needed for slots by this factor: the rate at
 # which first events became late may have had other causes.
 MAX_TOKEN_FACTOR = 1.5
@@ -87,8 +92,8 @@
 SHRINK_HYSTERESIS = 0.15
 GROW_HYSTERESIS = 0.03
 BURST = 1.4  # No scale-in while demand exceeds its average by this factor.
-# Reclaimed runners are not available again for about 10 s; an order that comes too early costs one
-# call. After a refusal, the zone and kind are left alone for the second time.
+# Times without orders for a zone and kind after a reclaim and after a refused order, in seconds.
+# Spot runners are not available again at once; an order that comes too early costs only one call.
 RECLAIM_PAUSE_S = 8.0
 REFUSED_PAUSE_S = 3.0
 # After this time, a lack of spot runners is taken to last, and is filled in completely.
@@ -117,7 +122,7 @@
         ordered: Number in the last order that was accepted, or of the runners seen before it.
         ordered_at: Time of that order; minus infinity without one.
         unconfirmed: Number in an order that was not answered, or None.
-        closed_until: Time until which nothing is ordered, because there is nothing to be had.
+        backoff_until: Time until which nothing is ordered, because there is nothing to be had.
     """
 
     serving: int = 0
@@ -125,7 +130,7 @@
     ordered: int = 0
     ordered_at: float = float("-inf")
     unconfirmed: int | None = None
-    closed_until: float = float("-inf")
+    backoff_until: float = float("-inf")
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,9 +150,9 @@
         """Slots that all requests would occupy, refused ones included."""
         waiting = self.in_flight + self.queued
         served = max(0.1, self.arrivals_per_s - self.refused_per_s)
-        stay_s = min(MAX_STAY_S, self.in_flight / served)
+        service_time_s = min(MAX_SERVICE_TIME_S, self.in_flight / served)
         # Refused requests return, so that they are counted several times.
-        return waiting + min(waiting, self.refused_per_s * stay_s)
+        return waiting + min(waiting, self.refused_per_s * service_time_s)
 
     @property
     def on_time_share(self) -> float | None:
@@ -163,20 +168,20 @@
     peak: float
     permitted: float
 
-    def after(self, lost: int, closed: int) -> float:
+    def required_after_loss(self, lost: int, backed_off: int) -> float:
         """Return the number of runners that must remain after the loss of zones.
 
         Args:
             lost: Number of zones that lose their spot runners.
-            closed: Number of zones that have lost them before, so that fewer losses can follow.
+            backed_off: Number of zones that have lost them before, so that fewer losses can follow.
         """
         if lost == 0:
-            shares = CLOSED_SHARES[min(closed, len(CLOSED_SHARES) - 1)]
-        elif lost + closed < len(MEAN_SHARES):
-            shares = (MEAN_SHARES[lost + closed], PEAK_SHARES[lost + closed])
+            shares = BACKED_OFF_SHARES[min(backed_off, len(BACKED_OFF_SHARES) - 1)]
+        elif lost + backed_off < len(MEAN_SHARES):
+            shares = (MEAN_SHARES[lost + backed_off], PEAK_SHARES[lost + backed_off])
         else:
             return 0.0
-        largest = LARGEST_AFTER_LOSS if lost or closed else LARGEST_SHARE
+        largest = LARGEST_AFTER_LOSS if lost or backed_off else LARGEST_SHARE
         wanted = max(self.mean * shares[0], self.peak * shares[1])
         return min(wanted, largest * self.permitted)
 
@@ -249,7 +254,7 @@
     Attributes:
         orders: Number of runners to order, by group; groups that do not change are missing.
         lost: Groups whose runners were reclaimed; nothing is left of what was ordered.
-        closed_until: Time until which these groups are left alone.
+        backoff_until: Time until which these groups are left alone.
         needed: Runners that the demand needs, each well used.
         target: Number of runners that each group should have in the end.
         learnt: What to pass to the next plan.
@@ -258,7 +263,7 @@
 
     orders: Mapping[Group, int]
     lost: tuple[Group, ...]
-    closed_until: float
+    backoff_until: float
     needed: Needed
     target: Mapping[Group, int]
     learnt: Learnt
@@ -275,7 +280,7 @@
     until = state.now + RECLAIM_PAUSE_S
     groups = dict(state.groups)
     for group in lost:
-        groups[group] = replace(groups[group], ordered=0, unconfirmed=None, closed_until=until)
+        groups[group] = replace(groups[group], ordered=0, unconfirmed=None, backoff_until=until)
     learnt = replace(state.learnt, lost_at=state.now) if lost else state.learnt
     fresh = state.load is not None and state.load_age_s <= MAX_AGE_S
     state = replace(state, groups=groups, learnt=learnt)
@@ -306,7 +311,7 @@
 
 
 def _is_reclaimed(state: ScalingState, group: Group) -> bool:
-    """Tell whether the spot runners of a zone were reclaimed since the last plan."""
+    """Infer from the counts whether the spot runners of a zone were reclaimed."""
     item = state.groups[group]
     if not group.spot or item.ordered == 0:
         return False
@@ -352,13 +357,13 @@
         tokens: Prompt tokens per second and runner.
     """
     utilisation, late, good = learnt.utilisation, learnt.late_tokens, learnt.good_tokens
-    late *= FORGET_PER_S
-    good /= FORGET_PER_S
+    late *= FORGET_FACTOR
+    good /= FORGET_FACTOR
     if share < LATE_SHARE and used > IDLE_UTILISATION:
-        utilisation = max(MIN_UTILISATION, utilisation * FALL_PER_S)
+        utilisation = max(MIN_UTILISATION, utilisation * FALL_FACTOR)
         late = min(late, tokens)
     elif share > ON_TIME_SHARE:
-        utilisation = min(MAX_UTILISATION, utilisation * RISE_PER_S)
+        utilisation = min(MAX_UTILISATION, utilisation * RISE_FACTOR)
         good = max(good, tokens)
     return replace(learnt, utilisation=utilisation, late_tokens=max(late, good), good_tokens=good)
 
@@ -397,10 +402,10 @@
 
 
 def _is_open(state: ScalingState, group: Group) -> bool:
-    return state.now >= state.groups[group].closed_until
+    return state.now >= state.groups[group].backoff_until
 
 
-def _closed_zones(state: ScalingState) -> int:
+def _backed_off_zones(state: ScalingState) -> int:
     """Return the number of zones without spot runners to order because of recent reclaims."""
     if state.now >= state.learnt.lost_at + RECLAIM_MEMORY_S:
         return 0
@@ -416,7 +421,7 @@
 def _compose(state: ScalingState, needed: Needed) -> dict[Group, int]:
     """Return the cheapest numbers of runners that suffice, also after the loss of zones.
 
-    Groups that are closed keep what they have.
+    Groups that are backed off keep what they have.
     """
     rule, zones = state.rule, _zones(state)
     spot_groups = {zone: state.groups[Group(zone, True)] for zone in zones}
@@ -455,7 +460,7 @@
         open_zones: Zones in which spot runners are to be had.
         kept: Spot runners in the other zones.
     """
-    rule, closed = state.rule, _closed_zones(state)
+    rule, backed_off = state.rule, _backed_off_zones(state)
     floor = max(len(rooms), math.ceil(ORDINARY_SHARE * needed.mean))
     counts = dict.fromkeys(rooms, 0)
     best: tuple[float, dict[str, int], int] | None = None
@@ -464,7 +469,7 @@
         free = [zone for zone in rooms if counts[zone] < rooms[zone]]
         if ordinary >= floor or not free:
             room = min((rule.maximum - counts[zone] for zone in open_zones), default=0)
-            spot = _spot_per_zone(ordinary, len(open_zones), kept, needed, closed)
+            spot = _spot_per_zone(ordinary, len(open_zones), kept, needed, backed_off)
             cost = ordinary + min(spot, room) * len(open_zones) * rule.spot_price
             if (spot <= room or not free) and (best is None or cost < best[0]):
                 best = cost, dict(counts), min(spot, room)
@@ -479,13 +484,15 @@
     return (1.0 - rule.spot_price) * HORIZON_S > DRAIN_S + LOST_WORK_S + rule.boot_s
 
 
-def _spot_per_zone(ordinary: int, open_zones: int, kept: int, needed: Needed, closed: int) -> int:
+def _spot_per_zone(
+    ordinary: int, open_zones: int, kept: int, needed: Needed, backed_off: int
+) -> int:
     """Return how many spot runners each open zone needs beside the ordinary ones."""
     if not open_zones:
-        return 0 if ordinary + kept >= needed.after(0, closed) else UNLIMITED
+        return 0 if ordinary + kept >= needed.required_after_loss(0, backed_off) else UNLIMITED
     count = 0
     for lost in range(min(3, open_zones)):
-        missing = needed.after(lost, closed) - ordinary - (0 if lost else kept)
+        missing = needed.required_after_loss(lost, backed_off) - ordinary - (0 if lost else kept)
         count = max(count, math.ceil(missing / (open_zones - lost)))
     return count
 
@@ -520,7 +527,7 @@
     learnt, now = state.learnt, state.now
     last = learnt.samples[-1]
     if state.grow_only:
-        return "orders of the holder before not known"
+        return "orders of the previous holder not known"
     if learnt.since is None or now < learnt.since + SHRINK_AFTER_S:
         return "demand not known for long enough"
     if now < learnt.lost_at + AFTER_RECLAIM_S:
@@ -575,12 +582,12 @@
 def _suffices(state: ScalingState, serving: Mapping[Group, int], needed: Needed) -> bool:
     """Tell whether runners that serve now are enough, also after the loss of one or two zones."""
     spot = {group: count for group, count in serving.items() if group.spot}
-    zones, closed = sum(_is_open(state, group) for group in spot), _closed_zones(state)
+    zones, backed_off = sum(_is_open(state, group) for group in spot), _backed_off_zones(state)
     remaining = sum(serving.values())
     for lost, count in enumerate([0, *sorted(spot.values(), reverse=True)[:2]]):
         remaining -= count
         # With all zones lost, only the floor of ordinary runners remains.
-        if lost < max(1, zones) and remaining < needed.after(lost, closed):
+        if lost < max(1, zones) and remaining < needed.required_after_loss(lost, backed_off):
             return False
     return True
 
--- a/lacewinghub/duties.py
+++ b/lacewinghub/duties.py
@@ -20,7 +20,7 @@
 
     Attributes:
         token: Its fencing token.
-        records: Newest records of the duties by key, as the holder before left them.
+        records: Newest records of the duties by key, as the previous holder left them.
         rewound: True if the log came back from an older copy since the last record of the lease,
             so that later records of the duties may be missing.
     """
--- a/lacewinghub/scaler.py
+++ b/lacewinghub/scaler.py
@@ -50,8 +50,13 @@
     """What this holder knows of the orders of one pool.
 
     Attributes:
-        since: Time at which it began to see the pool.
-        restored: True if it knows the orders of the holder before.
+        since: Loop time at which it began to see the pool, in seconds.
+        restored: True if it knows the orders of the previous holder.
+        groups: Number of runners and the last order, by group.
+        learnt: What the plans have learnt.
+        load: Newest demand; None before enough nodes have reported.
+        load_at: Loop time at which the oldest report in it arrived, in seconds.
+        slots: Slots of a runner on average; 0 before any was seen.
     """
 
     since: float
@@ -60,7 +65,7 @@
     learnt: Learnt = field(default_factory=Learnt)
     load: PoolLoad | None = None
     load_at: float = float("-inf")
-    slots: float = 0.0  # Of a runner on average; 0 before any was seen.
+    slots: float = 0.0
 
 
 class CallBudget:
@@ -134,7 +139,7 @@
         return [*records, *((key, VOID) for key in sorted(self._void - written))]
 
     def on_taken(self, taken: LeaseTaken) -> None:
-        """Continue from the orders of the holder before."""
+        """Continue from the orders of the previous holder."""
         self._token = taken.token
         self._pools.clear()
         self._void.clear()
@@ -221,7 +226,7 @@
             pool.load,
             now - pool.load_at,
             pool.learnt,
-            # Runners that the holder before ordered may still boot.
+            # Runners that the previous holder ordered may still boot.
             not pool.restored and now < pool.since + rule.boot_s + ANNOUNCE_S,
         )
         decision = plan(state)
@@ -231,8 +236,8 @@
             logger.bind(
                 pool=spec.name, availability_zone=group.availability_zone, runners=item.ordered
             ).warning("spot runners were reclaimed")
-            until = decision.closed_until
-            pool.groups[group] = replace(item, ordered=0, unconfirmed=None, closed_until=until)
+            until = decision.backoff_until
+            pool.groups[group] = replace(item, ordered=0, unconfirmed=None, backoff_until=until)
         outcomes = await self._send(token, spec.name, pool, decision)
         _log_decision(spec.name, state, decision, outcomes)
         return pool
@@ -254,7 +259,7 @@
             item = pool.groups.get(group, GroupState())
             ordered = item.ordered
             if now >= item.ordered_at + rule.boot_s + ANNOUNCE_S and item.unconfirmed is None:
-                # Runners that the holder before ordered, or that were thought to be lost.
+                # Runners that the previous holder ordered, or that were thought to be lost.
                 ordered = max(ordered, serving[group])
             pool.groups[group] = replace(
                 item, serving=serving[group], leaving=leaving[group], ordered=ordered
@@ -321,7 +326,7 @@
             self._refused += 1
             item = replace(item, unconfirmed=None)
             if outcome is not CallOutcome.LIMITED:
-                item = replace(item, closed_until=loop.time() + REFUSED_PAUSE_S)
+                item = replace(item, backoff_until=loop.time() + REFUSED_PAUSE_S)
         pool.groups[group] = item
 
 
--- a/lacewinghub/scaling_record.py
+++ b/lacewinghub/scaling_record.py
@@ -20,6 +20,7 @@
     Learnt,
     Sample,
 )
+from .nodelist import MALFORMED_RECORD
 
 KEY_PREFIX = "scaling-"
 # Replaces a record that must not be used, because the log lost a later one.
@@ -30,7 +31,7 @@
 # The log accepts records of 262,144 bytes; a larger one would end the lease.
 MAX_RECORD_BYTES = 100_000
 MAX_ELAPSED_S = 3600.0
-MALFORMED = (ValueError, TypeError, KeyError, AttributeError, OverflowError, RecursionError)
+MALFORMED = (*MALFORMED_RECORD, AttributeError)
 
 
 def encode_pool(
@@ -52,7 +53,7 @@
                 item.ordered,
                 item.unconfirmed,
                 _age(item.ordered_at, now),
-                max(0.0, item.closed_until - now),
+                max(0.0, item.backoff_until - now),
             ]
             for group, item in groups.items()
         ],
@@ -84,13 +85,13 @@
     elapsed = min(max(0.0, wall_s - _number(value["at"])), MAX_ELAPSED_S)
     then = now - elapsed
     groups = {}
-    for zone, spot, ordered, unconfirmed, age, closed_s in value["groups"]:
-        until = then + min(_number(closed_s), RECLAIM_PAUSE_S)
+    for zone, spot, ordered, unconfirmed, age, backoff_s in value["groups"]:
+        until = then + min(_number(backoff_s), RECLAIM_PAUSE_S)
         groups[Group(str(zone), bool(spot))] = GroupState(
             ordered=_count(ordered),
             ordered_at=_time(age, then, float("-inf")),
             unconfirmed=None if unconfirmed is None else _count(unconfirmed),
-            closed_until=until if until > now else float("-inf"),
+            backoff_until=until if until > now else float("-inf"),
         )
     samples = [[_number(item) for item in row] for row in value["samples"][-MAX_SAMPLES:]]
     late, per_token = value["late_tokens"], value["busy_per_token"]
--- a/lacewinghub/usage_reporter.py
+++ b/lacewinghub/usage_reporter.py
@@ -20,6 +20,7 @@
 from .control_api import CallOutcome, ControlApi, UsageReport
 from .duties import DutyHolder, DutyRecords, LeaseTaken, NodeReports, ReceivedReport
 from .message import LeaderReport, WindowUsage
+from .nodelist import MALFORMED_RECORD
 from .usage import SEND_S, UsageSettings, WindowClock
 
 STEP_S = 0.1
@@ -45,7 +46,7 @@
 # A checkpoint is divided into records of at most this size before compression. The log accepts
 # records of 262,144 bytes, and compression never adds more than a few bytes in a thousand.
 MAX_PART_BYTES = 200_000
-_MALFORMED = (ValueError, TypeError, KeyError, zlib.error, AttributeError)
+_MALFORMED = (*MALFORMED_RECORD, AttributeError, zlib.error)
 
 
 @dataclass(frozen=True, slots=True)
@@ -230,7 +231,7 @@
         return records
 
     def on_taken(self, taken: LeaseTaken) -> None:
-        """Continue from the records of the holder before."""
+        """Continue from the records of the previous holder."""
         record = taken.records.get(DECISION_KEY)
         found = _decode_decision(record)
         self._held = True
--- a/tests/test_scaler.py
+++ b/tests/test_scaler.py
@@ -275,7 +275,7 @@
         # Guards against a record that grows with time, and orders that are dated wrongly.
         groups = {
             Group("a", True): GroupState(ordered=5, ordered_at=90.0, unconfirmed=7),
-            Group("b", False): GroupState(ordered=2, closed_until=106.0),
+            Group("b", False): GroupState(ordered=2, backoff_until=106.0),
         }
         samples = tuple(Sample(50.0 + at / 10, at % 31, at % 17, at % 7) for at in range(501))
         learnt = Learnt(60.0, 9, samples, 0.4, 0.01, 3.0, 9.0, 95.0, 97.0)
@@ -289,7 +289,7 @@
                     found[Group("a", True)],
                     GroupState(ordered=5, ordered_at=then - 10.0, unconfirmed=7),
                 )
-                self.assertEqual(found[Group("b", False)].closed_until, then + 6.0)
+                self.assertEqual(found[Group("b", False)].backoff_until, then + 6.0)
                 self.assertEqual((known.since, known.lost_at), (then - 40.0, then - 3.0))
                 self.assertEqual(max(item.busy for item in known.samples), 30)
                 self.assertEqual(known.samples[-1].time, then)
