--- a/lacewinghub/promptsplit.py
+++ b/lacewinghub/promptsplit.py
@@ -94,7 +94,7 @@
         running = max(in_flight.get(item.name, 0), report.running + report.waiting)
         cached = self._cache.cached_tokens(item.name, req.proxy.parts) if req.proxy else 0
         backlog = self._backlog.get(item.name, 0) + prompt_tokens(req) - cached
-        return backlog + RUNNING_COST_TOKENS * running
+        return (backlog + RUNNING_COST_TOKENS * running) * (report.slowness or 1.0)
 
 
 def prompt_tokens(req: Request) -> int:
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -41,18 +41,17 @@
 from .promptcache import PromptCacheIndex, PromptCacheSync
 from .proxygateway import ProxyCodec, ProxyGateway
 from .proxyrouter import ProxyClient, ProxyRouter
+from .proxyscheduler import ProxyScheduler
 from .readturns import MANY_NODES, ReadTurns, TurnTiming
 from .relayedtopic import RelayedTopic
 from .run_move import RunMover
 from .runner_allocation import DemandAllocation
-from .runner_state import RunnerStates
-from .selection import LoadReports
+from .runner_state import RunnerStates, SharedLoadReports
 from .sharedtopic import Meaning, ReadFailures
 from .supervisor import Supervisor
 from .suspend import SuspendWatch
 from .tables import Endpoint, Tables
 from .transport import Peer
-from .unevenscheduler import UnevenScheduler
 
 # A long poll waits for this share of the time within which a change must be in force. A read whose
 # connection falls silent hangs for that long and the time-out of an answer.
@@ -376,12 +375,10 @@
         self._build_peers()
         self._connections = ConnectionPool()
         self._pauses = EndpointPauses()
-        reports = LoadReports()
-        self._scheduler = UnevenScheduler(
+        reports = SharedLoadReports(self._runner_states)
+        self._scheduler = ProxyScheduler(
             HealthyPools(self._tables, self._health),
             reports,
-            states=self._runner_states,
-            zone=self.cfg.availability_zone,
             history=history,
             allocation=self._runner_allocation,
             cached=self._cache_sync,
@@ -507,8 +504,6 @@
             self._metrics.set("config_version", self._current_config.current.version)
             self._metrics.set("config_age_s", self._config_topic.age_s)
             self._metrics.set("endpoints_age_s", self._endpoints_topic.age_s)
-            self._metrics.set("first_event_error_s", self._scheduler.errors.first_event_s)
-            self._metrics.set("finish_error_s", self._scheduler.errors.finish_s)
             self._metrics.set("crash_causes", len(self._crash_guard.causes))
             self._metrics.set("live_nodes", len(self._overlay.live()))
             self._metrics.set("endpoint_connections_opened", self._connections.opened)
--- a/lacewinghub/runner_state.py
+++ b/lacewinghub/runner_state.py
@@ -17,6 +17,7 @@
 from .membership import HeartbeatContributor, Members
 from .message import Heartbeat, RunnerObservation
 from .prediction import PREFILL_SHARE, RunnerLoad
+from .selection import LoadReport, LoadReports
 from .tables import Endpoint
 
 # Time constant with which the load of a runner fades towards the mean of its pool, in seconds; it
@@ -34,6 +35,8 @@
 SPEED_S = 1.5
 SLOW_SPEED_S = 15.0
 MIN_WEIGHT = 0.1
+# Older observations are not used as the load of a runner, in seconds.
+SHARED_AGE_S = 3.0
 # A runner that refused a request is full for this long unless it states otherwise.
 FULL_S = 0.4
 # Measured times to the first event contain waits; the time of the prefill follows the shortest.
@@ -260,6 +263,13 @@
         """Remove what is known of a runner that has restarted."""
         self._runners.pop(endpoint, None)
 
+    def load(self, endpoint: str) -> LoadReport | None:
+        """Return the load that an answer to any node stated lately, or None."""
+        runner = self._runners.get(endpoint)
+        if runner is None or _now() - runner.at > SHARED_AGE_S:
+            return None
+        return LoadReport(runner.running, runner.waiting, runner.at, self.rank_slowness(endpoint))
+
     def is_full(self, endpoint: str) -> bool:
         """Return whether a runner counts as full.
 
@@ -434,3 +444,20 @@
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
+
+
+class SharedLoadReports(LoadReports):
+    """Load reports in the answers to this node, and to all nodes where runners state their speed.
+
+    Args:
+        states: The runners that state their speed, as all nodes see them.
+    """
+
+    def __init__(self, states: RunnerStates) -> None:
+        super().__init__()
+        self._states = states
+        self.listen(states.on_report)
+
+    def get(self, endpoint: str) -> LoadReport:
+        """Return the latest report of an endpoint, or one with zero load if it is too old."""
+        return self._states.load(endpoint) or super().get(endpoint)
