--- a/lacewinghub/placement.py
+++ b/lacewinghub/placement.py
@@ -13,10 +13,12 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
+import xxhash
+
 from .prediction import Prediction, RunnerLoad, UsualWork, loss_s, predict
 from .prediction_error import PredictionErrors
 from .promptcache import PromptCacheIndex
-from .promptsplit import affinity_key, is_long, prompt_tokens, rendezvous_rank
+from .promptsplit import affinity_key, is_long, prompt_tokens
 from .request import Request
 from .runner_allocation import RunnerAllocation
 from .runner_state import RunnerStates
@@ -37,16 +39,12 @@
 CHOICES = 2
 # Smallest number of free slots that counts when runners are drawn.
 MIN_FREE = 0.5
-# Runners that are preferred for a shared part, in the order of their hashes, while they have room.
-AFFINITY_RUNNERS = 2
-# Without room there, the best of this many and of those that have the part cached is taken.
-SPILL_RUNNERS = 3
-# A preferred runner has room with this share of its slots free, and if the first event is predicted
-# within this share of its target.
-ROOM_SHARE = 0.25
-ROOM_TARGET_SHARE = 0.5
+# The second runner in the hash order of a shared part is preferred by this share of the bonus.
+SECOND_SHARE = 0.45
 # Assumed size of an event, in bytes.
 EVENT_BYTES = 200
+# A smaller bonus is ignored, since all nodes that choose the same runners would overload them.
+MIN_BONUS_S = 0.05
 # A runner of the other side is chosen if it is better by more than this, in seconds, and by the
 # time to prefill a long prompt: the request may meet one there, or hold up short ones.
 SIDE_COST_S = 0.2
@@ -171,11 +169,12 @@
     def side(self, req: Request, endpoints: Sequence[Endpoint]) -> list[Endpoint]:
         """Return the runners that serve prompts of the request's length.
 
-        The order is that of a hash of their names: nodes that see different speeds agree on it.
+        The order is that of weighted rendezvous hashing, so that fast runners tend to serve long
+        prompts and a change of speed moves few runners.
         """
         if len(endpoints) < 2:
             return list(endpoints)
-        ordered = sorted(endpoints, key=lambda item: rendezvous_rank("side", item.name))
+        ordered = sorted(endpoints, key=lambda item: self._rank("side", item.name))
         capacities = [item.slots / self.states.rank_slowness(item.name) for item in ordered]
         count = self._allocation.long_prompt_split(capacities)
         return ordered[:count] if is_long(req) else ordered[count:]
@@ -276,23 +275,30 @@
     def _choose(self, req: Request, candidates: Sequence[Candidate]) -> Candidate:
         if len(candidates) == 1:
             return candidates[0]
+        drawn = self._draw(candidates, CHOICES)
+        bonus_s = self._bonus_s(req, candidates)
+        if bonus_s < MIN_BONUS_S:
+            return min(drawn, key=lambda item: item.loss_s)
         shared = sum(part.tokens for part in req.proxy.shared_parts) if req.proxy else 0
-        if not shared:
-            return min(self._draw(candidates, CHOICES), key=lambda item: item.loss_s)
-        # All nodes prefer the same few runners for a shared part, in the same order, so that its
-        # prefill is repeated rarely and it stays in their memory. What is beyond them spreads.
+        holders = [item for item in candidates if prompt_tokens(req) - item.new_tokens >= shared]
+        if len(holders) >= CHOICES:
+            # The more requests have the part, the more runners hold it.
+            return min(
+                [*self._draw(holders, CHOICES), *drawn],
+                key=lambda item: item.loss_s - (bonus_s if item in holders else 0.0),
+            )
         key = affinity_key(req)
-        preferred = heapq.nsmallest(
-            SPILL_RUNNERS, candidates, key=lambda item: rendezvous_rank(key, item.endpoint.name)
+        first, second = heapq.nsmallest(
+            2, candidates, key=lambda item: self._rank(key, item.endpoint.name)
         )
-        for item in preferred[:AFFINITY_RUNNERS]:
-            if _has_room(item, req):
-                return item
-        bonus_s = self._bonus_s(req, candidates)
-        holders = [item for item in candidates if prompt_tokens(req) - item.new_tokens >= shared]
+        bonus = {
+            first.endpoint.name: bonus_s,
+            second.endpoint.name: SECOND_SHARE * bonus_s,
+            **{item.endpoint.name: bonus_s for item in holders},
+        }
         return min(
-            [*preferred, *holders],
-            key=lambda item: item.loss_s - (bonus_s if item in holders else 0.0),
+            [first, second, *holders, *drawn],
+            key=lambda item: item.loss_s - bonus.get(item.endpoint.name, 0.0),
         )
 
     def new_tokens(self, endpoint: str, req: Request) -> int:
@@ -375,13 +381,10 @@
         response_bytes = int(events * EVENT_BYTES)
         return self._zone_cost.extra_s(zone, len(req.proxy.request.body), response_bytes)
 
-
-def _has_room(item: Candidate, req: Request) -> bool:
-    """Tell whether a preferred runner takes a request without delaying it or others much."""
-    target_s = req.target.first_token_s
-    if target_s is not None and item.prediction.first_s > ROOM_TARGET_SHARE * target_s:
-        return False
-    return item.load.free_slots >= ROOM_SHARE * item.load.slots
+    def _rank(self, key: str, name: str) -> float:
+        """Return the place in the order of weighted rendezvous hashing; low is preferred."""
+        place = (xxhash.xxh3_64_intdigest(f"{key}|{name}".encode()) + 1) / 2**64
+        return -math.log(min(1.0, place)) * self.states.rank_slowness(name)
 
 
 def _left_s(req: Request, now: float) -> float:
