Accept a periodic report after the last one of a stopping node

The task of the periodic reports still runs then, and may send one more; reports replace each other and have absolute counts, so that this is allowed. The test still fails if the last report, or an equal later one, does not arrive.

--- a/tests/test_duty_nodes.py
+++ b/tests/test_duty_nodes.py
@@ -63,7 +63,8 @@
         first._duties.reports.send = send_last
         await asyncio.wait([self.tasks[self.members.index(first)]])
         found = {item.report.node: item.report.seq for item in other._duties.reports.reports()}
-        self.assertEqual(found[first.cfg.node], at_the_end[-1])
+        # The periodic report may follow the last one before the process ends; its counts are the same.
+        self.assertGreaterEqual(found[first.cfg.node], at_the_end[-1])
         self.assertEqual(len(at_the_end), 2)
 
 
