--- a/tests/test_duty_nodes.py
+++ b/tests/test_duty_nodes.py
@@ -63,7 +63,7 @@
         first._duties.reports.send = send_last
         await asyncio.wait([self.tasks[self.members.index(first)]])
         found = {item.report.node: item.report.seq for item in other._duties.reports.reports()}
-        # The periodic report may follow the last one before the process ends; its counts are the same.
+        # A periodic report may follow the last one before the process ends, with the same counts.
         self.assertGreaterEqual(found[first.cfg.node], at_the_end[-1])
         self.assertEqual(len(at_the_end), 2)
 
