Fill in fully with ordinary runners after reclaims

Change: zones that lack spot runners are made up for by ordinary ones for the whole average demand and 0.9 of its peaks, where 0.75 and 0.6 were planned.

--- a/lacewinghub/autoscaler.py
+++ b/lacewinghub/autoscaler.py
@@ -42,9 +42,9 @@
 MEAN_SHARES = (1.0, 0.9, 0.6)
 PEAK_SHARES = (1.0, 0.8, 0.5)
 # While no, one, and two or more zones lack spot runners after reclaims, the others and ordinary
-# runners fill in up to these shares of the same: ordinary ones boot for half of the time until spot
-# runners are available again.
-BACKED_OFF_SHARES = ((1.0, 1.0), (1.0, 0.75), (0.75, 0.6))
+# runners fill in up to these shares of the same. A burst may come before spot runners are to be had
+# again, and short prompts would then wait behind long ones.
+BACKED_OFF_SHARES = ((1.0, 1.0), (1.0, 0.9), (1.0, 0.9))
 # Ordinary runners, which are never reclaimed, as a share of those needed for the average demand:
 # enough for the highest tier if the spot runners of all zones are lost.
 ORDINARY_SHARE = 0.15
