Shrink no runners before the first request was seen

Cause: the scaler shrank 56 runners to 11 ordinary and 27 spot ones before traffic began, since no demand was taken for low demand. Change: no scale-in while no request was seen.

--- a/lacewinghub/autoscaler.py
+++ b/lacewinghub/autoscaler.py
@@ -530,6 +530,9 @@
         return "orders of the previous holder not known"
     if learnt.since is None or now < learnt.since + SHRINK_AFTER_S:
         return "demand not known for long enough"
+    if not any(sample.tokens_per_s for sample in learnt.samples):
+        # No request was seen yet, which says nothing about the demand to come.
+        return "no demand yet"
     if now < learnt.lost_at + AFTER_RECLAIM_S:
         return "reclaim"
     if now < learnt.shrunk_at + SHRINK_INTERVAL_S:
