--- a/lacewinghub/decisionlog.py
+++ b/lacewinghub/decisionlog.py
@@ -8,10 +8,10 @@
 import json
 import os
 import time
-from dataclasses import dataclass
 
 from loguru import logger
 
+from ._token_bucket import TokenBucket
 from .history import Event, EventKind
 
 LINES_PER_S = 400.0
@@ -20,22 +20,6 @@
 _UNLOGGED_KINDS = {EventKind.ARRIVED, EventKind.ADMITTED}
 
 
-@dataclass(slots=True)
-class _TokenBucket:
-    """Token bucket that limits the rate of lines."""
-
-    tokens: float = BURST_LINES
-    time: float = 0.0
-
-    def try_consume(self, now: float) -> bool:
-        self.tokens = min(BURST_LINES, self.tokens + (now - self.time) * LINES_PER_S)
-        self.time = now
-        if self.tokens < 1.0:
-            return False
-        self.tokens -= 1.0
-        return True
-
-
 class LineWriter:
     """Line writer that drops lines that it cannot write immediately.
 
@@ -54,11 +38,11 @@
         self._node = node
         self._reported_drops = 0
         self._unwritten = b""
-        self._bucket = _TokenBucket(time=time.monotonic())
+        self._bucket = TokenBucket(LINES_PER_S, BURST_LINES, time.monotonic())
 
     def write(self, text: str) -> None:
         """Write a line, or drop it."""
-        if not self._bucket.try_consume(time.monotonic()) or not self._flush_unwritten():
+        if not self._bucket.try_spend(time.monotonic()) or not self._flush_unwritten():
             self.dropped += 1
             return
         data = text.encode()
--- a/lacewinghub/scaler.py
+++ b/lacewinghub/scaler.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from ._token_bucket import TokenBucket
 from .autoscaler import (
     ANNOUNCE_S,
     REFUSED_PAUSE_S,
@@ -68,24 +69,6 @@
     slots: float = 0.0
 
 
-class CallBudget:
-    """Token bucket for the calls of one second."""
-
-    def __init__(self, per_s: float) -> None:
-        self._per_s = max(1.0, per_s)
-        self._tokens = self._per_s
-        self._updated = 0.0
-
-    def try_spend(self, now: float) -> bool:
-        """Take one call; return False if none is left."""
-        self._tokens = min(self._per_s, self._tokens + (now - self._updated) * self._per_s)
-        self._updated = now
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
-
-
 class Scaler(DutyRecords):
     """Plans once per second, and sends what has changed.
 
@@ -113,7 +96,8 @@
         self._reports = reports
         self._directory = directory
         self._api = api
-        self._budget = CallBudget(calls_per_s * CALLS_SHARE)
+        per_s = max(1.0, calls_per_s * CALLS_SHARE)
+        self._budget = TokenBucket(per_s, burst=per_s)
         self._set_gauge = set_gauge
         self._wall = wall
         self._token: int | None = None
