--- a/review/harness2.py
+++ b/review/harness2.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import contextlib
-import json
 import os
 import random
 import shutil
@@ -409,12 +408,22 @@
         await self.launch()
         until = time.monotonic() + READY_S
         while time.monotonic() < until:
-            if await self.is_ready():
+            if await self.is_ready() and await self._accepts():
                 self._record("node is ready")
                 return
             await asyncio.sleep(0.1)
         raise CannotRun(f"the node was not ready within {READY_S:g} s")
 
+    async def _accepts(self) -> bool:
+        """Tell whether the node takes connections of clients; it may say so a moment before."""
+        host, _, port = self.front.rpartition(":")
+        try:
+            _, writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            return False
+        writer.close()
+        return True
+
     async def is_ready(self, wait_s: float = 1.0) -> bool:
         """Ask the readiness address like the platform does."""
         host, _, port = self.ready.rpartition(":")
