--- a/review/harness2.py
+++ b/review/harness2.py
@@ -457,6 +457,14 @@
             await self.process.wait()
 
 
+def memory_mb(node: Node) -> float:
+    """Return the resident memory of a node."""
+    assert node.process is not None
+    text = Path(f"/proc/{node.process.pid}/status").read_text(encoding="ascii")
+    line = next(item for item in text.splitlines() if item.startswith("VmRSS"))
+    return int(line.split()[1]) / 1024
+
+
 class Case:
     """The parts of a case; all of them are ended when it is over."""
 
