--- a/review/harness2.py
+++ b/review/harness2.py
@@ -9,6 +9,7 @@
 import contextlib
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -31,6 +32,7 @@
 TENANT = "hule930"
 METRICS_PORT = 9464  # Fixed in the node, on the host of its readiness address.
 READY_S = 30.0
+DESCRIPTORS = 4096  # Of this process and of each node; a crowd and its runners need about 1,500.
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -521,6 +523,10 @@
     """
 
     async def run() -> int:
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        wanted = DESCRIPTORS if hard == resource.RLIM_INFINITY else min(DESCRIPTORS, hard)
+        if soft != resource.RLIM_INFINITY and soft < wanted:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
         case = Case(folder)
         case.record(f"TROUBLE={int(TROUBLE)}")
         try:
