Look up routes by the lengths of their prefixes, so that a path of slashes costs no more than others

Cause: PathRoutes.match copied and hashed each prefix of the path that ends with a slash, which grows with the square of its length, before the key is checked. Evidence: a path that counts its copies makes 15,000 of them on the code before. Why it works: the prefixes of one host have few lengths, and only those are looked up, longest first; the work depends on the configuration and not on the client.

--- a/lacewinghub/pathroute.py
+++ b/lacewinghub/pathroute.py
@@ -56,6 +56,33 @@
         return rng.choices(self.pools, weights)[0].pool
 
 
+@dataclass(slots=True)
+class _HostRoutes:
+    """Routes of one host.
+
+    Attributes:
+        by_prefix: Routes by prefix.
+        lengths: Lengths of the prefixes, longest first.
+    """
+
+    by_prefix: dict[str, PathRoute]
+    lengths: list[int] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.lengths = sorted({len(item) for item in self.by_prefix}, reverse=True)
+
+    def match(self, path: str) -> PathRoute | None:
+        """Return the route with the longest prefix of a path, or None.
+
+        The work depends on the prefixes of the configuration, and not on the path of a client.
+        """
+        for length in self.lengths:
+            found = self.by_prefix.get(path[:length])
+            if found is not None:
+                return found
+        return None
+
+
 @dataclass(slots=True)
 class PathRoutes:
     """Look-up of routes by host and longest prefix.
@@ -69,12 +96,15 @@
 
     routes: Iterable[PathRoute] = ()
     lowest_tier: int = 1
-    _hosts: dict[str, dict[str, PathRoute]] = field(default_factory=dict)
+    _hosts: dict[str, _HostRoutes] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.lowest_tier = max((route.tier for route in self.routes), default=1)
+        hosts: dict[str, dict[str, PathRoute]] = {}
         for route in self.routes:
-            self._hosts.setdefault(route.host, {})[route.prefix] = route
+            if route.prefix.endswith("/"):
+                hosts.setdefault(route.host, {})[route.prefix] = route
+        self._hosts = {host: _HostRoutes(prefixes) for host, prefixes in hosts.items()}
 
     def match(self, host: str, path: str) -> PathRoute:
         """Find the route of a request.
@@ -89,13 +119,11 @@
         Raises:
             NotFound: If no route matches.
         """
-        prefixes = self._hosts.get(host.lower()) or self._hosts.get(host.lower().partition(":")[0])
-        end = path.rfind("/") if prefixes else -1
-        while prefixes and end >= 0:
-            found = prefixes.get(path[: end + 1])
-            if found is not None:
-                return found
-            end = path.rfind("/", 0, end)
+        name = host.lower()
+        routes = self._hosts.get(name) or self._hosts.get(name.partition(":")[0])
+        found = routes.match(path) if routes is not None else None
+        if found is not None:
+            return found
         raise NotFound("no route serves this host and path")
 
     def by_name(self, name: str) -> PathRoute | None:
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -44,6 +44,20 @@
                 else:
                     self.assertEqual(routes.match(host, path).name, expected)
 
+    def test_the_work_does_not_grow_with_the_slashes_of_a_path(self) -> None:
+        # Guards against a path that stops the event loop: each copied prefix costs its length.
+        class CountingPath(str):
+            copies = 0
+
+            def __getitem__(self, key: object) -> str:
+                CountingPath.copies += 1
+                return str.__getitem__(self, key)  # type: ignore[index]
+
+        routes = PathRoutes([path_route("a", "/a/"), path_route("b", "/b/c/")])
+        with self.assertRaises(NotFound):
+            routes.match("h", CountingPath("/" * 15_000))
+        self.assertLessEqual(CountingPath.copies, 2)
+
     def test_shares_follow_their_weights(self) -> None:
         route = PathRoute("r", "h", "/", (WeightedPool("p", 90), WeightedPool("q", 10)))
         rng = random.Random(1)
