Parse and serve requests that are sent ahead a few at a time, with turns for other clients

Cause: a read of 64 KB was parsed whole, whatever number of requests it held; their objects counted as a few bytes; and the task of the connection served them in a loop that never let others run. Change: at most 1 KB is parsed at once where requests may follow each other (4 KB in a body in chunks, any length in one with a length); what is behind more than two waiting requests stays unparsed and counted; each message counts 512 bytes beside its text. A request that others follow ends its turn, and the connection rests for twice the time that it took, with the pacer that bodies in tiny chunks have. Why it works: between two turns of the loop a connection serves one request, and all that send ahead together get a third of the time at most.

--- a/lacewinghub/client_bounds.py
+++ b/lacewinghub/client_bounds.py
@@ -1,5 +1,6 @@
 """Bounds on the connections of clients and on how slowly or expensively they send."""
 
+import asyncio
 import time
 from collections import Counter
 from collections.abc import Sequence
@@ -176,8 +177,27 @@
     return elapsed_s > BODY_GRACE_S and size < BODY_BYTES_PER_S * (elapsed_s - BODY_GRACE_S)
 
 
+class Turn:
+    """Measures the work that a request makes of the event loop without giving way to others."""
+
+    def __init__(self) -> None:
+        self._started = time.perf_counter()
+        self._gave_way = False
+        asyncio.get_running_loop().call_soon(self._give_way)
+
+    def spent_s(self) -> float:
+        """Return the time since the start, in seconds; 0 if others had a turn meanwhile."""
+        return 0.0 if self._gave_way else time.perf_counter() - self._started
+
+    def _give_way(self) -> None:
+        self._gave_way = True
+
+
 class ParsePacer:
-    """Spreads expensive reads, so that bodies in tiny chunks leave time for other clients."""
+    """Spreads expensive work, so that it leaves time for other clients.
+
+    Bodies in tiny chunks are such work, and many requests that are sent ahead of their answers.
+    """
 
     def __init__(self) -> None:
         self._free_at = 0.0
@@ -193,6 +213,17 @@
         self._free_at = min(self._free_at, now + MAX_REST_S)
         return self._free_at
 
+    def rest_s(self, spent_s: float) -> float:
+        """Return for how long a connection rests after some work, in seconds.
+
+        Args:
+            spent_s: Time that its work took, in seconds; 0 for work that gave way to others.
+        """
+        if not spent_s:
+            return 0.0
+        now = asyncio.get_running_loop().time()
+        return self.resume_at(now, spent_s) - now
+
 
 class Refusals:
     """Counts refused clients, and logs them at most once per ``LOG_INTERVAL_S`` and reason.
--- a/lacewinghub/clientconnection.py
+++ b/lacewinghub/clientconnection.py
@@ -22,10 +22,17 @@
     IDLE_BEFORE_CLOSE_S,
     ClientGuard,
     OpenConnection,
+    Turn,
     is_too_slow,
 )
 from .httphandler import HttpHandler, HttpLimits, error_status
-from .httpmessage import Headers, Incoming, MessageReceiver, held_by
+from .httpmessage import (
+    EXPENSIVE_FRAMING_BYTES,
+    Headers,
+    Incoming,
+    MessageReceiver,
+    held_by,
+)
 from .memory_budget import Holder, Holding
 from .responder import Responder, ResponseConnection
 
@@ -33,6 +40,10 @@
 # While more pipelined requests than this wait, nothing more is read from the connection.
 MAX_PIPELINED = 2
 HIGH_WATER_BYTES = 64 * 1024
+# So much is parsed at once where requests may follow each other, and within a body in chunks. The
+# shortest request has 18 bytes.
+SLICE_BYTES = 1024
+BODY_SLICE_BYTES = 4096
 # Statuses that state that a request was not run, and tell the client to try again.
 UNAVAILABLE = 503
 RETRY_HEADERS: Headers = [(b"retry-after", b"1")]
@@ -110,6 +121,8 @@
         self._refusal = 0
         self._discarded = 0
         self._close_timer: asyncio.TimerHandle | None = None
+        # Received bytes behind more requests than may wait; nothing is read meanwhile.
+        self._unparsed = b""
 
     # Callbacks of the parser.
     def on_message_begin(self) -> None:
@@ -191,37 +204,78 @@
             if self._discarded > self.server.handler.limits().body_bytes:
                 self._pause_reading(_Pause.REFUSED)
             return
-        data = self.server.buffer[:nbytes]
-        receiver = self._receiver
-        receiver.count(nbytes)
+        self._parse(self.server.buffer[:nbytes])
+        self._charge()
+        self._changed.set()
+
+    def _parse(self, data: memoryview) -> None:
+        """Parse received bytes until more requests wait than are served ahead."""
         started = time.perf_counter()
+        framing = start = 0
+        while start < len(data) and self._takes_more():
+            if len(self._receiver.messages) > MAX_PIPELINED:
+                self._unparsed = bytes(data[start:])
+                self._pause_reading(_Pause.PIPELINED)
+                break
+            end = start + self._slice_bytes(len(data) - start)
+            self._parse_slice(data[start:end])
+            framing += self._receiver.framing
+            start = end
+        if framing > EXPENSIVE_FRAMING_BYTES:
+            self._read_more_slowly(started)
+
+    def _takes_more(self) -> bool:
+        return self._parser is not None and not self._malformed and self._refused is None
+
+    def _slice_bytes(self, available: int) -> int:
+        """Return how many bytes may be parsed before the waiting requests are counted again."""
+        messages = self._receiver.messages
+        if messages and messages[-1].headers_complete and not messages[-1].complete:
+            return max(BODY_SLICE_BYTES, min(available, messages[-1].announced - messages[-1].size))
+        return SLICE_BYTES
+
+    def _parse_slice(self, data: memoryview) -> None:
+        assert self._parser is not None
+        receiver = self._receiver
+        receiver.count(len(data))
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
             self._malformed = True
         receiver.settle()
         if receiver.messages:
-            self._check_last(receiver.messages[-1], started)
-        self._charge()
-        self._changed.set()
-
-    def _check_last(self, last: Incoming, started: float) -> None:
-        """Refuse the message that is arriving if it breaks a limit, or read it more slowly."""
+            self._check_last(receiver.messages[-1])
+
+    def _parse_rest(self) -> None:
+        """Parse what was left behind requests that have been served by now."""
+        rest, self._unparsed = self._unparsed, b""
+        if rest and self._takes_more():
+            self._parse(memoryview(rest))
+            self._charge()
+        if not self._unparsed:
+            self._resume_reading(_Pause.PIPELINED)
+
+    def _check_last(self, last: Incoming) -> None:
+        """Refuse the message that is arriving if it breaks a limit, or pause reading."""
         limits = self.server.handler.limits()
         status = error_status(last, self._receiver, limits, self._malformed)
         if status is not None:
             self._refuse_from(last, status)
             return
-        messages = self._receiver.messages
-        if len(messages) > MAX_PIPELINED or (len(messages) > 1 and last.size > HIGH_WATER_BYTES):
+        if len(self._receiver.messages) > 1 and last.size > HIGH_WATER_BYTES:
             self._pause_reading(_Pause.PIPELINED)
+
+    def _read_more_slowly(self, started: float) -> None:
+        """Let a body whose last read was expensive rest."""
+        last = self._receiver.messages[-1] if self._receiver.messages else None
         # A head has a time-out of its own, within which the node has to read it.
-        if self._receiver.is_expensive and last.headers_complete and not last.complete:
-            loop = asyncio.get_running_loop()
-            spent_s = time.perf_counter() - started
-            resume_at = self.server.guard.pacer.resume_at(loop.time(), spent_s)
-            self._pause_reading(_Pause.EXPENSIVE)
-            loop.call_at(resume_at, self._resume_reading, _Pause.EXPENSIVE)
+        if last is None or not last.headers_complete or last.complete:
+            return
+        loop = asyncio.get_running_loop()
+        spent_s = time.perf_counter() - started
+        resume_at = self.server.guard.pacer.resume_at(loop.time(), spent_s)
+        self._pause_reading(_Pause.EXPENSIVE)
+        loop.call_at(resume_at, self._resume_reading, _Pause.EXPENSIVE)
 
     def _refuse_from(self, message: Incoming, status: int) -> None:
         """Refuse a message that is not served yet, and drop it with all that follows."""
@@ -232,6 +286,7 @@
             if dropped:
                 item.drop()
         self._parser = None  # It holds an unfinished header.
+        self._unparsed = b""
         self._charge()
         self._changed.set()
 
@@ -240,6 +295,7 @@
         if self not in self.server.connections:
             return
         held = 0 if self._refused is not None and not self._response else self._receiver.held
+        held += len(self._unparsed)
         if not self._writable.is_set() and self.transport is not None:
             held += self.transport.get_write_buffer_size()
             if self._response is not None and not self._response.finished:
@@ -372,8 +428,11 @@
 
     def closes_after_response(self) -> bool:
         """Return whether the node stops and no further request has arrived behind this one."""
-        has_next_request = len(self._receiver.messages) > 1
-        return self.server.handler.is_closing() and not has_next_request
+        return self.server.handler.is_closing() and not self._has_next_request()
+
+    def _has_next_request(self) -> bool:
+        """Return whether a request or a part of it has arrived behind the one being served."""
+        return len(self._receiver.messages) > 1 or bool(self._unparsed)
 
     def close_if_idle(self) -> None:
         """Close the connection if it has been idle for ``IDLE_BEFORE_CLOSE_S``."""
@@ -434,6 +493,7 @@
             return False
         keep_alive = incoming.keep_alive and incoming.takes_chunks and not self._malformed
         out = self._response = Responder(self, keep_alive, incoming.takes_chunks)
+        turn = self._start_turn()
         await self.server.handler.handle(incoming, out)
         self._receiver.messages.popleft()
         if not out.finished:
@@ -447,9 +507,15 @@
         self._charge()
         if not await self._is_read():
             return False
-        self._resume_reading(_Pause.PIPELINED)
+        self._parse_rest()
+        if turn is not None:
+            await asyncio.sleep(self.server.guard.pacer.rest_s(turn.spent_s()))
         return out.keep_alive
 
+    def _start_turn(self) -> Turn | None:
+        """Return the turn of a request that others follow, which were sent ahead of its answer."""
+        return Turn() if self._has_next_request() else None
+
     async def _is_read(self) -> bool:
         """Wait while the client does not read; False if it reads nothing for the idle time-out."""
         assert self.transport is not None
--- a/lacewinghub/httpmessage.py
+++ b/lacewinghub/httpmessage.py
@@ -32,7 +32,9 @@
 # beyond those that belong to a body: a stream of single bytes takes six bytes of framing for each.
 MAX_FRAMING_BYTES = 64 * 1024
 MAX_FRAMING_RATIO = 16
-# Memory of a header beside its text: three objects and their place in a list.
+# Memory of a message beside its headers and its body, and of a header beside its text: three
+# objects and their place in a list.
+MESSAGE_BYTES = 512
 HEADER_BYTES = 160
 # A read with more framing than this has about a thousand chunks or more.
 EXPENSIVE_FRAMING_BYTES = 8 * 1024
@@ -130,7 +132,8 @@
 
 def held_by(message: Incoming) -> int:
     """Return the number of bytes that a message holds, also if its body was taken."""
-    return message.head_size + message.size + HEADER_BYTES * len(message.headers)
+    text = message.head_size + message.size
+    return MESSAGE_BYTES + text + HEADER_BYTES * len(message.headers)
 
 
 class MessageReceiver:
@@ -167,9 +170,9 @@
         return self._excess > MAX_FRAMING_BYTES
 
     @property
-    def is_expensive(self) -> bool:
-        """True if the last piece of the wire had so many chunks that parsing it took long."""
-        return self._framing > EXPENSIVE_FRAMING_BYTES
+    def framing(self) -> int:
+        """Number of bytes of the last piece of the wire that belong to no head and no body."""
+        return self._framing
 
     @property
     def held(self) -> int:
--- a/tests/test_client_bounds.py
+++ b/tests/test_client_bounds.py
@@ -22,9 +22,9 @@
     connection_bounds,
     is_too_slow,
 )
-from lacewinghub.clientconnection import ClientConnection
+from lacewinghub.clientconnection import MAX_PIPELINED, SLICE_BYTES, ClientConnection
 from lacewinghub.httphandler import HttpHandler, HttpLimits
-from lacewinghub.httpmessage import Incoming, MessageReceiver, chunk
+from lacewinghub.httpmessage import EXPENSIVE_FRAMING_BYTES, Incoming, MessageReceiver, chunk
 from lacewinghub.httpserver import HttpServer
 from lacewinghub.memory_budget import (
     MB,
@@ -205,7 +205,7 @@
                 unfinished = 0 if last.headers_complete else receiver.overhead
                 self.assertEqual(unfinished > 9 * KB, holds)
                 self.assertEqual(receiver.held >= 9 * KB, holds or last.headers_complete)
-                self.assertEqual(receiver.is_expensive, is_expensive)
+                self.assertEqual(receiver.framing > EXPENSIVE_FRAMING_BYTES, is_expensive)
                 self.assertFalse(receiver.has_excessive_framing)
 
 
@@ -461,6 +461,23 @@
         self.assertGreater(loop.time() - started, 2 * self.handler.idle_s)
         self.assertGreater(size, 16 * MB)
 
+    async def test_requests_sent_ahead_give_way_to_others(self) -> None:
+        # Guards against a read of thousands of requests that are parsed and served in one turn.
+        await self.start(None)
+        self.handler.go.set()
+        request = b"GET / HTTP/1.1\r\n\r\n"
+        await self.open(request * 3000)
+        await self.until(lambda: self.server.connections)
+        conn = next(iter(self.server.connections))
+        served = most_served = most_waiting = 0
+        while served < 3000:
+            await asyncio.sleep(0)
+            most_served = max(most_served, len(self.handler.seen) - served)
+            served = len(self.handler.seen)
+            most_waiting = max(most_waiting, len(conn._receiver.messages))
+        self.assertLessEqual(most_served, 2)
+        self.assertLessEqual(most_waiting, MAX_PIPELINED + 1 + SLICE_BYTES // len(request))
+
     async def test_unfinished_heads_are_held(self) -> None:
         await self.start(None)
         self.handler.header_bytes = MB
