Separate the bounds on connections from the HTTP server, for every entrance that clients reach

HttpServer admitted, counted and closed the connections of one kind of protocol. The product's own interface speaks through another library and had no bounds; a copy for it would be a second mechanism. ClientRegistry does the same for any GuardedConnection.

--- a/lacewinghub/clientconnection.py
+++ b/lacewinghub/clientconnection.py
@@ -9,7 +9,7 @@
 import socket
 import struct
 import time
-from abc import ABC, abstractmethod
+from abc import ABC
 from enum import IntFlag
 from typing import cast
 
@@ -20,11 +20,11 @@
     CONNECTION_BYTES,
     ENDPOINT_BYTES,
     IDLE_BEFORE_CLOSE_S,
-    ClientGuard,
     OpenConnection,
     Turn,
     is_too_slow,
 )
+from .client_registry import ClientRegistry, GuardedConnection
 from .httphandler import HttpHandler, HttpLimits, error_status
 from .httpmessage import (
     EXPENSIVE_FRAMING_BYTES,
@@ -33,7 +33,7 @@
     MessageReceiver,
     held_by,
 )
-from .memory_budget import Holder, Holding
+from .memory_budget import Holding
 from .responder import Responder, ResponseConnection
 
 HTTP_1_0 = "1.0"
@@ -58,28 +58,14 @@
 
     Attributes:
         handler: Handles the requests.
-        guard: Limits the clients.
-        connections: Open connections.
+        registry: Admits the connections.
         buffer: Buffer into which the connections read.
     """
 
     handler: HttpHandler
-    guard: ClientGuard
-    connections: "set[ClientConnection]"
+    registry: "ClientRegistry[ClientConnection]"
     buffer: memoryview
 
-    @abstractmethod
-    def admit(self, conn: "ClientConnection") -> bool:
-        """Add a new connection; return False if there is no room for it."""
-
-    @abstractmethod
-    def lingers(self, conn: "ClientConnection") -> bool:
-        """Tell whether a refused connection stays open until its client has read the refusal."""
-
-    @abstractmethod
-    def forget(self, conn: "ClientConnection") -> None:
-        """Remove a connection and release what it holds."""
-
 
 class _Pause(IntFlag):
     """Reasons for which nothing is read from a connection."""
@@ -89,16 +75,17 @@
     REFUSED = 4  # The client goes on sending after a refusal.
 
 
-class ClientConnection(asyncio.BufferedProtocol, ResponseConnection, Holder):
+class ClientConnection(asyncio.BufferedProtocol, ResponseConnection, GuardedConnection):
     """One connection of a client.
 
     Attributes:
         server: The server.
-        address: IP address of the client.
+        guard: Limits the clients.
     """
 
     def __init__(self, server: ConnectionOwner) -> None:
         self.server = server
+        self.guard = server.registry.guard
         self.transport: asyncio.Transport | None = None
         self.address = ""
         self._receiver = MessageReceiver()
@@ -177,7 +164,7 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         peer = transport.get_extra_info("peername")
         self.address = peer[0] if isinstance(peer, tuple) else ""
-        if not self.server.admit(self):
+        if not self.server.registry.admit(self):
             self._refuse_connection()
             return
         loop = asyncio.get_running_loop()
@@ -188,7 +175,7 @@
         assert self.transport is not None
         self._malformed = True
         self._send_refusal(UNAVAILABLE)
-        if self.server.lingers(self) and self.transport.can_write_eof():
+        if self.server.registry.lingers(self) and self.transport.can_write_eof():
             self._task = asyncio.get_running_loop().create_task(self._linger())
         else:
             self.transport.close()
@@ -273,7 +260,7 @@
             return
         loop = asyncio.get_running_loop()
         spent_s = time.perf_counter() - started
-        resume_at = self.server.guard.pacer.resume_at(loop.time(), spent_s)
+        resume_at = self.guard.pacer.resume_at(loop.time(), spent_s)
         self._pause_reading(_Pause.EXPENSIVE)
         loop.call_at(resume_at, self._resume_reading, _Pause.EXPENSIVE)
 
@@ -292,7 +279,7 @@
 
     def _charge(self) -> None:
         """Charge to the budget what this connection holds."""
-        if self not in self.server.connections:
+        if self not in self.server.registry.connections:
             return
         held = 0 if self._refused is not None and not self._response else self._receiver.held
         held += len(self._unparsed)
@@ -300,7 +287,7 @@
             held += self.transport.get_write_buffer_size()
             if self._response is not None and not self._response.finished:
                 held += ENDPOINT_BYTES
-        self.server.guard.budget.charge(self, CONNECTION_BYTES + held)
+        self.guard.budget.charge(self, CONNECTION_BYTES + held)
 
     def holding(self) -> Holding:
         """Return what a refusal would release; a request that is being served is kept."""
@@ -318,10 +305,10 @@
         """Refuse the requests that are not served yet, or end an answer that is not read."""
         reason = "refused_for_memory" if self._writable.is_set() else "closed_answer_not_read"
         held, held_s = self.holding().refusable, round(self.holding().held_s, 3)
-        self.server.guard.refusals.add(reason, self.address, held=held, held_s=held_s)
+        self.guard.refusals.add(reason, self.address, held=held, held_s=held_s)
         if not self._writable.is_set():
             self.abort()
-            self.server.forget(self)
+            self.server.registry.forget(self)
             return
         index = 1 if self._response else 0
         if index < len(self._receiver.messages):
@@ -336,7 +323,7 @@
         if last.complete or not last.headers_complete:
             return
         if is_too_slow(last.size, now - self._message_started):
-            self.server.guard.refusals.add("refused_slow_body", self.address, size=last.size)
+            self.guard.refusals.add("refused_slow_body", self.address, size=last.size)
             self._refuse_from(last, 408)
 
     def state(self, now: float) -> OpenConnection:
@@ -353,12 +340,12 @@
 
     def make_room(self) -> None:
         """Close the connection in favour of a new one; a request that is arriving is refused."""
-        self.server.guard.refusals.add("closed_for_new_connection", self.address)
-        self.server.forget(self)
+        self.guard.refusals.add("closed_for_new_connection", self.address)
+        self.server.registry.forget(self)
         if self._receiver.messages and not self._malformed and self._refused is None:
             self._refuse_from(self._receiver.messages[0], UNAVAILABLE)
         if self._refused is not None:
-            if self.server.lingers(self):
+            if self.server.registry.lingers(self):
                 return  # The task sends the refusal and gives the client time to read it.
             if not self._malformed:
                 self._malformed = True
@@ -385,7 +372,7 @@
         self._lost = True
         self._writable.set()
         self._changed.set()
-        self.server.forget(self)
+        self.server.registry.forget(self)
         # The parser and this object refer to each other, and cycles are collected rarely.
         self._parser = None
         for item in self._receiver.messages:
@@ -509,7 +496,7 @@
             return False
         self._parse_rest()
         if turn is not None:
-            await asyncio.sleep(self.server.guard.pacer.rest_s(turn.spent_s()))
+            await asyncio.sleep(self.guard.pacer.rest_s(turn.spent_s()))
         return out.keep_alive
 
     def _start_turn(self) -> Turn | None:
@@ -526,7 +513,7 @@
                     await self._writable.wait()
             except TimeoutError:
                 if self.transport.get_write_buffer_size() >= unread:
-                    refusals = self.server.guard.refusals
+                    refusals = self.guard.refusals
                     refusals.add("closed_answer_not_read", self.address, held=unread)
                     self.abort()
                     return False
--- a/tests/test_client_bounds.py
+++ b/tests/test_client_bounds.py
@@ -379,9 +379,9 @@
         await self.until(lambda: self.server.connections)
         conn = next(iter(self.server.connections))
         await self.until(lambda: conn.holding().refusable > 0)
-        self.server._sweep()
+        self.server.registry.sweep()
         conn._message_started -= BODY_TOTAL_S + 1.0
-        self.server._sweep()
+        self.server.registry.sweep()
         self.assertEqual(self.guard.refusals.counts["refused_slow_body"], 0)
         self.guard.budget.charge(_Client(0.0), 600 * KB)
         await self.until(lambda: self.guard.refusals.counts["refused_slow_body"])
