Bound what the kernel keeps of the bytes of clients, and of endpoints, that were not read

Callers saw: a node that a platform ends, since bytes that were received and not read count toward memory_mb. 300 clients on the smallest host (160 MB) that send bodies behind a request that is being served took it to 205 and 510 MB, bodies that go on after their refusal to 195 and 201, whole bodies to 112, 120 and 189. Cause: each pause of reading leaves the bytes to the kernel, whose receive buffers grow to megabytes a connection; nothing bounded or counted them. Change: the listening socket has a receive buffer that its connections inherit, sized so that all connections, with the refused ones that linger, take half of the memory budget beside it (8 to 48 KiB each). Connections to endpoints have 64 KiB, and count with them while a client does not read. Why it works: the bound does not depend on why or for how long nothing is read.

--- a/lacewinghub/client_bounds.py
+++ b/lacewinghub/client_bounds.py
@@ -9,6 +9,8 @@
 from loguru import logger
 
 from .allocator import map_large_blocks, release_free_memory
+from .client_sockets import receive_buffer_bytes
+from .httpclient import RECEIVE_BYTES as ENDPOINT_RECEIVE_BYTES
 from .memory_budget import MB, MemoryBudget, budget_bytes
 
 # Descriptors of a process that are kept for files.
@@ -29,9 +31,9 @@
 # may use this share of the memory budget.
 CONNECTION_BYTES = 16 * 1024
 CONNECTION_MEMORY_SHARE = 0.25
-# While a client does not read, the connection to the endpoint holds up to its high-water mark and
-# one read of the event loop.
-ENDPOINT_BYTES = 64 * 1024 + 256 * 1024
+# While a client does not read, the connection to the endpoint holds up to its high-water mark, one
+# read of the event loop, and its receive buffer, which the kernel doubles.
+ENDPOINT_BYTES = 64 * 1024 + 256 * 1024 + 2 * ENDPOINT_RECEIVE_BYTES
 # A request may already be on the network for a connection that was opened or used this recently.
 IDLE_BEFORE_CLOSE_S = 0.5
 # Largest number of connections that are closed at once when there are too many, so that a crowd of
@@ -286,6 +288,8 @@
         pacer: Spreads expensive reads.
         refusals: Counts refused clients.
         free_memory: Decides when free memory is returned.
+        receive_bytes: Size of the receive buffer of each connection; None for the one that the
+            kernel chooses.
         connections: Number of open connections of clients; those of servers that are not for
             clients are not counted.
     """
@@ -295,6 +299,7 @@
     pacer: ParsePacer = field(default_factory=ParsePacer)
     refusals: Refusals = field(default_factory=Refusals)
     free_memory: FreeMemory = field(default_factory=FreeMemory)
+    receive_bytes: int | None = None
     connections: int = 0
 
     def for_server(self, public: bool) -> "ClientGuard":
@@ -328,4 +333,7 @@
     if memory_bytes is not None:
         map_large_blocks()
     budget = MemoryBudget(budget_bytes(memory_bytes))
-    return ClientGuard(budget, connection_bounds(max_descriptors, budget.capacity))
+    bounds = connection_bounds(max_descriptors, budget.capacity)
+    most = int(bounds.total * (1 + LINGER_SHARE)) if bounds.total is not None else None
+    receive_bytes = receive_buffer_bytes(budget.capacity, most)
+    return ClientGuard(budget, bounds, receive_bytes=receive_bytes)
--- a/lacewinghub/httpclient.py
+++ b/lacewinghub/httpclient.py
@@ -11,11 +11,14 @@
 
 import httptools
 
+from .client_sockets import limit_receive_buffer
 from .errors import LacewingError
 from .httpmessage import Incoming, MessageReceiver
 
 # With this many unread bytes the connection pauses reading, which slows the endpoint down.
 HIGH_WATER_BYTES = 64 * 1024
+# Size of the receive buffer in the kernel, which would grow to megabytes while nothing is read.
+RECEIVE_BYTES = 64 * 1024
 # A connection on which more responses than this wait to be read is closed.
 MAX_RESPONSES = 4
 # Largest number of interim responses (1xx) to one request.
@@ -101,6 +104,7 @@
         sock = transport.get_extra_info("socket")
         if sock is not None:
             _enable_dead_host_detection(sock)
+            limit_receive_buffer(sock, RECEIVE_BYTES)
 
     def data_received(self, data: bytes) -> None:
         if self._broken is None:
--- a/lacewinghub/httpserver.py
+++ b/lacewinghub/httpserver.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from . import client_sockets
 from .client_bounds import ClientGuard
 from .client_registry import ClientRegistry
 from .clientconnection import ClientConnection, ConnectionOwner
@@ -55,9 +56,9 @@
         Raises:
             OSError: If the address cannot be bound.
         """
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: ClientConnection(self), host, port, backlog=BACKLOG, reuse_address=True
+        sock = client_sockets.bind(host, port, self.guard.receive_bytes)
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: ClientConnection(self), sock=sock, backlog=BACKLOG
         )
         self.registry.start()
         return self._server.sockets[0].getsockname()[1]
--- a/lacewinghub/memory_budget.py
+++ b/lacewinghub/memory_budget.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
-MB = 1024 * 1024
+KB = 1024
+MB = 1024 * KB
 # Resident memory of a node before it serves clients is about 55 MB, plus room for its state.
 BASE_BYTES = 72 * MB
 # Share of the remaining memory that the budget has. The rest is for copies, for answers that are
--- a/tests/test_client_bounds.py
+++ b/tests/test_client_bounds.py
@@ -22,6 +22,11 @@
     connection_bounds,
     is_too_slow,
 )
+from lacewinghub.client_sockets import (
+    MAX_RECEIVE_BYTES,
+    MIN_RECEIVE_BYTES,
+    receive_buffer_bytes,
+)
 from lacewinghub.clientconnection import MAX_PIPELINED, SLICE_BYTES, ClientConnection
 from lacewinghub.httphandler import HttpHandler, HttpLimits
 from lacewinghub.httpmessage import EXPENSIVE_FRAMING_BYTES, Incoming, MessageReceiver, chunk
@@ -90,6 +95,20 @@
             with self.subTest(descriptors=descriptors, budget=budget):
                 self.assertEqual(connection_bounds(descriptors, budget), expected)
 
+    def test_receive_buffers_fit_beside_the_budget(self) -> None:
+        cases = [
+            (None, None, None),
+            (None, 100, None),
+            (44 * MB, 718, 21_419),
+            (44 * MB, 880, 17_476),
+            (114 * MB, 1950, 20_433),
+            (28 * MB, 100, MAX_RECEIVE_BYTES),
+            (12 * MB, 5000, MIN_RECEIVE_BYTES),
+        ]
+        for budget, connections, expected in cases:
+            with self.subTest(budget=budget, connections=connections):
+                self.assertEqual(receive_buffer_bytes(budget, connections), expected)
+
     def test_the_longest_idle_of_the_largest_address_are_closed(self) -> None:
         conns = [
             OpenConnection("a", 9.0, served=False),
