Reserve the memory of a decoded request before it is decoded

Cause: the budget counted the bytes of a head; the objects of its prompt take ten times as much, and a request that is being served is never refused. Change: the codec states what a decoded request takes (8 KiB and 200 bytes a part), and the gateway reserves it in the budget of the process. Where refusals of others make no room the request gets 503, which is true: nothing of it was decoded or sent. Why it works: what is served is in the budget before it exists.

--- a/lacewinghub/clientconnection.py
+++ b/lacewinghub/clientconnection.py
@@ -279,15 +279,29 @@
 
     def _charge(self) -> None:
         """Charge to the budget what this connection holds."""
-        if self not in self.server.registry.connections:
-            return
+        if self in self.server.registry.connections:
+            self.guard.budget.charge(self, self._held())
+
+    def _held(self) -> int:
+        """Return what this connection holds, in bytes."""
         held = 0 if self._refused is not None and not self._response else self._receiver.held
         held += len(self._unparsed)
         if not self._writable.is_set() and self.transport is not None:
             held += self.transport.get_write_buffer_size()
             if self._response is not None and not self._response.finished:
                 held += ENDPOINT_BYTES
-        self.guard.budget.charge(self, CONNECTION_BYTES + held)
+        return CONNECTION_BYTES + held
+
+    def reserve(self, size: int) -> bool:
+        """Count memory that the request being served takes; see ``ResponseConnection``."""
+        if self not in self.server.registry.connections:
+            return False
+        current = self._receiver.messages[0]
+        current.decoded_size += size
+        if self.guard.budget.reserve(self, self._held()):
+            return True
+        current.decoded_size -= size
+        return False
 
     def holding(self) -> Holding:
         """Return what a refusal would release; a request that is being served is kept."""
--- a/lacewinghub/httpmessage.py
+++ b/lacewinghub/httpmessage.py
@@ -91,6 +91,7 @@
         framed: True if the body has a length or is chunked; False if the end of the connection ends
             it.
         takes_chunks: False if the sender of a request does not understand a chunked response.
+        decoded_size: Number of bytes that its decoded form takes beside it.
     """
 
     headers: Headers = field(default_factory=list)
@@ -106,6 +107,7 @@
     keep_alive: bool = False
     framed: bool = True
     takes_chunks: bool = True
+    decoded_size: int = 0
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, whose name is in lower case, or None."""
@@ -127,13 +129,14 @@
         """Release what the message holds; it is not served."""
         self.headers = []
         self.target = self.body = b""
-        self.size = self.head_size = 0
+        self.size = self.head_size = self.decoded_size = 0
 
 
 def held_by(message: Incoming) -> int:
     """Return the number of bytes that a message holds, also if its body was taken."""
     text = message.head_size + message.size
-    return MESSAGE_BYTES + text + HEADER_BYTES * len(message.headers)
+    objects = MESSAGE_BYTES + HEADER_BYTES * len(message.headers)
+    return text + objects + message.decoded_size
 
 
 class MessageReceiver:
--- a/lacewinghub/memory_budget.py
+++ b/lacewinghub/memory_budget.py
@@ -132,11 +132,31 @@
         self.held += grown
         if self.capacity is None or grown <= 0 or self._refusing:
             return
-        large = size > SMALL_BYTES
-        limit = LARGE_SHARE * self.capacity if large else self.capacity
+        limit = self._limit(size)
         if self.held > limit:
             excess = self.held - limit + SLACK_SHARE * self.capacity
-            self._refuse(int(excess), SMALL_BYTES if large else 1)
+            self._refuse(int(excess), SMALL_BYTES if size > SMALL_BYTES else 1)
+
+    def reserve(self, holder: Holder, size: int) -> bool:
+        """Set what is held for a holder if there is room for it; others may be refused for it.
+
+        Returns:
+            False if there is no room; the holder then keeps what it had.
+        """
+        before = holder.charged
+        self.charge(holder, size)
+        if holder.charged != size:
+            return False  # It was refused itself.
+        if self.held <= self._limit(size):
+            return True
+        self.charge(holder, before)
+        return False
+
+    def _limit(self, size: int) -> float:
+        """Return how much may be held when a holder of a size takes more."""
+        if self.capacity is None:
+            return float("inf")
+        return LARGE_SHARE * self.capacity if size > SMALL_BYTES else self.capacity
 
     def _refuse(self, excess: int, smallest: int) -> None:
         holders = [holder for source in self._holders for holder in source()]
--- a/lacewinghub/platform/caller.py
+++ b/lacewinghub/platform/caller.py
@@ -14,6 +14,11 @@
 from . import config, names
 from .fields import count, decimal
 
+# Memory of a request that is being served, without its text, and of each part of its prompt: an
+# object, a text and a number, and what is remembered of them elsewhere.
+REQUEST_BYTES = 8 * 1024
+PART_BYTES = 200
+
 
 class PlatformCodec(ProxyCodec):
     """Decodes requests with the platform's headers.
@@ -48,6 +53,11 @@
         req.max_tokens = _output_tokens(incoming)
         return DecodedRequest(req, route)
 
+    def decoded_bytes(self, incoming: Incoming) -> int:
+        """Return how much memory a decoded request takes, for the most part for its prompt."""
+        parts = (incoming.header(names.PROMPT_PREFIX) or b"").count(b",")
+        return REQUEST_BYTES + PART_BYTES * parts
+
     def request_id(self, incoming: Incoming) -> str:
         """Return the id of the client's attempt."""
         return _header_text(incoming, names.ATTEMPT_ID)
--- a/lacewinghub/proxygateway.py
+++ b/lacewinghub/proxygateway.py
@@ -16,6 +16,7 @@
     LacewingError,
     NotReady,
     NotRun,
+    Overloaded,
 )
 from .httpmessage import Headers, Incoming
 from .httpserver import HttpHandler, HttpLimits
@@ -26,6 +27,7 @@
 from .responder import Responder
 
 NOT_READY_RETRY_S = 1.0
+MEMORY_RETRY_S = 1.0
 # While this node stops, the client can reach another node at once.
 DRAINING_RETRY_S = 0.05
 END_POLL_S = 0.01
@@ -54,6 +56,10 @@
             LacewingError: If no route or workspace permits it.
         """
 
+    @abstractmethod
+    def decoded_bytes(self, incoming: Incoming) -> int:
+        """Return how much memory a decoded request takes beside its bytes."""
+
     @abstractmethod
     def request_id(self, incoming: Incoming) -> str:
         """Return the id that the client gave its request, or an empty string."""
@@ -128,6 +134,8 @@
         try:
             if deployment.version == 0:
                 raise NotReady("no configuration yet", retry_after_s=NOT_READY_RETRY_S)
+            if not out.conn.reserve(self._codec.decoded_bytes(incoming)):
+                raise Overloaded("the node has no memory left", retry_after_s=MEMORY_RETRY_S)
             decoded = self._codec.decode(incoming, deployment, loop.time())
             self._check_phase(decoded.req)
         except LacewingError as exc:
--- a/lacewinghub/responder.py
+++ b/lacewinghub/responder.py
@@ -37,6 +37,17 @@
     def reset_on_close(self, enabled: bool) -> None:
         """Choose whether closing resets the connection, also if the process dies."""
 
+    def reserve(self, size: int) -> bool:
+        """Count memory that the current request takes beside its bytes.
+
+        Args:
+            size: Number of bytes.
+
+        Returns:
+            False if the process has no room for them; the request is then to be refused.
+        """
+        return True
+
     @abstractmethod
     def closes_after_response(self) -> bool:
         """Return whether the connection is to be closed after the current response."""
--- a/tests/test_client_bounds.py
+++ b/tests/test_client_bounds.py
@@ -243,11 +243,12 @@
 class _Client(Holder):
     def __init__(self, held_s: float) -> None:
         self.held_s = held_s
+        self.is_served = False
         self.refused = False
         self.budget: MemoryBudget | None = None
 
     def holding(self) -> Holding:
-        return Holding(self.charged, self.held_s)
+        return Holding(0 if self.is_served else self.charged, self.held_s)
 
     def refuse_for_memory(self) -> None:
         self.refused = True
@@ -285,6 +286,24 @@
         self.budget.charge(first, 500 * KB)
         self.assertEqual(self.refused(), [False, True, False])
 
+    def test_what_has_no_room_is_not_reserved(self) -> None:
+        # Guards against a request that is served although nobody can be refused for it.
+        first, second, third = self.clients
+        second.is_served = third.is_served = True
+        self.budget.charge(first, 400 * KB)
+        cases = [
+            ("room", second, 300 * KB, True, 300 * KB),
+            ("another one is refused for it", second, 600 * KB, True, 600 * KB),
+            ("more than there is for large ones", third, 200 * KB, False, 0),
+            ("a small one", third, 60 * KB, True, 60 * KB),
+            ("one that is refused itself", first, 800 * KB, False, 0),
+        ]
+        for name, client, size, has_room, held in cases:
+            with self.subTest(name):
+                self.assertEqual(self.budget.reserve(client, size), has_room)
+                self.assertEqual(client.charged, held)
+        self.assertEqual(self.budget.held, 660 * KB)
+
     def test_without_a_capacity_nobody_is_refused(self) -> None:
         budget = MemoryBudget(None)
         budget.add_holders(lambda: self.clients)
