Bound what clients make a node hold at the product's own interface, with the mechanism of the other one

Callers saw: a node that takes 62 MB ended at the memory of its host, or kept it for good, and left other clients without an answer. On a host of 160 MB, 100 clients took it to 465 MB (chunks of 64 KB), 466 (pieces), 472 (whole bodies), 470 (to /healthz), 1,508 (far over the limit) and 444 in chunks of one byte, without an answer to another client; 8 legal bodies of a million JSON values to 949 MB; 279 MB were kept; 1,000 connections took 1,021 descriptors where 800 are the limit. Cause: Sanic collected each body whole, up to four times limits.body_bytes, also on pages that take none; nothing bounded all clients together, the connections, the time of a body or the decoded form; Sanic's chunks of one byte took the event loop for good; the settings stated no memory. Change: GatewayConnection is a GuardedConnection of the same registry, budget, pacer and receive buffers as the connections of the platform's front. Handlers read bodies as streams of Sanic's; a refusal uses Sanic's exception of a stream and the cancellation of its task. Decoded JSON is reserved before it is decoded, large bodies one after the other. Bodies, heads and unread answers end after limits.idle_s and limits.header_s (30 s). limits.memory_mb and limits.max_descriptors default to what the host permits, so that no client inside the limits meets them there. Why it works: each byte is charged where it arrives, and the budget refuses who holds most for longest.

--- a/lacewinghub/client_bounds.py
+++ b/lacewinghub/client_bounds.py
@@ -180,19 +180,23 @@
 
 
 class Turn:
-    """Measures the work that a request makes of the event loop without giving way to others."""
+    """Measures the work that a request makes of the event loop without giving way to others.
+
+    Attributes:
+        has_ended: True once others had a turn.
+    """
 
     def __init__(self) -> None:
+        self.has_ended = False
         self._started = time.perf_counter()
-        self._gave_way = False
         asyncio.get_running_loop().call_soon(self._give_way)
 
     def spent_s(self) -> float:
         """Return the time since the start, in seconds; 0 if others had a turn meanwhile."""
-        return 0.0 if self._gave_way else time.perf_counter() - self._started
+        return 0.0 if self.has_ended else time.perf_counter() - self._started
 
     def _give_way(self) -> None:
-        self._gave_way = True
+        self.has_ended = True
 
 
 class ParsePacer:
--- a/lacewinghub/client_registry.py
+++ b/lacewinghub/client_registry.py
@@ -7,6 +7,7 @@
 import asyncio
 from abc import abstractmethod
 from collections import Counter
+from collections.abc import Callable
 from typing import Generic, TypeVar
 
 from .client_bounds import (
@@ -22,6 +23,10 @@
 
 # Interval of the search for clients that send too slowly, in seconds.
 SWEEP_S = 1.0
+# Time for a client to read the error response to a request that was refused before its end: since
+# it last sent something, and at most in all.
+LINGER_S = 0.5
+MAX_LINGER_S = 3.0
 # After a search for connections to close that found few, the next one waits this long.
 SEARCH_PAUSE_S = 0.1
 
@@ -47,6 +52,24 @@
     def refuse_if_slow(self, now: float) -> None:
         """Refuse a body that arrives too slowly for a strained or crowded process."""
 
+    def end_if_stalled(self, now: float) -> None:
+        """End a request or an answer whose client does nothing; for those without own timers."""
+
+
+async def until_client_stops(discarded: Callable[[], int]) -> None:
+    """Wait until a refused client has stopped sending, ``MAX_LINGER_S`` at most.
+
+    Closing with unread bytes would reset the connection before the client reads the response.
+
+    Args:
+        discarded: Returns the number of bytes that were thrown away.
+    """
+    loop = asyncio.get_running_loop()
+    latest, seen = loop.time() + MAX_LINGER_S, -1
+    while discarded() != seen and loop.time() < latest:
+        seen = discarded()
+        await asyncio.sleep(LINGER_S)
+
 
 Conn = TypeVar("Conn", bound=GuardedConnection)
 
@@ -123,8 +146,10 @@
             del self._addresses[conn.address]
 
     def sweep(self) -> None:
-        """Refuse slow clients of a strained or crowded process, and give free memory back."""
+        """End stalled requests, refuse slow clients of a strained process, and give memory back."""
         now = asyncio.get_running_loop().time()
+        for conn in list(self.connections):
+            conn.end_if_stalled(now)
         total = self.guard.bounds.total
         crowded = total is not None and len(self.connections) > total * CROWDED_SHARE
         if crowded or self.guard.budget.strained:
--- a/lacewinghub/clientconnection.py
+++ b/lacewinghub/clientconnection.py
@@ -24,7 +24,7 @@
     Turn,
     is_too_slow,
 )
-from .client_registry import ClientRegistry, GuardedConnection
+from .client_registry import ClientRegistry, GuardedConnection, until_client_stops
 from .httphandler import HttpHandler, HttpLimits, error_status
 from .httpmessage import (
     EXPENSIVE_FRAMING_BYTES,
@@ -47,10 +47,6 @@
 # Statuses that state that a request was not run, and tell the client to try again.
 UNAVAILABLE = 503
 RETRY_HEADERS: Headers = [(b"retry-after", b"1")]
-# Time for a client to read the error response to a request that was refused before its end: since
-# it last sent something, and at most in all.
-LINGER_S = 0.5
-MAX_LINGER_S = 3.0
 
 
 class ConnectionOwner(ABC):
@@ -601,15 +597,8 @@
             await self._linger()
 
     async def _linger(self) -> None:
-        """Close the connection once the client has stopped sending.
-
-        Closing with unread bytes would reset the connection before it reads the response.
-        """
+        """Close the connection once the client has stopped sending."""
         assert self.transport is not None
         self.transport.write_eof()
-        loop = asyncio.get_running_loop()
-        latest, seen = loop.time() + MAX_LINGER_S, -1
-        while self._discarded != seen and loop.time() < latest:
-            seen = self._discarded
-            await asyncio.sleep(LINGER_S)
+        await until_client_stops(lambda: self._discarded)
         self.abort()
--- a/lacewinghub/errors.py
+++ b/lacewinghub/errors.py
@@ -82,6 +82,12 @@
     code, status, run = "too_large", 413, ExecutionStatus.NOT_RUN
 
 
+class TooSlow(LacewingError):
+    """The rest of the request did not arrive in time."""
+
+    code, status, run = "too_slow", 408, ExecutionStatus.NOT_RUN
+
+
 class NotFound(LacewingError):
     """The path does not exist."""
 
--- a/lacewinghub/gateway.py
+++ b/lacewinghub/gateway.py
@@ -4,11 +4,12 @@
 import itertools
 import json
 import re
-import socket
+import sys
 import time
-from collections.abc import Callable
-from contextlib import aclosing
+from collections.abc import AsyncIterator, Callable, Coroutine
+from contextlib import aclosing, asynccontextmanager
 from dataclasses import dataclass, field
+from functools import partial, wraps
 from typing import Any
 from uuid import uuid4
 
@@ -23,12 +24,13 @@
 )
 from sanic.exceptions import (
     PayloadTooLarge,
-    RequestCancelled,
     SanicException,
 )
 from sanic.response import HTTPResponse
-from sanic.server.protocols.http_protocol import HttpProtocol
 
+from . import client_sockets
+from .client_bounds import ClientGuard, Turn
+from .client_registry import ClientRegistry
 from .endpoint import Chunk
 from .errors import (
     BadRequest,
@@ -40,36 +42,33 @@
     NotReady,
     TooLarge,
 )
+from .gateway_connection import GatewayConnection, GatewayLimits, GatewayProtocol
 from .keys import check_operator, workspace_of
+from .memory_budget import SMALL_BYTES
 from .phase import Phase
-from .request import Request, classify_call, classify_chat, decode_body, prompt_words
+from .request import (
+    Request,
+    classify_call,
+    classify_chat,
+    decode_body,
+    decoded_bytes,
+    prompt_words,
+)
 from .router import Router
 from .tables import Tables, Workspace
 
 DONE = b"data: [DONE]\n\n"
-DEFAULT_BODY_BYTES = 4 * 1024 * 1024
-# Sanic closes the connection if a body exceeds its own limit, often before the client can read the
-# error. Its limit is therefore this many times ours, and bodies between the two get status 413.
-READ_FACTOR = 4
+# Received bytes that Sanic keeps before it pauses reading; a head has to fit.
+BUFFERED_BYTES = 16 * 1024
 # Answers may take hours; the router detects failed endpoints itself.
 NO_TIMEOUT_S = 10 * 365 * 86_400
 CLOSE_S = 2.0
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 
-_app_numbers = itertools.count(1)
-
+Handler = Callable[..., Coroutine[Any, Any, HTTPResponse | None]]
 
-class _Protocol(HttpProtocol):
-    """Sends without Sanic's signals, which take a fifth of the time per streamed token."""
-
-    async def send(self, data: bytes) -> None:
-        if not self._can_write.is_set():
-            await self._can_write.wait()
-        if self.transport is None or self.transport.is_closing():
-            raise RequestCancelled
-        self.transport.write(data)
-        self._time = time.monotonic()
+_app_numbers = itertools.count(1)
 
 
 @dataclass(slots=True)
@@ -83,7 +82,8 @@
         operator_keys: SHA-256 digests of operators' keys, in hex.
         ready: Functions that return why the node is not ready, or None.
         status: Functions that return the sections of ``/status``, by name.
-        body_bytes: Largest size of a request body.
+        limits: Limits on the requests of clients.
+        guard: Limits the clients together with those of other servers of the process.
     """
 
     node: str
@@ -92,7 +92,8 @@
     operator_keys: list[str] = field(default_factory=list)
     ready: list[Callable[[], str | None]] = field(default_factory=list)
     status: dict[str, Callable[[], Any]] = field(default_factory=dict)
-    body_bytes: int = DEFAULT_BODY_BYTES
+    limits: GatewayLimits = field(default_factory=GatewayLimits)
+    guard: ClientGuard = field(default_factory=ClientGuard)
 
 
 class Gateway:
@@ -115,6 +116,8 @@
         self._idle = asyncio.Event()
         self._idle.set()
         self._started = time.time()
+        self._clients: ClientRegistry[GatewayConnection] = ClientRegistry(dependencies.guard)
+        self._decoding = asyncio.Lock()
         self._app = self._build_app()
         self._server: Any = None
 
@@ -131,21 +134,16 @@
         Raises:
             OSError: If the address cannot be bound.
         """
-        sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
-        try:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            sock.bind((host, port))
-        except OSError:
-            sock.close()
-            raise
+        sock = client_sockets.bind(host, port, self._deps.guard.receive_bytes)
         self._server = await self._app.create_server(
             sock=sock,
             return_asyncio_server=True,
             access_log=False,
             backlog=1024,
-            protocol=_Protocol,
+            protocol=GatewayProtocol,
         )
         await self._server.startup()
+        self._clients.start()
         return sock.getsockname()[1]
 
     async def wait_idle(self) -> None:
@@ -157,6 +155,7 @@
         if self._server is None:
             return
         server, self._server = self._server, None
+        self._clients.stop()
         server.server.close()
         for conn in list(server.connections):
             conn.close_if_idle()
@@ -169,24 +168,32 @@
 
     def _build_app(self) -> Sanic:
         app = Sanic(f"lacewinghub-{next(_app_numbers)}", configure_logging=False)
-        app.config.REQUEST_MAX_SIZE = self._deps.body_bytes * READ_FACTOR
-        app.config.RESPONSE_TIMEOUT = NO_TIMEOUT_S
+        app.ctx.clients = self._clients
+        app.ctx.limits = self._deps.limits
+        # The connections of this node bound bodies, heads and pauses themselves.
+        app.config.REQUEST_MAX_SIZE = sys.maxsize
+        app.config.REQUEST_BUFFER_SIZE = BUFFERED_BYTES
+        app.config.RESPONSE_TIMEOUT = app.config.REQUEST_TIMEOUT = NO_TIMEOUT_S
         app.config.FALLBACK_ERROR_FORMAT = "json"
         app.config.MOTD = False
         # At start Sanic rewrites its own methods, which fails for the second app of a process.
         app.config.TOUCHUP = False
-        app.add_route(self._chat, "/v1/chat/completions", methods=["POST"], name="chat")
-        app.add_route(self._call, "/v1/services/<pool:str>", methods=["POST"], name="call")
-        app.add_route(self._healthz, "/healthz", name="healthz")
-        app.add_route(self._readyz, "/readyz", name="readyz")
-        app.add_route(self._status, "/status", name="status")
+        posts = (
+            ("chat", "/v1/chat/completions", self._chat),
+            ("call", "/v1/services/<pool:str>", self._call),
+        )
+        pages = (("healthz", self._healthz), ("readyz", self._readyz), ("status", self._status))
+        # Sanic would collect the bodies of handlers that are no streams.
+        for name, path, handler in posts:
+            app.add_route(_as_function(handler), path, ["POST"], name=name, stream=True)
+        for name, page in pages:
+            app.add_route(_without_body(page), f"/{name}", name=name, stream=True)
         app.error_handler.add(Exception, _handle_error)
         return app
 
     async def _chat(self, request: sanic.Request) -> HTTPResponse | None:
-        with _InFlight(self):
-            workspace, body = self._validate(request)
-            req = classify_chat(
+        def classify(workspace: Workspace, body: dict[str, Any]) -> Request:
+            return classify_chat(
                 self._deps.tables(),
                 workspace,
                 _request_class(request),
@@ -194,15 +201,16 @@
                 request_id=_request_id(request),
                 arrived=asyncio.get_running_loop().time(),
             )
-            if body.get("stream"):
+
+        async with self._receive(request, classify) as req:
+            if req.body.get("stream"):
                 await self._stream(request, req)
                 return None
             return await self._respond(req)
 
     async def _call(self, request: sanic.Request, pool: str) -> HTTPResponse:
-        with _InFlight(self):
-            workspace, body = self._validate(request)
-            req = classify_call(
+        def classify(workspace: Workspace, body: dict[str, Any]) -> Request:
+            return classify_call(
                 self._deps.tables(),
                 workspace,
                 _request_class(request),
@@ -212,21 +220,54 @@
                 request_id=_request_id(request),
                 arrived=asyncio.get_running_loop().time(),
             )
+
+        async with self._receive(request, classify) as req:
             request.ctx.key_checked = True
             reply = await self._deps.router.call(req)
             return _json(reply.body, reply.status, {"x-request-id": req.id})
 
-    def _validate(self, request: sanic.Request) -> tuple[Workspace, dict[str, Any]]:
-        """Check phase, workspace key and size, and decode the body."""
+    @asynccontextmanager
+    async def _receive(
+        self, request: sanic.Request, classify: Callable[[Workspace, dict[str, Any]], Request]
+    ) -> AsyncIterator[Request]:
+        """Read, decode and classify a request, and count it while it is being served."""
+        client = _client(request)
+        workspace = self._check_client(request)
+        try:
+            data = await client.read_body(request.stream)
+            with _InFlight(self):
+                # Phase and key may have changed while the body arrived.
+                workspace = self._check_client(request)
+                yield await self._decode(client, data, partial(classify, workspace))
+        finally:
+            client.end_request()
+
+    async def _decode(
+        self,
+        client: GatewayConnection,
+        data: bytearray,
+        classify: Callable[[dict[str, Any]], Request],
+    ) -> Request:
+        """Decode and classify a body; large ones one after the other, with rests between them."""
+        if len(data) <= SMALL_BYTES:
+            client.reserve(decoded_bytes(data))
+            return classify(decode_body(data))
+        async with self._decoding:
+            turn = Turn()
+            client.reserve(decoded_bytes(data))
+            req = classify(decode_body(data))
+            data.clear()
+            await client.rest(turn)
+            return req
+
+    def _check_client(self, request: sanic.Request) -> Workspace:
+        """Check phase and workspace key."""
         if self.phase is Phase.DRAINING:
             raise Draining("this node is stopping", retry_after_s=0.0)
         tables = self._deps.tables()
         if tables.version == 0:
             raise NotReady("this node has no configuration yet", retry_after_s=1.0)
-        workspace = workspace_of(tables, request.headers.get("authorization"))
-        if len(request.body) > self._deps.body_bytes:
-            raise _too_large(self._deps.body_bytes)
-        return workspace, decode_body(request.body)
+        return workspace_of(tables, request.headers.get("authorization"))
 
     async def _stream(self, request: sanic.Request, req: Request) -> None:
         writer = _EventWriter(req)
@@ -387,6 +428,32 @@
     }
 
 
+def _client(request: sanic.Request) -> GatewayConnection:
+    """Return the connection of a request."""
+    return request.stream.protocol.client  # type: ignore[union-attr]
+
+
+def _as_function(handler: Handler) -> Handler:
+    """Return a method as a function, of which Sanic notes that it reads the body itself."""
+
+    @wraps(handler)
+    async def handle(request: sanic.Request, **members: str) -> HTTPResponse | None:
+        return await handler(request, **members)
+
+    return handle
+
+
+def _without_body(handler: Handler) -> Handler:
+    """Return a handler that reads no body; a connection that brings one ends with the response."""
+
+    @wraps(handler)
+    async def handle(request: sanic.Request) -> HTTPResponse | None:
+        _client(request).drop_rest(request.stream)
+        return await handler(request)
+
+    return handle
+
+
 def _request_class(request: sanic.Request) -> str | None:
     name = request.headers.get("x-request-class")
     if name is not None and not _NAME.fullmatch(name):
@@ -405,16 +472,12 @@
     return HTTPResponse(data, status, headers, "application/json")
 
 
-def _too_large(limit: int) -> TooLarge:
-    return TooLarge(f"the body exceeds {limit} bytes", limit_bytes=limit)
-
-
 def _to_coded_error(exc: Exception) -> LacewingError:
     """Convert any exception into an error with a code."""
     if isinstance(exc, LacewingError):
         return exc
     if isinstance(exc, PayloadTooLarge):
-        return TooLarge("the request exceeds the size limit")
+        return TooLarge("the headers exceed the size limit")
     if isinstance(exc, SanicNotFound):
         return NotFound("the path does not exist")
     if isinstance(exc, SanicMethodNotAllowed):
@@ -426,6 +489,7 @@
 
 
 async def _handle_error(request: sanic.Request, exc: Exception) -> HTTPResponse:
+    _client(request).drop_rest(request.stream)
     error = _to_coded_error(exc)
     if error.run is ExecutionStatus.NOT_RUN and _is_key_unchecked(request):
         error.run = ExecutionStatus.UNKNOWN
--- a/lacewinghub/memory_budget.py
+++ b/lacewinghub/memory_budget.py
@@ -125,6 +125,10 @@
         """True if so much is held that slow clients are not waited for."""
         return self.capacity is not None and self.held > STRAINED_SHARE * self.capacity
 
+    def can_hold(self, size: int) -> bool:
+        """Tell whether a holder of a size has room if nothing else is held."""
+        return size <= self._limit(size)
+
     def charge(self, holder: Holder, size: int) -> None:
         """Set what is held for a holder; refuses holders if the budget is used up."""
         grown = size - holder.charged
--- a/lacewinghub/node.py
+++ b/lacewinghub/node.py
@@ -14,17 +14,21 @@
 from . import logs
 from .brokered import BrokeredScheduler
 from .claim import Claimer
+from .client_bounds import ClientGuard, client_guard
 from .config import ConfigReplica
 from .dependencies import PoolBudgets, RouterDependencies
 from .endpoint import HttpEndpoint
 from .errors import AddressUnavailable
 from .forward import Forwarder
 from .gateway import Gateway, GatewayDependencies
+from .gateway_connection import GatewayLimits
 from .health import EndpointHealth, HealthMonitor, HealthyPools, LeaveStateSync
 from .history import History
+from .host_limits import host_memory_bytes, max_descriptors
 from .hosts import HostList
 from .local import LocalScheduler
 from .log import HttpLog
+from .memory_budget import MB
 from .metrics import Metrics
 from .naive import NaiveScheduler
 from .observer import Observer
@@ -222,10 +226,17 @@
                     "claim_partitions": lambda: self._claims.owned,
                     "task_restarts": lambda: self._supervisor.restarts,
                 },
-                body_bytes=cfg.limits.body_bytes,
+                limits=GatewayLimits(cfg.limits.body_bytes, cfg.limits.header_s, cfg.limits.idle_s),
+                guard=self._client_guard(),
             )
         )
 
+    def _client_guard(self) -> ClientGuard:
+        """Return what limits the clients, by the settings or by what the host permits."""
+        limits = self.cfg.limits
+        memory_bytes = limits.memory_mb * MB if limits.memory_mb else host_memory_bytes()
+        return client_guard(memory_bytes, limits.max_descriptors or max_descriptors())
+
     def _build_scheduler(self) -> Scheduler:
         view = HealthyPools(self._tables, self._health)
         reports = LoadReports(POLLED_REPORT_AGE_S)
--- a/lacewinghub/request.py
+++ b/lacewinghub/request.py
@@ -16,6 +16,9 @@
 MAX_BLOCKS = 1024
 MAX_KEY_CHARS = 255
 DEFAULT_CLASS = "default"
+# Memory of a JSON value, its place in its container included, and of a character.
+VALUE_BYTES = 64
+MAX_CHAR_BYTES = 4
 DEFAULT_MAX_TOKENS = 1024
 
 
@@ -218,7 +221,22 @@
     stream_options: dict[str, Any] | None = None
 
 
-def decode_body(data: bytes) -> dict[str, Any]:
+def decoded_bytes(data: bytes | bytearray) -> int:
+    """Return an upper estimate of the memory that a decoded JSON body takes.
+
+    Args:
+        data: The body as received.
+
+    Returns:
+        Number of bytes, with the copy that is sent to an endpoint.
+    """
+    values = sum(map(data.count, (b",", b":", b"[", b"{")))
+    # One character outside ASCII makes all characters of its text wider.
+    is_narrow = data.isascii() and b"\\u" not in data
+    return len(data) * (2 if is_narrow else 1 + MAX_CHAR_BYTES) + VALUE_BYTES * values
+
+
+def decode_body(data: bytes | bytearray) -> dict[str, Any]:
     """Decode a JSON body.
 
     Args:
--- a/lacewinghub/settings.py
+++ b/lacewinghub/settings.py
@@ -10,7 +10,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from .errors import SettingsInvalid
-from .gateway import DEFAULT_BODY_BYTES
+from .gateway_connection import DEFAULT_BODY_BYTES, DEFAULT_HEADER_S, DEFAULT_IDLE_S
 from .tables import Address, Name, Sha256
 
 # Keys whose values must not appear in error messages.
@@ -26,6 +26,11 @@
             load balancer that it is leaving, in seconds.
         connect_s: Timeout for connecting to an endpoint, in seconds.
         endpoint_idle_s: Longest time an endpoint may pause within an answer, in seconds.
+        header_s: Longest time that a client may take for the headers of a request, in seconds.
+        idle_s: Longest time between parts of a body, and for which a client may read nothing of an
+            answer, in seconds.
+        memory_mb: Memory that the process may have, in MB; None for that of the host.
+        max_descriptors: Descriptors that the process may have; None for the limit of the system.
     """
 
     model_config = ConfigDict(extra="forbid", strict=True, frozen=True)
@@ -34,6 +39,10 @@
     grace_s: Annotated[float, Field(ge=0, le=3600)] = 5.0
     connect_s: Annotated[float, Field(gt=0, le=60)] = 2.0
     endpoint_idle_s: Annotated[float, Field(gt=0, le=3600)] = 30.0
+    header_s: Annotated[float, Field(gt=0, le=3600)] = DEFAULT_HEADER_S
+    idle_s: Annotated[float, Field(gt=0, le=3600)] = DEFAULT_IDLE_S
+    memory_mb: Annotated[int, Field(ge=96)] | None = None
+    max_descriptors: Annotated[int, Field(ge=64)] | None = None
 
 
 class PeerTls(BaseModel):
