Bound and count what the kernel keeps of answers that clients do not read

Callers saw: 60 clients that ask for streams and read nothing kept another client from an answer for 60 s, at the product's own interface (503, overloaded): their streams ran to the end and had all slots of the runner meanwhile. Cause: the send buffers of the kernel grow to 4 MB a connection, so that a stream that nobody reads never fills them; the node saw no stalled client, and counted none of these bytes. Evidence: test_clients_that_do_not_read_their_answers fails before; 8 streams were running. Change: where memory is limited, connections have send buffers of 32 KiB, and once a second the kernel is asked what it keeps of the answers on connections that wrote more than 16 KiB. That counts in the budget like an answer that is not read. Why it works: a client that reads nothing stops its stream after some hundred KB, and limits.idle_s or the idle time-out then ends it.

--- a/lacewinghub/client_sockets.py
+++ b/lacewinghub/client_sockets.py
@@ -4,8 +4,12 @@
 and a platform counts these bytes toward the memory of the process.
 """
 
+import asyncio
 import contextlib
+import fcntl
 import socket
+import struct
+import termios
 
 from .memory_budget import KB
 
@@ -16,6 +20,11 @@
 # Smaller ones would slow down bodies; above the largest one the kernel fills more.
 MIN_RECEIVE_BYTES = 8 * KB
 MAX_RECEIVE_BYTES = 48 * KB
+# Size of the send buffer of each connection, as a program asks for it, where memory is limited.
+# What a client does not read stays in it; it would grow to megabytes as well.
+SEND_BYTES = 32 * KB
+# For fewer written bytes the kernel is not asked how many of them it keeps.
+UNASKED_BYTES = 16 * KB
 
 
 def receive_buffer_bytes(budget: int | None, connections: int | None) -> int | None:
@@ -40,7 +49,8 @@
     Args:
         host: IP address.
         port: Port, or 0 for a free one.
-        receive_bytes: Size of the receive buffers of its connections, which inherit it.
+        receive_bytes: Size of the receive buffers of its connections, which inherit it; with None
+            the kernel chooses both buffers.
 
     Raises:
         OSError: If the address cannot be bound.
@@ -49,6 +59,9 @@
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         limit_receive_buffer(sock, receive_bytes)
+        if receive_bytes is not None:
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BYTES)
         sock.bind((host, port))
     except OSError:
         sock.close()
@@ -61,3 +74,43 @@
     if size is not None:
         with contextlib.suppress(OSError):
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+
+def unsent_bytes(transport: asyncio.Transport) -> int:
+    """Return how many bytes the kernel keeps because the client has not read them."""
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return 0
+    with contextlib.suppress(OSError, ValueError):
+        found = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(struct.calcsize("i")))
+        return struct.unpack("i", found)[0]
+    return 0
+
+
+class SentBytes:
+    """What the kernel keeps of the answers on one connection.
+
+    Attributes:
+        unsent: Number of bytes when it was last asked.
+    """
+
+    def __init__(self) -> None:
+        self.unsent = 0
+        self._written = 0
+
+    def add(self, size: int) -> None:
+        """Count bytes that were written."""
+        self._written += size
+
+    def refresh(self, transport: asyncio.Transport | None) -> bool:
+        """Ask the kernel if much was written since it last kept nothing.
+
+        Returns:
+            True if the number of bytes has changed.
+        """
+        if self._written <= UNASKED_BYTES or transport is None or transport.is_closing():
+            return False
+        before, self.unsent = self.unsent, unsent_bytes(transport)
+        if not self.unsent:
+            self._written = 0
+        return before != self.unsent
--- a/lacewinghub/clientconnection.py
+++ b/lacewinghub/clientconnection.py
@@ -25,6 +25,7 @@
     is_too_slow,
 )
 from .client_registry import ClientRegistry, GuardedConnection, until_client_stops
+from .client_sockets import SentBytes
 from .httphandler import HttpHandler, HttpLimits, error_status
 from .httpmessage import (
     EXPENSIVE_FRAMING_BYTES,
@@ -104,6 +105,7 @@
         self._refusal = 0
         self._discarded = 0
         self._close_timer: asyncio.TimerHandle | None = None
+        self._sent = SentBytes()
         # Received bytes behind more requests than may wait; nothing is read meanwhile.
         self._unparsed = b""
 
@@ -281,7 +283,7 @@
     def _held(self) -> int:
         """Return what this connection holds, in bytes."""
         held = 0 if self._refused is not None and not self._response else self._receiver.held
-        held += len(self._unparsed)
+        held += len(self._unparsed) + self._sent.unsent
         if not self._writable.is_set() and self.transport is not None:
             held += self.transport.get_write_buffer_size()
             if self._response is not None and not self._response.finished:
@@ -304,8 +306,10 @@
         now = asyncio.get_running_loop().time()
         if not self._writable.is_set() and self.transport is not None:
             return Holding(self.charged - CONNECTION_BYTES, now - self._unread_since)
-        if self._refused is not None or not self._receiver.messages:
+        if self._refused is not None:
             return Holding(0, 0.0)
+        if not self._receiver.messages:
+            return Holding(self._sent.unsent, now - self._last_used)
         messages = self._receiver.messages
         served = held_by(messages[0]) if self._response else 0
         held = self.charged - CONNECTION_BYTES - served
@@ -313,10 +317,11 @@
 
     def refuse_for_memory(self) -> None:
         """Refuse the requests that are not served yet, or end an answer that is not read."""
-        reason = "refused_for_memory" if self._writable.is_set() else "closed_answer_not_read"
+        is_unread = not self._writable.is_set() or not self._receiver.messages
+        reason = "closed_answer_not_read" if is_unread else "refused_for_memory"
         held, held_s = self.holding().refusable, round(self.holding().held_s, 3)
         self.guard.refusals.add(reason, self.address, held=held, held_s=held_s)
-        if not self._writable.is_set():
+        if is_unread:
             self.abort()
             self.server.registry.forget(self)
             return
@@ -336,6 +341,11 @@
             self.guard.refusals.add("refused_slow_body", self.address, size=last.size)
             self._refuse_from(last, 408)
 
+    def end_if_stalled(self, now: float) -> None:
+        """Count what the kernel keeps of answers; other stalls end by the timers of the task."""
+        if self._sent.refresh(self.transport):
+            self._charge()
+
     def state(self, now: float) -> OpenConnection:
         """Return what decides whether the connection is closed in favour of a new one."""
         messages = self._receiver.messages
@@ -405,6 +415,7 @@
         """Send bytes unless the connection was lost."""
         if self.transport is not None and not self._lost:
             self.transport.write(data)
+            self._sent.add(len(data))
             if not self._writable.is_set():
                 self._charge()
 
--- a/lacewinghub/gateway_connection.py
+++ b/lacewinghub/gateway_connection.py
@@ -25,6 +25,7 @@
     is_too_slow,
 )
 from .client_registry import ClientRegistry, GuardedConnection, until_client_stops
+from .client_sockets import SentBytes
 from .errors import LacewingError, Overloaded, TooLarge, TooSlow
 from .memory_budget import Holding
 
@@ -76,6 +77,7 @@
         self._registry = registry
         self._limits = limits
         self._decoded_size = 0
+        self._sent = SentBytes()
         self._last_used = self._started = _now()
         self._unread_since = 0.0
         self._unread: int | None = None
@@ -135,6 +137,10 @@
         self._unread_since = _now()
         self.charge()
 
+    def on_sent(self, size: int) -> None:
+        """Count bytes that were written."""
+        self._sent.add(size)
+
     def charge(self) -> None:
         """Charge to the budget what this connection holds."""
         if self in self._registry.connections:
@@ -221,11 +227,15 @@
             return Holding(0, 0.0)
         if self._is_arriving:
             return Holding(self.charged - CONNECTION_BYTES, now - self._started)
-        return Holding(len(self._protocol.recv_buffer), now - self._started)
+        refusable = len(self._protocol.recv_buffer)
+        if self._stage is Stage.IDLE:
+            refusable += self._sent.unsent
+        return Holding(refusable, now - self._started)
 
     def refuse_for_memory(self) -> None:
         """Refuse a request that is arriving, or end an answer that is not read."""
-        is_unread = self._unread is not None
+        is_idle = self._stage is Stage.IDLE and not self._is_arriving
+        is_unread = self._unread is not None or is_idle
         reason = "closed_answer_not_read" if is_unread else "refused_for_memory"
         held, held_s = self.holding().refusable, round(self.holding().held_s, 3)
         self._registry.guard.refusals.add(reason, self.address, held=held, held_s=held_s)
@@ -247,6 +257,8 @@
 
     def end_if_stalled(self, now: float) -> None:
         """Refuse a request whose client sends nothing more, and give up an answer not read."""
+        if self._sent.refresh(self._protocol.transport):
+            self.charge()
         idle_s = now - self._last_used
         if self._unread is not None:
             self._end_if_unread(now)
@@ -328,6 +340,7 @@
 
     def _held(self) -> int:
         held = len(self._protocol.recv_buffer) + len(self.body) + self._decoded_size
+        held += self._sent.unsent
         if self._unread is not None:
             held += self._write_buffer_size() + ENDPOINT_BYTES
         return CONNECTION_BYTES + held
@@ -394,6 +407,7 @@
         if self.transport is None or self.transport.is_closing():
             raise RequestCancelled
         self.transport.write(data)
+        self.client.on_sent(len(data))
         self._time = time.monotonic()
 
     def close(self, timeout: float | None = None) -> None:
