Keep digests of long ids of prompt parts in place of the ids

What callers would see: a node that grows with past requests. Cause: the index of cached parts keeps 4,096 ids for each endpoint, and heartbeats tell 512 of them to other nodes, whatever their length; a head has room for one of 16 KB, so that one client could fill 64 MB an endpoint. Evidence: by the source, and test_long_ids_of_parts_are_not_kept, which fails before (15,000 characters are kept); not shown on a process. Change: an id above 32 characters is replaced by its digest of 128 bits where a request is decoded. The header goes to the runner as it came. Ids of the users' platform have 8. Why it works: all nodes make the same digest, and what is remembered has a bounded size.

--- a/lacewinghub/platform/caller.py
+++ b/lacewinghub/platform/caller.py
@@ -2,6 +2,7 @@
 
 import random
 
+import xxhash
 from loguru import logger
 
 from ..deployment import CurrentConfig, DeploymentConfig
@@ -18,6 +19,8 @@
 # object, a text and a number, and what is remembered of them elsewhere.
 REQUEST_BYTES = 8 * 1024
 PART_BYTES = 200
+# Longer ids of parts are replaced by their digests inside the system.
+MAX_PART_ID_CHARS = 32
 
 
 class PlatformCodec(ProxyCodec):
@@ -122,10 +125,17 @@
         part_id, _, tokens = item.strip().partition(":")
         length = count(tokens)
         if length is not None:
-            parts.append(PromptPart(part_id, length))
+            parts.append(PromptPart(_short_id(part_id), length))
     return tuple(parts)
 
 
+def _short_id(part_id: str) -> str:
+    """Return an id that is short enough to be remembered and told to other nodes."""
+    if len(part_id) <= MAX_PART_ID_CHARS:
+        return part_id
+    return xxhash.xxh3_128_hexdigest(part_id.encode())
+
+
 def _token_counts(incoming: Incoming) -> tuple[int, int]:
     """Decode the length of the prompt and the longest output, in tokens; 0 if absent."""
     prompt, _, output = _header_text(incoming, names.TOKEN_COUNT).partition(",")
--- a/tests/test_platform_fields.py
+++ b/tests/test_platform_fields.py
@@ -200,3 +200,25 @@
                     self.assertEqual(req.proxy.deadline, 1.5)
                     self.assertEqual(req.max_tokens, DEFAULT_MAX_TOKENS)
                     self.assertEqual((req.proxy.prompt_tokens, req.proxy.parts), (0, ()))
+
+    def test_long_ids_of_parts_are_not_kept(self) -> None:
+        # Guards against ids of many KB that each node remembers, thousands for each endpoint.
+        deployment = config.decode(json.dumps(configuration(9, ROUTES)).encode())
+        cases = [("ab12", "ab12"), ("a" * 32, "a" * 32), ("a" * 33, None), ("b" * 15_000, None)]
+        found = []
+        for part_id, expected in cases:
+            headers = [
+                (b"host", HOST.encode()),
+                (b"authorization", f"Token {KEY}".encode()),
+                (b"lacewinghub-prompt-prefix", f"{part_id}:7,aa:1".encode()),
+            ]
+            req = PlatformCodec().decode(Incoming(headers, b"/chat/a", b"POST"), deployment, 0.0)
+            assert req.req.proxy is not None
+            with self.subTest(part_id[:40]):
+                shared = req.req.proxy.shared_parts[0]
+                self.assertEqual(shared.tokens, 7)
+                self.assertLessEqual(len(shared.id), 32)
+                if expected is not None:
+                    self.assertEqual(shared.id, expected)
+                found.append(shared.id)
+        self.assertEqual(len(set(found)), len(cases))
