Default to 512 MB for the product's own interface, and estimate decoded JSON by members

A node of the own interface would by default have let clients use half of the memory of its host, which may be large and not its own. 512 MB, or that of the host if it has less, keep a crowd below that, and leave room for about 20 of the largest bodies at the same time and for 1,700 connections. The estimate of decoded JSON takes 48 bytes for a value and 120 for a member of an object, by what the decoder takes (test_request, eight kinds of bodies); before, lists of lists counted twice and members half, so that a legal body of a million lists got 413 by default.

--- a/lacewinghub/host_limits.py
+++ b/lacewinghub/host_limits.py
@@ -1,4 +1,4 @@
-"""Memory and descriptors that the host permits the process, for nodes whose settings state none."""
+"""Memory and descriptors that the host and the system permit the process."""
 
 import contextlib
 import os
--- a/lacewinghub/node.py
+++ b/lacewinghub/node.py
@@ -232,9 +232,9 @@
         )
 
     def _client_guard(self) -> ClientGuard:
-        """Return what limits the clients, by the settings or by what the host permits."""
+        """Return what limits the clients, by the settings and by what the host permits."""
         limits = self.cfg.limits
-        memory_bytes = limits.memory_mb * MB if limits.memory_mb else host_memory_bytes()
+        memory_bytes = min(limits.memory_mb * MB, host_memory_bytes())
         return client_guard(memory_bytes, limits.max_descriptors or max_descriptors())
 
     def _build_scheduler(self) -> Scheduler:
--- a/lacewinghub/request.py
+++ b/lacewinghub/request.py
@@ -16,8 +16,10 @@
 MAX_BLOCKS = 1024
 MAX_KEY_CHARS = 255
 DEFAULT_CLASS = "default"
-# Memory of a JSON value, its place in its container included, and of a character.
-VALUE_BYTES = 64
+# Memory of a JSON value with its place in its container, of a member of an object beside its value,
+# and of a character.
+VALUE_BYTES = 48
+MEMBER_BYTES = 120
 MAX_CHAR_BYTES = 4
 DEFAULT_MAX_TOKENS = 1024
 
@@ -230,10 +232,11 @@
     Returns:
         Number of bytes, with the copy that is sent to an endpoint.
     """
-    values = sum(map(data.count, (b",", b":", b"[", b"{")))
+    values = sum(map(data.count, (b",", b"[", b"{")))
+    objects = VALUE_BYTES * values + MEMBER_BYTES * data.count(b":")
     # One character outside ASCII makes all characters of its text wider.
     is_narrow = data.isascii() and b"\\u" not in data
-    return len(data) * (2 if is_narrow else 1 + MAX_CHAR_BYTES) + VALUE_BYTES * values
+    return len(data) * (2 if is_narrow else 1 + MAX_CHAR_BYTES) + objects
 
 
 def decode_body(data: bytes | bytearray) -> dict[str, Any]:
--- a/lacewinghub/settings.py
+++ b/lacewinghub/settings.py
@@ -29,7 +29,7 @@
         header_s: Longest time that a client may take for the headers of a request, in seconds.
         idle_s: Longest time between parts of a body, and for which a client may read nothing of an
             answer, in seconds.
-        memory_mb: Memory that the process may have, in MB; None for that of the host.
+        memory_mb: Memory that the process may have, in MB; the host's if that is less.
         max_descriptors: Descriptors that the process may have; None for the limit of the system.
     """
 
@@ -41,7 +41,7 @@
     endpoint_idle_s: Annotated[float, Field(gt=0, le=3600)] = 30.0
     header_s: Annotated[float, Field(gt=0, le=3600)] = DEFAULT_HEADER_S
     idle_s: Annotated[float, Field(gt=0, le=3600)] = DEFAULT_IDLE_S
-    memory_mb: Annotated[int, Field(ge=96)] | None = None
+    memory_mb: Annotated[int, Field(ge=96)] = 512
     max_descriptors: Annotated[int, Field(ge=64)] | None = None
 
 
--- a/tests/test_request.py
+++ b/tests/test_request.py
@@ -1,6 +1,8 @@
 """Tests of the classification and the hashes of requests."""
 
 import hashlib
+import json
+import tracemalloc
 import unittest
 from typing import Any
 
@@ -12,6 +14,7 @@
     classify_call,
     classify_chat,
     decode_body,
+    decoded_bytes,
     fingerprint,
     prefix_hashes,
 )
@@ -112,6 +115,30 @@
                 decode_body(data)
 
 
+class DecodedSizeTest(unittest.TestCase):
+    def test_the_estimate_covers_what_the_decoder_takes(self) -> None:
+        # Guards against a body of legal size whose values take many times its bytes.
+        count = 50_000
+        cases = [
+            ("lists", b"[" + b"[]," * count + b"1]"),
+            ("objects", b"[" + b"{}," * count + b"1]"),
+            ("numbers", json.dumps([number + 1000 for number in range(count)]).encode()),
+            ("members", json.dumps({f"k{number}": number for number in range(count)}).encode()),
+            ("nested", json.dumps([{"a": 1, "b": [2]}] * count).encode()),
+            ("texts", json.dumps([f"s{number}" for number in range(count)]).encode()),
+            ("wide text", json.dumps("x" * count + "\U0001f600", ensure_ascii=False).encode()),
+            ("escaped text", json.dumps("x" * count + "\U0001f600").encode()),
+        ]
+        for name, data in cases:
+            with self.subTest(name):
+                tracemalloc.start()
+                decoded = json.loads(data)
+                taken, _ = tracemalloc.get_traced_memory()
+                tracemalloc.stop()
+                self.assertTrue(decoded)
+                self.assertLessEqual(taken, decoded_bytes(data))
+
+
 class HashTest(unittest.TestCase):
     """Guards against different hashes of equal requests and equal hashes of different ones."""
 
