Plan a stop with the settings of its moment

Cause: the settings file is looked at once a second; a stop planned with the grace period that was read last, and the platform killed the node earlier. Evidence: test_a_stop_uses_the_settings_of_its_moment fails before (the node plans to end 3.7 s later than it may). Change: a stop reads the settings first. Why it works: nothing that is refused or kept depends on the grace period before that.

--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -286,6 +286,7 @@
 
     async def _stop_gracefully(self) -> None:
         """Fail the readiness checks, keep serving, then drain within the grace period."""
+        self.reload()  # The grace period may have changed since the file was last looked at.
         loop = asyncio.get_running_loop()
         stop_started = loop.time()
         self._gateway.ends_at = stop_started + self.cfg.grace_s - MARGIN_S
--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -12,6 +12,7 @@
 import aiohttp
 
 from lacewinghub.fakes.platform_runner import RunnerFault
+from lacewinghub.platform.node import PlatformAdapter
 
 from .platform_cluster import (
     HOST,
@@ -133,6 +134,17 @@
         self.assertEqual(data.count(b"HTTP/1.1 200"), 3)
         self.assertEqual(data.lower().count(b"connection: close"), 1)
 
+    async def test_a_stop_uses_the_settings_of_its_moment(self) -> None:
+        # Guards against bookings that are lost because the node plans with a longer grace period.
+        node, loop = self.members[0], asyncio.get_running_loop()
+        adapter = node._adapter
+        assert isinstance(adapter, PlatformAdapter) and adapter._boot is not None
+        bounds = adapter._boot.bounds.model_copy(update={"grace_s": 3})
+        adapter._boot = adapter._boot.model_copy(update={"bounds": bounds})
+        node.request_stop()
+        await asyncio.sleep(0.05)
+        self.assertLess(node._gateway.ends_at, loop.time() + 3)
+
 
 class TestKilledProcess(PlatformCase):
     """Guards against a form whose end only a last act of the node would show.
