Ignore SIGHUP until the node handles it

Cause: the handler is set once the event loop runs, and the default action of the signal ends the process. Evidence: the test of the new treatment fails before (the first one seen is the handler). Change: the first statement of the program ignores the signal. Why it works: settings are read after that. What remains is the start of the interpreter itself.

--- a/lacewinghub/platform/__main__.py
+++ b/lacewinghub/platform/__main__.py
@@ -1,9 +1,13 @@
 """Runs a node on the platform: ``python -m lacewinghub.platform``."""
 
+import signal
 import sys
 
-from ..errors import LacewingError
-from .node import serve
+# Until the node handles it: by default the signal would end a process that is still starting.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from ..errors import LacewingError  # noqa: E402
+from .node import serve  # noqa: E402
 
 
 def main() -> None:
--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -1,6 +1,7 @@
 """Tests of planned stops and of the settings of a node on the platform."""
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -30,6 +31,21 @@
 LONG_ROUTES = [*ROUTES, route("long", "models", "streaming", timeout_ms=8000)]
 
 
+def _kill(proc: asyncio.subprocess.Process) -> None:
+    """End a process that a failed test left behind."""
+    with contextlib.suppress(ProcessLookupError):
+        proc.kill()
+
+
+def hangup_treatment(pid: int) -> str:
+    """Return whether a process ignores (``SigIgn``) or handles (``SigCgt``) SIGHUP, or neither."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        name, _, mask = line.partition(":")
+        if name in ("SigIgn", "SigCgt") and int(mask, 16) >> (signal.SIGHUP - 1) & 1:
+            return name
+    return ""
+
+
 class TestStop(PlatformCase):
     async def test_a_stop_truncates_no_response(self) -> None:
         # Guards against responses truncated by a planned stop, and against a stopping node that
@@ -252,6 +268,35 @@
             self.assertEqual(await proc.wait(), 0)
             self.assertIn("node started", [line["message"] for line in lines])
 
+    async def test_changed_settings_do_not_end_a_process_that_starts(self) -> None:
+        # Guards against a SIGHUP between the start of the program and that of its event loop.
+        listener = await self.store.open_listener()
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder, "boot.toml")
+            path.write_text(
+                'node_name = "n-1"\nzone = "z"\n[listen]\nfront = "127.0.0.1:0"\n'
+                f'ready = "127.0.0.1:0"\n[platform]\naddress = "{listener.address}"\n'
+            )
+            proc = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "lacewinghub.platform",
+                env=os.environ | {"LACEWINGHUB_BOOT": str(path)},
+                stdout=asyncio.subprocess.PIPE,
+            )
+            self.addCleanup(_kill, proc)
+            assert proc.stdout is not None
+            async with asyncio.timeout(10):
+                while not (treated := hangup_treatment(proc.pid)):
+                    await asyncio.sleep(0.001)
+                self.assertEqual(treated, "SigIgn")
+                proc.send_signal(signal.SIGHUP)
+                while b"node started" not in await proc.stdout.readline():
+                    self.assertIsNone(proc.returncode)
+                    self.assertFalse(proc.stdout.at_eof())
+            proc.terminate()
+            await proc.communicate()
+
     async def test_wrong_settings_end_the_process_with_their_code(self) -> None:
         env = os.environ | {"LACEWINGHUB_BOOT": "/nonexistent/boot.toml"}
         proc = await asyncio.create_subprocess_exec(
