Release a refused body at once, and send the error of a client that is not waited for

Found while the change was read: an augmented assignment kept the body of a refused request until its task ran, though the budget had released it; and a connection that does not linger was closed before Sanic sent its error.

--- a/lacewinghub/gateway_connection.py
+++ b/lacewinghub/gateway_connection.py
@@ -33,6 +33,8 @@
 DEFAULT_HEADER_S = 30.0
 DEFAULT_IDLE_S = 30.0
 RETRY_S = 1.0
+# Time to send an error to a client that is not waited for.
+REFUSAL_S = 0.05
 # A body that takes longer than this to parse without giving way rests, in seconds.
 TURN_S = 0.002
 
@@ -164,7 +166,9 @@
                         f"the body exceeds {self._limits.body_bytes} bytes",
                         limit_bytes=self._limits.body_bytes,
                     )
-                self.body += await http.read() or b""
+                data = await http.read()
+                # Not before: a refusal meanwhile releases the body that has arrived.
+                self.body += data or b""
                 self.charge()
                 turn = await self._give_way(turn)
         finally:
@@ -331,8 +335,7 @@
         if self._registry.lingers(self):
             self._lingering = asyncio.get_running_loop().create_task(self._close_later())
         else:
-            # The error is sent before.
-            asyncio.get_running_loop().call_soon(self._protocol.close)
+            asyncio.get_running_loop().call_later(REFUSAL_S, self._protocol.close)
 
     async def _close_later(self) -> None:
         await until_client_stops(lambda: self._discarded)
