--- a/lacewinghub/gateway.py
+++ b/lacewinghub/gateway.py
@@ -232,7 +232,7 @@
     ) -> AsyncIterator[Request]:
         """Read, decode and classify a request, and count it while it is being served."""
         client = _client(request)
-        workspace = self._check_client(request)
+        self._check_client(request)
         try:
             data = await client.read_body(request.stream)
             with _InFlight(self):
--- a/lacewinghub/gateway_connection.py
+++ b/lacewinghub/gateway_connection.py
@@ -19,7 +19,6 @@
 from .client_bounds import (
     CONNECTION_BYTES,
     ENDPOINT_BYTES,
-    IDLE_BEFORE_CLOSE_S,
     OpenConnection,
     Turn,
     is_too_slow,
@@ -289,11 +288,6 @@
         else:
             self._protocol.close()
 
-    def close_if_idle(self) -> None:
-        """Close the connection if it has been idle for ``IDLE_BEFORE_CLOSE_S``."""
-        if _now() - self._last_used >= IDLE_BEFORE_CLOSE_S:
-            self._protocol.close_if_idle()
-
     def _end_if_unread(self, now: float) -> None:
         assert self._unread is not None
         left = self._write_buffer_size()
