Let runners be asked for their incarnation

A runner answers GET /v1/report without a slot. The call says whether the process that this node knows still lives, which an accepted connection does not. Nothing uses it yet. The fake runner answers it, also while it refuses requests.

--- a/lacewinghub/fakes/platform_runner.py
+++ b/lacewinghub/fakes/platform_runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import json
 import time
 from collections import Counter, deque
 from dataclasses import dataclass
@@ -15,6 +16,7 @@
 from .platform_store import FakeStore
 
 RUNNERS_TOPIC = "keyed.servers"
+REPORT_PATH = b"/v1/report"
 SLOTS = 8
 DEFAULT_VERSION = "v1"
 PIECE_BYTES = 300 * 1024
@@ -114,6 +116,8 @@
         first_s: Time from the beginning of a run to the head of its stream, in seconds.
         has_ids: False to send events without ids.
         moves: Moves of its runs to other runners.
+        reports: Number of reports about itself that it was asked for.
+        is_report_silent: True to leave these calls without an answer.
         runs: Executed requests, in order.
         continued: Requests that continued a moved run, in order.
         cancelled: Ids of attempts whose client disconnected during execution.
@@ -145,6 +149,8 @@
         self.first_s = 0.0
         self.has_ids = True
         self.moves = RunMoves(name)
+        self.reports = 0
+        self.is_report_silent = False
         self.continued: list[ReceivedRequest] = []
         self._faults: deque[RunnerFault] = deque()
         self._server = HttpServer(self)
@@ -208,6 +214,9 @@
         """Serve one request, with the next fault if there is one."""
         if await self.moves.handle(incoming, out):
             return
+        if incoming.target == REPORT_PATH:
+            await self._report(out)
+            return
         self.arrivals.append(asyncio.get_running_loop().time())
         attempt = _header_text(incoming, b"lacewinghub-attempt-id")
         wanted = _header_text(incoming, b"lacewinghub-expect-instance")
@@ -253,6 +262,15 @@
             self.cancelled.append(attempt)
             raise
 
+    async def _report(self, out: Responder) -> None:
+        """Answer what a runner says of itself, also while it is full."""
+        self.reports += 1
+        if self.is_report_silent:
+            await asyncio.Event().wait()
+        runs = [[attempt, 0, run.events, 1] for attempt, run in self.moves.live.items()]
+        body = json.dumps({"born": self.born, "state": "ready", "runs": runs}).encode()
+        out.send(200, [(b"content-type", b"application/json")], body)
+
     def _pause_s(self) -> float | None:
         """Return for how long a refusal asks for no requests, in seconds; None to refuse none."""
         left_s = self.refuse_until - asyncio.get_running_loop().time()
--- a/lacewinghub/platform/names.py
+++ b/lacewinghub/platform/names.py
@@ -42,6 +42,7 @@
     )
 )
 
+REPORT_PATH = b"/v1/report"
 KV_MOVE_PATH = b"/v1/kv-move"
 KV_HANDLE_PATH = b"/v1/kv-handle/"
 
--- a/lacewinghub/platform/runner.py
+++ b/lacewinghub/platform/runner.py
@@ -15,11 +15,12 @@
 from ..httpclient import ConnectionBroken, ConnectionFailed, ConnectionPool, HttpConnection
 from ..httpmessage import COPIED_BYTES, CRLF, Incoming, encode_headers, end_to_end
 from ..move_client import MoveAnswer, MoveOutcome, RunMoveClient
-from ..proxyclient import EndpointBusy, ProxyClient, ResponseHead
+from ..proxyclient import EndpointBusy, Incarnation, ProxyClient, ResponseHead
 from ..request import ProxyState, Request, RunCopy
 from ..tables import Endpoint
 from . import names
 from .fields import count, decimal
+from .report import decode_report
 
 # With this status a runner states that it did not execute the request, also without the header.
 _MISDIRECTED = 421
@@ -95,6 +96,15 @@
         await asyncio.sleep(DYING_S)
         return await self._pool.is_reachable(endpoint.address)
 
+    async def incarnation(self, endpoint: Endpoint, limit_s: float) -> Incarnation | None:
+        """Ask a runner for its report; see ``ProxyClient.incarnation``."""
+        try:
+            async with asyncio.timeout(limit_s):
+                status, data = await self._call(endpoint.address, b"GET", names.REPORT_PATH)
+        except (ConnectionFailed, ConnectionBroken, TimeoutError):
+            return None
+        return decode_report(data) if status == 200 else None
+
     async def move_run(
         self, source: Endpoint, req: Request, target: Endpoint, timeout_s: float
     ) -> MoveAnswer:
--- a/lacewinghub/proxyclient.py
+++ b/lacewinghub/proxyclient.py
@@ -40,6 +40,19 @@
     neutral = True
 
 
+@dataclass(frozen=True, slots=True)
+class Incarnation:
+    """What the process at an endpoint says of itself.
+
+    Attributes:
+        started: Start time of the process by its own clock, in seconds, as its announcement has it.
+        running: Ids of the requests that it executes, as of some hundred milliseconds ago.
+    """
+
+    started: float
+    running: frozenset[str] = frozenset()
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Status and headers of an endpoint's response.
@@ -103,6 +116,18 @@
                 stated that it did not execute the request, otherwise ``EndpointCrashed``.
         """
 
+    async def incarnation(self, endpoint: Endpoint, limit_s: float) -> Incarnation | None:
+        """Ask the process at an endpoint for its incarnation, on a connection of its own.
+
+        Args:
+            endpoint: The endpoint.
+            limit_s: Longest time to wait for the answer, in seconds.
+
+        Returns:
+            What it says, or None if it accepts no connection, or does not say it in time.
+        """
+        return None
+
     async def is_alive(self, endpoint: Endpoint) -> bool:
         """Return False if an endpoint accepts no connection any more."""
         return True
--- a/tests/test_platform_fields.py
+++ b/tests/test_platform_fields.py
@@ -12,6 +12,8 @@
 from lacewinghub.httpmessage import Incoming
 from lacewinghub.platform import boot, config, registry
 from lacewinghub.platform.caller import PlatformCodec
+from lacewinghub.platform.report import decode_report
+from lacewinghub.proxyclient import Incarnation
 from lacewinghub.request import DEFAULT_MAX_TOKENS, ProxyState
 
 from .platform_cluster import HOST, KEY, ROUTES
@@ -175,6 +177,25 @@
                 self.assertEqual(found is not None, usable)
 
 
+class TestReports(unittest.TestCase):
+    """Guards against a report that vouches for a runner without saying which process it is."""
+
+    def test_fields(self) -> None:
+        whole: dict[str, Any] = {"born": 1500, "runs": [["a", 10, 3, 1], []]}
+        for name, members, expected in (
+            ("whole", {}, Incarnation(1.5, frozenset({"a"}))),
+            ("idle", {"runs": []}, Incarnation(1.5)),
+            ("without its start", {"born": None}, None),
+            ("with a start that is none", {"born": 0}, None),
+            ("with a start as text", {"born": "1500"}, None),
+            ("without its runs", {"runs": None}, None),
+            ("with runs that are none", {"runs": ["a"]}, None),
+        ):
+            with self.subTest(name):
+                self.assertEqual(decode_report(json.dumps(whole | members).encode()), expected)
+        self.assertIsNone(decode_report(b"done:/v1/report"))
+
+
 class TestHeaders(unittest.TestCase):
     """Guards against a connection that ends because a header of its request is malformed."""
 
