Log why a stream counts as whole whose form does not show it

The line 'stream ended' stated the conclusion 'unproven' and nothing said what made it whole then: an answer to a question, a refusal, or an accepted connection. The new line names the evidence, so that the hypotheses of the postmortem can be told apart. No decision changes.

--- a/lacewinghub/end_settlement.py
+++ b/lacewinghub/end_settlement.py
@@ -9,7 +9,7 @@
 from .movable_run import RunMoved
 from .proxyclient import EndpointBusy, EndUnproven, ProxyClient
 from .request import Grant, Request
-from .stream_end import End, StreamEnds
+from .stream_end import End, Evidence, StreamEnds, log_whole
 from .tables import Endpoint
 
 # How often endpoints are asked whether a stream goes on, for one request.
@@ -80,6 +80,7 @@
             ``WHOLE``, ``UNPROVEN`` if an endpoint is to be asked, otherwise ``BROKEN_OFF``.
         """
         was_asked, question.asked = question.asked is not None, None
+        evidence = Evidence.CONNECTION
         if isinstance(failure, EndUnproven):
             if splitter is not None and self._may_ask(req, endpoint, question, splitter):
                 splitter.restart()
@@ -93,7 +94,9 @@
             is_refusal = isinstance(failure, EndpointBusy)
             is_other = failure.details.get("status") == _MISDIRECTED
             lives = is_refusal and not is_other and not ends.was_misled
+            evidence = Evidence.REFUSAL
         if lives:
+            log_whole(req.id, endpoint.name, evidence)
             return End.WHOLE
         ends.refute()
         return End.BROKEN_OFF
--- a/lacewinghub/proxyrouter.py
+++ b/lacewinghub/proxyrouter.py
@@ -43,7 +43,7 @@
 )
 from .request import AttemptResult, Grant, ProxyState, Request
 from .run_move import RunMover
-from .stream_end import End, StreamEnds, plain_end
+from .stream_end import End, Evidence, StreamEnds, log_whole, plain_end
 from .tables import Endpoint
 
 RETRY_AFTER_S = 1.0  # Sent to clients when no endpoint accepted the request.
@@ -404,6 +404,8 @@
             if end is End.UNPROVEN and not await self._client.is_alive(endpoint):
                 ends.refute()
                 end = End.BROKEN_OFF
+            if end is not End.BROKEN_OFF and (resumed or not ends.framed):
+                log_whole(req.id, endpoint.name, _evidence(ends))
             if end is End.BROKEN_OFF and ends.framed and not ends.is_inside_event:
                 raise EndContradicted(
                     f"endpoint {endpoint.name!r} adds nothing to a stream that was broken off",
@@ -531,6 +533,13 @@
     ).info("stream ended")
 
 
+def _evidence(ends: StreamEnds) -> Evidence:
+    """Return why a stream counts as whole whose last run is not contradicted."""
+    if not ends.adds_events:
+        return Evidence.AGREEMENT
+    return Evidence.FORM if ends.framed else Evidence.CONNECTION
+
+
 def _answering_s(state: ProxyState) -> float | None:
     """Return for how long the current endpoint has been answering, in seconds."""
     if state.answering_since is None:
--- a/lacewinghub/stream_end.py
+++ b/lacewinghub/stream_end.py
@@ -15,6 +15,8 @@
 
 from enum import StrEnum
 
+from loguru import logger
+
 from .eventstream import EventEnd, has_content
 
 # An endpoint's clock and the network may let it reach a deadline this long before this node does.
@@ -29,6 +31,22 @@
     BROKEN_OFF = "broken off"
 
 
+class Evidence(StrEnum):
+    """Why a stream counts as whole."""
+
+    FORM = "length or last chunk"
+    AGREEMENT = "a run that was asked to go on adds nothing"
+    CONNECTION = "the address accepts connections"
+    REFUSAL = "the asked endpoint refuses"
+
+
+def log_whole(request_id: str, endpoint: str, evidence: Evidence) -> None:
+    """Log why a stream whose form does not show its end counts as whole."""
+    logger.bind(request_id=request_id, endpoint=endpoint, evidence=str(evidence)).info(
+        "stream is whole"
+    )
+
+
 class StreamEnds:
     """Judges the ends of the runs of one streamed answer.
 
