Take a stream for whole only by what its runner says after the end

Callers saw streams that ended as complete after a part of their events. Where a runner could not be asked whether its stream goes on, or refused, and on all routes that cannot be resumed, an accepted TCP connection or the refusal counted as proof. Any process at the address gives both: one that has taken it, a parent whose worker died, a listener whose process hangs, a process that is about to end, or something between.

Now the process that wrote the stream has to say, half a second after the end, that it has ended the run: GET /v1/report with the start that the runner had when the run began, and without the request among its runs. A run that was asked and adds nothing is proof if its process lives on. A refused question is put to other runners of the version first. Once a stream went on after an end in order, further ends of that process prove nothing for a minute. Otherwise the stream goes on elsewhere, or is broken off.

Stand-ins of sound runners in two tests of the router now say that they live.

--- a/lacewinghub/directory.py
+++ b/lacewinghub/directory.py
@@ -109,6 +109,11 @@
         item = self._known.get(name)
         return item.started if item is not None and self._accepts_requests(item) else None
 
+    def announced_start(self, name: str) -> float | None:
+        """Return the start time of a known endpoint, in seconds, or None; leaving ones have one."""
+        item = self._known.get(name)
+        return item.started if item is not None else None
+
     def address(self, name: str) -> str | None:
         """Return the address of a known endpoint, or None."""
         item = self._known.get(name)
--- a/lacewinghub/end_settlement.py
+++ b/lacewinghub/end_settlement.py
@@ -1,19 +1,25 @@
 """Settles what becomes of a stream whose end proves nothing; see ``stream_end``."""
 
+import asyncio
+import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from .continuation import may_continue_at
 from .dependencies import DispatcherDependencies
-from .endpoint import EndpointError
+from .end_witness import EndWitness, Testimony
+from .endpoint import ConnectFailed, EndpointError
 from .eventstream import EventSplitter
 from .movable_run import RunMoved
-from .proxyclient import EndpointBusy, EndUnproven, ProxyClient
-from .request import Grant, Request
+from .proxyclient import EndpointBusy, EndUnproven
+from .request import Grant, ProxyState, Request
 from .stream_end import End, Evidence, StreamEnds, log_whole
 from .tables import Endpoint
 
 # How often endpoints are asked whether a stream goes on, for one request.
 MAX_QUESTIONS = 16
+# How many endpoints may refuse to be asked about the same end.
+MAX_REFUSALS = 3
 # Another process answers at the address of the endpoint.
 _MISDIRECTED = 421
 
@@ -25,35 +31,57 @@
     Attributes:
         asked: Endpoint that is asked, or None.
         count: How often an endpoint was asked.
+        writer: Endpoint that wrote the last events, once they ended without proof.
+        writer_started: Announced start time of its process when that run began, in seconds.
+        started: The same of the current run.
+        refused: Names of endpoints that refused to be asked about this end.
     """
 
     asked: Endpoint | None = None
     count: int = 0
+    writer: Endpoint | None = None
+    writer_started: float | None = None
+    started: float | None = None
+    refused: set[str] = field(default_factory=set)
+
+    @property
+    def is_elsewhere(self) -> bool:
+        """True if another endpoint is asked than the one that wrote the last events."""
+        return self.asked is not None and self.asked != self.writer
 
 
 class EndSettlement:
-    """Asks endpoints whether their streams go on, or looks whether they live.
+    """Asks endpoints whether a stream goes on, and the process that wrote it what it knows.
 
     Args:
         dependencies: Scheduler and tables.
-        client: Reaches the endpoints.
+        witness: Asks the process that wrote a stream.
         spend_retry: Charges the retry budget for a request; returns False if nothing is left.
     """
 
     def __init__(
         self,
         dependencies: DispatcherDependencies,
-        client: ProxyClient,
+        witness: EndWitness,
         spend_retry: Callable[[Request], bool],
     ) -> None:
         self._deps = dependencies
-        self._client = client
+        self._witness = witness
         self._spend_retry = spend_retry
 
     def occupy(self, req: Request, endpoint: Endpoint) -> Grant:
         """Take a slot of an endpoint that is asked whether its stream goes on."""
         return self._deps.scheduler.occupy(req, endpoint, events=1)
 
+    def on_run(self, question: Question, endpoint: Endpoint) -> None:
+        """Record the process to which a run is sent."""
+        question.started = self._witness.started(endpoint)
+
+    def on_went_on(self, question: Question) -> None:
+        """Record that a stream goes on whose connection had ended in order."""
+        if question.writer is not None:
+            self._witness.distrust(question.writer, question.writer_started)
+
     async def settle(
         self,
         req: Request,
@@ -65,8 +93,9 @@
     ) -> End:
         """Decide what becomes of a stream after a run that failed, or whose end proves nothing.
 
-        An endpoint that may be asked has the prompt cached. Where it may not, or has no room, the
-        stream is whole if the endpoint lives, unless it has gone on after such an end before.
+        The endpoint that wrote it has the prompt cached and is asked first. If it refuses, others
+        of its software version are. Where none can be asked, the process that wrote the stream has
+        to say, after the end, that it has ended the run.
 
         Args:
             req: The request.
@@ -79,38 +108,85 @@
         Returns:
             ``WHOLE``, ``UNPROVEN`` if an endpoint is to be asked, otherwise ``BROKEN_OFF``.
         """
+        was_elsewhere = question.is_elsewhere
         was_asked, question.asked = question.asked is not None, None
-        evidence = Evidence.CONNECTION
         if isinstance(failure, EndUnproven):
-            if splitter is not None and self._may_ask(req, endpoint, question, splitter):
-                splitter.restart()
-                question.asked = endpoint
-                question.count += 1
-                return End.UNPROVEN
-            lives = not ends.was_misled and await self._client.is_alive(endpoint)
+            question.writer, question.writer_started = endpoint, question.started
+            question.refused.clear()
         elif not was_asked or isinstance(failure, RunMoved):
             return End.BROKEN_OFF
+        elif _is_refusal(failure, was_elsewhere):
+            question.refused.add(endpoint.name)
         else:
-            is_refusal = isinstance(failure, EndpointBusy)
-            is_other = failure.details.get("status") == _MISDIRECTED
-            lives = is_refusal and not is_other and not ends.was_misled
-            evidence = Evidence.REFUSAL
-        if lives:
-            log_whole(req.id, endpoint.name, evidence)
+            return End.BROKEN_OFF
+        found = self._endpoint_to_ask(req, question, splitter)
+        if found is not None and splitter is not None:
+            splitter.restart()
+            question.asked = found
+            question.count += 1
+            return End.UNPROVEN
+        assert question.writer is not None
+        if not ends.was_misled and await self.has_finished(
+            req, question.writer, question.writer_started
+        ):
             return End.WHOLE
-        ends.refute()
         return End.BROKEN_OFF
 
-    def _may_ask(
-        self, req: Request, endpoint: Endpoint, question: Question, splitter: EventSplitter
+    async def has_finished(
+        self, req: Request, writer: Endpoint, started: float | None, agrees: bool = False
     ) -> bool:
-        """Return whether an endpoint may be asked; if so, a retry was charged."""
+        """Return whether the process that wrote a stream says that it has ended the run.
+
+        Args:
+            req: The request.
+            writer: Endpoint that wrote the stream.
+            started: Start time of its process, as announced when the run began, in seconds.
+            agrees: True if the run was asked whether a stream goes on, and added nothing.
+        """
+        if not agrees and self._witness.is_distrusted(writer, started):
+            log_whole(req.id, writer.name, None, "a stream of this process has ended too early")
+            return False
+        left_s = _state_of(req).deadline - asyncio.get_running_loop().time()
+        found = await self._witness.testify(req.id, writer, started, left_s, only_lives=agrees)
+        evidence = Evidence.TESTIMONY if found is Testimony.FINISHED else None
+        log_whole(req.id, writer.name, evidence, str(found))
+        return evidence is not None
+
+    def _endpoint_to_ask(
+        self, req: Request, question: Question, splitter: EventSplitter | None
+    ) -> Endpoint | None:
+        """Return the endpoint that is to be asked; if there is one, a retry was charged."""
         pool = self._deps.tables().pools.get(req.pool)
-        return (
-            splitter.can_continue
-            and question.count < MAX_QUESTIONS
-            and pool is not None
-            and pool.endpoint(endpoint.name) == endpoint
-            and self._deps.scheduler.may_occupy(endpoint)
-            and self._spend_retry(req)
-        )
+        writer = question.writer
+        if splitter is None or not splitter.can_continue or pool is None or writer is None:
+            return None
+        if question.count >= MAX_QUESTIONS or len(question.refused) >= MAX_REFUSALS:
+            return None
+        candidates = [item for item in pool.endpoints if item == writer]
+        state = _state_of(req)
+        if question.refused and state.sent < state.max_attempts:
+            others = [item for item in pool.endpoints if item != writer]
+            candidates += random.sample(others, len(others))
+        for item in candidates:
+            if item.name in question.refused or not may_continue_at(req, item):
+                continue
+            if self._deps.scheduler.may_occupy(item):
+                return item if self._spend_retry(req) else None
+        return None
+
+
+def _is_refusal(failure: EndpointError, was_elsewhere: bool) -> bool:
+    """Tell whether an endpoint that was asked did not take the question.
+
+    A refusal says nothing of the process that wrote the stream. Another process at that process's
+    own address, or none, is an answer.
+    """
+    if was_elsewhere and isinstance(failure, ConnectFailed):
+        return True
+    is_other = failure.details.get("status") == _MISDIRECTED
+    return isinstance(failure, EndpointBusy) and (was_elsewhere or not is_other)
+
+
+def _state_of(req: Request) -> ProxyState:
+    assert req.proxy is not None
+    return req.proxy
--- a/lacewinghub/platform/runner.py
+++ b/lacewinghub/platform/runner.py
@@ -32,8 +32,6 @@
 # A body that is not passed on is read so that its connection can be reused, up to these limits.
 MAX_SKIPPED_BYTES = 64 * 1024
 MAX_SKIP_S = 0.5
-# A process that dies may accept a connection for a moment longer.
-DYING_S = 0.05
 _NO_BODY = frozenset((b"GET", b"HEAD", b"DELETE"))
 # A handle becomes a part of a header and of a path.
 _HANDLE = re.compile(r"[!-~]{1,200}")
@@ -91,11 +89,6 @@
             else:
                 conn.close()
 
-    async def is_alive(self, endpoint: Endpoint) -> bool:
-        """Return False if a runner accepts no connection any more."""
-        await asyncio.sleep(DYING_S)
-        return await self._pool.is_reachable(endpoint.address)
-
     async def incarnation(self, endpoint: Endpoint, limit_s: float) -> Incarnation | None:
         """Ask a runner for its report; see ``ProxyClient.incarnation``."""
         try:
--- a/lacewinghub/proxyclient.py
+++ b/lacewinghub/proxyclient.py
@@ -127,7 +127,3 @@
             What it says, or None if it accepts no connection, or does not say it in time.
         """
         return None
-
-    async def is_alive(self, endpoint: Endpoint) -> bool:
-        """Return False if an endpoint accepts no connection any more."""
-        return True
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -446,6 +446,7 @@
             usage=duties.usage if duties is not None else None,
             demand=duties.demand if duties is not None else None,
             origins=self._origins,
+            started=self._directory.announced_start,
         )
         statements = EndpointStatements(
             reports, self._quotas, self._pauses, self._directory.mark_leaving
--- a/lacewinghub/proxyrouter.py
+++ b/lacewinghub/proxyrouter.py
@@ -18,6 +18,7 @@
 from .dependencies import DispatcherDependencies
 from .dispatch import MAX_ATTEMPTS, AttemptTimer, Dispatcher
 from .end_settlement import EndSettlement, Question
+from .end_witness import EndWitness
 from .endpoint import ConnectFailed, EndpointCrashed, EndpointError
 from .errors import (
     AnswerIncomplete,
@@ -98,7 +99,8 @@
         super().__init__(dependencies)
         self._client = client
         self._mover = mover
-        self._settlement = EndSettlement(dependencies, client, self._spend_retry)
+        witness = EndWitness(client, dependencies.started)
+        self._settlement = EndSettlement(dependencies, witness, self._spend_retry)
         self._answer_times = AnswerTimes()
 
     def expected_answer_s(self, req: Request) -> float:
@@ -121,7 +123,10 @@
             LacewingError: If the request failed; only ``AnswerIncomplete`` may follow the head.
         """
         state = _state_of(req)
-        progress = _Progress(run=self._mover.track(req) if self._mover else None)
+        progress = _Progress(
+            run=self._mover.track(req) if self._mover else None,
+            ends=StreamEnds(state.is_take_up),
+        )
         complete = False
         demand = self._dispatch_deps.demand
         on_first = None if demand is None else partial(demand.record_first_event, req)
@@ -257,8 +262,9 @@
         # A run that continues at an endpoint that has it counts as the same attempt.
         is_asked = progress.question.asked is not None
         continues = state.continued is not None or is_asked
-        if not continues:
+        if not continues or progress.question.is_elsewhere:
             state.sent += 1
+        self._settlement.on_run(progress.question, endpoint)
         if not is_asked:
             progress.started = attempt_timer.started
         state.answering_since, state.withdrawn = None, False
@@ -302,7 +308,10 @@
                     if progress.splitter is not None:
                         state.last_event = progress.splitter.last_event_id
                     if data:
+                        was_misled = ends.was_misled
                         ends.pass_on(data)
+                        if ends.was_misled and not was_misled:
+                            self._settlement.on_went_on(progress.question)
                         if state.streaming and ends.adds_events and not progress.begun:
                             progress.begun = True
                             self._record_origin(req, endpoint)
@@ -328,14 +337,15 @@
                 ends.break_off()
             if _lost_response(state, exc):
                 self._count_usage(req, progress)
-            if is_asked and isinstance(exc, ConnectFailed):
+            is_writer = is_asked and not progress.question.is_elsewhere
+            if is_writer and isinstance(exc, ConnectFailed):
                 # It died, and its operating system ended the stream.
                 failure = EndpointCrashed(exc.message, endpoint=endpoint.name, ended=True)
                 raise failure from exc
             if state.withdrawn and isinstance(exc, EndpointCrashed):
                 failure = AttemptWithdrawn(f"withdrawn from endpoint {endpoint.name!r}")
                 raise failure from exc
-            if isinstance(exc, ConnectFailed) and not continues:
+            if isinstance(exc, ConnectFailed) and (not continues or progress.question.is_elsewhere):
                 state.sent -= 1
             # An endpoint also refuses to continue a run whose state has expired.
             if isinstance(exc, EndpointBusy) and state.continued is None:
@@ -396,16 +406,15 @@
             splitter = progress.splitter
             end = ends.judge(left_s, splitter is not None and splitter.falls_short)
             _log_end(req, endpoint, ends, resumed, end)
-            if end is End.UNPROVEN and ends.adds_events and state.resumable:
-                raise EndUnproven(
-                    f"endpoint {endpoint.name!r}: nothing proves that the stream is whole",
-                    endpoint=endpoint.name,
-                )
-            if end is End.UNPROVEN and not await self._client.is_alive(endpoint):
-                ends.refute()
+            if end is End.UNPROVEN and not await self._is_testified(req, endpoint, progress):
+                if state.resumable:
+                    raise EndUnproven(
+                        f"endpoint {endpoint.name!r}: nothing proves that the stream is whole",
+                        endpoint=endpoint.name,
+                    )
                 end = End.BROKEN_OFF
-            if end is not End.BROKEN_OFF and (resumed or not ends.framed):
-                log_whole(req.id, endpoint.name, _evidence(ends))
+            elif end is End.WHOLE and resumed and not ends.adds_events:
+                log_whole(req.id, endpoint.name, Evidence.AGREEMENT)
             if end is End.BROKEN_OFF and ends.framed and not ends.is_inside_event:
                 raise EndContradicted(
                     f"endpoint {endpoint.name!r} adds nothing to a stream that was broken off",
@@ -420,6 +429,18 @@
                 ended=True,
             )
 
+    async def _is_testified(self, req: Request, endpoint: Endpoint, progress: _Progress) -> bool:
+        """Return whether the process that wrote the end of a stream says that it has ended the run.
+
+        Where an endpoint can be asked to go on, its answer is the better evidence. A run that was
+        asked and added nothing is one, if its process did not die before it could add anything.
+        """
+        adds_events = progress.ends.adds_events
+        if _state_of(req).resumable and adds_events:
+            return False
+        started = progress.question.started
+        return await self._settlement.has_finished(req, endpoint, started, agrees=not adds_events)
+
     def _count_usage(self, req: Request, progress: _Progress) -> None:
         """Count a request that began to run, once for all its attempts."""
         if self._dispatch_deps.usage is not None and not progress.counted:
@@ -533,13 +554,6 @@
     ).info("stream ended")
 
 
-def _evidence(ends: StreamEnds) -> Evidence:
-    """Return why a stream counts as whole whose last run is not contradicted."""
-    if not ends.adds_events:
-        return Evidence.AGREEMENT
-    return Evidence.FORM if ends.framed else Evidence.CONNECTION
-
-
 def _answering_s(state: ProxyState) -> float | None:
     """Return for how long the current endpoint has been answering, in seconds."""
     if state.answering_since is None:
--- a/lacewinghub/stream_end.py
+++ b/lacewinghub/stream_end.py
@@ -8,9 +8,10 @@
 If a stream was broken off and a run that goes on adds nothing, the two contradict each other, which
 proves nothing either.
 
-What is unproven is settled by ``end_settlement``, in this order: it asks the endpoint to go on
-after the last event, where the stream may be resumed; if it adds nothing, two runs agree. If it
-cannot be asked, its process still has to accept connections: then it has ended the stream itself.
+What is unproven is settled by ``end_settlement``, in this order: it asks an endpoint to go on
+after the last event, where the stream may be resumed; if it adds nothing, two runs agree. If none
+can be asked, the process that wrote the stream has to say, after the end, that it has ended the
+run. A connection that is accepted or a refusal proves nothing: any process at the address does so.
 """
 
 from enum import StrEnum
@@ -36,27 +37,39 @@
 
     FORM = "length or last chunk"
     AGREEMENT = "a run that was asked to go on adds nothing"
-    CONNECTION = "the address accepts connections"
-    REFUSAL = "the asked endpoint refuses"
+    TESTIMONY = "the process that wrote it has ended the run"
 
 
-def log_whole(request_id: str, endpoint: str, evidence: Evidence) -> None:
-    """Log why a stream whose form does not show its end counts as whole."""
-    logger.bind(request_id=request_id, endpoint=endpoint, evidence=str(evidence)).info(
-        "stream is whole"
+def log_whole(request_id: str, endpoint: str, evidence: Evidence | None, found: str = "") -> None:
+    """Log why a stream whose form does not show its end counts as whole, or as unproven.
+
+    Args:
+        request_id: Id of its request.
+        endpoint: Name of the endpoint that wrote its end.
+        evidence: What proves it; None if nothing does.
+        found: What the endpoint said, if it was asked.
+    """
+    line = logger.bind(
+        request_id=request_id, endpoint=endpoint, evidence=str(evidence or "none"), found=found
     )
+    line.info("stream is whole" if evidence else "stream is not proven to be whole")
 
 
 class StreamEnds:
     """Judges the ends of the runs of one streamed answer.
 
+    Args:
+        is_take_up: True if its client has the beginning of the stream.
+
     Attributes:
+        is_take_up: As given.
         framed: True if the current run has a length or chunks.
         adds_events: True once the current run has brought an event that the client did not have.
         was_misled: True once a stream went on after an end in order: its endpoints end early.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, is_take_up: bool = False) -> None:
+        self.is_take_up = is_take_up
         self.framed = True
         self.adds_events = False
         self.was_misled = False
@@ -105,10 +118,6 @@
         if self.adds_events:
             self._so_far = End.BROKEN_OFF
 
-    def refute(self) -> None:
-        """Record that the endpoint whose end proved nothing has died."""
-        self._so_far = End.BROKEN_OFF
-
     @property
     def is_inside_event(self) -> bool:
         """True if the current run has sent a part of an event."""
@@ -126,8 +135,9 @@
         if self.framed:
             return End.WHOLE
         # Without framing and events, a run looks like one that died after its head. Only where
-        # it was asked after an end that proved nothing, it agrees with that.
-        return End.UNPROVEN if self._so_far is End.UNPROVEN else End.BROKEN_OFF
+        # the stream had begun before, it may have had nothing to add.
+        goes_on = self.is_take_up or self._so_far is End.UNPROVEN
+        return End.UNPROVEN if goes_on else End.BROKEN_OFF
 
 
 def _first_line_end(data: bytes) -> int:
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -60,6 +60,7 @@
     "tests.test_stated_limits",
     "tests.test_stream_end_rules",
     "tests.test_stream_ends",
+    "tests.test_stream_evidence",
     "tests.test_suspend",
     "tests.test_usage_nodes",
     "tests.test_version_rules",
--- a/tests/test_proxyrouter.py
+++ b/tests/test_proxyrouter.py
@@ -10,7 +10,7 @@
 from lacewinghub.endpoint import ConnectFailed, EndpointCrashed, EndpointError
 from lacewinghub.errors import LacewingError, Overloaded
 from lacewinghub.history import History
-from lacewinghub.proxyclient import EndpointBusy, ProxyClient, ResponseHead
+from lacewinghub.proxyclient import EndpointBusy, Incarnation, ProxyClient, ResponseHead
 from lacewinghub.proxyrouter import MAX_BUFFERED_BYTES, ProxyRouter
 from lacewinghub.request import AttemptResult, Grant, Request
 from lacewinghub.scheduler import Scheduler
@@ -22,6 +22,7 @@
 PIECE_BYTES = 16 * 1024
 EVENT = b"id: 2\ndata: x\n\n"
 DEADLINE_S = 5.0
+STARTED_S = 1.0
 
 
 class SingleGrantScheduler(Scheduler):
@@ -55,12 +56,22 @@
     tables = Tables(version=1)
     tables.pools = {"p": Pool("p", RUNNERS)}
     dependencies = DispatcherDependencies(
-        scheduler=SingleGrantScheduler(), tables=lambda: tables, history=History("node")
+        scheduler=SingleGrantScheduler(),
+        tables=lambda: tables,
+        history=History("node"),
+        started=lambda name: STARTED_S,
     )
     dependencies.monitors.extend(monitors)
     return ProxyRouter(dependencies, client)
 
 
+class LivingClient(ProxyClient):
+    """Reaches runners whose processes live and have ended their runs."""
+
+    async def incarnation(self, endpoint: Endpoint, limit_s: float) -> Incarnation | None:
+        return Incarnation(STARTED_S)
+
+
 class FailingClient(ProxyClient):
     """Fails each request, before or after the start of the response."""
 
@@ -275,7 +286,7 @@
         return pieces, ""
 
 
-class UnframedClient(ProxyClient):
+class UnframedClient(LivingClient):
     """Answers without framing: the head, pieces of a body, and some time later its end.
 
     Asked once more, it ends at once: it has nothing to add.
--- a/tests/test_resumed_ends.py
+++ b/tests/test_resumed_ends.py
@@ -4,12 +4,12 @@
 import unittest
 from collections.abc import AsyncGenerator
 
-from lacewinghub.proxyrouter import ProxyClient, ResponseHead
+from lacewinghub.proxyrouter import ResponseHead
 from lacewinghub.request import Request
 from lacewinghub.tables import Endpoint
 
 from .clock import simulate
-from .test_proxyrouter import _play
+from .test_proxyrouter import LivingClient, _play
 
 EVENT_STREAM = [(b"content-type", b"text/event-stream")]
 
@@ -18,7 +18,7 @@
     return [b"id: %d\ndata: x\n\n" % number for number in numbers]
 
 
-class ReplayClient(ProxyClient):
+class ReplayClient(LivingClient):
     """Answers with events; it stops at the deadline that it received, and the node's then moves."""
 
     def __init__(self, events: list[bytes], framed: bool, ends_s: float, later_s: float) -> None:
--- a/tests/test_stream_end_rules.py
+++ b/tests/test_stream_end_rules.py
@@ -166,8 +166,9 @@
         self.assertEqual(result[:2], ("whole", EVENTS))
 
     async def test_a_client_that_takes_up_a_stream_that_has_ended(self) -> None:
-        # Without framing it looks like a runner that dies after its head.
-        for form, found in ((Form.CHUNKS, "whole"), (Form.CLOSED, "broken off")):
+        # Without framing, only what its process says tells it from one that died after its head.
+        cases = ((Form.CHUNKS, "whole"), (Form.CLOSED, "whole"), (Form.DEATH, "broken off"))
+        for form, found in cases:
             with self.subTest(form):
                 self.answer((form, []))
                 self.assertEqual(await self.take_up(EVENTS), (found, 0))
@@ -220,6 +221,7 @@
 
     async def _listen_again(self) -> None:
         self._server = type(self._server)(self)
+        self.born += 1  # Each start of a process is a new one.
         host, _, port = self.address.rpartition(":")
         await self._server.start(host, int(port))
 
