Send a request that runners failed to one that has not

Callers got a broken answer although runners were free that could go on with it. Runners are divided into sides for long and short prompts, and a choice within the side preferred those that had not failed the request; if the side had no other one, the request went to the same runner again, up to five times within 40 ms (seen in a test of streams whose runners restart). Now a request in progress, or a short one, goes to a runner of the other side then. Long prompts that no runner has begun still wait for theirs. test_all_runners_but_one_have_failed_it failed before.

--- a/lacewinghub/proxyscheduler.py
+++ b/lacewinghub/proxyscheduler.py
@@ -442,6 +442,21 @@
             return others or own_side
         return found
 
+    def _not_excluded(
+        self, req: Request, candidates: list[Endpoint], free: Sequence[Endpoint]
+    ) -> list[Endpoint]:
+        """Return the candidates that have not failed the request, or all if there is no other way.
+
+        A request whose client has waited, and perhaps has a part of the answer, goes to an endpoint
+        of the other side rather than once more to one that failed it.
+        """
+        found = [item for item in candidates if item.name not in req.excluded_endpoints]
+        in_progress = req.proxy is not None and req.proxy.may_have_run
+        if not found and (in_progress or continues_stream(req) or not is_long(req)):
+            others = self._permitted(self._eligible(req, free))
+            found = [item for item in others if item.name not in req.excluded_endpoints]
+        return found or candidates
+
     def _permitted(self, endpoints: Sequence[Endpoint]) -> list[Endpoint]:
         """Return the endpoints that permit a request now, by what they state in their answers."""
         return [item for item in endpoints if not self._wait_s(item)]
@@ -457,10 +472,7 @@
     def _choose_endpoint(
         self, req: Request, free: Sequence[Endpoint], state: PoolState
     ) -> Endpoint:
-        candidates = self._open_endpoints(req, free)
-        candidates = [
-            item for item in candidates if item.name not in req.excluded_endpoints
-        ] or candidates
+        candidates = self._not_excluded(req, self._open_endpoints(req, free), free)
         if req.proxy is not None and req.proxy.prompt_tokens:
             return self._split.choose(req, candidates, state.in_flight)
         return self._selection.choose(req, candidates, state.in_flight)
--- a/tests/test_proxyscheduler.py
+++ b/tests/test_proxyscheduler.py
@@ -374,6 +374,27 @@
     )
 
 
+class TestFailedEndpoints(unittest.TestCase):
+    """Guards against a request that goes once more to a runner that failed it, beside others."""
+
+    def test_all_runners_but_one_have_failed_it(self) -> None:
+        async def main() -> None:
+            tables = Tables(version=1)
+            tables.pools = {"p": Pool("p", RUNNERS, queue_limit=1000)}
+            scheduler = ProxyScheduler(TablesView(lambda: tables), LoadReports())
+            for tokens in (100, 9000):
+                for left in RUNNERS:
+                    req = prompt(tokens)
+                    assert req.proxy is not None
+                    req.proxy.may_have_run, req.proxy.sent = True, 1
+                    req.excluded_endpoints = {item.name for item in RUNNERS if item != left}
+                    grant = await scheduler.acquire(req)
+                    scheduler.release(grant, AttemptResult(ok=True))
+                    self.assertEqual(grant.endpoint, left.name)
+
+        simulate(main)
+
+
 class TestSoftwareVersions(unittest.TestCase):
     """Guards against streams that go on at a version that cannot read what the first one wrote."""
 
