Let fake runners have slots, a short queue and a bound on refusals

A fake runner can now refuse for want of room, state how many refusals per second it bears, and fall over beyond that: its connections break, and it is back after 2 s with a new start time. Its load header counts executing and waiting requests in place of open connections.

--- a/lacewinghub/fakes/platform_runner.py
+++ b/lacewinghub/fakes/platform_runner.py
@@ -12,12 +12,15 @@
 from ..httpserver import HttpHandler, HttpServer
 from ..responder import Responder
 from .platform_moves import LiveRun, RunMoves
+from .platform_room import RoomFull, RunnerRoom
 from .platform_store import FakeStore
 
 RUNNERS_TOPIC = "keyed.servers"
 SLOTS = 8
 DEFAULT_VERSION = "v1"
 PIECE_BYTES = 300 * 1024
+# Time after which a runner that fell over listens again, in seconds.
+DOWN_S = 2.0
 
 
 class RunnerFault(StrEnum):
@@ -113,6 +116,8 @@
         queue_s: Time that a request waits before its execution begins, in seconds.
         first_s: Time from the beginning of a run to the head of its stream, in seconds.
         has_ids: False to send events without ids.
+        room: Its slots and queue.
+        falls: Number of times that it fell over.
         moves: Moves of its runs to other runners.
         runs: Executed requests, in order.
         continued: Requests that continued a moved run, in order.
@@ -144,11 +149,15 @@
         self.queue_s = 0.0
         self.first_s = 0.0
         self.has_ids = True
+        self.room = RunnerRoom(SLOTS)
+        self.falls = 0
         self.moves = RunMoves(name)
         self.continued: list[ReceivedRequest] = []
         self._faults: deque[RunnerFault] = deque()
         self._server = HttpServer(self)
         self._sequence = 0
+        self._store: FakeStore | None = None
+        self._fall: asyncio.Task[None] | None = None
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
         """Listen on an address and serve."""
@@ -156,7 +165,12 @@
         self.moves.listen(self.address)
 
     async def stop(self) -> None:
-        """Stop listening and abort all connections."""
+        """Stop listening and abort all connections, for good."""
+        if self._fall is not None:
+            self._fall.cancel()
+        await self._close()
+
+    async def _close(self) -> None:
         self.moves.close(self.address)
         for conn in list(self._server.connections):
             conn.abort()
@@ -167,6 +181,17 @@
         self.crashed.set()
         await self.stop()
 
+    async def fall_over(self) -> None:
+        """End like a process that dies, and start again at the same address after ``DOWN_S``."""
+        host, _, port = self.address.rpartition(":")
+        await self._close()
+        await asyncio.sleep(DOWN_S)
+        self.room.refused_at.clear()
+        self.born = int(time.time() * 1000)
+        await self.start(host, int(port))
+        if self._store is not None:
+            self.announce(self._store)
+
     async def leave(self, store: FakeStore, notice_s: float) -> None:
         """Announce that the runner leaves, and end after that time."""
         self.draining = True
@@ -180,13 +205,14 @@
 
     def announce(self, store: FakeStore, **members: Any) -> None:
         """Publish the record of this runner; members override the default ones."""
+        self._store = store
         self._sequence += 1
         record = {
             "service": self.service,
             "address": self.address,
             "zone": "zone-a",
             "version": self.version,
-            "slots": SLOTS,
+            "slots": self.room.slots,
             "state": "draining" if self.draining else "ready",
             "cold_remaining_ms": 0,
             "sequence": self._sequence,
@@ -221,12 +247,14 @@
             (b"lacewinghub-attempt-id", attempt.encode()),
             (
                 b"lacewinghub-server-load",
-                self.spoilt_load or b"%d,0,%d" % (len(self._server.connections), SLOTS),
+                self.spoilt_load or self.room.load,
             ),
             (b"keep-alive", b"timeout=4"),
         ]
         if self.limit_per_s is not None:
             base_headers.append((b"server-limit", f"{self.limit_per_s:g}".encode()))
+        if self.room.brittle is not None:
+            base_headers.append((b"server-brittle", f"{self.room.brittle:g}".encode()))
         if self.leaving:
             base_headers.append((b"server-leaving", b"1"))
         pause_s = self._pause_s()
@@ -240,6 +268,20 @@
         if kv_from and self.moves.take(kv_from) is None:
             out.send(503, [*base_headers, (b"lacewinghub-not-executed", b"1")], b"")
             return
+        try:
+            async with self.room.slot():
+                await self._execute(incoming, out, base_headers, fault)
+        except RoomFull:
+            out.send(503, [*base_headers, (b"lacewinghub-not-executed", b"1")], b"")
+            if self.room.is_too_much() and (self._fall is None or self._fall.done()):
+                self.falls += 1
+                self._fall = asyncio.get_running_loop().create_task(self.fall_over())
+
+    async def _execute(
+        self, incoming: Incoming, out: Responder, base_headers: Headers, fault: RunnerFault | None
+    ) -> None:
+        attempt = _header_text(incoming, b"lacewinghub-attempt-id")
+        kv_from = _header_text(incoming, b"kv-from")
         if self.queue_s:
             await asyncio.sleep(self.queue_s)
         (self.continued if kv_from else self.runs).append(_received_request(incoming, attempt))
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -25,6 +25,7 @@
 # Time for a module that takes too long to print what it waits for.
 STACKS_S = 2.0
 SERIAL = (
+    "tests.test_brittle_endpoints",
     "tests.test_claim_failure",
     "tests.test_config_race",
     "tests.test_counterpart",
