Bound the requests of all nodes at endpoints that fall over when they refuse

Endpoints of some services state how many refusals per second they bear. Nothing read that: each node sent twice the slots, and all together far more than there was room for.

Nodes now share the statements by heartbeat and divide the slots of such an endpoint, and a quarter of the stated number beyond them, on a ring by hash that turns slowly. A refusal caps a node at what it has there; the cap grows by one after a pause that depends on the number of senders. Plain requests wait only while their answer can be complete in time. The queue by traffic class moves from proxyscheduler.py, which had grown large, into a module of its own.

--- a/lacewinghub/codec.py
+++ b/lacewinghub/codec.py
@@ -14,6 +14,7 @@
 from .errors import PeerRejected
 from .message import (
     MAX_MESSAGE_BYTES,
+    BrittleStatement,
     ClearedTrait,
     CrashSuspect,
     CrashTrial,
@@ -67,6 +68,7 @@
     (Heartbeat, "crash_suspects"): CrashSuspect,
     (Heartbeat, "cleared"): ClearedTrait,
     (Heartbeat, "rates"): StatedRate,
+    (Heartbeat, "brittle"): BrittleStatement,
     (Heartbeat, "crash_trials"): CrashTrial,
     (Heartbeat, "leaders"): LeaderHint,
     (Heartbeat, "runners"): RunnerObservation,
--- a/lacewinghub/endpoint_quota.py
+++ b/lacewinghub/endpoint_quota.py
@@ -15,7 +15,7 @@
 from loguru import logger
 
 from .freshness import NewsFilter, random_source
-from .membership import HeartbeatContributor, Members, MemberState
+from .membership import HeartbeatContributor, Members, live_or_all
 from .message import Heartbeat, StatedRate
 
 # Number of nodes that divide a rate: a part that does not depend on it and one per request/s.
@@ -195,7 +195,7 @@
             endpoints: Names of the endpoints; None for all, if the senders have changed.
         """
         limited = [item for item in self._quotas.items() if item[1].per_s is not None]
-        names = self._find_senders() if limited else []
+        names = live_or_all(self._members) if limited else []
         if endpoints is None and names == self._senders:
             return
         if endpoints is None:
@@ -212,15 +212,6 @@
         before = sum(_rank(endpoint, name) < own for name in names if name != self._node)
         return per_s / count if before < count else 0.0
 
-    def _find_senders(self) -> list[str]:
-        """Return the nodes between which rates are divided.
-
-        A node that sees only a minority is probably cut off from the others, which go on sending.
-        """
-        known = self._members.members()
-        alive = [item.node for item in known if item.state is not MemberState.DEAD]
-        return alive if 2 * len(alive) > len(known) else [item.node for item in known]
-
 
 def _rank(endpoint: str, node: str) -> int:
     return xxhash.xxh3_64_intdigest(f"{endpoint}|{node}".encode())
--- a/lacewinghub/endpoint_statements.py
+++ b/lacewinghub/endpoint_statements.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from .brittle_statements import BrittleStatements
 from .endpoint_pause import EndpointPauses
 from .endpoint_quota import EndpointQuotas
 from .selection import LoadReports
@@ -17,9 +18,11 @@
         quotas: Rates of requests that an endpoint takes from all nodes together.
         pauses: Times for which an endpoint wants no requests of this node.
         on_leaving: Called with the name of an endpoint that leaves.
+        brittle: Numbers of refusals that make endpoints fall over; None if they are not used.
     """
 
     loads: LoadReports
     quotas: EndpointQuotas
     pauses: EndpointPauses
     on_leaving: Callable[[str], None]
+    brittle: BrittleStatements | None = None
--- a/lacewinghub/membership.py
+++ b/lacewinghub/membership.py
@@ -63,6 +63,16 @@
         return False
 
 
+def live_or_all(members: Members) -> list[str]:
+    """Return the nodes between which the capacity of endpoints is divided.
+
+    A node that sees only a minority is probably cut off from the others, which go on sending.
+    """
+    known = members.members()
+    alive = [item.node for item in known if item.state is not MemberState.DEAD]
+    return alive if 2 * len(alive) > len(known) else [item.node for item in known]
+
+
 class HeartbeatContributor(ABC):
     """A component of the node that shares its state with peers through heartbeats."""
 
--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -147,6 +147,27 @@
     number: int
 
 
+@dataclass(slots=True)
+class BrittleStatement:
+    """What an endpoint stated about the refusals that make it fall over.
+
+    Attributes:
+        pool: Name of its pool.
+        endpoint: Name of the endpoint.
+        bears_per_s: Refusals per second that it bears; negative if it states no number any more.
+        age_ms: Time since the newest answer that stated it, in milliseconds.
+        source: Identifier of the node that received that answer.
+        number: Number of that answer among those of its source.
+    """
+
+    pool: str
+    endpoint: str
+    bears_per_s: float
+    age_ms: int
+    source: int
+    number: int
+
+
 @dataclass(slots=True)
 class CrashSuspect:
     """A request whose answer had not begun at an endpoint when that crashed.
@@ -346,6 +367,7 @@
     crash_trials: list[CrashTrial] = field(default_factory=list)
     leaders: list[LeaderHint] = field(default_factory=list)
     runners: list[RunnerObservation] = field(default_factory=list)
+    brittle: list[BrittleStatement] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/lacewinghub/platform/runner.py
+++ b/lacewinghub/platform/runner.py
@@ -72,7 +72,7 @@
             for data in _encode(endpoint, req, state):
                 conn.send(data)
             response = await self._matching_response(conn, req)
-            self._report_statements(endpoint, response, sent_at)
+            self._report_statements(endpoint, req.pool, response, sent_at)
             await self._check_response(conn, endpoint, response)
             yield ResponseHead(response.status, end_to_end(response.headers), response.framed)
             while data := await conn.read_body(response):
@@ -177,11 +177,14 @@
         if response.header(b"content-encoding") is not None:
             raise ConnectionBroken("an encoded body")
 
-    def _report_statements(self, endpoint: Endpoint, response: Incoming, sent_at: float) -> None:
+    def _report_statements(
+        self, endpoint: Endpoint, pool: str, response: Incoming, sent_at: float
+    ) -> None:
         """Record what the runner states of itself; the answer is passed on whatever becomes of it.
 
         Args:
             endpoint: The runner.
+            pool: Name of its pool.
             response: Its response.
             sent_at: Loop time at which the request was sent, in seconds.
         """
@@ -190,6 +193,7 @@
                 self._statements.pauses.on_accepted(endpoint.name, sent_at)
             self._report_load(endpoint, response)
             self._report_limit(endpoint, response)
+            self._report_brittle(endpoint, pool, response)
             self._report_leaving(endpoint, response)
             self._report_pause(endpoint, response)
         except Exception:
@@ -218,6 +222,15 @@
         if per_s is not None:
             self._statements.quotas.record(endpoint.name, per_s)
 
+    def _report_brittle(self, endpoint: Endpoint, pool: str, response: Incoming) -> None:
+        """Record the stated number of refusals; a 421 comes from another runner at the address."""
+        if self._statements.brittle is None or response.status == _MISDIRECTED:
+            return
+        text = response.header(names.SERVER_BRITTLE)
+        bears_per_s = None if text is None else decimal(text.decode("latin-1"))
+        if text is None or bears_per_s is not None:
+            self._statements.brittle.record(pool, endpoint.name, bears_per_s)
+
     def _report_leaving(self, endpoint: Endpoint, response: Incoming) -> None:
         """Record that the runner leaves; a 421 comes from another runner at its address."""
         if response.header(names.SERVER_LEAVING) == b"1" and response.status != _MISDIRECTED:
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -9,6 +9,8 @@
 
 from loguru import logger
 
+from .brittle_endpoints import BrittleEndpoints
+from .brittle_statements import BrittleStatements
 from .client_bounds import client_guard
 from .conditional_topic import ConditionalTopic
 from .control_api import ControlApi
@@ -343,6 +345,8 @@
         self._announced_nodes = 1
         self._full_runners = FullRunners()
         self._quotas = EndpointQuotas(cfg.node, self._overlay, self._overlay.schedule_relay)
+        statements = BrittleStatements(self._overlay, self._overlay.schedule_relay)
+        self._brittle = BrittleEndpoints(cfg.node, self._overlay, statements)
         self._failure_detector = FailureOutlierDetector(
             self._health, lambda: self._tables().pools.values()
         )
@@ -364,6 +368,7 @@
             self._crash_guard,
             self._full_runners,
             self._quotas,
+            statements,
             self._failure_detector,
             self._runner_allocation,
             self._cache_sync,
@@ -434,6 +439,7 @@
             quotas=self._quotas,
             pauses=self._pauses,
             is_new=lambda pool, item: self._versions.is_new(pool, item.version),
+            brittle=self._brittle,
         )
         duties = self._duties = self._build_duties()
         dependencies = DispatcherDependencies(
@@ -448,7 +454,11 @@
             origins=self._origins,
         )
         statements = EndpointStatements(
-            reports, self._quotas, self._pauses, self._directory.mark_leaving
+            reports,
+            self._quotas,
+            self._pauses,
+            self._directory.mark_leaving,
+            self._brittle.statements,
         )
         client = adapter.client(self._connections, statements)
         self._mover = self._new_mover(client, dependencies.budget)
@@ -518,6 +528,7 @@
         self._failure_detector.forget(endpoint.name)
         self._quotas.forget(endpoint.name)
         self._pauses.forget(endpoint.name)
+        self._brittle.forget(endpoint.name)
         self._crash_guard.on_endpoint_reset(endpoint.name)
 
     async def _is_reachable(self, name: str) -> bool:
--- a/lacewinghub/proxyscheduler.py
+++ b/lacewinghub/proxyscheduler.py
@@ -5,28 +5,30 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Collection, Iterator, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass
-from enum import IntEnum
 from functools import partial
 
 from .admission import NaiveAdmission
+from .answer_time import AnswerTimes
+from .brittle_endpoints import BrittleEndpoints
 from .continuation import beginning, check_origin, continues_stream, continuing, may_move
 from .endpoint_pause import EndpointPauses
 from .endpoint_quota import EndpointQuotas
-from .errors import StreamVersionGone
+from .errors import StreamVersionGone, UnknownPool
 from .fullrunner import FullRunners
 from .history import EventKind, History
 from .local import DirectScheduler, PoolState
 from .promptcache import PromptCacheIndex, PromptCacheSync
 from .promptgate import PromptGate
 from .promptsplit import PromptSplit, is_long, is_urgent
-from .queue import Fits, TierQueue, Waiter, WaitQueue
+from .queue import Fits, Waiter
 from .request import AttemptResult, Grant, ProxyState, Request
 from .runner_allocation import FixedAllocation, RunnerAllocation
 from .scheduler import PoolView
 from .selection import LoadReports, TwoChoices
 from .tables import Endpoint, Pool
+from .traffic_class_queue import TrafficClassQueue
 
 # A node sends each endpoint up to this many times its slots. Requests beyond the slots wait at the
 # endpoint, which orders those of all nodes by urgency.
@@ -47,86 +49,6 @@
 SHORT_RETRY_WAIT_SHARE = 4.0
 
 
-class _Turn(IntEnum):
-    """Order in which the waiters of one tier are served."""
-
-    CONTINUED = 0
-    ON_TIME = 1
-    LATE = 2
-
-
-class TrafficClassQueue(WaitQueue):
-    """One tier queue for each traffic class, such as long and short prompts.
-
-    A traffic class of which no request can be served at the moment does not block the others.
-    Waiters that continue a stream are served before all others of their tier, since their clients
-    are in the middle of an answer. Waiters that are late are served after all others.
-
-    Args:
-        traffic_class: Returns the traffic class of a request.
-    """
-
-    def __init__(self, traffic_class: Callable[[Request], int]) -> None:
-        self._traffic_class = traffic_class
-        self._queues: dict[tuple[_Turn, int], TierQueue] = {}
-
-    def push(self, waiter: Waiter) -> None:
-        """Add a waiter to the queue of its traffic class."""
-        key = self._key(waiter)
-        if key not in self._queues:
-            self._queues[key] = TierQueue()
-            # The sort is stable: within a turn, the queues keep their order.
-            self._queues = dict(sorted(self._queues.items(), key=lambda item: item[0][0]))
-        self._queues[key].push(waiter)
-
-    def pop(self, fits: Fits | None = None, tier: int | None = None) -> Waiter | None:
-        """Remove and return the next waiter of the highest tier that has a fitting one."""
-        tiers = [tier] if tier is not None else sorted(self.counts())
-        for wanted in tiers:
-            for queue in self._queues.values():
-                waiter = queue.pop(fits, wanted)
-                if waiter is not None:
-                    return waiter
-        return None
-
-    def remove(self, waiter: Waiter) -> bool:
-        """Remove a waiter; return False if it is not queued."""
-        queue = self._queues.get(self._key(waiter))
-        return queue is not None and queue.remove(waiter)
-
-    def lowest(self) -> Waiter | None:
-        """Return the waiter to displace first: one of the lowest tier."""
-        found = [item for queue in self._queues.values() if (item := queue.lowest()) is not None]
-        return max(found, key=lambda item: item.req.tier, default=None)
-
-    def counts(self) -> dict[int, int]:
-        """Return the number of waiters by tier."""
-        found: dict[int, int] = {}
-        for queue in self._queues.values():
-            for tier, count in queue.counts().items():
-                found[tier] = found.get(tier, 0) + count
-        return found
-
-    def work(self, tier: int) -> float:
-        """Return the estimated tokens of the waiters in this and all higher tiers."""
-        return sum(queue.work(tier) for queue in self._queues.values())
-
-    def __iter__(self) -> Iterator[Waiter]:
-        """Iterate over the waiters."""
-        for queue in self._queues.values():
-            yield from queue
-
-    def _key(self, waiter: Waiter) -> tuple[_Turn, int]:
-        turn = _Turn.LATE if waiter.late else _Turn.ON_TIME
-        if waiter.continues:
-            turn = _Turn.CONTINUED
-        return turn, self._traffic_class(waiter.req)
-
-    def __len__(self) -> int:
-        """Return the number of waiters."""
-        return sum(len(queue) for queue in self._queues.values())
-
-
 @dataclass(slots=True)
 class _Attempt:
     """A request that was sent to a runner.
@@ -162,6 +84,8 @@
         pauses: Endpoints that want no requests of this node for some time.
         is_new: Tells whether the software version of a pool's endpoint is new beside others; None
             if versions do not matter.
+        brittle: Limits the requests at endpoints that fall over if they refuse many; None if there
+            are none.
     """
 
     def __init__(
@@ -176,6 +100,7 @@
         quotas: EndpointQuotas | None = None,
         pauses: EndpointPauses | None = None,
         is_new: Callable[[str, Endpoint], bool] | None = None,
+        brittle: BrittleEndpoints | None = None,
     ) -> None:
         self._cached = cached or PromptCacheSync(PromptCacheIndex())
         self._allocation = allocation or FixedAllocation()
@@ -186,6 +111,10 @@
         self._quotas = quotas
         self._pauses = pauses or EndpointPauses()
         self._is_new = is_new
+        self._brittle = brittle
+        # Plain requests at brittle endpoints: how long answers take, and those under way.
+        self._answer_times = AnswerTimes()
+        self._plain_attempts: dict[int, _Attempt] = {}
         self._pump_timers: dict[str, asyncio.TimerHandle] = {}
         self._rng = rng or random.Random()
         self._attempts: dict[int, _Attempt] = {}
@@ -217,8 +146,20 @@
             if not req.proxy.sent:
                 self.record_arrival(req)
             req.patience_s = self.patience_s(req, asyncio.get_running_loop().time())
+        elif req.proxy is not None and self._is_brittle(req.pool, ""):
+            self._limit_patience(req, req.proxy)
         return await super().acquire(req)
 
+    def _limit_patience(self, req: Request, proxy: ProxyState) -> None:
+        """Let a plain request wait only while its answer can be complete in time.
+
+        Others would take the slots of brittle endpoints, which do not let any wait, in vain.
+        """
+        answer_s = self._answer_times.expected_s(req.request_class)
+        if answer_s < float("inf"):
+            limit_s = proxy.deadline - req.arrived - answer_s
+            req.patience_s = min(req.patience_s, max(0.0, limit_s))
+
     def record_arrival(self, req: Request) -> None:
         """Record the arrival of a prompt."""
         self._split.on_arrival(req)
@@ -245,6 +186,10 @@
     def on_endpoint_full(self, grant: Grant) -> None:
         """Send no further prompts to a full runner for a short time."""
         self._full.record_refusal(grant.endpoint)
+        endpoint = self._endpoint(grant.pool, grant.endpoint)
+        if self._brittle is not None and endpoint is not None:
+            others = self.state(grant.pool).in_flight[grant.endpoint] - 1
+            self._brittle.on_refused(grant.pool, grant.endpoint, endpoint.slots, max(0, others))
 
     def retry_after_s(self, waiter: Waiter) -> float:
         """Return after how many seconds the client of a shed request should retry."""
@@ -252,6 +197,42 @@
             *(LONG_RETRY_AFTER_S if is_long(waiter.req) else SHORT_RETRY_AFTER_S)
         )
 
+    def free(self, pool: str, state: PoolState) -> list[Endpoint]:
+        """Return the usable endpoints of a pool at which there is room for a request."""
+        return [item for item in super().free(pool, state) if self._has_room(pool, item)]
+
+    def _endpoint(self, pool: str, name: str) -> Endpoint | None:
+        """Return an endpoint; None if it or its pool is gone."""
+        try:
+            return self.view.pool(pool).endpoint(name)
+        except UnknownPool:
+            return None
+
+    def _just_refused(self, pool: str, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint has just refused a request of any node.
+
+        The requests at a brittle one are bounded in any case. Refusals of single requests beyond
+        its room, which are expected, must not stop all others.
+        """
+        return not self._is_brittle(pool, endpoint.name) and self._full.is_full(endpoint.name)
+
+    def _is_brittle(self, pool: str, endpoint: str) -> bool:
+        """Return whether an endpoint is brittle; the empty name stands for one without answers."""
+        return self._brittle is not None and self._brittle.is_brittle(pool, endpoint)
+
+    def _has_room(self, pool: str, endpoint: Endpoint, more: int = 0) -> bool:
+        """Return whether a brittle endpoint has room; others refuse without harm.
+
+        Args:
+            pool: Name of the endpoint's pool.
+            endpoint: The endpoint.
+            more: Number of requests that will be there beside those in flight.
+        """
+        if self._brittle is None:
+            return True
+        in_flight = self.state(pool).in_flight[endpoint.name] + more
+        return self._brittle.has_room(pool, endpoint.name, endpoint.slots, in_flight)
+
     def dispatch(self, pool: str) -> None:
         """Dispatch waiters as long as an endpoint may receive one."""
         state = self.state(pool)
@@ -312,6 +293,8 @@
             self._cached.on_sent(grant.endpoint, req.proxy.parts)
             if is_long(req):
                 self._gate.on_sent(grant.endpoint)
+        elif self._is_brittle(grant.pool, grant.endpoint):
+            self._plain_attempts[grant.id] = _Attempt(req, asyncio.get_running_loop().time())
         super().assign(waiter, grant)
 
     def on_answer_event(self, grant: Grant) -> None:
@@ -335,6 +318,10 @@
             self._on_answer_began(grant.endpoint, attempt, None)
         elif attempt is not None and result.ok:
             self._gate.record_length(attempt.req.request_class, attempt.events)
+        plain = self._plain_attempts.pop(grant.id, None)
+        if plain is not None and result.ok:
+            answer_s = asyncio.get_running_loop().time() - plain.sent_at
+            self._answer_times.record(plain.req.request_class, answer_s)
         super().release(grant, result)
 
     def move_target(
@@ -360,11 +347,12 @@
             and may_move(source, item)
             and item.name not in excluded
             and loads.get(item.name, 0) < self._limit(item)
+            and self._has_room(req.pool, item, moving.get(item.name, 0))
         ]
         with_room = [
             item
             for item in candidates
-            if not self._full.is_full(item.name)
+            if not self._just_refused(req.pool, item)
             and max(self._reports.load(item.name), loads.get(item.name, 0)) < item.slots
         ]
         candidates = with_room or candidates
@@ -376,7 +364,10 @@
 
     def may_occupy(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint may be sent another request now."""
-        return bool(self._permitted([endpoint]))
+        if not self._permitted([endpoint]):
+            return False
+        pools = [pool for pool in self.view.names() if self._endpoint(pool, endpoint.name)]
+        return all(self._has_room(pool, endpoint) for pool in pools)
 
     def occupy(self, req: Request, endpoint: Endpoint, events: int) -> Grant:
         """Take a slot for a run that continues at an endpoint, without waiting.
@@ -422,13 +413,13 @@
             return permitted
         side = self._split.side(req, free)
         own_side = [item for item in side if item in permitted]
-        not_full = [item for item in own_side if not self._full.is_full(item.name)]
+        not_full = [item for item in own_side if not self._just_refused(req.pool, item)]
         others = [item for item in permitted if item not in side]
         if not is_long(req) or req.proxy.is_take_up:
             # A short prompt may go to a runner of long ones: its answer is slower there, but that
             # is better than a refusal. A client in the middle of an answer does not wait for
             # runners that are merely slow.
-            return not_full or [item for item in others if not self._full.is_full(item.name)]
+            return not_full or [item for item in others if not self._just_refused(req.pool, item)]
         if req.proxy.may_have_run:
             # The client has already waited and may have received a part of the answer.
             return not_full or others or own_side
--- a/tests/test_proxyscheduler.py
+++ b/tests/test_proxyscheduler.py
@@ -8,11 +8,12 @@
 
 from lacewinghub.errors import NotRun, Overloaded
 from lacewinghub.promptgate import PromptGate
-from lacewinghub.proxyscheduler import LIMIT_FACTOR, ProxyScheduler, TrafficClassQueue
+from lacewinghub.proxyscheduler import LIMIT_FACTOR, ProxyScheduler
 from lacewinghub.request import AttemptResult, Grant, Request
 from lacewinghub.scheduler import TablesView
 from lacewinghub.selection import LoadReports, Selection
 from lacewinghub.tables import Endpoint, Pool, Tables, Target
+from lacewinghub.traffic_class_queue import TrafficClassQueue
 
 from .clock import simulate
 from .test_promptsplit import RUNNERS, continued, prompt, versions
