--- a/lacewinghub/brittle_endpoints.py
+++ b/lacewinghub/brittle_endpoints.py
@@ -32,7 +32,7 @@
 # the nodes before still run.
 TURN_SHARE = 0.25
 # Share of these refusals that may follow from requests that test for more room.
-TEST_SHARE = 0.33
+TEST_SHARE = 0.5
 # Shortest time in which all nodes have their turn, in seconds. Longer ones are this one times a
 # power of two, so that nodes which see different numbers of nodes mostly agree.
 MIN_CYCLE_S = 16.0
@@ -41,6 +41,12 @@
 PAUSE_SPREAD = (0.8, 1.3)
 # Below this number an endpoint falls over with the first refusal, and one slot is left free.
 FIRST_FALLS = 1.0
+# Time after its first request for which a node has one request at most at a brittle endpoint, in
+# seconds: it does not know all other nodes yet, and would take their parts.
+START_S = 2.0
+# Time after its first request for which a node that starts beside others does the same at endpoints
+# of pools of which it has no answer yet, in seconds.
+FIRST_ANSWER_S = 1.0
 # Assumed in place of smaller numbers where something is divided by it.
 MIN_BEARS_PER_S = 0.25
 
@@ -85,6 +91,7 @@
         statements: What the endpoints state.
         wall: Returns the time that all nodes share, in seconds.
         rng: Source of randomness.
+        is_first_start: True if all nodes start for the first time.
     """
 
     def __init__(
@@ -94,8 +101,10 @@
         statements: BrittleStatements,
         wall: Callable[[], float] = time.time,
         rng: random.Random | None = None,
+        is_first_start: bool = True,
     ) -> None:
         self.statements = statements
+        self._is_first_start = is_first_start
         self._node = node
         self._members = members
         self._wall = wall
@@ -103,6 +112,7 @@
         self._names: list[str] = []
         self._rings: dict[str, _Ring] = {}
         self._caps: dict[str, _Cap] = {}
+        self._first_use: float | None = None
 
     def has_room(self, pool: str, endpoint: str, slots: int, in_flight: int) -> bool:
         """Return whether this node may send an endpoint another request.
@@ -114,7 +124,11 @@
             in_flight: Number of requests that this node has there.
         """
         bears_per_s = self.statements.bears_per_s(pool, endpoint)
-        return bears_per_s is None or in_flight < self._limit(endpoint, slots, bears_per_s)
+        if bears_per_s is not None:
+            return in_flight < self._limit(endpoint, slots, bears_per_s)
+        if self._is_first_start or self.statements.is_known(pool):
+            return True
+        return in_flight < 1 or self._used_for_s() > FIRST_ANSWER_S
 
     def is_brittle(self, pool: str, endpoint: str) -> bool:
         """Return whether an endpoint falls over if it refuses many requests."""
@@ -139,9 +153,17 @@
         """Forget the refusals of an endpoint that has restarted; it is brittle as before."""
         self._caps.pop(endpoint, None)
 
+    def _used_for_s(self) -> float:
+        """Return the time since the first request of this node, in seconds."""
+        if self._first_use is None:
+            self._first_use = _now()
+        return _now() - self._first_use
+
     def _limit(self, endpoint: str, slots: int, bears_per_s: float) -> int:
         """Return how many requests this node may have at an endpoint."""
         share = self._share(endpoint, slots, bears_per_s)
+        if self._used_for_s() < START_S:
+            share = min(share, 1)
         cap = self._caps.get(endpoint)
         if cap is None:
             return share
--- a/lacewinghub/brittle_statements.py
+++ b/lacewinghub/brittle_statements.py
@@ -68,6 +68,7 @@
         self._filter = NewsFilter()
         self._by_endpoint: dict[str, _Statement] = {}
         self._newest: dict[str, _Statement] = {}
+        self._answered: set[str] = set()
         self._incarnations: dict[str, int] = {}
         self._heartbeat_count = 0
         self._full_due = False
@@ -80,6 +81,7 @@
             endpoint: Name of the endpoint.
             bears_per_s: Refusals per second beyond which it falls over; None if it states none.
         """
+        self._answered.add(pool)
         if bears_per_s is None and pool not in self._newest:
             return
         self._count += 1
@@ -92,6 +94,10 @@
         found = self._by_endpoint.get(endpoint) or self._newest.get(pool)
         return None if found is None else found.bears_per_s
 
+    def is_known(self, pool: str) -> bool:
+        """Return whether this node knows if the endpoints of a pool state a number."""
+        return pool in self._answered or pool in self._newest
+
     def fill_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Add changed statements; all of them every ``RENEW_EVERY`` times or for a new peer."""
         now = _now()
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -346,7 +346,9 @@
         self._full_runners = FullRunners()
         self._quotas = EndpointQuotas(cfg.node, self._overlay, self._overlay.schedule_relay)
         statements = BrittleStatements(self._overlay, self._overlay.schedule_relay)
-        self._brittle = BrittleEndpoints(cfg.node, self._overlay, statements)
+        self._brittle = BrittleEndpoints(
+            cfg.node, self._overlay, statements, is_first_start=cfg.is_first_start
+        )
         self._failure_detector = FailureOutlierDetector(
             self._health, lambda: self._tables().pools.values()
         )
