Test the division of the room, the pause after a refusal and the spread of statements

Tables of 1 to 195 nodes with numbers from 0 to 1e12: the parts make up the room, differ by one at most, and 9 nodes all have a turn. With 24 nodes a statement, its end and a new one reach all of them within 0.6 s, and hold for an endpoint without an answer.

--- a/tests/test_brittle_room.py
+++ b/tests/test_brittle_room.py
@@ -6,8 +6,9 @@
 from collections import Counter, deque
 from dataclasses import dataclass
 
-from lacewinghub.brittle_endpoints import BrittleEndpoints
+from lacewinghub.brittle_endpoints import START_S, BrittleEndpoints
 from lacewinghub.brittle_statements import BrittleStatements
+from lacewinghub.membership import Member, Members, MemberState
 from lacewinghub.memory_transport import MemoryNetwork
 from lacewinghub.overlay import Overlay
 from lacewinghub.transport import Peer
@@ -238,3 +239,107 @@
                 model = simulate(main)
                 self.assertLessEqual(model.most_refused(), load.bears_per_s)
                 self.assertGreater(model.served_share(), load.served)
+
+
+class ManyMembers(Members):
+    """Live nodes of which one has the view."""
+
+    def __init__(self, count: int) -> None:
+        self.all = [Member(f"n{i}", "a", "z", 1, MemberState.LIVE) for i in range(count)]
+
+    def live(self) -> list[Member]:
+        return self.all
+
+    def state(self, node: str) -> MemberState:
+        return MemberState.LIVE
+
+
+def limits(nodes: list[BrittleEndpoints], endpoint: str, slots: int) -> list[int]:
+    """Return how many requests each node may have at an endpoint."""
+    found = []
+    for node in nodes:
+        count = 0
+        while node.has_room(POOL, endpoint, slots, count):
+            count += 1
+        found.append(count)
+    return found
+
+
+async def new_nodes(count: int, endpoint: str, bears_per_s: float) -> list[BrittleEndpoints]:
+    """Return nodes beyond their start that know what an endpoint states."""
+    members = ManyMembers(count)
+    nodes = []
+    for member in members.all:
+        statements = BrittleStatements(members)
+        statements.record(POOL, endpoint, bears_per_s)
+        nodes.append(BrittleEndpoints(member.node, members, statements, wall))
+        nodes[-1].has_room(POOL, endpoint, 1, 0)
+    await asyncio.sleep(START_S)
+    return nodes
+
+
+class TestDivision(unittest.TestCase):
+    """Guards against parts that exceed the room together, and against nodes without a turn."""
+
+    def test_the_parts_of_all_nodes_make_up_the_room(self) -> None:
+        for count, slots, bears_per_s, room in (
+            (1, 6, 0.0, 5),
+            (1, 1, 0.5, 1),
+            (9, 6, 0.9, 5),
+            (9, 6, 1.0, 6),
+            (9, 6, 2.5, 6),
+            (9, 64, 8.0, 66),
+            (87, 6, 4.0, 7),
+            (195, 64, 2.0, 64),
+            (195, 6, 1e12, 12),
+        ):
+            with self.subTest(nodes=count, slots=slots, bears_per_s=bears_per_s):
+
+                async def main(
+                    count: int = count, slots: int = slots, bears_per_s: float = bears_per_s
+                ) -> tuple[list[int], list[int]]:
+                    nodes = await new_nodes(count, "e", bears_per_s)
+                    now = limits(nodes, "e", slots)
+                    had = now
+                    for _ in range(200 if count < 20 else 1):
+                        await asyncio.sleep(1.0)
+                        later = limits(nodes, "e", slots)
+                        had = [max(pair) for pair in zip(had, later, strict=True)]
+                    return now, had
+
+                now, had = simulate(main)
+                self.assertEqual(sum(now), room)
+                self.assertLessEqual(max(now) - min(now), 1)
+                if count < 20:
+                    self.assertGreater(min(had), 0)
+
+    def test_a_refusal_caps_a_node_until_a_pause_has_passed(self) -> None:
+        async def main() -> list[int]:
+            node = (await new_nodes(1, "e", 2.0))[0]
+            node.on_refused(POOL, "e", 6, 2)
+            found = limits([node], "e", 6)
+            await asyncio.sleep(1.0)
+            found += limits([node], "e", 6)
+            node.forget("e")
+            return found + limits([node], "e", 6)
+
+        # One node tests for more room after 0.8 to 1.3 times a second.
+        first, second, restarted = simulate(main)
+        self.assertEqual((first, restarted), (2, 6))
+        self.assertIn(second, (2, 3))
+
+    def test_what_one_node_hears_reaches_all_and_holds_for_new_endpoints(self) -> None:
+        async def main() -> list[int]:
+            model = Model(Load(24, 1, 6, 2.0, 1.0), 1)
+            await asyncio.sleep(3.0)
+            found = []
+            first = model.nodes[0].statements
+            for stated in (2.0, None, 0.0):
+                first.record(POOL, "e0", stated)
+                await asyncio.sleep(0.6)
+                for endpoint in ("e0", "new"):
+                    nodes = model.nodes
+                    found.append(sum(n.brittle.is_brittle(POOL, endpoint) for n in nodes))
+            return found
+
+        self.assertEqual(simulate(main), [24, 24, 0, 0, 24, 24])
