--- a/lacewinghub/brittle_endpoints.py
+++ b/lacewinghub/brittle_endpoints.py
@@ -47,6 +47,8 @@
 # Time after its first request for which a node that starts beside others does the same at endpoints
 # of pools of which it has no answer yet, in seconds.
 FIRST_ANSWER_S = 1.0
+# Time between two looks at which nodes there are, in seconds.
+NAMES_S = 0.1
 # Assumed in place of smaller numbers where something is divided by it.
 MIN_BEARS_PER_S = 0.25
 
@@ -110,6 +112,7 @@
         self._wall = wall
         self._rng = rng or random.Random()
         self._names: list[str] = []
+        self._names_until = float("-inf")
         self._rings: dict[str, _Ring] = {}
         self._caps: dict[str, _Cap] = {}
         self._first_use: float | None = None
@@ -192,16 +195,21 @@
         return min(MAX_PAUSE_S, max(MIN_PAUSE_S, pause_s)) * self._rng.uniform(*PAUSE_SPREAD)
 
     def _ring(self, endpoint: str) -> _Ring:
-        names = live_or_all(self._members)
-        if names != self._names:
-            self._names = names
-            self._rings.clear()
+        if _now() >= self._names_until:
+            self._update_names()
         ring = self._rings.get(endpoint)
         if ring is None:
-            points = sorted(_point(endpoint, name) for name in {*names, self._node})
+            points = sorted(_point(endpoint, name) for name in {*self._names, self._node})
             ring = self._rings[endpoint] = _Ring(points, _point(endpoint, self._node))
         return ring
 
+    def _update_names(self) -> None:
+        self._names_until = _now() + NAMES_S
+        names = live_or_all(self._members)
+        if names != self._names:
+            self._names = names
+            self._rings.clear()
+
 
 def total_room(slots: int, bears_per_s: float) -> int:
     """Return how many requests all nodes together may have at an endpoint.
