Test what nodes know of brittle runners, and the fall of a fake runner

Nonsense in the header is ignored, and the state ends with the next answers without it, at all three nodes within 0.6 s.

--- a/tests/test_brittle_endpoints.py
+++ b/tests/test_brittle_endpoints.py
@@ -73,3 +73,21 @@
                 self.assertGreater(sum(served), 0.6 * possible, found)
                 self.assertEqual(set().union(*found.values()) - {200, 503}, set(), found)
                 self.assertEqual(served, sorted(served, reverse=True))
+
+    async def test_all_nodes_follow_what_the_newest_answers_state(self) -> None:
+        runners = self.apps
+
+        async def brittle_nodes(stated: float | None) -> int:
+            for runner in runners:
+                runner.room.brittle = stated
+            # A load with which every runner answers, of one node only.
+            await asyncio.gather(*(self.ask("/first/a") for _ in range(2 * SLOTS)))
+            await asyncio.sleep(0.6)  # Two heartbeats.
+            return sum(
+                all(node._brittle.is_brittle("apps", runner.name) for runner in runners)
+                for node in self.members
+            )
+
+        for stated, expected in ((None, 0), (2.0, 3), (float("nan"), 3), (0.0, 3), (None, 0)):
+            with self.subTest(stated):
+                self.assertEqual(await brittle_nodes(stated), expected)
--- a/tests/test_brittle_room.py
+++ b/tests/test_brittle_room.py
@@ -59,6 +59,8 @@
     Load(9, 6, 6, 4.0, 3.0, 0.65, falls=True),
     Load(9, 2, 64, 2.0, 3.0),
     Load(9, 2, 64, 4.0, 1.5),
+    # With far fewer slots than nodes, a node often has no requests when it has a slot.
+    Load(87, 4, 6, 2.0, 3.0, 0.55),
 ]
 
 
--- a/tests/test_fake_platform_runner.py
+++ b/tests/test_fake_platform_runner.py
@@ -1,11 +1,13 @@
 """Tests of the fake platform runner's versions and early ends, which other tests build on."""
 
+import asyncio
 import base64
 import unittest
 
 import aiohttp
 
 from lacewinghub.fakes.platform_runner import (
+    DOWN_S,
     RUNNERS_TOPIC,
     EarlyEnd,
     EndForm,
@@ -24,6 +26,35 @@
         await self.runner.start()
         self.addAsyncCleanup(self.runner.stop)
 
+    async def test_falls_over_after_more_refusals_than_it_bears(self) -> None:
+        runner = self.runner
+        runner.room.slots, runner.room.max_waiting, runner.room.brittle = 1, 1, 2.0
+        runner.work_s = 0.3
+        store, born = FakeStore(), runner.born
+        runner.announce(store)
+
+        async def ask(session: aiohttp.ClientSession) -> tuple[int, str]:
+            try:
+                async with session.post(f"http://{runner.address}/x") as resp:
+                    await resp.read()
+                    return resp.status, resp.headers["Lacewinghub-Server-Load"]
+            except aiohttp.ClientError:
+                return 0, ""
+
+        async with aiohttp.ClientSession() as session:
+            found = await asyncio.gather(*(ask(session) for _ in range(4)))
+            self.assertEqual([status for status, _ in found], [200, 200, 503, 503])
+            self.assertEqual(found[2][1].partition(",")[2], "1,1")
+            self.assertEqual(runner.falls, 0)
+            await asyncio.sleep(1.0)
+            found = await asyncio.gather(*(ask(session) for _ in range(5)))
+            self.assertEqual([status for status, _ in found].count(200), 0)
+            self.assertEqual(runner.falls, 1)
+            self.assertEqual((await ask(session))[0], 0)
+            await asyncio.sleep(DOWN_S + 0.2)
+            self.assertEqual((await ask(session))[0], 200)
+            self.assertGreater(runner.born, born)
+
     async def read(
         self, attempt: str, after: int = 0
     ) -> tuple[bytes, bool, aiohttp.ClientResponse]:
