Play the ends of streams with runners as processes of their own

Runners are processes that are killed in mid-stream, restarted at the same port after 0, 30 or 400 ms with a new start, or frozen for a second; two of four stand behind a relay, which is cut in a second test.

PlatformCase has a method that makes the runners of the models, and exchange takes the id of the attempt.

--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -100,7 +100,7 @@
         self.store = FakeStore()
         self.peer_port = free_port()
         self.listeners: list[StoreListener] = []
-        self.models = [FakeRunner(f"m-{n}", "models") for n in range(self.runners)]
+        self.models = [self.new_model(f"m-{n}") for n in range(self.runners)]
         for runner, version in zip(self.models, itertools.cycle(self.versions), strict=False):
             runner.version = version
         self.apps = [FakeRunner(f"a-{n}", "apps") for n in range(self.runners)]
@@ -122,6 +122,10 @@
             await runner.stop()
         await self.store.stop()
 
+    def new_model(self, name: str) -> FakeRunner:
+        """Return a runner of the models."""
+        return FakeRunner(name, "models")
+
     async def start_node(self, fault: StoreFault = StoreFault.NONE) -> ProxyNode:
         """Start a node on its own loopback address, with its own listener of the fake store."""
         listener = await self.store.open_listener()
@@ -226,7 +230,12 @@
         return not was_reset and is_whole(answer)
 
     async def exchange(
-        self, path: str, deadline_ms: int = 3000, version: str = "1.1", port: int | None = None
+        self,
+        path: str,
+        deadline_ms: int = 3000,
+        version: str = "1.1",
+        port: int | None = None,
+        attempt: str = "raw",
     ) -> tuple[bytes, bool]:
         """Send a request; return the bytes of its answer, and whether the connection was reset."""
         port = port or self.members[0].ports["front"]
@@ -234,7 +243,7 @@
         head = f"POST {path} HTTP/{version}\r\nHost: {HOST}\r\nAuthorization: Token {KEY}\r\n"
         if path.startswith(STREAMS):
             head += "Lacewinghub-Token-Count: 100,40\r\n"
-        head += "Lacewinghub-Attempt-Id: raw\r\n"
+        head += f"Lacewinghub-Attempt-Id: {attempt}\r\n"
         head += f"Lacewinghub-Deadline-Ms: {deadline_ms}\r\nConnection: close\r\n"
         writer.write(f"{head}Content-Length: 0\r\n\r\n".encode())
         answer = b""
--- /dev/null
+++ b/tests/test_stream_end_processes.py
@@ -0,0 +1,248 @@
+"""Tests of the ends of streams from runners that are processes of their own."""
+
+import asyncio
+import json
+import random
+import re
+import signal
+import subprocess
+import sys
+import unittest
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from lacewinghub.fakes.platform_runner import FakeRunner
+
+from .platform_cluster import ROUTES, PlatformCase, config, is_whole, route
+from .relay import TcpProxy
+
+SEED = 53
+EVENTS = 20
+WORK_S = 0.03
+STREAMS = 24
+# Timeouts of the routes; a stream takes about a second.
+DEADLINE_MS = 6000
+CALM_S = 3.0
+TROUBLE_S = 9.0
+# Time after the last disruption in which nodes may still avoid runners.
+SETTLE_S = 3.0
+FREEZE_S = 1.0
+RESTART_AFTER_S = (0.0, 0.03, 0.4)
+# A runner's new record is read this long after its restart at most.
+RECORD_AFTER_S = 0.3
+_NUMBER = re.compile(rb"data: piece (\d+)")
+
+
+class RunnerProcess(FakeRunner):
+    """Runner in a process of its own; this object writes its record.
+
+    Args:
+        name: Instance id.
+        is_relayed: True if a relay forwards its connections.
+    """
+
+    def __init__(self, name: str, is_relayed: bool) -> None:
+        super().__init__(name, "models")
+        self.relay: TcpProxy | None = None
+        self._is_relayed = is_relayed
+        self._port = 0
+        self._standby = self._spawn()
+        self._process = self._standby
+
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        """Let the process that stands by take over, and prepare the next one."""
+        self._process, self._standby = self._standby, self._spawn()
+        found = await asyncio.to_thread(self._listen)
+        self.born = found["born"]
+        self._port = int(found["address"].rpartition(":")[2])
+        self.address = found["address"]
+        if self._is_relayed:
+            if self.relay is None:
+                self.relay = TcpProxy(self.address)
+                await self.relay.start()
+            self.address = self.relay.address
+
+    async def stop(self) -> None:
+        """Kill both processes."""
+        for process in (self._process, self._standby):
+            process.kill()
+            await asyncio.to_thread(process.communicate)
+        if self.relay is not None:
+            self.relay.close()
+
+    async def restart(self, after_s: float) -> None:
+        """Kill the process; another one listens at its address some seconds later."""
+        self._process.kill()
+        await asyncio.sleep(after_s)
+        old = self._process
+        await self.start()
+        await asyncio.to_thread(old.communicate)
+
+    async def freeze(self, seconds: float) -> None:
+        """Stop the process for some time."""
+        self._process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        self._process.send_signal(signal.SIGCONT)
+
+    def _spawn(self) -> subprocess.Popen[str]:
+        args = ["-m", "tests.stream_runner", self.name, str(EVENTS), str(WORK_S)]
+        return subprocess.Popen(
+            [sys.executable, *args], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+        )
+
+    def _listen(self) -> dict[str, int | str]:
+        assert self._process.stdin is not None and self._process.stdout is not None
+        self._process.stdin.write(f"{self._port}\n")
+        self._process.stdin.flush()
+        found: dict[str, int | str] = json.loads(self._process.stdout.readline())
+        return found
+
+
+@dataclass(frozen=True, slots=True)
+class Played:
+    """What a client got.
+
+    Attributes:
+        path: What it asked for.
+        whole: True if it takes the answer for a whole one.
+        numbers: Numbers of its events.
+        began: Loop time at which it was sent, in seconds.
+    """
+
+    path: str
+    whole: bool
+    numbers: tuple[int, ...]
+    began: float
+
+
+class ProcessCase(PlatformCase):
+    """Two nodes and four runners in processes of their own, two of them behind relays."""
+
+    nodes = 2
+    runners = 4
+    configuration = config(
+        1,
+        [
+            route(
+                item["name"],
+                item["service"],
+                item["kind"],
+                resumable=item["resumable"],
+                timeout_ms=DEADLINE_MS,
+            )
+            for item in ROUTES
+        ],
+    )
+
+    async def asyncSetUp(self) -> None:
+        self.processes: list[RunnerProcess] = []
+        self.rng = random.Random(SEED)
+        self.played: list[Played] = []
+        self.restarted: set[asyncio.Task[None]] = set()
+        await super().asyncSetUp()
+
+    def new_model(self, name: str) -> FakeRunner:
+        """Return a runner in a process of its own; a relay forwards for every second one."""
+        process = RunnerProcess(name, is_relayed=len(self.processes) % 2 == 1)
+        self.processes.append(process)
+        return process
+
+    async def play(self, paths: tuple[str, ...], disrupt: Callable[[], Awaitable[None]]) -> None:
+        """Keep streams under way, in a calm, while something is disrupted, and in a calm again."""
+        ended = asyncio.Event()
+        clients = [
+            asyncio.create_task(self._ask(number, paths, ended)) for number in range(STREAMS)
+        ]
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(CALM_S)
+        self.disrupted_from = loop.time()
+        while loop.time() < self.disrupted_from + TROUBLE_S:
+            await disrupt()
+        await asyncio.gather(*self.restarted)
+        await asyncio.sleep(SETTLE_S)
+        self.calm_from = loop.time()
+        await asyncio.sleep(CALM_S)
+        ended.set()
+        await asyncio.gather(*clients)
+
+    def check_order(self) -> None:
+        """Check that no stream lacks events and ends as complete."""
+        early = [item for item in self.played if item.whole and len(item.numbers) != EVENTS]
+        wrong = [
+            item for item in self.played if item.numbers != tuple(range(1, len(item.numbers) + 1))
+        ]
+        self.assertEqual(wrong, [])
+        self.assertEqual(early, [], f"{len(early)} of {len(self.played)}")
+
+    def check_calm(self) -> None:
+        """Check that the streams outside of the disruptions end whole."""
+        margin_s = 2 * EVENTS * WORK_S + 1.0
+        calm = [
+            item
+            for item in self.played
+            if item.began + margin_s < self.disrupted_from or item.began >= self.calm_from
+        ]
+        self.assertGreater(len(calm), STREAMS)
+        broken = [item for item in calm if not item.whole]
+        self.assertEqual(broken, [], f"{len(broken)} of {len(calm)}")
+
+    async def _ask(self, number: int, paths: tuple[str, ...], ended: asyncio.Event) -> None:
+        count = 0
+        while not ended.is_set():
+            count += 1
+            path = paths[(number + count) % len(paths)]
+            began = asyncio.get_running_loop().time()
+            port = self.members[number % self.nodes].ports["front"]
+            answer, was_reset = await self.exchange(
+                path, DEADLINE_MS, port=port, attempt=f"{number}-{count}"
+            )
+            numbers = tuple(map(int, _NUMBER.findall(answer)))
+            whole = not was_reset and is_whole(answer)
+            self.played.append(Played(path, whole, numbers, began))
+            await asyncio.sleep(0.0 if whole else 0.1)
+
+    async def disrupt_process(self) -> None:
+        """Kill and restart, or freeze, one of the processes."""
+        await asyncio.sleep(self.rng.uniform(0.2, 0.8))
+        process = self.rng.choice(self.processes)
+        if self.rng.random() < 0.25:
+            await process.freeze(FREEZE_S)
+            return
+        await process.restart(self.rng.choice(RESTART_AFTER_S))
+        task = asyncio.create_task(self._announce(process))
+        self.restarted.add(task)
+        task.add_done_callback(self.restarted.discard)
+
+    async def _announce(self, process: RunnerProcess) -> None:
+        await asyncio.sleep(self.rng.uniform(0.0, RECORD_AFTER_S))
+        process.announce(self.store)
+
+    async def cut_relay(self) -> None:
+        """End all connections of one of the relays; the processes live."""
+        await asyncio.sleep(self.rng.uniform(0.05, 0.8))
+        relay = self.rng.choice([item.relay for item in self.processes if item.relay])
+        relay.cut()
+        await asyncio.sleep(self.rng.choice(RESTART_AFTER_S))
+        relay.heal()
+
+
+class TestProcesses(ProcessCase):
+    """Guards against a stream that ends as complete since another process has its address."""
+
+    async def test_processes_that_are_killed_restarted_and_frozen(self) -> None:
+        await self.play(("/draft/a", "/chat/a"), self.disrupt_process)
+        self.check_order()
+        self.check_calm()
+
+
+class TestRelays(ProcessCase):
+    """Guards against a stream that ends as complete since something between ends it."""
+
+    async def test_streams_that_may_be_resumed(self) -> None:
+        await self.play(("/draft/a",), self.cut_relay)
+        self.check_order()
+        self.check_calm()
+
+
+if __name__ == "__main__":
+    unittest.main()
