--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -58,6 +58,7 @@
     "tests.test_changed_origins",
     "tests.test_software_versions",
     "tests.test_stated_limits",
+    "tests.test_stream_end_doubts",
     "tests.test_stream_end_processes",
     "tests.test_stream_end_rules",
     "tests.test_stream_ends",
--- /dev/null
+++ b/tests/test_stream_end_doubts.py
@@ -0,0 +1,188 @@
+"""Tests of evidence for the ends of streams where little time, or little else, is left."""
+
+import asyncio
+import time
+import unittest
+from collections.abc import AsyncGenerator
+from unittest.mock import patch
+
+from lacewinghub.end_witness import EndWitness, Testimony
+from lacewinghub.fakes.platform_moves import LiveRun
+from lacewinghub.fakes.platform_runner import FakeRunner, RunnerFault
+from lacewinghub.httpmessage import Headers, Incoming
+from lacewinghub.platform.report import decode_report
+from lacewinghub.proxyclient import Incarnation, ProxyClient, ResponseHead
+from lacewinghub.request import Request
+from lacewinghub.responder import Responder
+from lacewinghub.tables import Endpoint
+
+from .clock import simulate
+from .platform_cluster import PlatformCase, is_whole
+from .test_promptsplit import continued
+from .test_proxyrouter import EVENT, _router
+from .test_resumed_ends import EVENT_STREAM
+from .test_stream_end_rules import RawCase, events
+from .test_stream_ends import CUT_AFTER, Form
+from .test_stream_evidence import Cause, EvidenceCase
+
+ENDPOINT = Endpoint("m-0", "127.0.0.1:1", "zone-a", 8)
+STARTED_S = 1.0
+STOPS_AFTER_S = 0.12
+
+
+class StoppingClient(ProxyClient):
+    """Reaches a process that answers until it is gone, some time after the end of its stream."""
+
+    def __init__(self, gone_at: float = float("inf")) -> None:
+        self.gone_at = gone_at
+        self.calls = 0
+
+    async def incarnation(self, endpoint: Endpoint, limit_s: float) -> Incarnation | None:
+        self.calls += 1
+        is_gone = asyncio.get_running_loop().time() >= self.gone_at
+        return None if is_gone else Incarnation(STARTED_S)
+
+    async def stream(
+        self, endpoint: Endpoint, req: Request
+    ) -> AsyncGenerator[ResponseHead | bytes, None]:
+        yield ResponseHead(200, EVENT_STREAM, framed=False)
+        yield EVENT
+
+
+def testify(client: ProxyClient, left_s: float) -> tuple[Testimony, float]:
+    """Return what a process says after an end at time 0, and how long that took, in seconds."""
+
+    async def main() -> tuple[Testimony, float]:
+        witness = EndWitness(client, lambda name: STARTED_S)
+        found = await witness.testify("a", ENDPOINT, STARTED_S, left_s)
+        return found, asyncio.get_running_loop().time()
+
+    return simulate(main)  # type: ignore[no-any-return]
+
+
+class TestLittleTime(unittest.TestCase):
+    """Guards against a report from before the process is gone, since the deadline is near."""
+
+    def test_a_process_that_stops(self) -> None:
+        for left_s in (0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.0, 3.0):
+            with self.subTest(left_s):
+                found, took_s = testify(StoppingClient(STOPS_AFTER_S), left_s)
+                self.assertEqual(found, Testimony.SILENT)
+                self.assertLess(took_s, left_s)
+
+    def test_a_process_that_lives(self) -> None:
+        for left_s in (0.6, 0.8, 1.0, 3.0):
+            with self.subTest(left_s):
+                found, took_s = testify(StoppingClient(), left_s)
+                self.assertEqual(found, Testimony.FINISHED)
+                self.assertLess(took_s, left_s)
+
+
+class TestReports(unittest.TestCase):
+    """Guards against a report whose odd members end the request with an error, or vouch for it."""
+
+    def test_ids_that_are_none(self) -> None:
+        number = b"9" * 5000
+        for row in (b"[%b]" % number, b"[7]", b"[null, 1]", b'[["a"]]'):
+            with self.subTest(row[:20]):
+                self.assertIsNone(decode_report(b'{"born": 1500, "runs": [%b]}' % row))
+
+
+class TestNearDeadline(EvidenceCase):
+    """Guards against the same on real sockets."""
+
+    async def test_a_process_that_stops(self) -> None:
+        await self.begin(Cause.STOPPED)
+        for _ in range(3):
+            answer, was_reset = await self.exchange("/chat/a", deadline_ms=250)
+            self.assertFalse(is_whole(answer) and not was_reset, answer.count(b"data: piece"))
+
+
+class TestFrozenNode(EvidenceCase):
+    """Guards against a sound stream that is broken off since its node was frozen in the wait."""
+
+    async def test_a_node_that_is_frozen_after_the_end(self) -> None:
+        await self.begin(Cause.SOUND)
+        asked = asyncio.create_task(self.exchange("/chat/a"))
+        await asyncio.sleep(0.2)
+        time.sleep(1.0)
+        answer, was_reset = await asked
+        self.assertTrue(is_whole(answer) and not was_reset, answer[-30:])
+
+
+class TestEmptyContinuations(RawCase):
+    """Guards against a continuation that ends after its head, and is taken for agreement."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        # The runners still execute the run whose connection something between has ended.
+        for server in self.models:
+            for attempt in ("raw", "again"):
+                server.moves.live[attempt] = LiveRun(attempt, CUT_AFTER)
+
+    async def test_a_take_up_whose_runner_still_executes_it(self) -> None:
+        self.answer((Form.CLOSED, []))
+        self.assertEqual(await self.take_up(CUT_AFTER), ("broken off", 0))
+
+    async def test_a_question_whose_runner_still_executes_it(self) -> None:
+        self.answer((Form.CLOSED, events(1, CUT_AFTER)), (Form.CLOSED, []))
+        self.assertEqual((await self.play("/draft/a"))[:2], ("broken off", CUT_AFTER))
+
+
+class DyingService(FakeRunner):
+    """A plain service whose process dies in the middle of an answer without framing."""
+
+    async def _answer(
+        self, incoming: Incoming, out: Responder, base_headers: Headers, fault: RunnerFault | None
+    ) -> None:
+        await super()._answer(incoming, out, base_headers, RunnerFault.UNFRAMED_SHORT)
+        await self._server.close()
+
+
+class TestPlainAnswers(PlatformCase):
+    """Guards against a part of a plain answer that ends in order, since its process has died."""
+
+    async def test_a_service_that_dies(self) -> None:
+        for server in self.apps:
+            server.__class__ = DyingService
+        for path in ("/lookup/a", "/once/a"):
+            with self.subTest(path):
+                answer, was_reset = await self.exchange(path)
+                self.assertFalse(is_whole(answer) and not was_reset, answer[-20:])
+
+
+class TestSlots(unittest.TestCase):
+    """Guards against slots that stay taken while nothing runs at their endpoint."""
+
+    def test_a_slot_is_free_while_the_end_waits(self) -> None:
+        released_at: list[float] = []
+
+        async def main() -> float:
+            loop = asyncio.get_running_loop()
+            router = _router(StoppingClient())
+            scheduler = router._dispatch_deps.scheduler
+            with patch.object(scheduler, "release", lambda *_: released_at.append(loop.time())):
+                async for _ in router.stream(continued(100)):
+                    pass
+            return loop.time()
+
+        self.assertGreater(simulate(main), 0.0)
+        self.assertEqual(released_at, [0.0])
+
+
+class TestManyEnds(EvidenceCase):
+    """Guards against a call and a connection for each of many ends at one runner."""
+
+    runners = 1
+    STREAMS = 12
+
+    async def test_reports_for_many_ends_at_once(self) -> None:
+        asked = [self.exchange("/chat/a", attempt=f"many-{n}") for n in range(self.STREAMS)]
+        answers = await asyncio.gather(*asked)
+        whole = [item for item, was_reset in answers if is_whole(item) and not was_reset]
+        self.assertEqual(len(whole), self.STREAMS)
+        self.assertLess(self.models[0].reports, self.STREAMS / 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
