Ask for no report before it can speak of the time after the end

The wait of 0.5 s was halved with the time left, so that close to a deadline a process that was about to end vouched for its stream: in 3 of 3 streams with a deadline of 250 ms, 4 of 10 events counted as whole. Now a request that has no more than 0.52 s left asks nobody, and one with a little more spends up to 0.6 s of it. A sound stream without framing whose end falls into the last half second of its deadline is broken off where no runner can be asked.

Measured: test_stream_evidence, test_stream_ends and test_stream_end_rules passed once each; TestLittleTime and TestNearDeadline failed before and pass.

--- a/lacewinghub/end_witness.py
+++ b/lacewinghub/end_witness.py
@@ -12,6 +12,7 @@
 from typing import TypeVar
 
 from .proxyclient import ProxyClient
+from .stream_end import DEADLINE_MARGIN_S
 from .tables import Endpoint
 
 # Reports are some hundred milliseconds old, and a process that stops ends its connections before it
@@ -19,8 +20,10 @@
 SETTLED_S = 0.5
 # A sound endpoint may be silent for a second; clients leave after two without an event.
 MAX_WAIT_S = 1.7
-# Share of the time left that is spent on it at most, so that another endpoint can go on.
+# Share of the time left that is spent on it at most, so that another endpoint can go on; unless it
+# is too short for an answer.
 WAIT_SHARE = 0.6
+ANSWER_S = 0.1
 # A process that was not reached is asked once more: it may have had too many connections.
 MAX_FAILURES = 2
 POLL_S = 0.1
@@ -88,11 +91,15 @@
             left_s: Time until the deadline of the request, in seconds.
             only_lives: True if it is enough that the process lives.
         """
-        limit_s = min(MAX_WAIT_S, WAIT_SHARE * left_s)
+        usable_s = left_s - DEADLINE_MARGIN_S
+        limit_s = min(MAX_WAIT_S, max(WAIT_SHARE * left_s, min(SETTLED_S + ANSWER_S, usable_s)))
+        if limit_s <= SETTLED_S:
+            # An earlier report would say nothing of the time after the end.
+            return Testimony.SILENT
         limit = _now() + limit_s
         found = Testimony.SILENT
         failures = 0
-        await asyncio.sleep(min(SETTLED_S, limit_s / 2))
+        await asyncio.sleep(SETTLED_S)
         while (wait_s := limit - _now()) > 0.0 and failures < MAX_FAILURES:
             incarnation = await self._client.incarnation(endpoint, wait_s)
             if incarnation is None:
