Take an empty continuation for agreement only once its run is no longer executed

A run that was asked to go on, or that a client took up, and that ended after its head without framing, counted as agreement if its process lived. Something between may have ended the connection while the runner still read its prompt: streams ended as whole after 4 of 10 events, and take-ups after none. The report that is read anyway says whether the run goes on, so that the shorter check is gone.

What remains: a runner that has noticed the end of that connection no longer lists the run.

--- a/lacewinghub/end_witness.py
+++ b/lacewinghub/end_witness.py
@@ -80,7 +80,6 @@
         endpoint: Endpoint,
         started: float | None,
         left_s: float,
-        only_lives: bool = False,
     ) -> Testimony:
         """Return what the process says that wrote the stream of a request.
 
@@ -89,7 +88,6 @@
             endpoint: Endpoint that wrote the stream.
             started: Start time of its process as known when the run began, in seconds.
             left_s: Time until the deadline of the request, in seconds.
-            only_lives: True if it is enough that the process lives.
         """
         usable_s = left_s - DEADLINE_MARGIN_S
         limit_s = min(MAX_WAIT_S, max(WAIT_SHARE * left_s, min(SETTLED_S + ANSWER_S, usable_s)))
@@ -108,7 +106,7 @@
             elif started is None or incarnation.started != started:
                 _remember(self._stated, endpoint.name, incarnation.started)
                 return Testimony.OTHER_PROCESS
-            elif only_lives or request_id not in incarnation.running:
+            elif request_id not in incarnation.running:
                 return Testimony.FINISHED
             else:
                 # The report is some hundred milliseconds old.
