Take a report whose runs have no ids for none

Ids that are numbers, null or lists were turned into texts that no request has, so that such a report vouched for the end of any stream. It now says nothing.

--- a/lacewinghub/platform/report.py
+++ b/lacewinghub/platform/report.py
@@ -32,4 +32,7 @@
         report = _Report.model_validate_json(data)
     except ValidationError:
         return None
-    return Incarnation(report.born / 1000, frozenset(str(row[0]) for row in report.runs if row))
+    ids = [row[0] for row in report.runs if row]
+    if not all(isinstance(item, str) for item in ids):
+        return None  # Which requests it executes is unknown.
+    return Incarnation(report.born / 1000, frozenset(ids))
