Ask for a report also if the node was frozen while it waited

After a freeze longer than the limit nobody was asked, and a sound stream was broken off with time left.

--- a/lacewinghub/end_witness.py
+++ b/lacewinghub/end_witness.py
@@ -98,6 +98,9 @@
         found = Testimony.SILENT
         failures = 0
         await asyncio.sleep(SETTLED_S)
+        if _now() >= limit:
+            # This node was frozen meanwhile. The deadline of the request still ends the call.
+            limit = _now() + ANSWER_S
         while (wait_s := limit - _now()) > 0.0 and failures < MAX_FAILURES:
             incarnation = await self._client.incarnation(endpoint, wait_s)
             if incarnation is None:
