Ask earlier near a deadline only where two runs agree

The stricter wait broke off a sound stream whose end was confirmed 0.1 s before its deadline (test_ends_at_the_deadline in test_proxyrouter failed). A take-up that adds nothing has no second run, so that it no longer counts as agreement: it takes the full wait, and none of a process whose ends were misleading.

--- a/lacewinghub/end_settlement.py
+++ b/lacewinghub/end_settlement.py
@@ -147,7 +147,7 @@
             log_whole(req.id, writer.name, None, "a stream of this process has ended too early")
             return False
         left_s = _state_of(req).deadline - asyncio.get_running_loop().time()
-        found = await self._witness.testify(req.id, writer, started, left_s)
+        found = await self._witness.testify(req.id, writer, started, left_s, agrees)
         evidence = Evidence.TESTIMONY if found is Testimony.FINISHED else None
         log_whole(req.id, writer.name, evidence, str(found))
         return evidence is not None
--- a/lacewinghub/end_witness.py
+++ b/lacewinghub/end_witness.py
@@ -80,6 +80,7 @@
         endpoint: Endpoint,
         started: float | None,
         left_s: float,
+        agrees: bool = False,
     ) -> Testimony:
         """Return what the process says that wrote the stream of a request.
 
@@ -88,16 +89,19 @@
             endpoint: Endpoint that wrote the stream.
             started: Start time of its process as known when the run began, in seconds.
             left_s: Time until the deadline of the request, in seconds.
+            agrees: True if two runs agree, so that the process may be asked earlier if time is
+                short.
         """
         usable_s = left_s - DEADLINE_MARGIN_S
         limit_s = min(MAX_WAIT_S, max(WAIT_SHARE * left_s, min(SETTLED_S + ANSWER_S, usable_s)))
-        if limit_s <= SETTLED_S:
+        settled_s = min(SETTLED_S, limit_s / 2) if agrees else SETTLED_S
+        if limit_s <= settled_s:
             # An earlier report would say nothing of the time after the end.
             return Testimony.SILENT
         limit = _now() + limit_s
         found = Testimony.SILENT
         failures = 0
-        await asyncio.sleep(SETTLED_S)
+        await asyncio.sleep(settled_s)
         if _now() >= limit:
             # This node was frozen meanwhile. The deadline of the request still ends the call.
             limit = _now() + ANSWER_S
--- a/lacewinghub/proxyrouter.py
+++ b/lacewinghub/proxyrouter.py
@@ -439,7 +439,8 @@
         if _state_of(req).resumable and adds_events:
             return False
         started = progress.question.started
-        return await self._settlement.has_finished(req, endpoint, started, agrees=not adds_events)
+        agrees = not adds_events and progress.question.writer is not None
+        return await self._settlement.has_finished(req, endpoint, started, agrees)
 
     def _count_usage(self, req: Request, progress: _Progress) -> None:
         """Count a request that began to run, once for all its attempts."""
