--- a/tests/test_stream_end_processes.py
+++ b/tests/test_stream_end_processes.py
@@ -243,6 +243,13 @@
         self.check_order()
         self.check_calm()
 
+    async def test_streams_that_cannot_be_resumed(self) -> None:
+        await self.play(("/draft/a", "/chat/a"), self.cut_relay)
+        with self.subTest("order"):
+            self.check_order()
+        with self.subTest("calm"):
+            self.check_calm()
+
 
 if __name__ == "__main__":
     unittest.main()
