Look again, after the wait, whether the ends of a process have misled

What ends a connection between two living hosts often ends several at once. A stream that may be resumed went on within milliseconds, but one that may not had been checked before its wait of 0.5 s, and then ended as whole after 4 of 10 events.

Measured: TestEndsAtOnce failed before and passes; TestMisleadingEnds passed.

--- a/lacewinghub/end_settlement.py
+++ b/lacewinghub/end_settlement.py
@@ -143,11 +143,14 @@
             started: Start time of its process, as announced when the run began, in seconds.
             agrees: True if the run was asked whether a stream goes on, and added nothing.
         """
+        left_s = _state_of(req).deadline - asyncio.get_running_loop().time()
+        found = Testimony.SILENT
+        if agrees or not self._witness.is_distrusted(writer, started):
+            found = await self._witness.testify(req.id, writer, started, left_s, agrees)
+        # What ended this connection may have ended others, too, that went on during the wait.
         if not agrees and self._witness.is_distrusted(writer, started):
             log_whole(req.id, writer.name, None, "a stream of this process has ended too early")
             return False
-        left_s = _state_of(req).deadline - asyncio.get_running_loop().time()
-        found = await self._witness.testify(req.id, writer, started, left_s, agrees)
         evidence = Evidence.TESTIMONY if found is Testimony.FINISHED else None
         log_whole(req.id, writer.name, evidence, str(found))
         return evidence is not None
--- a/tests/test_stream_end_doubts.py
+++ b/tests/test_stream_end_doubts.py
@@ -151,6 +151,20 @@
                 self.assertFalse(is_whole(answer) and not was_reset, answer[-20:])
 
 
+class TestEndsAtOnce(EvidenceCase):
+    """Guards against trust in an end whose cause has shown itself in another stream meanwhile."""
+
+    runners = 1
+
+    async def test_a_stream_that_cannot_be_resumed_beside_one_that_goes_on(self) -> None:
+        await self.begin(Cause.RELAY)
+        (chat, was_reset), (draft, _) = await asyncio.gather(
+            self.exchange("/chat/a", attempt="chat"), self.exchange("/draft/a", attempt="draft")
+        )
+        self.assertTrue(is_whole(draft))
+        self.assertFalse(is_whole(chat) and not was_reset, chat[-30:])
+
+
 class TestSlots(unittest.TestCase):
     """Guards against slots that stay taken while nothing runs at their endpoint."""
 
