Let two runs that agree outweigh an earlier run that is still listed

A run whose connection something between has ended may be listed for long under the id of its request. The check stays for take-ups, which have no second run.

--- a/lacewinghub/end_witness.py
+++ b/lacewinghub/end_witness.py
@@ -90,7 +90,7 @@
             started: Start time of its process as known when the run began, in seconds.
             left_s: Time until the deadline of the request, in seconds.
             agrees: True if two runs agree, so that the process may be asked earlier if time is
-                short.
+                short, and need only live: it may still list the first run under the same id.
         """
         usable_s = left_s - DEADLINE_MARGIN_S
         limit_s = min(MAX_WAIT_S, max(WAIT_SHARE * left_s, min(SETTLED_S + ANSWER_S, usable_s)))
@@ -113,7 +113,7 @@
             elif started is None or incarnation.started != started:
                 _remember(self._stated, endpoint.name, incarnation.started)
                 return Testimony.OTHER_PROCESS
-            elif request_id not in incarnation.running:
+            elif agrees or request_id not in incarnation.running:
                 return Testimony.FINISHED
             else:
                 # The report is some hundred milliseconds old.
