Notice each interruption of the knowledge of endpoints

Cause: the version history looked at the age of what the node knows only in its own checks, so that an interruption that began and ended between two of them (0.5 s) went unnoticed. In addition a read of the log counted from the moment at which its answer was processed: a node that had stood still took an answer from before that for the state of now.

Change: the topic tells the history how old its knowledge was each time newer knowledge replaces it, a read counts from the time of its request, and a suspension counts before the watch has reported it.

The test of the case is changed: the history cannot see an age that nothing asks it for, so that the test now calls what the topic calls. New tests of the node check that the topic does so for reads of the log and of peers.

--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -376,7 +376,7 @@
         directory = self._directory
         history = self._versions = VersionHistory(
             directory.versions,
-            lambda: self._endpoints_topic.knowledge_age_s,
+            self._endpoints_age_s,
             CURRENT_SHARE * self.cfg.drain_s,
             is_first_start=self.cfg.is_first_start,
         )
@@ -470,6 +470,7 @@
         endpoints = adapter.endpoints(self._directory)
         timing = _turn_timing(self.cfg.drain_s, ENDPOINTS_PAUSE_S)
         topic = self._endpoints_topic = self._relayed_topic("endpoints", endpoints, timing)
+        topic.on_renewal(self._versions.on_renewal)
         self._suspend.listen(topic.on_resume)
         self._endpoints = Follower("endpoints", topic, endpoints.sink, self._endpoints_read_timing)
 
@@ -498,6 +499,10 @@
             return None
         return RunMover(self._directory, self._scheduler, client, budget, self.cfg.drain_s)
 
+    def _endpoints_age_s(self) -> float:
+        """Return the age of the knowledge of the endpoints, in seconds."""
+        return self._endpoints_topic.knowledge_age_s + self._suspend.unnoticed_s
+
     def _tables(self) -> Tables:
         return self._directory.tables
 
--- a/lacewinghub/relayedtopic.py
+++ b/lacewinghub/relayedtopic.py
@@ -105,7 +105,7 @@
         """Count the time for which the host was suspended to the age of this node's knowledge."""
         self._turns.on_resume(suspended_s)
         self._freshness.on_resume(suspended_s)
-        self._peer_read_at -= suspended_s
+        self._known_at -= suspended_s
 
     @property
     def age_s(self) -> float:
@@ -146,6 +146,7 @@
         if news.age_ms < 0 or not self._freshness.on_news(read, news.age_ms):
             return
         self._turns.on_news(self._freshness.read_at)
+        self._renew(self._freshness.read_at)
         if self._lost and self._turns.age_s() < CURRENT_S:
             self._heard.set()
 
@@ -212,8 +213,8 @@
             self._tell_peers()
         return merged
 
-    def _on_log_read(self) -> None:
-        super()._on_log_read()
+    def _on_log_read(self, sent_at: float) -> None:
+        super()._on_log_read(sent_at)
         self._turns.on_read()
         if self._lost:
             self._restored_at = _now()
--- a/lacewinghub/sharedtopic.py
+++ b/lacewinghub/sharedtopic.py
@@ -105,10 +105,12 @@
         # Era of the log to which all offsets here belong.
         self._era = 0
         self._freshness = Freshness(self._rng)
-        # Loop time of the newest read of the log by a peer of which this node has the result.
-        self._peer_read_at = float("-inf")
+        # This node knows all changes that were made before this loop time. An answer may wait for a
+        # long time before it is processed, so that a read counts from the time of its request on.
+        self._known_at = float("-inf")
         self._restored_at = float("-inf")
         self._rewind_listeners: list[Callable[[], None]] = []
+        self._renewal_listeners: list[Callable[[float], None]] = []
         self._behind_since: float | None = None
         self._replies: asyncio.Queue[RecordsReply] = asyncio.Queue()
         transport.subscribe(RecordsRequest, self._on_request)
@@ -118,13 +120,20 @@
         """Register a function that is called when the log came back from an older copy."""
         self._rewind_listeners.append(listener)
 
+    def on_renewal(self, listener: Callable[[float], None]) -> None:
+        """Register a function that is called when newer knowledge replaces that of this node.
+
+        Its argument is the value of ``knowledge_age_s`` until then.
+        """
+        self._renewal_listeners.append(listener)
+
     @property
     def knowledge_age_s(self) -> float:
-        """Time since a read of the log, by this node or a peer, whose result this node has.
+        """Time since the request of the newest read of the log whose result this node has.
 
-        In seconds; infinite if there was none.
+        In seconds; infinite if there was none. The read may be one of a peer.
         """
-        return min(self._freshness.age_s, _now() - self._peer_read_at)
+        return _now() - self._known_at
 
     async def newest(self) -> KeyedPage:
         """Read the newest record of each key."""
@@ -249,14 +258,24 @@
             return found
         finally:
             await _cancel(task)
-        self._on_log_read()
+        self._on_log_read(sent_at)
         return page
 
-    def _on_log_read(self) -> None:
-        """Record that the log answered this node."""
+    def _on_log_read(self, sent_at: float) -> None:
+        """Record that the log answered a request that was sent at a loop time."""
         self._freshness.on_read()
+        self._renew(sent_at)
         self._behind_since = None
 
+    def _renew(self, known_at: float) -> None:
+        """Record that this node knows all changes that were made before a loop time."""
+        if known_at <= self._known_at:
+            return
+        age_s = self.knowledge_age_s
+        self._known_at = known_at
+        for listener in self._renewal_listeners:
+            listener(age_s)
+
     def _on_log_failed(self, exc: LogUnavailable) -> None:
         """Handle that the log did not answer this node."""
         self._failures.record()
@@ -279,12 +298,13 @@
         Raises:
             RecordsExpired: If the peer no longer has all changes from this offset on.
         """
+        asked_at = _now()
         reply = await self._best_reply(start, self._transport.peers())
         if reply is None:
             return None
         page = self._page_of(reply, start)
         if reply.age_ms >= 0:
-            self._peer_read_at = max(self._peer_read_at, _now() - reply.age_ms / 1000)
+            self._renew(asked_at - reply.age_ms / 1000)
         return page
 
     def _page_of(self, reply: RecordsReply, start: int) -> KeyedPage:
--- a/lacewinghub/suspend.py
+++ b/lacewinghub/suspend.py
@@ -34,20 +34,25 @@
 
     def __init__(self, total: Callable[[], float] = suspended_s) -> None:
         self._total = total
+        self._seen = total()
         self._listeners: list[Callable[[float], None]] = []
 
+    @property
+    def unnoticed_s(self) -> float:
+        """Length of a suspension of which the listeners have not been notified yet, in seconds."""
+        unnoticed = self._total() - self._seen
+        return unnoticed if unnoticed > MIN_SUSPENDED_S else 0.0
+
     def listen(self, listener: Callable[[float], None]) -> None:
         """Register a function that is called with the length of each suspension, in seconds."""
         self._listeners.append(listener)
 
     async def run(self) -> None:
         """Compare the clocks until cancelled."""
-        seen = self._total()
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            now = self._total()
-            if now - seen > MIN_SUSPENDED_S:
-                logger.bind(suspended_s=round(now - seen, 3)).warning("the host was suspended")
+            suspended, self._seen = self.unnoticed_s, self._total()
+            if suspended:
+                logger.bind(suspended_s=round(suspended, 3)).warning("the host was suspended")
                 for listener in self._listeners:
-                    listener(now - seen)
-            seen = now
+                    listener(suspended)
--- a/lacewinghub/version_history.py
+++ b/lacewinghub/version_history.py
@@ -113,6 +113,15 @@
             if any(added):
                 self._notify(pool)
 
+    def on_renewal(self, age_s: float) -> None:
+        """Handle that newer knowledge of the endpoints replaces the one of this node.
+
+        Args:
+            age_s: Age of the replaced knowledge, in seconds.
+        """
+        if age_s > self._current_s:
+            self.on_interrupted()
+
     def on_interrupted(self) -> None:
         """Handle that this node may have missed versions, for example while it was suspended."""
         self._restored, self._watched_since = False, None
--- a/tests/test_version_rules.py
+++ b/tests/test_version_rules.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import unittest
+from collections.abc import Callable
 from typing import Any
 
 from lacewinghub.fakes.platform_runner import FakeRunner
 from lacewinghub.fakes.platform_store import StoreFault
+from lacewinghub.message import TopicOffset
 from lacewinghub.version_history import CURRENT_S, KEEP_S, VersionHistory
 
 from .clock import simulate, simulated, wall
@@ -71,13 +73,15 @@
         simulate(play)
 
     def test_an_interruption_between_two_checks(self) -> None:
-        # Guards against a node that is current again before it has looked at its age.
+        # Guards against a node that is current again before it has looked at its age. What renews
+        # its knowledge tells the history how old the former one was.
         async def play() -> None:
             seen = Ages("A")
             history = seen.history()
             history.restore({"p": {"A": None}})
             seen.age_s = CURRENT_S + 6
             await asyncio.sleep(0.3)  # Less than the interval of the checks.
+            history.on_renewal(seen.age_s)
             seen.age_s = 0.0
             self.assertIsNone(history.sole_version("p"))
 
@@ -266,9 +270,49 @@
         await self.until(self.is_restored)
         for listener in node._suspend._listeners:
             listener(SUSPENDED_S)
-        node._endpoints_topic._on_log_read()  # The next read ends before the next check.
+        # The next read ends before the next check.
+        node._endpoints_topic._on_log_read(asyncio.get_running_loop().time())
         self.assertTrue(node._versions.needs_restore())
 
+    async def test_the_history_is_not_complete_before_the_suspension_is_noticed(self) -> None:
+        # Guards against a request that is the first one to run after a suspension.
+        (node,) = self.members
+        await self.until(self.is_restored)
+        self.assertEqual(node._versions.sole_version("models"), V1)
+        suspended = node._suspend._total() + SUSPENDED_S
+        node._suspend._total = lambda: suspended
+        self.assertIsNone(node._versions.sole_version("models"))
+
+    async def test_the_history_is_read_again_if_the_next_read_comes_late(self) -> None:
+        # Guards against a read that ends before the first check after an interruption.
+        (node,) = self.members
+        topic = node._endpoints_topic
+        loop = asyncio.get_running_loop()
+        renewals: list[tuple[str, Callable[[], object]]] = [
+            ("a read of the log", lambda: topic._on_log_read(loop.time())),
+            (
+                "a peer",
+                lambda: topic._on_read_of_peer(TopicOffset("endpoints", 0, 0, 0, 10, 4711, 1)),
+            ),
+        ]
+        for name, renew in renewals:
+            with self.subTest(name):
+                await self.until(self.is_restored)
+                topic._known_at -= SUSPENDED_S
+                topic._freshness.read_at -= SUSPENDED_S
+                renew()
+                self.assertTrue(node._versions.needs_restore())
+
+    async def test_a_read_counts_from_its_request(self) -> None:
+        # Guards against an answer that waited while the node stood still.
+        (node,) = self.members
+        topic = node._endpoints_topic
+        await self.until(self.is_restored)
+        loop = asyncio.get_running_loop()
+        topic._known_at = loop.time() - SUSPENDED_S
+        topic._on_log_read(loop.time() - CURRENT_S - 1.0)
+        self.assertFalse(node._versions.is_current())
+
     async def is_restored(self) -> bool:
         """Return whether the node has read the history."""
         return not self.members[0]._versions.needs_restore()
