Send streams only to the process that a runner's record describes

Cause: a runner that restarts under its id with other software keeps its id and its address, so that until its new record was read it continued streams of the old software, and streams that began there were recorded under the old version.

Change: a request that continues a stream, or begins one that may be continued, goes out only on a connection whose process is known. On a new one the process is asked for its report first; its start must be that of the record. A connection that is opened while a proven one is open needs no call, since a process that ends closes its connections. A runner that states no start is asked once; one that does not answer within 0.5 s gets new streams, but none that goes on.

--- a/lacewinghub/directory.py
+++ b/lacewinghub/directory.py
@@ -114,6 +114,10 @@
         item = self._known.get(name)
         return item.started if item is not None else None
 
+    def announcement(self, name: str) -> Announcement | None:
+        """Return the announcement of a known endpoint, leaving ones included, or None."""
+        return self._known.get(name)
+
     def address(self, name: str) -> str | None:
         """Return the address of a known endpoint, or None."""
         item = self._known.get(name)
--- a/lacewinghub/endpoint_statements.py
+++ b/lacewinghub/endpoint_statements.py
@@ -1,10 +1,11 @@
 """What endpoints state about themselves in their answers, and who is told of it."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from .endpoint_pause import EndpointPauses
 from .endpoint_quota import EndpointQuotas
+from .incarnations import IncarnationProofs
 from .selection import LoadReports
 
 
@@ -17,9 +18,13 @@
         quotas: Rates of requests that an endpoint takes from all nodes together.
         pauses: Times for which an endpoint wants no requests of this node.
         on_leaving: Called with the name of an endpoint that leaves.
+        incarnations: Connections whose process stated that it is the announced one.
     """
 
     loads: LoadReports
     quotas: EndpointQuotas
     pauses: EndpointPauses
     on_leaving: Callable[[str], None]
+    incarnations: IncarnationProofs = field(
+        default_factory=lambda: IncarnationProofs(lambda name: None)
+    )
--- a/lacewinghub/httpclient.py
+++ b/lacewinghub/httpclient.py
@@ -142,11 +142,15 @@
         messages = self._receiver.messages
         return bool(messages) and messages[-1].headers_complete and not messages[-1].framed
 
+    @property
+    def is_open(self) -> bool:
+        """True if neither side has ended the connection."""
+        return not self._ended and not self._closed and self._broken is None
+
     @property
     def is_idle(self) -> bool:
         """True if the connection is open and has no unread messages."""
-        open_ = not self._ended and not self._closed
-        return open_ and self._broken is None and not self._receiver.messages
+        return self.is_open and not self._receiver.messages
 
     @property
     def flushed(self) -> bool:
--- a/lacewinghub/platform/runner.py
+++ b/lacewinghub/platform/runner.py
@@ -10,10 +10,12 @@
 
 from loguru import logger
 
+from ..continuation import continues_stream
 from ..endpoint import ConnectFailed, EndpointCrashed
 from ..endpoint_statements import EndpointStatements
 from ..httpclient import ConnectionBroken, ConnectionFailed, ConnectionPool, HttpConnection
 from ..httpmessage import COPIED_BYTES, CRLF, Incoming, encode_headers, end_to_end
+from ..incarnations import EndpointRestarted, needs_proof
 from ..move_client import MoveAnswer, MoveOutcome, RunMoveClient
 from ..proxyclient import EndpointBusy, Incarnation, ProxyClient, ResponseHead
 from ..request import ProxyState, Request, RunCopy
@@ -32,6 +34,7 @@
 # A body that is not passed on is read so that its connection can be reused, up to these limits.
 MAX_SKIPPED_BYTES = 64 * 1024
 MAX_SKIP_S = 0.5
+REPORT_LIMIT_S = 0.5  # Longest wait for a report before a request is sent.
 _NO_BODY = frozenset((b"GET", b"HEAD", b"DELETE"))
 # A handle becomes a part of a header and of a path.
 _HANDLE = re.compile(r"[!-~]{1,200}")
@@ -56,13 +59,9 @@
         """Send a request to a runner; see ``ProxyClient.stream``."""
         state = req.proxy
         assert state is not None
-        try:
-            # A request that is sent again may meet a late copy of the answer to its first sending.
-            is_repeat = state.sent > 1 or state.continued is not None or bool(state.last_event)
-            fresh = not state.repeatable or is_repeat
-            conn = await self._pool.get(endpoint.address, fresh)
-        except ConnectionFailed as exc:
-            raise ConnectFailed(exc.message, endpoint=endpoint.name) from exc
+        # A request that is sent again may meet a late copy of the answer to its first sending.
+        is_repeat = state.sent > 1 or state.continued is not None or bool(state.last_event)
+        conn = await self._connect(endpoint, req, fresh=not state.repeatable or is_repeat)
         response: Incoming | None = None
         state.abort = conn.close
         conn.expects_body = state.request.method != b"HEAD"
@@ -89,6 +88,63 @@
             else:
                 conn.close()
 
+    async def _connect(self, endpoint: Endpoint, req: Request, fresh: bool) -> HttpConnection:
+        """Return a connection to a runner; to the announced process if the request depends on it.
+
+        Raises:
+            ConnectFailed: If there is none.
+        """
+        try:
+            conn = await self._pool.get(endpoint.address, fresh)
+            if not needs_proof(req) or self._is_proven(endpoint, conn):
+                return conn
+            if conn.reused:
+                conn.close()  # The runner may be closing it just now.
+                conn = await self._pool.get(endpoint.address, fresh=True)
+            return await self._ask_for_proof(endpoint, conn, req)
+        except (ConnectionFailed, ConnectionBroken) as exc:
+            raise ConnectFailed(exc.message, endpoint=endpoint.name) from exc
+
+    def _is_proven(self, endpoint: Endpoint, conn: HttpConnection) -> bool:
+        """Return whether the process of a connection is the announced one, as far as it can tell.
+
+        Raises:
+            EndpointRestarted: If the endpoint is announced with other software by now.
+        """
+        try:
+            return not self._statements.incarnations.is_needed(endpoint, conn)
+        except EndpointRestarted:
+            conn.close()
+            raise
+
+    async def _ask_for_proof(
+        self, endpoint: Endpoint, conn: HttpConnection, req: Request
+    ) -> HttpConnection:
+        """Ask the process of a new connection for its incarnation.
+
+        Returns:
+            A connection to the same process, not a proven one if a new stream got no answer.
+
+        Raises:
+            ConnectionFailed: If the runner closed this connection and accepts no other one.
+            ConnectionBroken: If the connection ended, or a stream that goes on got no answer.
+            EndpointRestarted: If it is not the announced process.
+        """
+        keeps = False
+        try:
+            async with asyncio.timeout(REPORT_LIMIT_S):
+                response, data = await _exchange(conn, endpoint.address, b"GET", names.REPORT_PATH)
+            incarnation = decode_report(data) if response.status == 200 else None
+            self._statements.incarnations.check(endpoint, conn, incarnation)
+            keeps = response.keep_alive and response.framed and conn.discard(response)
+        except TimeoutError as exc:
+            if continues_stream(req):
+                raise ConnectionBroken("the runner does not report its incarnation") from exc
+        finally:
+            if not keeps:
+                conn.close()
+        return conn if keeps else await self._pool.get(endpoint.address, fresh=True)
+
     async def incarnation(self, endpoint: Endpoint, limit_s: float) -> Incarnation | None:
         """Ask a runner for its report; see ``ProxyClient.incarnation``."""
         try:
@@ -131,18 +187,7 @@
         """
         conn = await self._pool.get(address, fresh=True)
         try:
-            headers = [(b"host", address.encode())]
-            if body:
-                headers.append((b"content-type", b"application/json"))
-                headers.append((b"content-length", str(len(body)).encode()))
-            line = method + b" " + path + b" HTTP/1.1\r\n"
-            conn.send(line + encode_headers(headers) + CRLF + body)
-            response = await conn.read_head()
-            answer = b""
-            while data := await conn.read_body(response):
-                answer += data
-                if len(answer) > MAX_SKIPPED_BYTES:
-                    raise ConnectionBroken("the answer to a call is too long")
+            response, answer = await _exchange(conn, address, method, path, body)
             return response.status, answer
         finally:
             conn.close()
@@ -236,6 +281,29 @@
             self._statements.pauses.record(endpoint.name, pause_s)
 
 
+async def _exchange(
+    conn: HttpConnection, address: str, method: bytes, path: bytes, body: bytes = b""
+) -> tuple[Incoming, bytes]:
+    """Send a call that is no client's request; return the head and the body of its answer.
+
+    Raises:
+        ConnectionBroken: If there was no whole answer.
+    """
+    headers = [(b"host", address.encode())]
+    if body:
+        headers.append((b"content-type", b"application/json"))
+        headers.append((b"content-length", str(len(body)).encode()))
+    line = method + b" " + path + b" HTTP/1.1\r\n"
+    conn.send(line + encode_headers(headers) + CRLF + body)
+    response = await conn.read_head()
+    answer = b""
+    while data := await conn.read_body(response):
+        answer += data
+        if len(answer) > MAX_SKIPPED_BYTES:
+            raise ConnectionBroken("the answer to a call is too long")
+    return response, answer
+
+
 async def _skip_body(conn: HttpConnection, response: Incoming) -> None:
     """Read the rest of a body that is not passed on.
 
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -30,6 +30,7 @@
 from .history import History
 from .httpclient import ConnectionPool
 from .httpserver import HttpHandler, HttpServer
+from .incarnations import IncarnationProofs
 from .limit import RetryRule
 from .metricpage import MetricPage
 from .move_client import RunMoveClient
@@ -423,6 +424,7 @@
         self._build_origins()
         self._connections = ConnectionPool()
         self._pauses = EndpointPauses()
+        self._incarnations = IncarnationProofs(self._directory.announcement)
         reports = SharedLoadReports(self._runner_states)
         self._scheduler = ProxyScheduler(
             HealthyPools(self._tables, self._health),
@@ -449,7 +451,11 @@
             started=self._directory.announced_start,
         )
         statements = EndpointStatements(
-            reports, self._quotas, self._pauses, self._directory.mark_leaving
+            reports,
+            self._quotas,
+            self._pauses,
+            self._directory.mark_leaving,
+            self._incarnations,
         )
         client = adapter.client(self._connections, statements)
         self._mover = self._new_mover(client, dependencies.budget)
@@ -518,6 +524,7 @@
 
     def _on_restart(self, endpoint: Endpoint) -> None:
         self._connections.forget(endpoint.address)
+        self._incarnations.forget(endpoint)
         self._health.forget(endpoint.name)
         self._cache_sync.cache.forget(endpoint.name)
         self._runner_states.forget(endpoint.name)
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -38,6 +38,7 @@
     "tests.test_hostile_turns",
     "tests.test_hostile_unread",
     "tests.test_http",
+    "tests.test_incarnations",
     "tests.test_overlay",
     "tests.test_overlay_nodes",
     "tests.test_overload",
--- a/tests/test_version_rules.py
+++ b/tests/test_version_rules.py
@@ -225,8 +225,8 @@
         self.assertIn(await node.find(stream("again", "b")), ("B", GONE))
 
 
-class TestRestartedRunner(VersionCase):
-    """Guards against a runner with new software whose record the nodes have not read yet."""
+class RestartCase(VersionCase):
+    """Runners of one version that restart with new software; their records do not follow."""
 
     nodes = 1
     versions = (V1,)
@@ -240,15 +240,19 @@
             runner.born += RESTART_MS
             await runner.start(host, int(port))
 
-    async def joined(self, streams: list[BrokenStream]) -> list[set[str]]:
+    async def joined(self, streams: list[BrokenStream], node: int = 0) -> list[set[str]]:
         """Take streams up; return the versions of those that hold several."""
-        answers = await asyncio.gather(*(self.take_up(item) for item in streams))
+        answers = await asyncio.gather(*(self.take_up(item, node=node) for item in streams))
         found = [
             versions_in(item.body + answer.body)
             for item, answer in zip(streams, answers, strict=True)
         ]
         return [item for item in found if len(item) > 1]
 
+
+class TestRestartedRunner(RestartCase):
+    """Guards against a runner with new software whose record the nodes have not read yet."""
+
     async def test_streams_that_began_before_the_restart(self) -> None:
         streams = await self.begin(12)
         await self.restart_with_new_software()
