Hold a new version back while another one is announced

Cause: streams that may be resumed were to wait until all nodes know a new version, unless the pool has no endpoint of another one. The code looked at the usable endpoints: when the runners of the first version announced that they leave while the new ones joined, streams began at the new version at once. A node that had been cut off since before took them up at the first version, whose runners still serve.

Change: the version history decides, by all announced endpoints, leaving ones included.

The stub in test_proxyscheduler now keeps to what is_new says: a version is new beside another one only. The rule that moved is checked by a table of the history.

--- a/lacewinghub/continuation.py
+++ b/lacewinghub/continuation.py
@@ -36,13 +36,13 @@
 
     Args:
         req: The request.
-        endpoints: All usable endpoints of the pool.
-        is_new: Tells whether the version of an endpoint is new beside others.
+        endpoints: Endpoints of the pool.
+        is_new: Tells whether the version of an endpoint is new beside another one.
     """
     state = req.proxy
     if state is None or not (state.streaming and state.resumable) or _version(req) is not None:
         return list(endpoints)
-    return [item for item in endpoints if not is_new(item)] or list(endpoints)
+    return [item for item in endpoints if not is_new(item)]
 
 
 def may_move(source: Endpoint, target: Endpoint) -> bool:
--- a/lacewinghub/proxyscheduler.py
+++ b/lacewinghub/proxyscheduler.py
@@ -409,8 +409,7 @@
         is_new = self._is_new
         if is_new is None or not any(is_new(req.pool, item) for item in found):
             return found
-        usable = beginning(req, self.view.usable(req.pool), partial(is_new, req.pool))
-        return [item for item in found if item in usable]
+        return beginning(req, found, partial(is_new, req.pool))
 
     def _open_endpoints(self, req: Request, free: Sequence[Endpoint]) -> list[Endpoint]:
         """Return those of the free endpoints that may receive a request now."""
--- a/lacewinghub/version_history.py
+++ b/lacewinghub/version_history.py
@@ -153,10 +153,17 @@
         return self._restored and (self._is_first_start or pool in self._stored_pools)
 
     def is_new(self, pool: str, version: str) -> bool:
-        """Return whether a version appeared so lately that other nodes may not know of it yet.
+        """Return whether other nodes may not know of a version yet, but of another one.
 
-        They conclude from the versions that they know while this knowledge is current.
+        They conclude from the versions that they know while this knowledge is current. If no
+        endpoint of another version is known, leaving ones included, they could use none.
         """
+        if not self._appeared_lately(pool, version):
+            return False
+        others = self._present.get(pool, set()) - {version}
+        return any(not self._appeared_lately(pool, item) for item in others)
+
+    def _appeared_lately(self, pool: str, version: str) -> bool:
         until = self._new_until.get((pool, version))
         if until is None or until > _now():
             return until is not None
@@ -213,9 +220,9 @@
             return
         for version in now:
             self._gone.get(pool, {}).pop(version, None)
-        if before:
-            until = _now() + self._current_s + LEARNING_S
-            self._new_until |= {(pool, version): until for version in now - before}
+        appeared = now - before if before else set()
+        until = _now() + self._current_s + LEARNING_S
+        self._new_until |= {(pool, version): until for version in appeared}
         for version in sorted(before - now):
             self._new_until.pop((pool, version), None)
             self._add_gone(pool, version, _Gone(_now() + KEEP_S, self._wall()))
--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -124,11 +124,25 @@
 
     async def start_node(self, fault: StoreFault = StoreFault.NONE) -> ProxyNode:
         """Start a node on its own loopback address, with its own listener of the fake store."""
+        node = ProxyNode(PlatformAdapter(await self.new_boot(fault), metrics_port=0))
+        task = asyncio.create_task(node.run())
+        if not hasattr(self, "tasks"):
+            self.tasks: list[asyncio.Task[None]] = []
+        self.tasks.append(task)
+        started = asyncio.create_task(node.started.wait())
+        await asyncio.wait({task, started}, return_when=asyncio.FIRST_COMPLETED)
+        if task.done():
+            started.cancel()
+            task.result()  # Raises the error with which the node ended.
+        return node
+
+    async def new_boot(self, fault: StoreFault = StoreFault.NONE) -> Boot:
+        """Return the settings of a new node, with a listener of the fake store of its own."""
         listener = await self.store.open_listener()
         listener.fail(fault)
         self.listeners.append(listener)
         host = f"127.0.0.{len(self.listeners)}"
-        boot = Boot.model_validate(
+        return Boot.model_validate(
             {
                 "node_name": f"node-{len(self.listeners)}",
                 "zone": "zone-a",
@@ -142,17 +156,6 @@
             }
             | self.settings
         )
-        node = ProxyNode(PlatformAdapter(boot, metrics_port=0))
-        task = asyncio.create_task(node.run())
-        if not hasattr(self, "tasks"):
-            self.tasks: list[asyncio.Task[None]] = []
-        self.tasks.append(task)
-        started = asyncio.create_task(node.started.wait())
-        await asyncio.wait({task, started}, return_when=asyncio.FIRST_COMPLETED)
-        if task.done():
-            started.cancel()
-            task.result()  # Raises the error with which the node ended.
-        return node
 
     async def until_ready(self) -> None:
         """Wait until all nodes are ready."""
--- a/tests/test_proxyscheduler.py
+++ b/tests/test_proxyscheduler.py
@@ -362,7 +362,7 @@
 
     Args:
         v1: Numbers of the runners.
-        new: Version that is new.
+        new: Version that is new, if there is another one.
     """
     tables = Tables(version=1)
     tables.pools = {"p": Pool("p", versions(*v1))}
@@ -370,7 +370,7 @@
         TablesView(lambda: tables),
         LoadReports(),
         rng=random.Random(1),
-        is_new=lambda _, item: item.version == new,
+        is_new=lambda _, item: item.version == new and len(v1) < len(RUNNERS),
     )
 
 
--- a/tests/test_version_rules.py
+++ b/tests/test_version_rules.py
@@ -1,6 +1,7 @@
 """Tests of orders of events in which a stream could be joined from two software versions."""
 
 import asyncio
+import functools
 import unittest
 from collections.abc import Callable
 from typing import Any
@@ -8,7 +9,12 @@
 from lacewinghub.fakes.platform_runner import FakeRunner
 from lacewinghub.fakes.platform_store import StoreFault
 from lacewinghub.message import TopicOffset
-from lacewinghub.version_history import CURRENT_S, KEEP_S, VersionHistory
+from lacewinghub.version_history import (
+    CURRENT_S,
+    KEEP_S,
+    LEARNING_S,
+    VersionHistory,
+)
 
 from .clock import simulate, simulated, wall
 from .test_software_versions import (
@@ -88,6 +94,43 @@
         simulate(play)
 
 
+NewCase = tuple[str, list[tuple[float, dict[str, float]]], set[str], bool]
+# Steps of a pool (time until the next one in seconds, versions with the age of their first
+# endpoint), versions that are new at its end, whether the system starts for the first time.
+NEW_S = CURRENT_S + LEARNING_S
+OLD_S = 1000.0
+NEW_CASES: list[NewCase] = [
+    ("one version", [(1, {"A": OLD_S})], set(), False),
+    ("beside another one", [(1, {"A": OLD_S}), (1, {"A": OLD_S, "B": 1})], {"B"}, False),
+    ("no longer new", [(1, {"A": OLD_S}), (NEW_S, {"A": OLD_S, "B": 1})], set(), False),
+    ("the other one is gone", [(1, {"A": OLD_S}), (1, {"B": 1})], set(), False),
+    ("both are new", [(1, {"A": OLD_S}), (1, {"B": 1, "C": 1})], set(), False),
+]
+
+
+class TestNewVersions(unittest.TestCase):
+    """Guards against streams at a version of which other nodes may not know."""
+
+    def test_which_versions_are_new(self) -> None:
+        for case in NEW_CASES:
+            with self.subTest(case[0]):
+                simulate(functools.partial(self.check, case))
+
+    async def check(self, case: NewCase) -> None:
+        _, steps, new, is_first_start = case
+        ages: dict[str, float] = {}
+        history = VersionHistory(
+            lambda: {"p": set(ages)},
+            wall=wall,
+            is_first_start=is_first_start,
+        )
+        for duration_s, step in steps:
+            ages = step
+            history.on_endpoints_changed()
+            await asyncio.sleep(duration_s)
+        self.assertEqual({item for item in ages if history.is_new("p", item)}, new)
+
+
 class TestNodes(unittest.TestCase):
     nodes = 2
 
