Hold a young version back at a node that starts beside two

Cause: a node that starts has not seen when versions appeared and took none for new. Streams began at once at a version that another node, which had been cut off just before, did not know; it took them up at the first version.

Not at the first start of the system.

--- a/lacewinghub/directory.py
+++ b/lacewinghub/directory.py
@@ -179,6 +179,16 @@
             found.setdefault(item.pool, set()).add(item.endpoint.version)
         return found
 
+    def version_started(self, pool: str, version: str) -> float:
+        """Return when the first known endpoint of a version started by its own clock.
+
+        Returns:
+            Seconds since the epoch, 0 if it is unknown.
+        """
+        found = (item for item in self._known.values() if item.pool == pool)
+        starts = (item.started for item in found if item.endpoint.version == version)
+        return min(starts, default=0.0)
+
     def ends_at(self, name: str) -> float | None:
         """Return the loop time at which a leaving endpoint ends, in seconds; None if unknown."""
         return self._ends_at.get(name)
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -380,6 +380,7 @@
             self._endpoints_age_s,
             CURRENT_SHARE * self.cfg.drain_s,
             is_first_start=self.cfg.is_first_start,
+            started=directory.version_started,
         )
         directory.listen(lambda _: history.on_endpoints_changed())
         self._version_records = VersionRecords(
--- a/lacewinghub/version_history.py
+++ b/lacewinghub/version_history.py
@@ -51,6 +51,8 @@
         wall: Returns the wall time, in seconds since the epoch.
         is_first_start: True if the system starts for the first time, so that no stream began
             before; a pool without a stored history has then none.
+        started: Returns when the first known endpoint of a pool's version started, in seconds since
+            the epoch; 0 if that is unknown.
     """
 
     def __init__(
@@ -60,8 +62,10 @@
         current_s: float = CURRENT_S,
         wall: Callable[[], float] = time.time,
         is_first_start: bool = True,
+        started: Callable[[str, str], float] = lambda pool, version: 0.0,
     ) -> None:
         self._announced = announced
+        self._started = started
         self._age_s = age_s
         self._current_s = current_s
         self._wall = wall
@@ -220,7 +224,7 @@
             return
         for version in now:
             self._gone.get(pool, {}).pop(version, None)
-        appeared = now - before if before else set()
+        appeared = now - before if before else self._young(pool, now)
         until = _now() + self._current_s + LEARNING_S
         self._new_until |= {(pool, version): until for version in appeared}
         for version in sorted(before - now):
@@ -228,6 +232,20 @@
             self._add_gone(pool, version, _Gone(_now() + KEEP_S, self._wall()))
         self._notify(pool)
 
+    def _young(self, pool: str, versions: AbstractSet[str]) -> set[str]:
+        """Return which of the first known versions of a pool may have appeared just now.
+
+        A node that starts has not seen when they appeared. The start times of their endpoints are
+        those of the clocks of other hosts.
+        """
+        if self._is_first_start:
+            return set()
+        known_s = self._current_s + LEARNING_S + CLOCK_MARGIN_S
+        started = {item: self._started(pool, item) for item in versions}
+        oldest = min(started.values(), default=0.0)
+        limit = max(oldest, self._wall() - known_s)
+        return {item for item, at in started.items() if at > limit}
+
     def _add_stored(self, pool: str, version: str, last_seen: float | None) -> bool:
         """Add a stored version that no known endpoint has; return False if it does not count."""
         if last_seen is None:
--- a/tests/test_version_rules.py
+++ b/tests/test_version_rules.py
@@ -10,13 +10,14 @@
 from lacewinghub.fakes.platform_store import StoreFault
 from lacewinghub.message import TopicOffset
 from lacewinghub.version_history import (
+    CLOCK_MARGIN_S,
     CURRENT_S,
     KEEP_S,
     LEARNING_S,
     VersionHistory,
 )
 
-from .clock import simulate, simulated, wall
+from .clock import EPOCH_S, simulate, simulated, wall
 from .test_software_versions import (
     HISTORY_WRITTEN_S,
     RESTART_MS,
@@ -105,6 +106,12 @@
     ("no longer new", [(1, {"A": OLD_S}), (NEW_S, {"A": OLD_S, "B": 1})], set(), False),
     ("the other one is gone", [(1, {"A": OLD_S}), (1, {"B": 1})], set(), False),
     ("both are new", [(1, {"A": OLD_S}), (1, {"B": 1, "C": 1})], set(), False),
+    ("at the start of a node", [(1, {"A": OLD_S, "B": 1})], {"B"}, False),
+    ("at the start, some time later", [(NEW_S, {"A": OLD_S, "B": 1})], set(), False),
+    ("at the start, old enough", [(1, {"A": OLD_S, "B": 30.0})], set(), False),
+    ("at the start, by a wrong clock", [(1, {"A": OLD_S, "B": CLOCK_MARGIN_S})], {"B"}, False),
+    ("at the start, both are young", [(1, {"A": 3, "B": 1})], {"B"}, False),
+    ("at the first start", [(1, {"A": OLD_S, "B": 1})], set(), True),
 ]
 
 
@@ -123,6 +130,7 @@
             lambda: {"p": set(ages)},
             wall=wall,
             is_first_start=is_first_start,
+            started=lambda _, version: EPOCH_S - ages[version],
         )
         for duration_s, step in steps:
             ages = step
