Write up what happens at nodes that are out of step

Adds two cases with longer cuts, in which streams at the new version begin while the node is still cut off.

--- a/tests/test_cut_node.py
+++ b/tests/test_cut_node.py
@@ -13,7 +13,9 @@
     Fault("cut from both, refused", peers_s=5.0, store_s=5.0, store=StoreFault.RESET),
     Fault("cut from both for 3 s", peers_s=3.0, store_s=3.0),
     Fault("replaced, cut from both", peers_s=1.8, store_s=1.8, replaces=True),
+    Fault("replaced, cut for longer", peers_s=5.0, store_s=5.0, replaces=True),
     Fault("node starts, cut from both", peers_s=1.8, store_s=1.8, restarts=True),
+    Fault("node starts, cut for longer", peers_s=5.0, store_s=5.0, restarts=True),
 ]
 
 
