--- a/lacewinghub/directory.py
+++ b/lacewinghub/directory.py
@@ -114,6 +114,10 @@
         item = self._known.get(name)
         return item.started if item is not None else None
 
+    def announcement(self, name: str) -> Announcement | None:
+        """Return the announcement of a known endpoint, leaving ones included, or None."""
+        return self._known.get(name)
+
     def address(self, name: str) -> str | None:
         """Return the address of a known endpoint, or None."""
         item = self._known.get(name)
@@ -175,6 +179,16 @@
             found.setdefault(item.pool, set()).add(item.endpoint.version)
         return found
 
+    def version_started(self, pool: str, version: str) -> float:
+        """Return when the first known endpoint of a version started by its own clock.
+
+        Returns:
+            Seconds since the epoch, 0 if it is unknown.
+        """
+        found = (item for item in self._known.values() if item.pool == pool)
+        starts = (item.started for item in found if item.endpoint.version == version)
+        return min(starts, default=0.0)
+
     def ends_at(self, name: str) -> float | None:
         """Return the loop time at which a leaving endpoint ends, in seconds; None if unknown."""
         return self._ends_at.get(name)
--- a/lacewinghub/endpoint_statements.py
+++ b/lacewinghub/endpoint_statements.py
@@ -1,11 +1,12 @@
 """What endpoints state about themselves in their answers, and who is told of it."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from .brittle_statements import BrittleStatements
 from .endpoint_pause import EndpointPauses
 from .endpoint_quota import EndpointQuotas
+from .incarnations import IncarnationProofs
 from .selection import LoadReports
 
 
@@ -19,6 +20,7 @@
         pauses: Times for which an endpoint wants no requests of this node.
         on_leaving: Called with the name of an endpoint that leaves.
         brittle: Numbers of refusals that make endpoints fall over; None if they are not used.
+        incarnations: Connections whose process stated that it is the announced one.
     """
 
     loads: LoadReports
@@ -26,3 +28,6 @@
     pauses: EndpointPauses
     on_leaving: Callable[[str], None]
     brittle: BrittleStatements | None = None
+    incarnations: IncarnationProofs = field(
+        default_factory=lambda: IncarnationProofs(lambda name: None)
+    )
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -32,6 +32,7 @@
 from .history import History
 from .httpclient import ConnectionPool
 from .httpserver import HttpHandler, HttpServer
+from .incarnations import IncarnationProofs
 from .limit import RetryRule
 from .metricpage import MetricPage
 from .move_client import RunMoveClient
@@ -383,9 +384,10 @@
         directory = self._directory
         history = self._versions = VersionHistory(
             directory.versions,
-            lambda: self._endpoints_topic.knowledge_age_s,
+            self._endpoints_age_s,
             CURRENT_SHARE * self.cfg.drain_s,
             is_first_start=self.cfg.is_first_start,
+            started=directory.version_started,
         )
         directory.listen(lambda _: history.on_endpoints_changed())
         self._version_records = VersionRecords(
@@ -430,6 +432,8 @@
         self._build_origins()
         self._connections = ConnectionPool()
         self._pauses = EndpointPauses()
+        directory = self._directory
+        self._incarnations = IncarnationProofs(directory.announcement, directory.mark_leaving)
         reports = SharedLoadReports(self._runner_states)
         self._scheduler = ProxyScheduler(
             HealthyPools(self._tables, self._health),
@@ -462,6 +466,7 @@
             self._pauses,
             self._directory.mark_leaving,
             self._brittle.statements,
+            self._incarnations,
         )
         client = adapter.client(self._connections, statements)
         self._mover = self._new_mover(client, dependencies.budget)
@@ -482,6 +487,7 @@
         endpoints = adapter.endpoints(self._directory)
         timing = _turn_timing(self.cfg.drain_s, ENDPOINTS_PAUSE_S)
         topic = self._endpoints_topic = self._relayed_topic("endpoints", endpoints, timing)
+        topic.on_renewal(self._versions.on_renewal)
         self._suspend.listen(topic.on_resume)
         self._endpoints = Follower("endpoints", topic, endpoints.sink, self._endpoints_read_timing)
 
@@ -510,6 +516,10 @@
             return None
         return RunMover(self._directory, self._scheduler, client, budget, self.cfg.drain_s)
 
+    def _endpoints_age_s(self) -> float:
+        """Return the age of the knowledge of the endpoints, in seconds."""
+        return self._endpoints_topic.knowledge_age_s + self._suspend.unnoticed_s
+
     def _tables(self) -> Tables:
         return self._directory.tables
 
@@ -525,6 +535,7 @@
 
     def _on_restart(self, endpoint: Endpoint) -> None:
         self._connections.forget(endpoint.address)
+        self._incarnations.forget(endpoint)
         self._health.forget(endpoint.name)
         self._cache_sync.cache.forget(endpoint.name)
         self._runner_states.forget(endpoint.name)
--- a/tests/test_version_rules.py
+++ b/tests/test_version_rules.py
@@ -1,14 +1,23 @@
 """Tests of orders of events in which a stream could be joined from two software versions."""
 
 import asyncio
+import functools
 import unittest
+from collections.abc import Callable
 from typing import Any
 
 from lacewinghub.fakes.platform_runner import FakeRunner
 from lacewinghub.fakes.platform_store import StoreFault
-from lacewinghub.version_history import CURRENT_S, KEEP_S, VersionHistory
+from lacewinghub.message import TopicOffset
+from lacewinghub.version_history import (
+    CLOCK_MARGIN_S,
+    CURRENT_S,
+    KEEP_S,
+    LEARNING_S,
+    VersionHistory,
+)
 
-from .clock import simulate, simulated, wall
+from .clock import EPOCH_S, simulate, simulated, wall
 from .test_software_versions import (
     HISTORY_WRITTEN_S,
     RESTART_MS,
@@ -71,19 +80,65 @@
         simulate(play)
 
     def test_an_interruption_between_two_checks(self) -> None:
-        # Guards against a node that is current again before it has looked at its age.
+        # Guards against a node that is current again before it has looked at its age. What renews
+        # its knowledge tells the history how old the former one was.
         async def play() -> None:
             seen = Ages("A")
             history = seen.history()
             history.restore({"p": {"A": None}})
             seen.age_s = CURRENT_S + 6
             await asyncio.sleep(0.3)  # Less than the interval of the checks.
+            history.on_renewal(seen.age_s)
             seen.age_s = 0.0
             self.assertIsNone(history.sole_version("p"))
 
         simulate(play)
 
 
+NewCase = tuple[str, list[tuple[float, dict[str, float]]], set[str], bool]
+# Steps of a pool (time until the next one in seconds, versions with the age of their first
+# endpoint), versions that are new at its end, whether the system starts for the first time.
+NEW_S = CURRENT_S + LEARNING_S
+OLD_S = 1000.0
+NEW_CASES: list[NewCase] = [
+    ("one version", [(1, {"A": OLD_S})], set(), False),
+    ("beside another one", [(1, {"A": OLD_S}), (1, {"A": OLD_S, "B": 1})], {"B"}, False),
+    ("no longer new", [(1, {"A": OLD_S}), (NEW_S, {"A": OLD_S, "B": 1})], set(), False),
+    ("the other one is gone", [(1, {"A": OLD_S}), (1, {"B": 1})], set(), False),
+    ("both are new", [(1, {"A": OLD_S}), (1, {"B": 1, "C": 1})], set(), False),
+    ("at the start of a node", [(1, {"A": OLD_S, "B": 1})], {"B"}, False),
+    ("at the start, some time later", [(NEW_S, {"A": OLD_S, "B": 1})], set(), False),
+    ("at the start, old enough", [(1, {"A": OLD_S, "B": 30.0})], set(), False),
+    ("at the start, by a wrong clock", [(1, {"A": OLD_S, "B": CLOCK_MARGIN_S})], {"B"}, False),
+    ("at the start, both are young", [(1, {"A": 3, "B": 1})], {"B"}, False),
+    ("at the first start", [(1, {"A": OLD_S, "B": 1})], set(), True),
+]
+
+
+class TestNewVersions(unittest.TestCase):
+    """Guards against streams at a version of which other nodes may not know."""
+
+    def test_which_versions_are_new(self) -> None:
+        for case in NEW_CASES:
+            with self.subTest(case[0]):
+                simulate(functools.partial(self.check, case))
+
+    async def check(self, case: NewCase) -> None:
+        _, steps, new, is_first_start = case
+        ages: dict[str, float] = {}
+        history = VersionHistory(
+            lambda: {"p": set(ages)},
+            wall=wall,
+            is_first_start=is_first_start,
+            started=lambda _, version: EPOCH_S - ages[version],
+        )
+        for duration_s, step in steps:
+            ages = step
+            history.on_endpoints_changed()
+            await asyncio.sleep(duration_s)
+        self.assertEqual({item for item in ages if history.is_new("p", item)}, new)
+
+
 class TestNodes(unittest.TestCase):
     nodes = 2
 
@@ -221,8 +276,8 @@
         self.assertIn(await node.find(stream("again", "b")), ("B", GONE))
 
 
-class TestRestartedRunner(VersionCase):
-    """Guards against a runner with new software whose record the nodes have not read yet."""
+class RestartCase(VersionCase):
+    """Runners of one version that restart with new software; their records do not follow."""
 
     nodes = 1
     versions = (V1,)
@@ -236,15 +291,19 @@
             runner.born += RESTART_MS
             await runner.start(host, int(port))
 
-    async def joined(self, streams: list[BrokenStream]) -> list[set[str]]:
+    async def joined(self, streams: list[BrokenStream], node: int = 0) -> list[set[str]]:
         """Take streams up; return the versions of those that hold several."""
-        answers = await asyncio.gather(*(self.take_up(item) for item in streams))
+        answers = await asyncio.gather(*(self.take_up(item, node=node) for item in streams))
         found = [
             versions_in(item.body + answer.body)
             for item, answer in zip(streams, answers, strict=True)
         ]
         return [item for item in found if len(item) > 1]
 
+
+class TestRestartedRunner(RestartCase):
+    """Guards against a runner with new software whose record the nodes have not read yet."""
+
     async def test_streams_that_began_before_the_restart(self) -> None:
         streams = await self.begin(12)
         await self.restart_with_new_software()
@@ -266,9 +325,49 @@
         await self.until(self.is_restored)
         for listener in node._suspend._listeners:
             listener(SUSPENDED_S)
-        node._endpoints_topic._on_log_read()  # The next read ends before the next check.
+        # The next read ends before the next check.
+        node._endpoints_topic._on_log_read(asyncio.get_running_loop().time())
         self.assertTrue(node._versions.needs_restore())
 
+    async def test_the_history_is_not_complete_before_the_suspension_is_noticed(self) -> None:
+        # Guards against a request that is the first one to run after a suspension.
+        (node,) = self.members
+        await self.until(self.is_restored)
+        self.assertEqual(node._versions.sole_version("models"), V1)
+        suspended = node._suspend._total() + SUSPENDED_S
+        node._suspend._total = lambda: suspended
+        self.assertIsNone(node._versions.sole_version("models"))
+
+    async def test_the_history_is_read_again_if_the_next_read_comes_late(self) -> None:
+        # Guards against a read that ends before the first check after an interruption.
+        (node,) = self.members
+        topic = node._endpoints_topic
+        loop = asyncio.get_running_loop()
+        renewals: list[tuple[str, Callable[[], object]]] = [
+            ("a read of the log", lambda: topic._on_log_read(loop.time())),
+            (
+                "a peer",
+                lambda: topic._on_read_of_peer(TopicOffset("endpoints", 0, 0, 0, 10, 4711, 1)),
+            ),
+        ]
+        for name, renew in renewals:
+            with self.subTest(name):
+                await self.until(self.is_restored)
+                topic._known_at -= SUSPENDED_S
+                topic._freshness.read_at -= SUSPENDED_S
+                renew()
+                self.assertTrue(node._versions.needs_restore())
+
+    async def test_a_read_counts_from_its_request(self) -> None:
+        # Guards against an answer that waited while the node stood still.
+        (node,) = self.members
+        topic = node._endpoints_topic
+        await self.until(self.is_restored)
+        loop = asyncio.get_running_loop()
+        topic._known_at = loop.time() - SUSPENDED_S
+        topic._on_log_read(loop.time() - CURRENT_S - 1.0)
+        self.assertFalse(node._versions.is_current())
+
     async def is_restored(self) -> bool:
         """Return whether the node has read the history."""
         return not self.members[0]._versions.needs_restore()
