Let the connection pool open connections in more than one way

A node that loses its links to the endpoints has to reach them through another node. The pool takes its connections from a Connector, direct as before; a connection knows through which node it goes, and whether it broke with its tunnel.

--- a/lacewinghub/httpclient.py
+++ b/lacewinghub/httpclient.py
@@ -12,8 +12,19 @@
 import httptools
 
 from .client_sockets import limit_receive_buffer
+from .connector import ConnectionFailed, ConnectionProtocol, Connector, DirectConnector
 from .errors import LacewingError
 from .httpmessage import Incoming, MessageReceiver
+from .tunnel import StatementSender, TunnelLost
+
+__all__ = [
+    "ConnectLimits",
+    "ConnectionBroken",
+    "ConnectionFailed",
+    "ConnectionPool",
+    "HttpConnection",
+    "enable_dead_host_detection",
+]
 
 # With this many unread bytes the connection pauses reading, which slows the endpoint down.
 HIGH_WATER_BYTES = 64 * 1024
@@ -37,31 +48,31 @@
 MAX_IDLE_S = 10.0
 
 
-class ConnectionFailed(LacewingError):
-    """The connection could not be established; nothing was sent."""
-
-    code, status = "connection_failed", 502
-
-
 class ConnectionBroken(LacewingError):
-    """The connection ended early or carried an invalid response."""
+    """The connection ended early or carried an invalid response.
+
+    ``details`` may contain ``ended`` (the endpoint or its host ended it), ``lost`` (it was not this
+    node that ended it) and ``lost_tunnel`` (the tunnel broke that carried it).
+    """
 
     code, status = "connection_broken", 502
 
 
-class HttpConnection(asyncio.Protocol):
+class HttpConnection(ConnectionProtocol):
     """One connection to an endpoint.
 
     Attributes:
         idle_until: Loop time until which it may be reused, in seconds.
         reused: True if earlier requests were sent on it.
         expects_body: False if the current request is HEAD, whose response has no body.
+        via: Node through which it goes; empty if it is direct.
     """
 
     def __init__(self) -> None:
         self.idle_until = 0.0
         self.reused = False
         self.expects_body = True
+        self.via = ""
         self._transport: asyncio.Transport | None = None
         self._receiver = MessageReceiver()
         self._parser = httptools.HttpResponseParser(self)
@@ -70,6 +81,7 @@
         self._broken: str | None = None
         self._invalid_status: int | None = None
         self._peer_ended = False
+        self._was_lost = self._lost_tunnel = False
         self._reading_paused = False
         self._closed = False
         self._pooled = False
@@ -107,9 +119,10 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # The transport of uvloop is not a subclass of asyncio.Transport.
         self._transport = cast(asyncio.Transport, transport)
+        self.via = transport.get_extra_info("via", "")
         sock = transport.get_extra_info("socket")
         if sock is not None:
-            _enable_dead_host_detection(sock)
+            enable_dead_host_detection(sock)
             limit_receive_buffer(sock, RECEIVE_BYTES)
 
     def data_received(self, data: bytes) -> None:
@@ -129,7 +142,9 @@
         # The parser and this object refer to each other, and cycles are collected rarely.
         del self._parser
         self._ended = True
-        self._peer_ended = not self._closed and not isinstance(exc, TimeoutError)
+        self._was_lost = not self._closed
+        self._lost_tunnel = isinstance(exc, TunnelLost)
+        self._peer_ended = not self._closed and not isinstance(exc, TimeoutError | TunnelLost)
         if exc is None and not self._closed and self._broken is None and self._ends_with_connection:
             self._receiver.messages[-1].complete = True
         elif self._broken is None:
@@ -220,6 +235,11 @@
         self._receiver.messages.popleft()
         return True
 
+    @property
+    def tunnel(self) -> StatementSender | None:
+        """What tells the node through which the connection goes; None if it is direct."""
+        return None if self._transport is None else self._transport.get_extra_info("tunnel")
+
     def close(self) -> None:
         """Close the connection, so that the endpoint cancels its request."""
         self._closed = True
@@ -244,7 +264,12 @@
 
     async def _wait(self) -> None:
         if self._broken is not None:
-            raise ConnectionBroken(self._broken, ended=self._peer_ended)
+            raise ConnectionBroken(
+                self._broken,
+                ended=self._peer_ended,
+                lost=self._was_lost,
+                lost_tunnel=self._lost_tunnel,
+            )
         self._changed.clear()
         await self._changed.wait()
 
@@ -280,22 +305,28 @@
 
     Args:
         limits: Limits on the connections.
+        connector: Opens the connections.
 
     Attributes:
         opened: Number of connections that were opened.
+        connector: Opens the connections.
     """
 
-    def __init__(self, limits: ConnectLimits | None = None) -> None:
+    def __init__(
+        self, limits: ConnectLimits | None = None, connector: Connector | None = None
+    ) -> None:
+        self.connector = connector or DirectConnector()
         self._limits = limits or ConnectLimits()
         self._idle: dict[str, list[HttpConnection]] = {}
         self.opened = 0
 
-    async def get(self, address: str, fresh: bool) -> HttpConnection:
+    async def get(self, address: str, fresh: bool, endpoint: str = "") -> HttpConnection:
         """Return a connection to an address.
 
         Args:
             address: ``IP:port``.
             fresh: True to open a new one.
+            endpoint: Name of the endpoint; without it the connection is direct.
 
         Raises:
             ConnectionFailed: If no connection could be opened.
@@ -304,23 +335,21 @@
             idle = self._take_idle(address)
             if idle is not None:
                 return idle
-        host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(self._limits.connect_s):
-                _, conn = await loop.create_connection(HttpConnection, host.strip("[]"), int(port))
-        except (OSError, TimeoutError) as exc:
-            reason = str(exc) or f"timeout after {self._limits.connect_s:g} s"
-            raise ConnectionFailed(f"cannot connect to {address}: {reason}") from exc
+        conn = await self.connector.connect(
+            HttpConnection, address, endpoint, self._limits.connect_s
+        )
         self.opened += 1
         return conn
 
-    async def is_reachable(self, address: str) -> bool:
-        """Return whether an address accepts a connection, which is closed again."""
+    async def is_reachable(self, address: str, endpoint: str = "") -> bool:
+        """Return whether an address accepts a connection, which is closed again.
+
+        It counts as reachable if its endpoint does not explain that it was not reached.
+        """
         try:
-            conn = await self.get(address, fresh=True)
-        except ConnectionFailed:
-            return False
+            conn = await self.get(address, fresh=True, endpoint=endpoint)
+        except ConnectionFailed as exc:
+            return bool(exc.details.get("blameless"))
         conn.close()
         return True
 
@@ -332,6 +361,7 @@
             or not response.framed
             or not conn.is_idle
             or not conn.flushed
+            or not self.connector.is_usable(address, conn.via)
             or len(idle) >= self._limits.idle_per_endpoint
         ):
             conn.close()
@@ -344,6 +374,15 @@
         for conn in self._idle.pop(address, []):
             conn.close()
 
+    def close_unusable(self) -> None:
+        """Close the idle connections that may not be used again."""
+        for address, idle in self._idle.items():
+            kept = [conn for conn in idle if self.connector.is_usable(address, conn.via)]
+            for conn in idle:
+                if conn not in kept:
+                    conn.close()
+            self._idle[address] = kept
+
     def close(self) -> None:
         """Close all idle connections."""
         for address in list(self._idle):
@@ -354,7 +393,8 @@
         now = asyncio.get_running_loop().time()
         while idle:
             conn = idle.pop()
-            if conn.is_idle and now < conn.idle_until:
+            usable = conn.is_idle and self.connector.is_usable(address, conn.via)
+            if usable and now < conn.idle_until:
                 conn.unpark()
                 conn.reused = True
                 return conn
@@ -373,7 +413,7 @@
     return DEFAULT_IDLE_S
 
 
-def _enable_dead_host_detection(sock: socket.socket) -> None:
+def enable_dead_host_detection(sock: socket.socket) -> None:
     """Set the socket options that detect a dead host, which sends no reset."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
