--- a/lacewinghub/codec.py
+++ b/lacewinghub/codec.py
@@ -47,6 +47,7 @@
     SuspectTrial,
     TopicNews,
     TopicOffset,
+    TunnelOffer,
     WaitingCount,
     WindowUsage,
 )
@@ -70,6 +71,7 @@
     (Heartbeat, "crash_trials"): CrashTrial,
     (Heartbeat, "leaders"): LeaderHint,
     (Heartbeat, "runners"): RunnerObservation,
+    (Heartbeat, "tunnels"): TunnelOffer,
     (LeaderReport, "usage"): WindowUsage,
     (LeaderReport, "demand"): PoolDemand,
     (RecordsReply, "items"): RecordItem,
--- a/lacewinghub/message.py
+++ b/lacewinghub/message.py
@@ -312,6 +312,21 @@
     prefill_ms: int
 
 
+@dataclass(slots=True)
+class TunnelOffer:
+    """Offer of a node to connect others to endpoints.
+
+    Attributes:
+        address: Address of its tunnel port, ``IP:port``.
+        cut: True if its own links to the endpoints are cut.
+        room: Number of further tunnels that it would open.
+    """
+
+    address: str
+    cut: bool
+    room: int
+
+
 @dataclass(slots=True)
 class Heartbeat:
     """Periodic state of a node; always complete, so that a lost heartbeat does no harm.
@@ -346,6 +361,7 @@
     crash_trials: list[CrashTrial] = field(default_factory=list)
     leaders: list[LeaderHint] = field(default_factory=list)
     runners: list[RunnerObservation] = field(default_factory=list)
+    tunnels: list[TunnelOffer] = field(default_factory=list)
 
 
 @dataclass(slots=True)
