Reach endpoints through another node while the own links are cut

A node without links tried endpoint after endpoint, blamed them and failed its requests. It now goes through a node of its zone that reaches them. Failures that the links explain do not count against endpoints; a request that nobody can pass on is refused at once.

The new paths have no tests yet.

--- a/lacewinghub/dispatch.py
+++ b/lacewinghub/dispatch.py
@@ -123,7 +123,12 @@
     ) -> None:
         """Return the slot and report to guard, history and monitors how the attempt ended."""
         endpoint = timer.endpoint.name
-        crashed = isinstance(failure, EndpointCrashed) and not failure.details.get("timeout")
+        blameless = isinstance(failure, EndpointError) and bool(
+            failure.neutral or failure.details.get("blameless")
+        )
+        crashed = isinstance(failure, EndpointCrashed) and not (
+            failure.details.get("timeout") or blameless
+        )
         seen = timer.result(ok, crashed)
         if isinstance(failure, EndpointError):
             seen = replace(seen, ended=crashed and bool(failure.details.get("ended")))
@@ -135,7 +140,7 @@
         # A disconnect of the client or an invalid request says nothing about the endpoint.
         if client_disconnected(failure) or is_request_rejection(failure):
             return
-        if isinstance(failure, EndpointError) and failure.neutral:
+        if blameless:
             return
         for monitor in self._dispatch_deps.monitors:
             if isinstance(failure, EndpointLeaving):
--- a/lacewinghub/platform/node.py
+++ b/lacewinghub/platform/node.py
@@ -73,6 +73,7 @@
             drain_s=bounds.drain_ms / 1000,
             config_s=bounds.config_apply_ms / 1000,
             peer=f"{host}:{boot.internal_ports[0]}",
+            tunnel=f"{host}:{_tunnel_port(boot)}",
             seeds=tuple(
                 f"{seed.rpartition(':')[0]}:{boot.internal_ports[0]}" for seed in boot.seeds
             ),
@@ -146,6 +147,12 @@
             await self._control_api.close()
 
 
+def _tunnel_port(boot: Boot) -> int:
+    """Return the second of the internal ports; 0, for a free one, if there is only one."""
+    first, last = boot.internal_ports
+    return first + 1 if last > first else 0
+
+
 def _duties(boot: Boot) -> DutySettings | None:
     """Return the settings of the singleton duties, or None if the platform has none."""
     api = boot.cloud_api
--- a/lacewinghub/platform/runner.py
+++ b/lacewinghub/platform/runner.py
@@ -15,9 +15,10 @@
 from ..httpclient import ConnectionBroken, ConnectionFailed, ConnectionPool, HttpConnection
 from ..httpmessage import COPIED_BYTES, CRLF, Incoming, encode_headers, end_to_end
 from ..move_client import MoveAnswer, MoveOutcome, RunMoveClient
-from ..proxyclient import EndpointBusy, ProxyClient, ResponseHead
+from ..proxyclient import EndpointBusy, LinkCut, ProxyClient, ResponseHead
 from ..request import ProxyState, Request, RunCopy
 from ..tables import Endpoint
+from ..tunnel import MAX_PAUSE_S, Statement
 from . import names
 from .fields import count, decimal
 
@@ -61,9 +62,13 @@
             # A request that is sent again may meet a late copy of the answer to its first sending.
             is_repeat = state.sent > 1 or state.continued is not None or bool(state.last_event)
             fresh = not state.repeatable or is_repeat
-            conn = await self._pool.get(endpoint.address, fresh)
+            conn = await self._pool.get(endpoint.address, fresh, endpoint.name)
         except ConnectionFailed as exc:
-            raise ConnectFailed(exc.message, endpoint=endpoint.name) from exc
+            raise _connect_error(endpoint, exc) from exc
+        if conn.via:
+            logger.bind(request_id=req.id, endpoint=endpoint.name, via=conn.via).info(
+                "attempt goes through another node"
+            )
         response: Incoming | None = None
         state.abort = conn.close
         conn.expects_body = state.request.method != b"HEAD"
@@ -73,16 +78,19 @@
                 conn.send(data)
             response = await self._matching_response(conn, req)
             self._report_statements(endpoint, response, sent_at)
+            _share_statement(conn, response)
             await self._check_response(conn, endpoint, response)
             yield ResponseHead(response.status, end_to_end(response.headers), response.framed)
             while data := await conn.read_body(response):
                 yield data
         except ConnectionBroken as exc:
             response = None
+            blameless = self._is_blameless(endpoint, conn, exc)
             raise EndpointCrashed(
                 f"endpoint {endpoint.name!r}: {exc.message}",
                 endpoint=endpoint.name,
-                ended=exc.details.get("ended", False),
+                ended=exc.details.get("ended", False) and not blameless,
+                blameless=blameless,
             ) from exc
         finally:
             if response is not None and response.complete and conn.discard(response):
@@ -93,7 +101,16 @@
     async def is_alive(self, endpoint: Endpoint) -> bool:
         """Return False if a runner accepts no connection any more."""
         await asyncio.sleep(DYING_S)
-        return await self._pool.is_reachable(endpoint.address)
+        return await self._pool.is_reachable(endpoint.address, endpoint.name)
+
+    def _is_blameless(
+        self, endpoint: Endpoint, conn: HttpConnection, exc: ConnectionBroken
+    ) -> bool:
+        """Return whether a connection broke for another reason than its runner."""
+        if exc.details.get("lost_tunnel"):
+            return True
+        explains = self._pool.connector.explains_break(endpoint.address, conn.via)
+        return bool(exc.details.get("lost")) and explains
 
     async def move_run(
         self, source: Endpoint, req: Request, target: Endpoint, timeout_s: float
@@ -219,16 +236,13 @@
             self._statements.quotas.record(endpoint.name, per_s)
 
     def _report_leaving(self, endpoint: Endpoint, response: Incoming) -> None:
-        """Record that the runner leaves; a 421 comes from another runner at its address."""
-        if response.header(names.SERVER_LEAVING) == b"1" and response.status != _MISDIRECTED:
+        """Record that the runner leaves."""
+        if _states_leaving(response):
             self._statements.on_leaving(endpoint.name)
 
     def _report_pause(self, endpoint: Endpoint, response: Incoming) -> None:
         """Record for how long a runner that refuses a request wants none of this node."""
-        text = response.header(names.RETRY_AFTER)
-        if response.status != _UNAVAILABLE or text is None:
-            return
-        pause_s = decimal(text.decode("latin-1"))
+        pause_s = _stated_pause_s(response)
         if pause_s is not None:
             self._statements.pauses.record(endpoint.name, pause_s)
 
@@ -250,6 +264,37 @@
         raise ConnectionBroken("the body of another response does not end") from exc
 
 
+def _connect_error(endpoint: Endpoint, exc: ConnectionFailed) -> ConnectFailed:
+    if not exc.details.get("blameless"):
+        return ConnectFailed(exc.message, endpoint=endpoint.name)
+    stranded = exc.details.get("stranded", False)
+    return LinkCut(exc.message, endpoint=endpoint.name, stranded=stranded)
+
+
+def _share_statement(conn: HttpConnection, response: Incoming) -> None:
+    """Tell the node through which a response came that its runner leaves or wants a pause."""
+    tunnel = conn.tunnel
+    if tunnel is None:
+        return
+    leaving, pause_s = _states_leaving(response), _stated_pause_s(response)
+    if leaving or pause_s is not None:
+        pause_s = None if pause_s is None else min(pause_s, MAX_PAUSE_S)
+        tunnel.send_statement(Statement(leaving=leaving, pause_s=pause_s))
+
+
+def _states_leaving(response: Incoming) -> bool:
+    """Tell whether the runner leaves; a 421 comes from another runner at its address."""
+    return response.header(names.SERVER_LEAVING) == b"1" and response.status != _MISDIRECTED
+
+
+def _stated_pause_s(response: Incoming) -> float | None:
+    """Return for how long a runner that refuses a request wants none, in seconds."""
+    text = response.header(names.RETRY_AFTER)
+    if response.status != _UNAVAILABLE or text is None:
+        return None
+    return decimal(text.decode("latin-1"))
+
+
 def _is_refusal(response: Incoming) -> bool:
     """Tell whether a runner states that it did not execute the request."""
     return response.header(names.NOT_EXECUTED) is not None or response.status == _MISDIRECTED
--- a/lacewinghub/proxyclient.py
+++ b/lacewinghub/proxyclient.py
@@ -4,7 +4,7 @@
 from collections.abc import AsyncGenerator
 from dataclasses import dataclass
 
-from .endpoint import EndpointError
+from .endpoint import ConnectFailed, EndpointError
 from .httpmessage import Headers
 from .request import Request
 from .tables import Endpoint
@@ -12,6 +12,16 @@
 GATEWAY_TIMEOUT = 504
 
 
+class LinkCut(ConnectFailed):
+    """The connection could not be established, and the endpoint did not cause that.
+
+    ``details["stranded"]`` is true if this node reaches no endpoint at all.
+    """
+
+    code = "link_cut"
+    neutral = True
+
+
 class EndpointBusy(EndpointError):
     """The endpoint stated that it did not execute the request."""
 
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -31,6 +31,7 @@
 from .httpclient import ConnectionPool
 from .httpserver import HttpHandler, HttpServer
 from .limit import RetryRule
+from .link_monitor import LinkAwareMonitor
 from .metricpage import MetricPage
 from .move_client import RunMoveClient
 from .node_retry_budget import NodeRetryBudgets
@@ -45,6 +46,7 @@
 from .proxygateway import ProxyCodec, ProxyGateway
 from .proxyrouter import ProxyRouter
 from .proxyscheduler import ProxyScheduler
+from .reach import EndpointReach, ReachSettings
 from .readturns import MANY_NODES, ReadTurns, TurnTiming
 from .relayedtopic import RelayedTopic
 from .run_move import RunMover
@@ -96,6 +98,7 @@
         drain_s: Time within which a leaving endpoint must stop receiving requests, in seconds.
         config_s: Time within which a new configuration must be in force, in seconds.
         peer: Address for other nodes.
+        tunnel: Address for tunnels of other nodes to endpoints.
         seeds: Addresses of some other nodes, which may no longer exist.
         duties: Singleton duties; None if the platform has none.
         memory_bytes: Memory above which the process is killed; None if unknown.
@@ -113,6 +116,7 @@
     drain_s: float
     config_s: float
     peer: str
+    tunnel: str = "127.0.0.1:0"
     seeds: tuple[str, ...] = ()
     duties: DutySettings | None = None
     memory_bytes: int | None = None
@@ -281,6 +285,13 @@
             address = self.cfg.peer
             raise AddressUnavailable(f"cannot listen on peer {address}: {exc}", key="peer") from exc
         self.ports["peer"] = int(self._peers.identity.address.rpartition(":")[2])
+        try:
+            self.ports["tunnel"] = await self._reach.start(supervisor)
+        except OSError as exc:
+            address = self.cfg.tunnel
+            raise AddressUnavailable(
+                f"cannot listen on tunnel {address}: {exc}", key="tunnel"
+            ) from exc
         nodes = NodeDiscovery(self._peers.identity, self._adapter.nodes(), self._on_nodes)
         self._withdraw = nodes.withdraw
         self._config_topic.on_rewind(nodes.renew)
@@ -313,6 +324,7 @@
         stop_started = loop.time()
         self._gateway.ends_at = stop_started + self.cfg.grace_s - MARGIN_S
         self._gateway.phase = Phase.LEAVING
+        self._reach.server.stop_accepting()
         self._overlay.leave()
         self._supervisor.start("withdraw", self._withdraw, restart=False)
         if self._duties is not None:
@@ -326,7 +338,8 @@
         while loop.time() < self._gateway.ends_at:
             self._front_server.close_idle()
             self._gateway.refuse_late_waiters()
-            if not self._gateway.in_flight and not self._front_server.connections:
+            is_busy = self._gateway.in_flight or self._reach.server.open_tunnels
+            if not is_busy and not self._front_server.connections:
                 break
             await asyncio.sleep(STOP_POLL_S)
         logger.bind(in_flight=self._gateway.in_flight).info("node ends")
@@ -343,6 +356,14 @@
         self._announced_nodes = 1
         self._full_runners = FullRunners()
         self._quotas = EndpointQuotas(cfg.node, self._overlay, self._overlay.schedule_relay)
+        self._pauses = EndpointPauses()
+        self._reach = EndpointReach(
+            ReachSettings(cfg.node, cfg.availability_zone, cfg.tunnel, cfg.max_descriptors),
+            self._adapter.peer_key(),
+            self._overlay,
+            self._directory,
+            self._pauses,
+        )
         self._failure_detector = FailureOutlierDetector(
             self._health, lambda: self._tables().pools.values()
         )
@@ -368,6 +389,7 @@
             self._runner_allocation,
             self._cache_sync,
             self._runner_states,
+            self._reach.peers,
         ):
             self._overlay.add(contributor)
 
@@ -421,8 +443,8 @@
         self._health = EndpointHealth()
         self._build_peers()
         self._build_origins()
-        self._connections = ConnectionPool()
-        self._pauses = EndpointPauses()
+        self._connections = ConnectionPool(connector=self._reach.connector)
+        self._reach.link.listen(self._connections.close_unusable)
         reports = SharedLoadReports(self._runner_states)
         self._scheduler = ProxyScheduler(
             HealthyPools(self._tables, self._health),
@@ -442,7 +464,14 @@
             history=history,
             budget=NodeRetryBudgets(self.cfg.retries, self._node_count),
             guard=self._crash_guard,
-            monitors=[HealthMonitor(self._health), FailureMonitor(self._failure_detector)],
+            monitors=[
+                LinkAwareMonitor(
+                    [HealthMonitor(self._health), FailureMonitor(self._failure_detector)],
+                    self._reach.link,
+                    self._directory.address,
+                    self._is_reachable,
+                )
+            ],
             usage=duties.usage if duties is not None else None,
             demand=duties.demand if duties is not None else None,
             origins=self._origins,
@@ -522,7 +551,7 @@
 
     async def _is_reachable(self, name: str) -> bool:
         address = self._directory.address(name)
-        return address is not None and await self._connections.is_reachable(address)
+        return address is not None and await self._connections.is_reachable(address, name)
 
     def _on_nodes(self, addresses: list[str]) -> None:
         self._announced_nodes = len(addresses) + 1
@@ -562,6 +591,7 @@
             self._metrics.set("origins_unknown", self._origins.unknown)
             self._metrics.set("live_nodes", len(self._overlay.live()))
             self._metrics.set("endpoint_connections_opened", self._connections.opened)
+            self._reach.update_gauges(self._metrics.set)
             if self._duties is not None:
                 self._duties.update_gauges()
             if self._mover is not None:
