Test nodes whose links to all endpoints are cut

Cause of failures in first runs: the process of the test was too busy, and time-outs of its own event loop counted as evidence against the links. A time-out that is noticed late does not count any more; a node that does not answer in time is asked last rather than not at all; where no other node can tell anything, the direct way is tried before a request is refused.

--- a/lacewinghub/failover_connector.py
+++ b/lacewinghub/failover_connector.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import Any
 
+from loguru import logger
+
 from .connector import ConnectionFailed, Connector, ProtocolT
 from .link_state import LinkState
 from .tunnel import UNABLE, UNREACHABLE, RefusalReason
@@ -13,6 +15,8 @@
 
 # A direct connection that takes longer is raced by one through another node.
 HEAD_START_S = 0.1
+# A time-out that is noticed later than this says nothing about the links.
+LATE_S = 0.05
 # Nodes that are asked for a tunnel, one after the other, and the time for all of them.
 MAX_PEERS = 3
 ALL_PEERS_S = 1.0
@@ -46,10 +50,15 @@
         self, factory: Callable[[], ProtocolT], address: str, endpoint: str, timeout_s: float
     ) -> ProtocolT:
         """Open a direct connection; see ``Connector.connect``."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + timeout_s
         try:
             protocol = await self.direct.connect(factory, address, endpoint, timeout_s)
         except ConnectionFailed as exc:
-            self._link.on_direct_failed(address, bool(exc.details.get("timeout")))
+            timed_out = bool(exc.details.get("timeout"))
+            # A process that is this late may have left the answer unread.
+            if not timed_out or loop.time() < until + LATE_S:
+                self._link.on_direct_failed(address, timed_out)
             raise
         self._link.on_direct_ok(address)
         return protocol
@@ -92,10 +101,14 @@
         try:
             return await self._open_tunnel(factory, address, endpoint)
         except ConnectionFailed as exc:
-            # Without any other node, the direct way is the only one for a single endpoint.
-            if self._link.is_cut or not exc.details.get("unable"):
+            if not exc.details.get("unable"):
                 raise
-        return await self._direct.connect(factory, address, endpoint, timeout_s)
+            tunnel = exc
+        try:
+            # No other node could tell anything, so that the direct way is the only one left.
+            return await self._direct.connect(factory, address, endpoint, timeout_s)
+        except ConnectionFailed as exc:
+            raise self._join(exc, tunnel) from tunnel
 
     def is_usable(self, address: str, via: str) -> bool:
         """Return whether an idle connection may be used again; see ``Connector``."""
@@ -170,7 +183,8 @@
                 )
             except TunnelRefused as exc:
                 if exc.reason is None or exc.reason in UNABLE:
-                    self._peers.skip(peer.node)
+                    logger.bind(via=peer.node, reason=exc.reason).debug("no tunnel")
+                    self._peers.on_refused(peer.node, exc.reason)
                 else:
                     self._on_refused(exc, address, endpoint)
                     unable = False
--- a/lacewinghub/tunnel_peers.py
+++ b/lacewinghub/tunnel_peers.py
@@ -7,8 +7,9 @@
 
 from .membership import HeartbeatContributor, Member, Members, MemberState
 from .message import Heartbeat, TunnelOffer
+from .tunnel import RefusalReason
 
-# A node that opened no tunnel is not asked again for this long.
+# A node that did not answer is asked for this long only if there is no other.
 SKIP_S = 1.0
 # Offers that are older do not count.
 OFFER_AGE_S = 1.5
@@ -72,9 +73,23 @@
             return
         self._offers[heartbeat.node] = _Offer(heartbeat.tunnels[0], _now())
 
-    def skip(self, node: str) -> None:
-        """Do not ask a node again for some time."""
-        self._skipped_until[node] = _now() + SKIP_S
+    def on_refused(self, node: str, reason: RefusalReason | None) -> None:
+        """Record that a node opened no tunnel for a reason of its own.
+
+        Args:
+            node: Its name.
+            reason: What it answered, which counts until its next heartbeat; None for no answer,
+                which may be due to load, so that it is asked only if there is no other.
+        """
+        known = self._offers.get(node)
+        if known is None:
+            return
+        if reason is None:
+            self._skipped_until[node] = _now() + SKIP_S
+        elif reason is RefusalReason.LINKS_CUT:
+            known.offer.cut = True
+        else:
+            known.offer.room = 0
 
     def choose(self, excluded: set[str]) -> TunnelPeer | None:
         """Return the node to ask next, or None if there is none.
@@ -86,6 +101,10 @@
             excluded: Names of nodes that were asked already.
         """
         members = [item for item in self._members.live() if self._may_ask(item, excluded)]
+        now = _now()
+        members = [
+            item for item in members if self._skipped_until.get(item.node, 0.0) <= now
+        ] or members
         nearby = [item for item in members if item.availability_zone == self._zone]
         candidates = nearby or members
         if not candidates:
@@ -101,13 +120,8 @@
         known = self._offers.get(member.node)
         if known is None or member.node in excluded:
             return False
-        now = _now()
-        return (
-            not known.offer.cut
-            and known.offer.room > 0
-            and now - known.received < OFFER_AGE_S
-            and self._skipped_until.get(member.node, 0.0) <= now
-        )
+        is_recent = _now() - known.received < OFFER_AGE_S
+        return is_recent and not known.offer.cut and known.offer.room > 0
 
 
 def _now() -> float:
