Give up silent connections when the links are cut

A request on an open connection waited 4 s for its probes, beyond most deadlines. Once new connections have shown that the links are silent, those whose requests may go on elsewhere break at once; others wait, since they cannot be repeated. A request is refused early only while no direct connection has succeeded since the cut.

--- a/lacewinghub/failover_connector.py
+++ b/lacewinghub/failover_connector.py
@@ -155,7 +155,8 @@
         if not tunnel.details.get("unable"):
             direct.details["blameless"] = tunnel.details.get("blameless", False)
             return direct
-        direct.details["blameless"] = direct.details["stranded"] = self._link.is_cut
+        direct.details["blameless"] = self._link.is_cut
+        direct.details["stranded"] = self._link.is_isolated
         return direct
 
     async def _open_tunnel(
@@ -191,12 +192,10 @@
                 continue
             self._link.on_reached_by_other(address)
             return protocol
-        is_cut = self._link.is_cut
         raise ConnectionFailed(
             f"no other node connects to {address}",
             unable=unable,
-            blameless=is_cut,
-            stranded=is_cut and unable,
+            blameless=self._link.is_cut,
         )
 
     def _on_refused(self, exc: TunnelRefused, address: str, endpoint: str) -> None:
--- a/lacewinghub/httpclient.py
+++ b/lacewinghub/httpclient.py
@@ -6,6 +6,7 @@
 import asyncio
 import contextlib
 import socket
+import weakref
 from dataclasses import dataclass
 from typing import cast
 
@@ -41,6 +42,8 @@
 PROBE_EVERY_S = 1
 PROBES = 3
 USER_TIMEOUT_MS = 4_000
+# A connection without a byte for this long is given up while the links are known to be silent.
+SILENT_S = 0.3
 # An idle connection is reused only in this share of the time after which its endpoint closes it.
 IDLE_SHARE = 0.5
 # For endpoints that do not state for how long they keep an idle connection.
@@ -66,6 +69,7 @@
         reused: True if earlier requests were sent on it.
         expects_body: False if the current request is HEAD, whose response has no body.
         via: Node through which it goes; empty if it is direct.
+        may_give_up: True while another endpoint may take over the request.
     """
 
     def __init__(self) -> None:
@@ -73,6 +77,8 @@
         self.reused = False
         self.expects_body = True
         self.via = ""
+        self.may_give_up = False
+        self._active_at = 0.0
         self._transport: asyncio.Transport | None = None
         self._receiver = MessageReceiver()
         self._parser = httptools.HttpResponseParser(self)
@@ -126,6 +132,7 @@
             limit_receive_buffer(sock, RECEIVE_BYTES)
 
     def data_received(self, data: bytes) -> None:
+        self._active_at = asyncio.get_running_loop().time()
         if self._broken is None:
             self._broken = "bytes without a request" if self._pooled else self._parse(data)
         if self._broken is not None:
@@ -142,7 +149,7 @@
         # The parser and this object refer to each other, and cycles are collected rarely.
         del self._parser
         self._ended = True
-        self._was_lost = not self._closed
+        self._was_lost = self._was_lost or not self._closed
         self._lost_tunnel = isinstance(exc, TunnelLost)
         self._peer_ended = not self._closed and not isinstance(exc, TimeoutError | TunnelLost)
         if exc is None and not self._closed and self._broken is None and self._ends_with_connection:
@@ -171,6 +178,7 @@
     def send(self, data: bytes | bytearray) -> None:
         """Send a request or a part of it; the data must not change afterwards."""
         assert self._transport is not None
+        self._active_at = asyncio.get_running_loop().time()
         self._transport.write(data)
 
     async def read_head(self) -> Incoming:
@@ -235,6 +243,16 @@
         self._receiver.messages.popleft()
         return True
 
+    def give_up_if_silent(self) -> None:
+        """Break the connection if its request can go on elsewhere and it has been silent."""
+        silent_s = asyncio.get_running_loop().time() - self._active_at
+        if not self.may_give_up or self._closed or self._ended or silent_s < SILENT_S:
+            return
+        self._broken = self._broken or "the connection is silent"
+        self._was_lost = True
+        self.close()
+        self._changed.set()
+
     @property
     def tunnel(self) -> StatementSender | None:
         """What tells the node through which the connection goes; None if it is direct."""
@@ -318,6 +336,7 @@
         self.connector = connector or DirectConnector()
         self._limits = limits or ConnectLimits()
         self._idle: dict[str, list[HttpConnection]] = {}
+        self._direct: weakref.WeakSet[HttpConnection] = weakref.WeakSet()
         self.opened = 0
 
     async def get(self, address: str, fresh: bool, endpoint: str = "") -> HttpConnection:
@@ -339,6 +358,8 @@
             HttpConnection, address, endpoint, self._limits.connect_s
         )
         self.opened += 1
+        if not conn.via:
+            self._direct.add(conn)
         return conn
 
     async def is_reachable(self, address: str, endpoint: str = "") -> bool:
@@ -383,6 +404,11 @@
                     conn.close()
             self._idle[address] = kept
 
+    def give_up_silent(self) -> None:
+        """Break the direct connections that are silent, if their requests can go on elsewhere."""
+        for conn in list(self._direct):
+            conn.give_up_if_silent()
+
     def close(self) -> None:
         """Close all idle connections."""
         for address in list(self._idle):
--- a/lacewinghub/link_state.py
+++ b/lacewinghub/link_state.py
@@ -104,6 +104,11 @@
         """Return whether a direct attempt and one through another node should run side by side."""
         return self.is_cut or (self._failed_at > self._ok_at and _now() - self._failed_at < DOUBT_S)
 
+    @property
+    def is_isolated(self) -> bool:
+        """True if the links are cut and no direct connection has succeeded since then."""
+        return self.is_cut and self._ok_at < self._cut_at
+
     def is_confident(self) -> bool:
         """Return whether this node has just reached an endpoint directly."""
         return not self.is_cut and _now() - self._ok_at < CONFIDENT_S
--- a/lacewinghub/platform/runner.py
+++ b/lacewinghub/platform/runner.py
@@ -71,6 +71,7 @@
             )
         response: Incoming | None = None
         state.abort = conn.close
+        conn.may_give_up = state.repeatable or state.resumable
         conn.expects_body = state.request.method != b"HEAD"
         sent_at = asyncio.get_running_loop().time()
         try:
@@ -80,6 +81,7 @@
             self._report_statements(endpoint, response, sent_at)
             _share_statement(conn, response)
             await self._check_response(conn, endpoint, response)
+            conn.may_give_up = state.resumable
             yield ResponseHead(response.status, end_to_end(response.headers), response.framed)
             while data := await conn.read_body(response):
                 yield data
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -81,6 +81,8 @@
 MARGIN_S = 0.4
 STOP_POLL_S = 0.05
 SETTINGS_POLL_S = 1.0
+# Connections that turn out to be silent this long after the links were cut are given up as well.
+GIVE_UP_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -444,7 +446,7 @@
         self._build_peers()
         self._build_origins()
         self._connections = ConnectionPool(connector=self._reach.connector)
-        self._reach.link.listen(self._connections.close_unusable)
+        self._reach.link.listen(self._on_links_changed)
         reports = SharedLoadReports(self._runner_states)
         self._scheduler = ProxyScheduler(
             HealthyPools(self._tables, self._health),
@@ -526,6 +528,16 @@
             return None
         return RunMover(self._directory, self._scheduler, client, budget, self.cfg.drain_s)
 
+    def _on_links_changed(self) -> None:
+        self._connections.close_unusable()
+        self._give_up_silent()
+        # Requests that were sent just now may be silent, too.
+        asyncio.get_running_loop().call_later(GIVE_UP_S, self._give_up_silent)
+
+    def _give_up_silent(self) -> None:
+        if self._reach.link.is_cut and self._reach.link.hangs:
+            self._connections.give_up_silent()
+
     def _tables(self) -> Tables:
         return self._directory.tables
 
--- a/tests/test_stranded_nodes.py
+++ b/tests/test_stranded_nodes.py
@@ -244,6 +244,21 @@
                 await asyncio.sleep(SETTLE_S)
         self.assert_nobody_blamed()
 
+    async def test_streams_whose_links_fall_silent(self) -> None:
+        for runner in self.models:
+            runner.work_s = 0.1
+            runner.events = 8
+        call = asyncio.create_task(self.ask("/draft/a"))
+        await asyncio.sleep(0.35)
+        self.links[0].cut(LinkFault.HANG)
+        await self.until_cut(0)
+        # The route allows 1.5 s, less than probes need to break a silent connection.
+        answer = await call
+        self.assertEqual((answer.status, answer.complete), (200, True))
+        numbers = [b"piece %d\n" % number for number in range(1, 9)]
+        self.assertEqual([answer.body.count(item) for item in numbers], [1] * 8)
+        self.assert_nobody_blamed()
+
     async def test_open_connections_live_on(self) -> None:
         for runner in self.models:
             runner.work_s = 0.1
