--- a/lacewinghub/link_state.py
+++ b/lacewinghub/link_state.py
@@ -102,7 +102,7 @@
 
     def is_in_doubt(self) -> bool:
         """Return whether a direct attempt and one through another node should run side by side."""
-        return self.is_cut or (self._failed_at > self._ok_at and _now() - self._failed_at < DOUBT_S)
+        return self._failed_at > self._ok_at and _now() - self._failed_at < DOUBT_S
 
     @property
     def is_isolated(self) -> bool:
