Prove nothing from an endpoint that the own links hide

A node that could ask nobody took an unreached endpoint for alive, which would have made a stream without framing look whole, and for dead when it asked whether a stream goes on. Only the crash guard, which needs proof of a crash, may take it for alive.

--- a/lacewinghub/httpclient.py
+++ b/lacewinghub/httpclient.py
@@ -362,15 +362,20 @@
             self._direct.add(conn)
         return conn
 
-    async def is_reachable(self, address: str, endpoint: str = "") -> bool:
+    async def is_reachable(
+        self, address: str, endpoint: str = "", if_unknown: bool = False
+    ) -> bool:
         """Return whether an address accepts a connection, which is closed again.
 
-        It counts as reachable if its endpoint does not explain that it was not reached.
+        Args:
+            address: ``IP:port``.
+            endpoint: Name of the endpoint; without it the connection is direct.
+            if_unknown: Result if the links of this node explain that it was not reached.
         """
         try:
             conn = await self.get(address, fresh=True, endpoint=endpoint)
         except ConnectionFailed as exc:
-            return bool(exc.details.get("blameless"))
+            return if_unknown and bool(exc.details.get("blameless"))
         conn.close()
         return True
 
--- a/lacewinghub/link_monitor.py
+++ b/lacewinghub/link_monitor.py
@@ -10,7 +10,7 @@
 from .request import AttemptResult
 
 # Time after a connection broke in which it is found out whether the own links were cut.
-VERDICT_S = 0.4
+JUDGE_S = 0.4
 
 
 class LinkAwareMonitor(EndpointMonitor):
@@ -64,7 +64,7 @@
         broke_at = loop.time()
         try:
             await self._is_reachable(endpoint)
-            await asyncio.sleep(max(0.0, broke_at + VERDICT_S - loop.time()))
+            await asyncio.sleep(max(0.0, broke_at + JUDGE_S - loop.time()))
         finally:
             results = self._waiting.pop(endpoint)
         address = self._address(endpoint)
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -563,7 +563,9 @@
 
     async def _is_reachable(self, name: str) -> bool:
         address = self._directory.address(name)
-        return address is not None and await self._connections.is_reachable(address, name)
+        return address is not None and await self._connections.is_reachable(
+            address, name, if_unknown=True
+        )
 
     def _on_nodes(self, addresses: list[str]) -> None:
         self._announced_nodes = len(addresses) + 1
--- a/lacewinghub/proxyrouter.py
+++ b/lacewinghub/proxyrouter.py
@@ -329,8 +329,13 @@
             if _lost_response(state, exc):
                 self._count_usage(req, progress)
             if is_asked and isinstance(exc, ConnectFailed):
-                # It died, and its operating system ended the stream.
-                failure = EndpointCrashed(exc.message, endpoint=endpoint.name, ended=True)
+                # It died, and its operating system ended the stream; or nobody knows.
+                failure = EndpointCrashed(
+                    exc.message,
+                    endpoint=endpoint.name,
+                    ended=not exc.neutral,
+                    blameless=exc.neutral,
+                )
                 raise failure from exc
             if state.withdrawn and isinstance(exc, EndpointCrashed):
                 failure = AttemptWithdrawn(f"withdrawn from endpoint {endpoint.name!r}")
--- a/tests/test_stranded_nodes.py
+++ b/tests/test_stranded_nodes.py
@@ -133,6 +133,10 @@
             self.assertIn("retry-after", answer.headers)
         # The route allows 1.5 s.
         self.assertLess(time.monotonic() - started, 1.5)
+        # Nobody knows whether an endpoint lives: that proves neither a crash nor a whole stream.
+        node, runner = self.members[0], self.models[0]
+        self.assertTrue(await node._is_reachable(runner.name))
+        self.assertFalse(await node._connections.is_reachable(runner.address, runner.name))
 
     async def test_direct_connections_return_after_the_cut(self) -> None:
         self.links[0].cut(LinkFault.HANG)
