Take a node's word on an endpoint only if its links worked meanwhile

A node that had lost its links a moment before, without knowing it, said that an endpoint was down, and the asking node blamed the endpoint. It now needs a direct connection of its own while the attempt failed; otherwise it is unsure, and no further node is asked unless the links are known to be cut.

--- a/lacewinghub/failover_connector.py
+++ b/lacewinghub/failover_connector.py
@@ -152,11 +152,13 @@
 
     def _join(self, direct: ConnectionFailed, tunnel: ConnectionFailed) -> ConnectionFailed:
         """Return the error for an endpoint that was reached in neither way."""
-        if not tunnel.details.get("unable"):
+        unable = bool(tunnel.details.get("unable"))
+        if unable or tunnel.details.get("unsure"):
+            # Meanwhile other attempts may have shown that the links are cut.
+            direct.details["blameless"] = self._link.is_cut
+            direct.details["stranded"] = unable and self._link.is_isolated
+        else:
             direct.details["blameless"] = tunnel.details.get("blameless", False)
-            return direct
-        direct.details["blameless"] = self._link.is_cut
-        direct.details["stranded"] = self._link.is_isolated
         return direct
 
     async def _open_tunnel(
@@ -212,6 +214,9 @@
             self._listener.on_leaving(endpoint)
         elif exc.reason is RefusalReason.PAUSED:
             self._listener.on_paused(endpoint, exc.pause_s)
+        elif exc.reason is RefusalReason.UNSURE and not self._link.is_cut:
+            # Further nodes would take more time than another endpoint.
+            raise ConnectionFailed(f"cannot connect to {address}: {exc.message}", unsure=True)
         else:
             return
         raise ConnectionFailed(f"cannot use {address}: {exc.message}", blameless=True)
--- a/lacewinghub/link_state.py
+++ b/lacewinghub/link_state.py
@@ -16,8 +16,10 @@
 DOUBT_S = 1.0
 # After another node has not reached an endpoint either, it is not asked again for this long.
 VERDICT_S = 0.5
-# A node that has reached some endpoint directly in this time can tell whether another one failed.
-CONFIDENT_S = 0.5
+# A node that has reached some endpoint directly in this time can tell whether another one failed;
+# after a time-out, it reached it while it was waiting.
+CONFIDENT_S = 0.1
+CONFIDENT_AFTER_TIMEOUT_S = 0.25
 # Endpoints that only other nodes reach, from which on the node's links are cut.
 STRANDED_LIMIT = 2
 # Endpoints that nobody is known to reach, from which on they are, unless there are fewer.
@@ -109,9 +111,14 @@
         """True if the links are cut and no direct connection has succeeded since then."""
         return self.is_cut and self._ok_at < self._cut_at
 
-    def is_confident(self) -> bool:
-        """Return whether this node has just reached an endpoint directly."""
-        return not self.is_cut and _now() - self._ok_at < CONFIDENT_S
+    def is_confident(self, timed_out: bool) -> bool:
+        """Return whether the links of this node worked while a direct attempt failed.
+
+        Args:
+            timed_out: True if the attempt timed out.
+        """
+        span_s = CONFIDENT_AFTER_TIMEOUT_S if timed_out else CONFIDENT_S
+        return not self.is_cut and _now() - self._ok_at < span_s
 
     @property
     def is_returning(self) -> bool:
--- a/lacewinghub/reach.py
+++ b/lacewinghub/reach.py
@@ -54,9 +54,9 @@
         """Return why an endpoint was not reached; see ``TunnelTargets``."""
         if self._link.is_cut:
             return RefusalReason.LINKS_CUT
-        if not self._link.is_confident():
+        timed_out = bool(exc.details.get("timeout"))
+        if not self._link.is_confident(timed_out):
             return RefusalReason.UNSURE
-        timed_out = exc.details.get("timeout", False)
         return RefusalReason.TIMED_OUT if timed_out else RefusalReason.CONNECTION_REFUSED
 
     def on_statement(self, endpoint: str, statement: Statement) -> None:
--- a/tests/test_stranded_nodes.py
+++ b/tests/test_stranded_nodes.py
@@ -133,6 +133,7 @@
             self.assertIn("retry-after", answer.headers)
         # The route allows 1.5 s.
         self.assertLess(time.monotonic() - started, 1.5)
+        self.assert_nobody_blamed()
         # Nobody knows whether an endpoint lives: that proves neither a crash nor a whole stream.
         node, runner = self.members[0], self.models[0]
         self.assertTrue(await node._is_reachable(runner.name))
