--- a/lacewinghub/connector.py
+++ b/lacewinghub/connector.py
@@ -23,7 +23,7 @@
     """The connection could not be established; nothing was sent.
 
     ``details`` may contain ``timeout`` (nothing answered in time), ``blameless`` (the endpoint did
-    not cause it) and ``stranded`` (this node reaches no endpoint, in no way).
+    not cause it) and ``isolated`` (this node reaches no endpoint, in no way).
     """
 
     code, status = "connection_failed", 502
--- a/lacewinghub/failover_connector.py
+++ b/lacewinghub/failover_connector.py
@@ -118,7 +118,7 @@
 
     def explains_break(self, address: str, via: str) -> bool:
         """Return whether the own links explain that a connection broke; see ``Connector``."""
-        return not via and (self._link.is_cut or self._link.is_stranded(address))
+        return not via and (self._link.is_cut or self._link.is_unreached_here(address))
 
     async def _race(
         self, factory: Callable[[], ProtocolT], address: str, endpoint: str, timeout_s: float
@@ -156,7 +156,7 @@
         if unable or tunnel.details.get("unsure"):
             # Meanwhile other attempts may have shown that the links are cut.
             direct.details["blameless"] = self._link.is_cut
-            direct.details["stranded"] = unable and self._link.is_isolated
+            direct.details["isolated"] = unable and self._link.is_isolated
         else:
             direct.details["blameless"] = tunnel.details.get("blameless", False)
         return direct
--- a/lacewinghub/link_monitor.py
+++ b/lacewinghub/link_monitor.py
@@ -68,8 +68,8 @@
         finally:
             results = self._waiting.pop(endpoint)
         address = self._address(endpoint)
-        is_stranded = address is not None and self._link.is_stranded(address)
-        if is_stranded or self._link.was_cut_since(broke_at):
+        is_unreached_here = address is not None and self._link.is_unreached_here(address)
+        if is_unreached_here or self._link.was_cut_since(broke_at):
             logger.bind(endpoint=endpoint, count=len(results)).info(
                 "broken connections are not blamed on the endpoint"
             )
--- a/lacewinghub/link_probe.py
+++ b/lacewinghub/link_probe.py
@@ -69,7 +69,7 @@
 
     def _is_needed(self) -> bool:
         link = self._link
-        return link.is_cut or link.is_in_doubt() or bool(link.stranded())
+        return link.is_cut or link.is_in_doubt() or bool(link.unreached_here())
 
     def _pause_s(self) -> float:
         if self._link.is_returning:
@@ -80,7 +80,7 @@
         endpoint = self._choose()
         if endpoint is None:
             return
-        compares = not self._link.is_cut and not self._link.is_stranded(endpoint.address)
+        compares = not self._link.is_cut and not self._link.is_unreached_here(endpoint.address)
         connector = self._both if compares else self._direct
         try:
             conn = await connector.connect(_Probe, endpoint.address, endpoint.name, CONNECT_S)
@@ -99,6 +99,6 @@
         elif link.is_in_doubt():
             wanted = [item for item in endpoints if not link.has_failed(item.address)]
         else:
-            stranded = set(link.stranded())
-            wanted = [item for item in endpoints if item.address in stranded]
+            unreached = set(link.unreached_here())
+            wanted = [item for item in endpoints if item.address in unreached]
         return self._rng.choice(wanted or endpoints)
--- a/lacewinghub/link_state.py
+++ b/lacewinghub/link_state.py
@@ -21,7 +21,7 @@
 CONFIDENT_S = 0.1
 CONFIDENT_AFTER_TIMEOUT_S = 0.25
 # Endpoints that only other nodes reach, from which on the node's links are cut.
-STRANDED_LIMIT = 2
+REACHED_BY_OTHERS_LIMIT = 2
 # Endpoints that nobody is known to reach, from which on they are, unless there are fewer.
 UNREACHED_LIMIT = 3
 # The links are back after direct connections to this many endpoints in a row, over this time.
@@ -88,7 +88,7 @@
         """Register a function that is called after each direct connection that failed."""
         self._failure_listeners.append(listener)
 
-    def is_stranded(self, address: str) -> bool:
+    def is_unreached_here(self, address: str) -> bool:
         """Return whether only other nodes reach an endpoint."""
         item = self._endpoints.get(address)
         if item is None or not item.has_failed or not item.is_reached_by_others:
@@ -100,7 +100,7 @@
         if self.is_cut:
             item = self._endpoints.get(address)
             return item is None or item.ok_at < self._cut_at or item.has_failed
-        return self.is_stranded(address)
+        return self.is_unreached_here(address)
 
     def is_in_doubt(self) -> bool:
         """Return whether a direct attempt and one through another node should run side by side."""
@@ -143,9 +143,9 @@
         """Return whether the links were cut at some time since a loop time, in seconds."""
         return self.is_cut or self._cut_at >= time
 
-    def stranded(self) -> list[str]:
+    def unreached_here(self) -> list[str]:
         """Return the addresses of endpoints that only other nodes reach."""
-        return [address for address in self._endpoints if self.is_stranded(address)]
+        return [address for address in self._endpoints if self.is_unreached_here(address)]
 
     def on_direct_ok(self, address: str) -> None:
         """Record a direct connection."""
@@ -196,20 +196,22 @@
             for item in self._endpoints.values()
             if item.failed_at > self._ok_at and now - item.failed_at < EVIDENCE_S
         ]
-        stranded = sum(item.reached_at > self._ok_at and not _is_down(item) for item in failed)
+        reached_by_others = sum(
+            item.reached_at > self._ok_at and not _is_down(item) for item in failed
+        )
         unreached = sum(not _is_down(item) for item in failed)
-        limit = min(UNREACHED_LIMIT, max(STRANDED_LIMIT, self._known()))
-        if stranded >= STRANDED_LIMIT or unreached >= limit:
-            self._set_cut(failed, stranded, unreached)
+        limit = min(UNREACHED_LIMIT, max(REACHED_BY_OTHERS_LIMIT, self._known()))
+        if reached_by_others >= REACHED_BY_OTHERS_LIMIT or unreached >= limit:
+            self._set_cut(failed, reached_by_others, unreached)
 
-    def _set_cut(self, failed: list[_Endpoint], stranded: int, unreached: int) -> None:
+    def _set_cut(self, failed: list[_Endpoint], reached_by_others: int, unreached: int) -> None:
         timeouts = sum(item.timed_out for item in failed)
         self.is_cut, self._cut_at = True, _now()
         self.hangs = 2 * timeouts >= len(failed)
         self._back_since = None
         self._back.clear()
         logger.bind(
-            reached_by_others=stranded,
+            reached_by_others=reached_by_others,
             unreached=unreached,
             timeouts=timeouts,
             refused=len(failed) - timeouts,
--- a/lacewinghub/platform/runner.py
+++ b/lacewinghub/platform/runner.py
@@ -269,8 +269,8 @@
 def _connect_error(endpoint: Endpoint, exc: ConnectionFailed) -> ConnectFailed:
     if not exc.details.get("blameless"):
         return ConnectFailed(exc.message, endpoint=endpoint.name)
-    stranded = exc.details.get("stranded", False)
-    return LinkCut(exc.message, endpoint=endpoint.name, stranded=stranded)
+    isolated = exc.details.get("isolated", False)
+    return LinkCut(exc.message, endpoint=endpoint.name, isolated=isolated)
 
 
 def _share_statement(conn: HttpConnection, response: Incoming) -> None:
--- a/lacewinghub/proxyclient.py
+++ b/lacewinghub/proxyclient.py
@@ -15,7 +15,7 @@
 class LinkCut(ConnectFailed):
     """The connection could not be established, and the endpoint did not cause that.
 
-    ``details["stranded"]`` is true if this node reaches no endpoint at all.
+    ``details["isolated"]`` is true if this node reaches no endpoint at all.
     """
 
     code = "link_cut"
--- a/lacewinghub/proxyrouter.py
+++ b/lacewinghub/proxyrouter.py
@@ -467,7 +467,7 @@
     def _may_retry(self, req: Request, exc: EndpointError) -> bool:
         state = _state_of(req)
         if isinstance(exc, ConnectFailed):
-            return not exc.details.get("stranded")
+            return not exc.details.get("isolated")
         # The refused endpoint did not run it, and its client is in the middle of an answer.
         if isinstance(exc, EndpointBusy) and continues_stream(req):
             return self._spend_retry(req)
