--- a/lacewinghub/platform/runner.py
+++ b/lacewinghub/platform/runner.py
@@ -17,9 +17,10 @@
 from ..httpmessage import COPIED_BYTES, CRLF, Incoming, encode_headers, end_to_end
 from ..incarnations import EndpointRestarted, needs_proof
 from ..move_client import MoveAnswer, MoveOutcome, RunMoveClient
-from ..proxyclient import EndpointBusy, Incarnation, ProxyClient, ResponseHead
+from ..proxyclient import EndpointBusy, Incarnation, LinkCut, ProxyClient, ResponseHead
 from ..request import ProxyState, Request, RunCopy
 from ..tables import Endpoint
+from ..tunnel import MAX_PAUSE_S, Statement
 from . import names
 from .fields import count, decimal
 from .report import decode_report
@@ -62,8 +63,13 @@
         # A request that is sent again may meet a late copy of the answer to its first sending.
         is_repeat = state.sent > 1 or state.continued is not None or bool(state.last_event)
         conn = await self._connect(endpoint, req, fresh=not state.repeatable or is_repeat)
+        if conn.via:
+            logger.bind(request_id=req.id, endpoint=endpoint.name, via=conn.via).info(
+                "attempt goes through another node"
+            )
         response: Incoming | None = None
         state.abort = conn.close
+        conn.may_give_up = state.repeatable or state.resumable
         conn.expects_body = state.request.method != b"HEAD"
         sent_at = asyncio.get_running_loop().time()
         try:
@@ -71,16 +77,20 @@
                 conn.send(data)
             response = await self._matching_response(conn, req)
             self._report_statements(endpoint, req.pool, response, sent_at)
+            _share_statement(conn, response)
             await self._check_response(conn, endpoint, response)
+            conn.may_give_up = state.resumable
             yield ResponseHead(response.status, end_to_end(response.headers), response.framed)
             while data := await conn.read_body(response):
                 yield data
         except ConnectionBroken as exc:
             response = None
+            blameless = self._is_blameless(endpoint, conn, exc)
             raise EndpointCrashed(
                 f"endpoint {endpoint.name!r}: {exc.message}",
                 endpoint=endpoint.name,
-                ended=exc.details.get("ended", False),
+                ended=exc.details.get("ended", False) and not blameless,
+                blameless=blameless,
             ) from exc
         finally:
             if response is not None and response.complete and conn.discard(response):
@@ -95,14 +105,16 @@
             ConnectFailed: If there is none.
         """
         try:
-            conn = await self._pool.get(endpoint.address, fresh)
+            conn = await self._pool.get(endpoint.address, fresh, endpoint.name)
             if not needs_proof(req) or self._is_proven(endpoint, conn):
                 return conn
             if conn.reused:
                 conn.close()  # The runner may be closing it just now.
-                conn = await self._pool.get(endpoint.address, fresh=True)
+                conn = await self._pool.get(endpoint.address, True, endpoint.name)
             return await self._ask_for_proof(endpoint, conn, req)
-        except (ConnectionFailed, ConnectionBroken) as exc:
+        except ConnectionFailed as exc:
+            raise _connect_error(endpoint, exc) from exc
+        except ConnectionBroken as exc:
             raise ConnectFailed(exc.message, endpoint=endpoint.name) from exc
 
     def _is_proven(self, endpoint: Endpoint, conn: HttpConnection) -> bool:
@@ -143,17 +155,28 @@
         finally:
             if not keeps:
                 conn.close()
-        return conn if keeps else await self._pool.get(endpoint.address, fresh=True)
+        return conn if keeps else await self._pool.get(endpoint.address, True, endpoint.name)
 
     async def incarnation(self, endpoint: Endpoint, limit_s: float) -> Incarnation | None:
         """Ask a runner for its report; see ``ProxyClient.incarnation``."""
         try:
             async with asyncio.timeout(limit_s):
-                status, data = await self._call(endpoint.address, b"GET", names.REPORT_PATH)
+                status, data = await self._call(
+                    endpoint.address, b"GET", names.REPORT_PATH, endpoint=endpoint.name
+                )
         except (ConnectionFailed, ConnectionBroken, TimeoutError):
             return None
         return decode_report(data) if status == 200 else None
 
+    def _is_blameless(
+        self, endpoint: Endpoint, conn: HttpConnection, exc: ConnectionBroken
+    ) -> bool:
+        """Return whether a connection broke for another reason than its runner."""
+        if exc.details.get("lost_tunnel"):
+            return True
+        explains = self._pool.connector.explains_break(endpoint.address, conn.via)
+        return bool(exc.details.get("lost")) and explains
+
     async def move_run(
         self, source: Endpoint, req: Request, target: Endpoint, timeout_s: float
     ) -> MoveAnswer:
@@ -162,7 +185,9 @@
         body = json.dumps(order, separators=(",", ":")).encode()
         try:
             async with asyncio.timeout(timeout_s):
-                status, data = await self._call(source.address, b"POST", names.KV_MOVE_PATH, body)
+                status, data = await self._call(
+                    source.address, b"POST", names.KV_MOVE_PATH, body, source.name
+                )
         except ConnectionFailed:
             return MoveAnswer(MoveOutcome.UNREACHED)
         except (ConnectionBroken, TimeoutError):
@@ -177,15 +202,17 @@
                 await self._call(copy.source, b"DELETE", path)
 
     async def _call(
-        self, address: str, method: bytes, path: bytes, body: bytes = b""
+        self, address: str, method: bytes, path: bytes, body: bytes = b"", endpoint: str = ""
     ) -> tuple[int, bytes]:
         """Send a call that is no client's request; return status and body of its answer.
 
+        Without the name of its endpoint the connection is direct.
+
         Raises:
             ConnectionFailed: If nothing was sent.
             ConnectionBroken: If there was no whole answer.
         """
-        conn = await self._pool.get(address, fresh=True)
+        conn = await self._pool.get(address, True, endpoint)
         try:
             response, answer = await _exchange(conn, address, method, path, body)
             return response.status, answer
@@ -280,16 +307,13 @@
             self._statements.brittle.record(pool, endpoint.name, bears_per_s)
 
     def _report_leaving(self, endpoint: Endpoint, response: Incoming) -> None:
-        """Record that the runner leaves; a 421 comes from another runner at its address."""
-        if response.header(names.SERVER_LEAVING) == b"1" and response.status != _MISDIRECTED:
+        """Record that the runner leaves."""
+        if _states_leaving(response):
             self._statements.on_leaving(endpoint.name)
 
     def _report_pause(self, endpoint: Endpoint, response: Incoming) -> None:
         """Record for how long a runner that refuses a request wants none of this node."""
-        text = response.header(names.RETRY_AFTER)
-        if response.status != _UNAVAILABLE or text is None:
-            return
-        pause_s = decimal(text.decode("latin-1"))
+        pause_s = _stated_pause_s(response)
         if pause_s is not None:
             self._statements.pauses.record(endpoint.name, pause_s)
 
@@ -334,6 +358,37 @@
         raise ConnectionBroken("the body of another response does not end") from exc
 
 
+def _connect_error(endpoint: Endpoint, exc: ConnectionFailed) -> ConnectFailed:
+    if not exc.details.get("blameless"):
+        return ConnectFailed(exc.message, endpoint=endpoint.name)
+    isolated = exc.details.get("isolated", False)
+    return LinkCut(exc.message, endpoint=endpoint.name, isolated=isolated)
+
+
+def _share_statement(conn: HttpConnection, response: Incoming) -> None:
+    """Tell the node through which a response came that its runner leaves or wants a pause."""
+    tunnel = conn.tunnel
+    if tunnel is None:
+        return
+    leaving, pause_s = _states_leaving(response), _stated_pause_s(response)
+    if leaving or pause_s is not None:
+        pause_s = None if pause_s is None else min(pause_s, MAX_PAUSE_S)
+        tunnel.send_statement(Statement(leaving=leaving, pause_s=pause_s))
+
+
+def _states_leaving(response: Incoming) -> bool:
+    """Tell whether the runner leaves; a 421 comes from another runner at its address."""
+    return response.header(names.SERVER_LEAVING) == b"1" and response.status != _MISDIRECTED
+
+
+def _stated_pause_s(response: Incoming) -> float | None:
+    """Return for how long a runner that refuses a request wants none, in seconds."""
+    text = response.header(names.RETRY_AFTER)
+    if response.status != _UNAVAILABLE or text is None:
+        return None
+    return decimal(text.decode("latin-1"))
+
+
 def _is_refusal(response: Incoming) -> bool:
     """Tell whether a runner states that it did not execute the request."""
     return response.header(names.NOT_EXECUTED) is not None or response.status == _MISDIRECTED
--- a/lacewinghub/proxyrouter.py
+++ b/lacewinghub/proxyrouter.py
@@ -339,8 +339,13 @@
                 self._count_usage(req, progress)
             is_writer = is_asked and not progress.question.is_elsewhere
             if is_writer and isinstance(exc, ConnectFailed):
-                # It died, and its operating system ended the stream.
-                failure = EndpointCrashed(exc.message, endpoint=endpoint.name, ended=True)
+                # It died, and its operating system ended the stream; or nobody knows.
+                failure = EndpointCrashed(
+                    exc.message,
+                    endpoint=endpoint.name,
+                    ended=not exc.neutral,
+                    blameless=exc.neutral,
+                )
                 raise failure from exc
             if state.withdrawn and isinstance(exc, EndpointCrashed):
                 failure = AttemptWithdrawn(f"withdrawn from endpoint {endpoint.name!r}")
@@ -486,7 +491,7 @@
     def _may_retry(self, req: Request, exc: EndpointError) -> bool:
         state = _state_of(req)
         if isinstance(exc, ConnectFailed):
-            return True
+            return not exc.details.get("isolated")
         # The refused endpoint did not run it, and its client is in the middle of an answer.
         if isinstance(exc, EndpointBusy) and continues_stream(req):
             return self._spend_retry(req)
