Ask a runner once for its report when many of its streams end together

Each stream whose end is not proven cost a call and a connection of its own, half a second after its end: many ends at once could use up the connections that a runner accepts, and it resets those beyond.

--- a/lacewinghub/end_witness.py
+++ b/lacewinghub/end_witness.py
@@ -12,6 +12,7 @@
 from typing import TypeVar
 
 from .proxyclient import ProxyClient
+from .shared_reports import SharedReports
 from .stream_end import DEADLINE_MARGIN_S
 from .tables import Endpoint
 
@@ -54,7 +55,7 @@
     """
 
     def __init__(self, client: ProxyClient, started: Callable[[str], float | None]) -> None:
-        self._client = client
+        self._reports = SharedReports(client)
         self._started = started
         # Start times that processes stated, by endpoint; announcements may be older.
         self._stated: dict[str, float] = {}
@@ -106,7 +107,7 @@
             # This node was frozen meanwhile. The deadline of the request still ends the call.
             limit = _now() + ANSWER_S
         while (wait_s := limit - _now()) > 0.0 and failures < MAX_FAILURES:
-            incarnation = await self._client.incarnation(endpoint, wait_s)
+            incarnation = await self._reports.ask(endpoint, wait_s)
             if incarnation is None:
                 found = Testimony.SILENT
                 failures += 1
