--- a/lacewinghub/platform/node.py
+++ b/lacewinghub/platform/node.py
@@ -19,11 +19,12 @@
 from ..httpclient import ConnectionPool
 from ..httpserver import HttpHandler
 from ..limit import RetryRule
+from ..node_adapter import Adapter, ProxySettings, TopicSource
 from ..nodelist import WritableKeyedTopic
 from ..plain_topic import PlainTopic
 from ..proxyclient import ProxyClient
 from ..proxygateway import ProxyCodec
-from ..proxynode import Adapter, ProxyNode, ProxySettings, TopicSource
+from ..proxynode import ProxyNode
 from . import names
 from .boot import Boot, find_settings_path, load
 from .caller import ConfigSink, PlatformCodec
