--- a/lacewinghub/proxyrouter.py
+++ b/lacewinghub/proxyrouter.py
@@ -8,31 +8,35 @@
 import asyncio
 from collections.abc import AsyncGenerator
 from contextlib import aclosing
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from functools import partial
 
 from loguru import logger
 
+from .answer_progress import (
+    AnswerProgress,
+    answering_s,
+    client_error,
+    correct_run,
+    lacks_capacity,
+    log_end,
+    lost_response,
+)
 from .answer_time import AnswerTimes
 from .continuation import continues_stream
 from .dependencies import DispatcherDependencies
 from .dispatch import MAX_ATTEMPTS, AttemptTimer, Dispatcher
-from .end_settlement import EndSettlement, Question
+from .end_settlement import EndSettlement
 from .end_witness import EndWitness
 from .endpoint import ConnectFailed, EndpointCrashed, EndpointError
 from .errors import (
-    AnswerIncomplete,
     DeadlineExceeded,
-    EndpointFailed,
-    ExecutionStatus,
     LacewingError,
-    NotRun,
-    Overloaded,
     StreamVersionGone,
 )
 from .eventstream import EventSplitter
 from .history import EventKind
-from .movable_run import MovableRun, RunMoved
+from .movable_run import RunMoved
 from .observer import LatencyTimer
 from .proxyclient import (
     AttemptWithdrawn,
@@ -47,40 +51,11 @@
 from .stream_end import End, Evidence, StreamEnds, log_whole, plain_end
 from .tables import Endpoint
 
-RETRY_AFTER_S = 1.0  # Sent to clients when no endpoint accepted the request.
 # A response that is not a stream is passed on when it is complete, so that a failed attempt can be
 # retried. A larger one is passed on as it arrives.
 MAX_BUFFERED_BYTES = 256 * 1024
 
 
-@dataclass(slots=True)
-class _Progress:
-    """Progress of the response to one request.
-
-    Attributes:
-        head_sent: True once the head was passed on to the client.
-        splitter: Splits a stream that another endpoint may continue into events; None for other
-            responses.
-        counted: True once the request counts for the usage of its workspace.
-        run: The run of the request if it can be moved, otherwise None.
-        ends: Judges the ends of a stream.
-        begun: True once an event of a stream was passed on.
-        question: Whether the stream goes on after an end that proves nothing.
-        started: Loop time at which the current run was sent, in seconds.
-        deadline: Deadline that its endpoint was sent, as a loop time in seconds.
-    """
-
-    head_sent: bool = False
-    counted: bool = False
-    splitter: EventSplitter | None = None
-    run: MovableRun | None = None
-    ends: StreamEnds = field(default_factory=StreamEnds)
-    begun: bool = False
-    question: Question = field(default_factory=Question)
-    started: float = 0.0
-    deadline: float = float("inf")
-
-
 class ProxyRouter(Dispatcher):
     """Passes requests on to endpoints, with retries and resumes.
 
@@ -123,7 +98,7 @@
             LacewingError: If the request failed; only ``AnswerIncomplete`` may follow the head.
         """
         state = _state_of(req)
-        progress = _Progress(
+        progress = AnswerProgress(
             run=self._mover.track(req) if self._mover else None,
             ends=StreamEnds(state.is_take_up),
         )
@@ -166,9 +141,9 @@
                 if not _continues(failure, progress):
                     self._prepare_retry(req, endpoint, failure, attempt, progress)
         except LacewingError as exc:
-            if demand is not None and _lacks_capacity(exc):
+            if demand is not None and lacks_capacity(exc):
                 demand.record_refusal(req)
-            error = _correct_run(state, exc, progress)
+            error = correct_run(state, exc, progress)
             # The cause says more than that the answer is incomplete.
             self._report_failure(req, exc if isinstance(exc, StreamVersionGone) else error, 0)
             raise error from exc
@@ -228,7 +203,7 @@
         elif state.origin is None:
             state.origin = endpoint.version
 
-    def _next_target(self, req: Request, progress: _Progress) -> tuple[Grant, Endpoint] | None:
+    def _next_target(self, req: Request, progress: AnswerProgress) -> tuple[Grant, Endpoint] | None:
         """Return a slot of the endpoint that is to go on with the stream, None to choose one."""
         asked = progress.question.asked
         if asked is not None:
@@ -239,7 +214,7 @@
         return None if endpoint is None else (self._mover.occupy(progress.run, endpoint), endpoint)
 
     def _pieces(
-        self, req: Request, endpoint: Endpoint, progress: _Progress
+        self, req: Request, endpoint: Endpoint, progress: AnswerProgress
     ) -> AsyncGenerator[ResponseHead | bytes, None]:
         pieces = self._client.stream(endpoint, req)
         if progress.run is None:
@@ -247,7 +222,7 @@
         return progress.run.attempt(endpoint, pieces, goes_on=progress.question.asked is not None)
 
     async def _attempt(
-        self, req: Request, grant: Grant, endpoint: Endpoint, progress: _Progress
+        self, req: Request, grant: Grant, endpoint: Endpoint, progress: AnswerProgress
     ) -> AsyncGenerator[ResponseHead | bytes, None]:
         """Send the request to one endpoint and yield what the client has not received yet."""
         state = _state_of(req)
@@ -335,7 +310,7 @@
             failure = exc
             if head is not None and isinstance(exc, EndpointCrashed):
                 ends.break_off()
-            if _lost_response(state, exc):
+            if lost_response(state, exc):
                 self._count_usage(req, progress)
             is_writer = is_asked and not progress.question.is_elsewhere
             if is_writer and isinstance(exc, ConnectFailed):
@@ -366,7 +341,7 @@
             )
 
     def _on_head(
-        self, req: Request, endpoint: Endpoint, head: ResponseHead, progress: _Progress
+        self, req: Request, endpoint: Endpoint, head: ResponseHead, progress: AnswerProgress
     ) -> None:
         state = _state_of(req)
         if progress.head_sent:
@@ -393,7 +368,7 @@
         req: Request,
         endpoint: Endpoint,
         head: ResponseHead,
-        progress: _Progress,
+        progress: AnswerProgress,
         resumed: bool,
     ) -> None:
         """Raise an error if a response that ended is not whole, or if nothing proves that it is.
@@ -410,7 +385,7 @@
         if state.streaming and head.status == 200:
             splitter = progress.splitter
             end = ends.judge(left_s, splitter is not None and splitter.falls_short)
-            _log_end(req, endpoint, ends, resumed, end)
+            log_end(req, endpoint, ends, resumed, end)
             if end is End.UNPROVEN and not await self._is_testified(req, endpoint, progress):
                 if state.resumable:
                     raise EndUnproven(
@@ -434,7 +409,9 @@
                 ended=True,
             )
 
-    async def _is_testified(self, req: Request, endpoint: Endpoint, progress: _Progress) -> bool:
+    async def _is_testified(
+        self, req: Request, endpoint: Endpoint, progress: AnswerProgress
+    ) -> bool:
         """Return whether the process that wrote the end of a stream says that it has ended the run.
 
         Where an endpoint can be asked to go on, its answer is the better evidence. A run that was
@@ -447,7 +424,7 @@
         agrees = not adds_events and progress.question.writer is not None
         return await self._settlement.has_finished(req, endpoint, started, agrees)
 
-    def _count_usage(self, req: Request, progress: _Progress) -> None:
+    def _count_usage(self, req: Request, progress: AnswerProgress) -> None:
         """Count a request that began to run, once for all its attempts."""
         if self._dispatch_deps.usage is not None and not progress.counted:
             progress.counted = True
@@ -459,7 +436,7 @@
         endpoint: Endpoint,
         exc: EndpointError,
         attempt: int,
-        progress: _Progress,
+        progress: AnswerProgress,
     ) -> None:
         """Return if the request may be retried, otherwise raise the error for the client."""
         state = _state_of(req)
@@ -482,11 +459,11 @@
             sent=state.sent,
             max_attempts=state.max_attempts,
             may_have_run=state.may_have_run,
-            answering_s=_answering_s(state),
+            answering_s=answering_s(state),
             outcome="repeat" if retries else "give up",
         ).info("attempt failed: {}", exc.message)
         if not retries:
-            raise _client_error(state, exc, progress) from exc
+            raise client_error(state, exc, progress) from exc
 
     def _may_retry(self, req: Request, exc: EndpointError) -> bool:
         state = _state_of(req)
@@ -514,7 +491,7 @@
     neutral = True
 
 
-def _continues(failure: EndpointError, progress: _Progress) -> bool:
+def _continues(failure: EndpointError, progress: AnswerProgress) -> bool:
     """Return whether another endpoint is asked to continue a run that was stopped to be moved.
 
     An endpoint that failed in any other way than by a refusal may have begun to continue it.
@@ -529,58 +506,3 @@
 def _state_of(req: Request) -> ProxyState:
     assert req.proxy is not None
     return req.proxy
-
-
-def _lost_response(state: ProxyState, exc: BaseException) -> bool:
-    """Tell whether a plain request was sent and its response, or a part of it, did not arrive."""
-    if state.streaming or isinstance(exc, ConnectFailed | EndpointBusy):
-        return False
-    # A cancelled attempt may still have been connecting.
-    return isinstance(exc, EndpointCrashed) or state.abort is not None
-
-
-def _lacks_capacity(exc: LacewingError) -> bool:
-    """Tell whether a request failed because no runner had room for it."""
-    return isinstance(exc, Overloaded) or isinstance(exc.__cause__, EndpointBusy)
-
-
-def _log_end(req: Request, endpoint: Endpoint, ends: StreamEnds, resumed: bool, end: End) -> None:
-    """Log how a stream ended whose form alone does not show that it is whole."""
-    if ends.framed and not resumed:
-        return
-    logger.bind(
-        request_id=req.id,
-        endpoint=endpoint.name,
-        framed=ends.framed,
-        resumed=resumed,
-        adds_events=ends.adds_events,
-        inside_event=ends.is_inside_event,
-        last_event=(_state_of(req).last_event or b"").decode("latin-1"),
-        outcome=str(end),
-    ).info("stream ended")
-
-
-def _answering_s(state: ProxyState) -> float | None:
-    """Return for how long the current endpoint has been answering, in seconds."""
-    if state.answering_since is None:
-        return None
-    return round(asyncio.get_running_loop().time() - state.answering_since, 3)
-
-
-def _correct_run(state: ProxyState, exc: LacewingError, progress: _Progress) -> LacewingError:
-    """Replace an error that states "not run" if an earlier attempt may have been executed."""
-    if exc.run is not ExecutionStatus.NOT_RUN or not state.may_have_run:
-        return exc
-    if progress.head_sent:
-        return AnswerIncomplete(f"the answer was interrupted: {exc.message}")
-    return EndpointFailed(f"no endpoint completed the request: {exc.message}")
-
-
-def _client_error(state: ProxyState, exc: EndpointError, progress: _Progress) -> LacewingError:
-    if progress.head_sent:
-        return AnswerIncomplete(f"the answer was interrupted: {exc.message}")
-    if not state.may_have_run:
-        return NotRun(
-            f"no endpoint accepted the request: {exc.message}", retry_after_s=RETRY_AFTER_S
-        )
-    return EndpointFailed(f"no endpoint completed the request: {exc.message}")
