Keep tunnels whose caller reads nothing for some seconds

TCP_USER_TIMEOUT counts the time in which the other side's window is closed. The tunnel's socket at the serving node had the 4 s for a dead host, so that a caller that read nothing for longer got a broken answer; a direct connection has no such limit on this side. The socket now has 60 s.

Before: a 64 MiB answer whose reader paused for 7 s ended after 113,152 bytes with TunnelLost. The new test fails on the old code and passes (one run each); tests.test_tunnel passes.

--- a/lacewinghub/httpclient.py
+++ b/lacewinghub/httpclient.py
@@ -448,11 +448,17 @@
     return DEFAULT_IDLE_S
 
 
-def enable_dead_host_detection(sock: socket.socket) -> None:
-    """Set the socket options that detect a dead host, which sends no reset."""
+def enable_dead_host_detection(sock: socket.socket, user_timeout_ms: int | None = None) -> None:
+    """Set the socket options that detect a dead host, which sends no reset.
+
+    Args:
+        sock: The socket.
+        user_timeout_ms: Time for which the other side may leave sent bytes unacknowledged, or read
+            nothing while there are unsent ones; None stands for ``USER_TIMEOUT_MS``.
+    """
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_EVERY_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms or USER_TIMEOUT_MS)
--- a/lacewinghub/tunnel_server.py
+++ b/lacewinghub/tunnel_server.py
@@ -39,6 +39,9 @@
 MAX_HANDSHAKES = 64
 CONNECT_S = 0.3
 BACKLOG = 256
+# The other node reads nothing while its caller does not read; the system's time-out for a dead host
+# counts this time, too.
+UNREAD_TIMEOUT_MS = 60_000
 
 
 class TunnelTargets(ABC):
@@ -240,7 +243,7 @@
             self._tcp.abort()
             return
         sock = transport.get_extra_info("socket")
-        enable_dead_host_detection(sock)
+        enable_dead_host_detection(sock, UNREAD_TIMEOUT_MS)
         limit_receive_buffer(sock, RECEIVE_BYTES)
         self._tcp.set_write_buffer_limits(high=HIGH_WATER_BYTES)
         self._timer = asyncio.get_running_loop().call_later(HANDSHAKE_S, self.abort)
--- a/tests/test_tunnel.py
+++ b/tests/test_tunnel.py
@@ -4,6 +4,7 @@
 import unittest
 from collections.abc import Awaitable, Callable
 from typing import Any
+from unittest.mock import patch
 
 from lacewinghub.connector import ConnectionFailed, ConnectionProtocol, DirectConnector
 from lacewinghub.tunnel import (
@@ -258,6 +259,23 @@
         await self.until(lambda: sent > paused_at + 1024 * 1024, 5.0)
         tunnel.close()
 
+    @patch("lacewinghub.httpclient.USER_TIMEOUT_MS", 500)
+    async def test_a_caller_that_reads_nothing_for_long_gets_the_whole_answer(self) -> None:
+        size = 32 * 1024 * 1024
+
+        async def send_all(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(bytes(size))
+            await writer.drain()
+
+        self.serve = send_all
+        tunnel = await self.open()
+        tunnel.transport.pause_reading()
+        await asyncio.sleep(2.0)  # Longer than the time-out for a dead host.
+        tunnel.transport.resume_reading()
+        await asyncio.wait_for(tunnel.ended.wait(), 5.0)
+        self.assertIsNone(tunnel.exc)
+        self.assertEqual(len(tunnel.data), size)
+
     async def test_an_endpoint_that_does_not_read_slows_the_other_node_down(self) -> None:
         async def ignore(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await asyncio.sleep(1.0)
