Prove processes only by direct connections that would show their end

A new connection counted as proven if another proven one to the address was open. A connection through a tunnel, one that is not being read, and one whose end was lost in a cut all look open after their process has ended, so that a stream could go on at a restarted process with other software unasked. Only direct connections that are read prove others now, and none from before the links were cut or came back.

Each stream through a tunnel is preceded by one call for a report.

--- a/lacewinghub/httpclient.py
+++ b/lacewinghub/httpclient.py
@@ -169,6 +169,14 @@
         """True if neither side has ended the connection."""
         return not self._ended and not self._closed and self._broken is None
 
+    @property
+    def shows_end(self) -> bool:
+        """True if the connection is open and would show at once that its endpoint has ended.
+
+        Through a tunnel the end may come late, and while nothing is read it stays unnoticed.
+        """
+        return self.is_open and not self.via and not self._reading_paused
+
     @property
     def is_idle(self) -> bool:
         """True if the connection is open and has no unread messages."""
--- a/lacewinghub/incarnations.py
+++ b/lacewinghub/incarnations.py
@@ -2,8 +2,9 @@
 
 An endpoint may restart under its name with other software, and its new announcement follows later.
 A process keeps its address until it ends, and its end closes its connections. A connection is
-therefore proven once the process has stated its start time on it, or if another proven connection
-was open when it was opened.
+therefore proven once the process has stated its start time on it, or if both it and another proven
+connection are direct and the other one was open when it was opened. An end that was lost while the
+links were cut shows late, so that earlier proofs do not count afterwards.
 """
 
 import weakref
@@ -73,7 +74,13 @@
         if not started or self._unstated.get(endpoint.name) == started:
             return False
         proofs = self._proven.get(endpoint.address)
-        if proofs and any(item.is_open and at == started for item, at in proofs.items()):
+        if not proofs:
+            return True
+        if proofs.get(conn) == started:
+            return False
+        if conn.via:
+            return True
+        if any(item.shows_end and at == started for item, at in proofs.items()):
             self._prove(endpoint, conn, started)
             return False
         return True
@@ -108,6 +115,10 @@
         self._proven.pop(endpoint.address, None)
         self._unstated.pop(endpoint.name, None)
 
+    def on_links_changed(self) -> None:
+        """Forget all connections, whose processes may have ended unnoticed."""
+        self._proven.clear()
+
     def _started(self, endpoint: Endpoint) -> float:
         """Return the announced start time of an endpoint in seconds, 0 if there is none."""
         item = self._announcement(endpoint.name)
--- a/lacewinghub/proxynode.py
+++ b/lacewinghub/proxynode.py
@@ -552,6 +552,7 @@
         return self._endpoints_topic.knowledge_age_s + self._suspend.unnoticed_s
 
     def _on_links_changed(self) -> None:
+        self._incarnations.on_links_changed()
         self._connections.close_unusable()
         self._give_up_silent()
         # Requests that were sent just now may be silent, too.
