Ignore what another process of an endpoint stated when a tunnel is refused

A node that is asked for a tunnel refuses it for endpoints that leave or want a pause, and the asking node took that over for the process that it knew. If the two know different processes of an endpoint that keeps its name and address, the new process was taken for leaving until its next restart. Such refusals carry the announced start time now; without a match they say nothing.

tests/test_stale_refusals.py fails in four of six cases without the comparison and passes with it; tests.test_tunnel passes.

--- a/lacewinghub/failover_connector.py
+++ b/lacewinghub/failover_connector.py
@@ -9,7 +9,7 @@
 
 from .connector import ConnectionFailed, Connector, ProtocolT
 from .link_state import LinkState
-from .tunnel import UNABLE, UNREACHABLE, RefusalReason
+from .tunnel import STATED, UNABLE, UNREACHABLE, RefusalReason
 from .tunnel_client import OPEN_S, TunnelClient, TunnelRefused
 from .tunnel_peers import TunnelPeers
 
@@ -25,6 +25,10 @@
 class RefusalListener(ABC):
     """Receives what other nodes know of endpoints."""
 
+    @abstractmethod
+    def is_current(self, endpoint: str, started: float) -> bool:
+        """Return whether an endpoint is announced with a start time, in seconds."""
+
     @abstractmethod
     def on_leaving(self, endpoint: str) -> None:
         """Record that an endpoint leaves."""
@@ -210,15 +214,18 @@
             self._link.on_unreached_by_other(address)
             timed_out = exc.reason is RefusalReason.TIMED_OUT
             raise ConnectionFailed(f"cannot connect to {address}: {exc.message}", timeout=timed_out)
-        if exc.reason is RefusalReason.LEAVING:
-            self._listener.on_leaving(endpoint)
-        elif exc.reason is RefusalReason.PAUSED:
-            self._listener.on_paused(endpoint, exc.pause_s)
-        elif exc.reason is RefusalReason.UNSURE and not self._link.is_cut:
+        if exc.reason is RefusalReason.UNSURE and not self._link.is_cut:
             # Further nodes would take more time than another endpoint.
             raise ConnectionFailed(f"cannot connect to {address}: {exc.message}", unsure=True)
-        else:
+        refusal = exc.refusal
+        if refusal is None or refusal.reason not in STATED:
             return
+        if not self._listener.is_current(endpoint, refusal.started):
+            return  # It is about a process that has ended, or that is not announced here yet.
+        if refusal.reason is RefusalReason.LEAVING:
+            self._listener.on_leaving(endpoint)
+        else:
+            self._listener.on_paused(endpoint, refusal.pause_s)
         raise ConnectionFailed(f"cannot use {address}: {exc.message}", blameless=True)
 
     def _discard(self, task: "asyncio.Task[ProtocolT]", cancel: bool) -> None:
--- a/lacewinghub/reach.py
+++ b/lacewinghub/reach.py
@@ -13,7 +13,7 @@
 from .message import TunnelOffer
 from .supervisor import Supervisor
 from .tables import Endpoint
-from .tunnel import RefusalReason, Statement, TunnelRefusal
+from .tunnel import MAX_PAUSE_S, RefusalReason, Statement, TunnelRefusal
 from .tunnel_client import TunnelClient
 from .tunnel_peers import TunnelPeers
 from .tunnel_server import TunnelServer, TunnelTargets
@@ -41,13 +41,16 @@
             return TunnelRefusal(reason=RefusalReason.LINKS_CUT)
         if self._directory.address(endpoint) != address:
             return TunnelRefusal(reason=RefusalReason.UNKNOWN)
+        announced = self._directory.announced_start(endpoint) or 0.0
         if self._directory.is_leaving(endpoint):
-            return TunnelRefusal(reason=RefusalReason.LEAVING)
+            return TunnelRefusal(reason=RefusalReason.LEAVING, started=announced)
         if self._directory.started(endpoint) is None:
             return TunnelRefusal(reason=RefusalReason.UNKNOWN)
         pause_s = self._pauses.wait_s(endpoint)
         if pause_s > 0.0:
-            return TunnelRefusal(reason=RefusalReason.PAUSED, pause_s=pause_s)
+            return TunnelRefusal(
+                reason=RefusalReason.PAUSED, pause_s=min(pause_s, MAX_PAUSE_S), started=announced
+            )
         return None
 
     def explain(self, exc: ConnectionFailed) -> RefusalReason:
@@ -66,6 +69,10 @@
         if statement.pause_s is not None:
             self.on_paused(endpoint, statement.pause_s)
 
+    def is_current(self, endpoint: str, started: float) -> bool:
+        """Return whether an endpoint is announced with a start time; see ``RefusalListener``."""
+        return self._directory.announced_start(endpoint) == started
+
     def on_leaving(self, endpoint: str) -> None:
         """Send an endpoint nothing new, because another node knows that it leaves."""
         self._directory.mark_leaving(endpoint)
--- a/lacewinghub/tunnel.py
+++ b/lacewinghub/tunnel.py
@@ -77,6 +77,8 @@
 
 # The endpoint itself does not accept connections, as seen from another node.
 UNREACHABLE = frozenset((RefusalReason.CONNECTION_REFUSED, RefusalReason.TIMED_OUT))
+# The endpoint itself stated why.
+STATED = frozenset((RefusalReason.LEAVING, RefusalReason.PAUSED))
 # Nothing was learnt about the endpoint, but about the other node.
 UNABLE = frozenset((RefusalReason.LINKS_CUT, RefusalReason.NO_ROOM, RefusalReason.STOPPING))
 
@@ -107,10 +109,12 @@
     Attributes:
         reason: The reason.
         pause_s: For how long the endpoint wants no requests, in seconds.
+        started: Announced start time of the endpoint that leaves or wants a pause, in seconds.
     """
 
     reason: RefusalReason
     pause_s: float = Field(default=0.0, ge=0.0, le=MAX_PAUSE_S)
+    started: float = 0.0
 
 
 class Statement(_Body):
--- a/lacewinghub/tunnel_client.py
+++ b/lacewinghub/tunnel_client.py
@@ -22,6 +22,7 @@
     StatementSender,
     TunnelError,
     TunnelLost,
+    TunnelRefusal,
     encode_body,
     encode_data,
     parse_refusal,
@@ -38,15 +39,15 @@
 
     Attributes:
         reason: What the other node answered; None if it did not answer.
-        pause_s: For how long the endpoint wants no requests, in seconds.
+        refusal: Its whole answer.
     """
 
     code, status = "tunnel_refused", 502
 
-    def __init__(self, node: str, reason: RefusalReason | None, pause_s: float = 0.0) -> None:
-        super().__init__(f"no tunnel through node {node!r}: {reason or 'no answer'}")
-        self.reason = reason
-        self.pause_s = pause_s
+    def __init__(self, node: str, refusal: TunnelRefusal | None) -> None:
+        self.refusal = refusal
+        self.reason: RefusalReason | None = None if refusal is None else refusal.reason
+        super().__init__(f"no tunnel through node {node!r}: {self.reason or 'no answer'}")
 
 
 class TunnelTransport(asyncio.Transport, StatementSender):
@@ -262,8 +263,7 @@
                 await loop.create_connection(lambda: conn, host.strip("[]"), int(port))
                 answer = await _answer_of(conn)
             if answer.kind is FrameKind.REFUSED:
-                refusal = parse_refusal(answer)
-                raise TunnelRefused(via, refusal.reason, refusal.pause_s)
+                raise TunnelRefused(via, parse_refusal(answer))
             if conn.has_ended:
                 raise TunnelRefused(via, None)
         except (OSError, TimeoutError, TunnelError) as exc:
--- /dev/null
+++ b/tests/test_stale_refusals.py
@@ -0,0 +1,85 @@
+"""Tests of refusals by nodes that know an endpoint's earlier or later process."""
+
+import unittest
+from typing import Any, cast
+
+from lacewinghub.connector import ConnectionFailed, ConnectionProtocol, DirectConnector
+from lacewinghub.directory import Announcement, EndpointDirectory
+from lacewinghub.endpoint_pause import EndpointPauses
+from lacewinghub.failover_connector import FailoverConnector
+from lacewinghub.link_state import LinkState
+from lacewinghub.reach import DirectoryTargets
+from lacewinghub.tables import Endpoint
+from lacewinghub.tunnel import MAX_PAUSE_S
+from lacewinghub.tunnel_client import TunnelClient, TunnelRefused
+from lacewinghub.tunnel_peers import TunnelPeer, TunnelPeers
+
+ENDPOINT = Endpoint("e-1", "127.0.0.1:1", 4)
+
+
+class _Node:
+    """What a node knows of the endpoint."""
+
+    def __init__(self, started: float) -> None:
+        self.directory = EndpointDirectory()
+        self.directory.announce(Announcement(ENDPOINT, "p", started=started))
+        self.pauses = EndpointPauses()
+        self.link = LinkState(lambda: 1)
+        self.targets = DirectoryTargets(self.directory, self.pauses, self.link)
+
+    @property
+    def accepts(self) -> bool:
+        """True if the node would send the endpoint requests."""
+        paused = self.pauses.wait_s(ENDPOINT.name) > 0.0
+        return not paused and not self.directory.is_leaving(ENDPOINT.name)
+
+
+class _OneServer:
+    """Tunnels through one node, which refuses them."""
+
+    def __init__(self, server: _Node) -> None:
+        self._server = server
+
+    def choose(self, asked: set[str]) -> TunnelPeer | None:
+        return None if asked else TunnelPeer("n-2", "127.0.0.1:2")
+
+    async def open(self, *_: Any) -> ConnectionProtocol:
+        raise TunnelRefused("n-2", self._server.targets.refusal(ENDPOINT.name, ENDPOINT.address))
+
+
+class TestStaleRefusals(unittest.IsolatedAsyncioTestCase):
+    """Guards against a restarted endpoint that is lost because of what its predecessor stated."""
+
+    async def ask(self, asking: _Node, server: _Node) -> None:
+        """Let a node that does not reach the endpoint try a tunnel."""
+        asking.link.on_direct_failed(ENDPOINT.address, timed_out=True)
+        asking.link.on_reached_by_other(ENDPOINT.address)
+        stub: Any = _OneServer(server)
+        connector = FailoverConnector(
+            DirectConnector(),
+            asking.link,
+            cast(TunnelPeers, stub),
+            cast(TunnelClient, stub),
+            asking.targets,
+        )
+        with self.assertRaises(ConnectionFailed):
+            await connector.connect(
+                ConnectionProtocol, ENDPOINT.address, ENDPOINT.name, timeout_s=0.1
+            )
+
+    async def test_statements_of_another_process_do_not_count(self) -> None:
+        cases = (("same process", 1.0, 1.0, False), ("stale server", 1.0, 2.0, True))
+        for label, at_server, at_asking, accepts in (*cases, ("stale client", 2.0, 1.0, True)):
+            for pauses in (False, True):
+                with self.subTest(label, pauses=pauses):
+                    server, asking = _Node(at_server), _Node(at_asking)
+                    if pauses:
+                        server.pauses.record(ENDPOINT.name, 2 * MAX_PAUSE_S)
+                    else:
+                        server.directory.mark_leaving(ENDPOINT.name)
+                    await self.ask(asking, server)
+                    self.assertEqual(asking.accepts, accepts)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_tunnel.py
+++ b/tests/test_tunnel.py
@@ -313,9 +313,9 @@
 
     async def test_reasons(self) -> None:
         for reason in RefusalReason:
-            self.targets.answer = TunnelRefusal(reason=reason, pause_s=1.5)
+            self.targets.answer = TunnelRefusal(reason=reason, pause_s=1.5, started=2.5)
             exc = await self.assert_refused(reason)
-            self.assertEqual(exc.pause_s, 1.5)
+            self.assertEqual(exc.refusal, self.targets.answer)
         self.targets.answer = None
         await self.assert_refused(RefusalReason.CONNECTION_REFUSED, address="127.0.0.1:1")
         self.server.stop_accepting()
