Let cut links come back while an endpoint is down

A failure while the links were cut began their return again, and probes went only to endpoints that were not reached since the cut. One endpoint that was announced but down was therefore probed all the time and kept a node cut: it served no tunnels, and blamed nobody for broken connections. Probes go to all endpoints now, and once enough others were reached, a failure of an endpoint that was not among them does not count. With few endpoints one may be missing.

--- a/lacewinghub/link_probe.py
+++ b/lacewinghub/link_probe.py
@@ -95,7 +95,8 @@
             return None
         link = self._link
         if link.is_cut:
-            wanted = [item for item in endpoints if link.prefers_tunnel(item.address)]
+            # Those that were not reached since the cut may all be down.
+            wanted = endpoints
         elif link.is_in_doubt():
             wanted = [item for item in endpoints if not link.has_failed(item.address)]
         else:
--- a/lacewinghub/link_state.py
+++ b/lacewinghub/link_state.py
@@ -156,8 +156,7 @@
         if self._back_since is None:
             self._back_since = now
         self._back.add(address)
-        enough = min(BACK_COUNT, max(1, self._known()))
-        if len(self._back) >= enough and now - self._back_since >= BACK_S:
+        if self._has_reached_enough() and now - self._back_since >= BACK_S:
             self._set_back()
 
     def on_direct_failed(self, address: str, timed_out: bool) -> None:
@@ -165,11 +164,12 @@
         item = self._endpoint(address)
         item.failed_at = self._failed_at = _now()
         item.timed_out = timed_out
-        if self.is_cut:
+        if not self.is_cut:
+            self._evaluate()
+        elif address in self._back or not self._has_reached_enough():
+            # Otherwise the endpoint itself may be down, and would keep the links cut for good.
             self._back_since = None
             self._back.clear()
-        else:
-            self._evaluate()
         for listener in self._failure_listeners:
             listener()
 
@@ -187,6 +187,13 @@
         kept = set(addresses)
         self._endpoints = {name: item for name, item in self._endpoints.items() if name in kept}
 
+    def _has_reached_enough(self) -> bool:
+        """Return whether enough endpoints were reached directly for the links to be back.
+
+        One of a few endpoints may be down.
+        """
+        return len(self._back) >= min(BACK_COUNT, max(1, self._known() - 1))
+
     def _evaluate(self) -> None:
         if self.is_cut:
             return
--- a/tests/test_link_state.py
+++ b/tests/test_link_state.py
@@ -3,11 +3,16 @@
 import asyncio
 import random
 import unittest
+from collections.abc import Callable
 from typing import Any
 
+from lacewinghub.connector import ConnectionFailed, Connector, ProtocolT
+from lacewinghub.failover_connector import MeasuredConnector
+from lacewinghub.link_probe import LinkProber
 from lacewinghub.link_state import BACK_S, DOUBT_S, EVIDENCE_S, VERDICT_S, LinkState
 from lacewinghub.membership import Member, Members, MemberState
 from lacewinghub.message import Heartbeat, TunnelOffer
+from lacewinghub.tables import Endpoint
 from lacewinghub.tunnel import RefusalReason
 from lacewinghub.tunnel_peers import OFFER_AGE_S, TunnelPeers
 
@@ -128,6 +133,48 @@
         self.assertFalse(self.link.is_cut)
 
 
+class _PartlyDown(Connector):
+    """Connects to all endpoints but some."""
+
+    def __init__(self, down: set[str]) -> None:
+        self._down = down
+
+    async def connect(
+        self, factory: Callable[[], ProtocolT], address: str, endpoint: str, timeout_s: float
+    ) -> ProtocolT:
+        if address in self._down:
+            raise ConnectionFailed("refused")
+        return factory()
+
+
+class TestProbes(LinkCase):
+    """Guards against links that stay cut, so that nobody is blamed, because an endpoint is down."""
+
+    def test_the_links_come_back_while_endpoints_are_down(self) -> None:
+        cases = ((1, 0, 10), (2, 1, 10), (3, 1, 10), (6, 2, 10), (10, 1, 10), (10, 5, 60))
+        for known, down_count, limit_s in cases:
+
+            async def scenario(
+                known: int = known, down_count: int = down_count, limit_s: int = limit_s
+            ) -> bool:
+                link = LinkState(lambda: known)
+                endpoints = [Endpoint(f"e{n}", f"a{n}", 1) for n in range(known)]
+                down = {item.address for item in endpoints[:down_count]}
+                direct = MeasuredConnector(_PartlyDown(down), link)
+                prober = LinkProber(link, direct, direct, lambda: endpoints, random.Random(3))
+                for address in ("x", "y"):
+                    link.on_direct_failed(address, timed_out=False)
+                    link.on_reached_by_other(address)
+                assert link.is_cut
+                task = asyncio.create_task(prober.run())
+                await asyncio.sleep(limit_s)
+                task.cancel()
+                return link.is_cut
+
+            with self.subTest(known=known, down=down_count):
+                self.assertFalse(simulate(scenario))
+
+
 class _Members(Members):
     def __init__(self, zones: dict[str, str]) -> None:
         self._zones = zones
