Blame an endpoint at a cut node if no other node reaches it either

While the links of a node were cut, every broken connection was put down to them, also those through tunnels to endpoints that had really failed. A result counts now if the links were cut before the connection broke and a node whose links work does not reach the endpoint. When the links are just being cut, nothing changes, since that node may be losing its own.

--- a/lacewinghub/link_monitor.py
+++ b/lacewinghub/link_monitor.py
@@ -62,14 +62,14 @@
     async def _judge(self, endpoint: str) -> None:
         loop = asyncio.get_running_loop()
         broke_at = loop.time()
+        was_cut = self._link.is_cut
         try:
             await self._is_reachable(endpoint)
             await asyncio.sleep(max(0.0, broke_at + JUDGE_S - loop.time()))
         finally:
             results = self._waiting.pop(endpoint)
         address = self._address(endpoint)
-        is_unreached_here = address is not None and self._link.is_unreached_here(address)
-        if is_unreached_here or self._link.was_cut_since(broke_at):
+        if self._is_explained(address, broke_at, was_cut):
             logger.bind(endpoint=endpoint, count=len(results)).info(
                 "broken connections are not blamed on the endpoint"
             )
@@ -77,6 +77,21 @@
         for pool, seen in results:
             self._deliver(pool, endpoint, seen)
 
+    def _is_explained(self, address: str | None, broke_at: float, was_cut: bool) -> bool:
+        """Return whether the own links explain that connections broke.
+
+        Args:
+            address: Address of the endpoint; None if it is unknown.
+            broke_at: Loop time at which the first one broke, in seconds.
+            was_cut: True if the links were known to be cut then.
+        """
+        if was_cut and address is not None and self._link.has_verdict(address):
+            # Another node does not reach the endpoint, either. When the links are just being cut,
+            # that node may lose its own as well.
+            return False
+        is_unreached_here = address is not None and self._link.is_unreached_here(address)
+        return is_unreached_here or self._link.was_cut_since(broke_at)
+
     def _deliver(self, pool: str, endpoint: str, seen: AttemptResult) -> None:
         for monitor in self._monitors:
             monitor.on_attempt_ended(pool, endpoint, seen)
