Blame no runner when the tunnel breaks while its process is asked

A connection that broke during the question for the incarnation counted as the runner's failure, also if the tunnel or the own links broke. A stream that was asked about was then taken for ended by its process, and could go on elsewhere while it still ran. Such failures are link failures now.

The new test in tests/test_connection_proofs.py fails on the old code for the lost tunnel and passes now.

--- a/lacewinghub/platform/runner.py
+++ b/lacewinghub/platform/runner.py
@@ -104,6 +104,7 @@
         Raises:
             ConnectFailed: If there is none.
         """
+        conn: HttpConnection | None = None
         try:
             conn = await self._pool.get(endpoint.address, fresh, endpoint.name)
             if not needs_proof(req) or self._is_proven(endpoint, conn):
@@ -115,6 +116,8 @@
         except ConnectionFailed as exc:
             raise _connect_error(endpoint, exc) from exc
         except ConnectionBroken as exc:
+            if conn is not None and self._is_blameless(endpoint, conn, exc):
+                raise LinkCut(exc.message, endpoint=endpoint.name) from exc
             raise ConnectFailed(exc.message, endpoint=endpoint.name) from exc
 
     def _is_proven(self, endpoint: Endpoint, conn: HttpConnection) -> bool:
--- a/tests/test_connection_proofs.py
+++ b/tests/test_connection_proofs.py
@@ -3,12 +3,16 @@
 import asyncio
 import unittest
 from typing import Any
+from unittest.mock import AsyncMock, Mock, patch
 
 from lacewinghub.directory import Announcement
+from lacewinghub.endpoint import ConnectFailed
 from lacewinghub.httpclient import HIGH_WATER_BYTES, HttpConnection
 from lacewinghub.incarnations import IncarnationProofs
+from lacewinghub.platform.runner import RunnerClient
 from lacewinghub.proxyclient import Incarnation
 from lacewinghub.tables import Endpoint
+from lacewinghub.tunnel import TunnelLost
 
 STARTED_S = 5.0
 ENDPOINT = Endpoint("e-1", "127.0.0.1:1", 4, version="v1")
@@ -27,6 +31,9 @@
     def pause_reading(self) -> None:
         return None
 
+    def write(self, data: Any) -> None:
+        return None
+
 
 def _connection(via: str = "") -> HttpConnection:
     conn = HttpConnection()
@@ -73,5 +80,31 @@
         self.assertTrue(self.proofs.is_needed(ENDPOINT, _connection()))
 
 
+class TestQuestions(unittest.IsolatedAsyncioTestCase):
+    """Guards against a runner that is taken for dead because a tunnel broke during the question."""
+
+    async def test_connections_that_break_during_the_question(self) -> None:
+        cases = (
+            ("runner", "", ConnectionResetError(), False),
+            ("runner through a node", "n-2", ConnectionResetError(), False),
+            ("tunnel", "n-2", TunnelLost(), True),
+        )
+        for label, via, lost, blameless in cases:
+            conn = _connection(via)
+            pool = Mock(get=AsyncMock(return_value=conn))
+            pool.connector.explains_break.return_value = False
+            statements = Mock()
+            statements.incarnations.is_needed.return_value = True
+            client = RunnerClient(pool, statements)
+            asyncio.get_running_loop().call_later(0.05, conn.connection_lost, lost)
+            with (
+                self.subTest(label),
+                patch("lacewinghub.platform.runner.needs_proof", return_value=True),
+                self.assertRaises(ConnectFailed) as caught,
+            ):
+                await client._connect(ENDPOINT, Mock(), fresh=True)
+            self.assertEqual(caught.exception.neutral, blameless)
+
+
 if __name__ == "__main__":
     unittest.main()
