Take a lack of descriptors for no fault of endpoints or links

A connect that failed because the own system had no descriptors, ports or memory left counted as a refusal by the endpoint: a serving node then told others that the endpoint does not accept connections, and three such failures were taken for cut links. It answers 'no room' now, and nothing is recorded.

The new test in tests/test_stale_refusals.py fails for two of three errors on the old code and passes now.

--- a/lacewinghub/connector.py
+++ b/lacewinghub/connector.py
@@ -1,6 +1,7 @@
 """How connections to endpoints are opened: directly, or in any other way."""
 
 import asyncio
+import errno
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from typing import TypeVar
@@ -16,6 +17,11 @@
         """Close the connection at once."""
 
 
+# The system lacks descriptors, ports or memory.
+EXHAUSTED_ERRORS = frozenset(
+    (errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL, errno.ENOBUFS, errno.ENOMEM)
+)
+
 ProtocolT = TypeVar("ProtocolT", bound=ConnectionProtocol)
 
 
@@ -23,7 +29,8 @@
     """The connection could not be established; nothing was sent.
 
     ``details`` may contain ``timeout`` (nothing answered in time), ``blameless`` (the endpoint did
-    not cause it) and ``isolated`` (this node reaches no endpoint, in no way).
+    not cause it), ``isolated`` (this node reaches no endpoint, in no way) and ``exhausted`` (this
+    node has no descriptors, ports or memory left for a connection).
     """
 
     code, status = "connection_failed", 502
@@ -81,5 +88,8 @@
             reason = str(exc) or f"timeout after {timeout_s:g} s"
             raise ConnectionFailed(f"cannot connect to {address}: {reason}", timeout=True) from exc
         except OSError as exc:
-            raise ConnectionFailed(f"cannot connect to {address}: {exc}") from exc
+            exhausted = exc.errno in EXHAUSTED_ERRORS
+            raise ConnectionFailed(
+                f"cannot connect to {address}: {exc}", exhausted=exhausted, blameless=exhausted
+            ) from exc
         return protocol
--- a/lacewinghub/failover_connector.py
+++ b/lacewinghub/failover_connector.py
@@ -61,7 +61,8 @@
         except ConnectionFailed as exc:
             timed_out = bool(exc.details.get("timeout"))
             # A process that is this late may have left the answer unread.
-            if not timed_out or loop.time() < until + LATE_S:
+            is_late = timed_out and loop.time() >= until + LATE_S
+            if not is_late and not exc.details.get("exhausted"):
                 self._link.on_direct_failed(address, timed_out)
             raise
         self._link.on_direct_ok(address)
@@ -156,6 +157,8 @@
 
     def _join(self, direct: ConnectionFailed, tunnel: ConnectionFailed) -> ConnectionFailed:
         """Return the error for an endpoint that was reached in neither way."""
+        if direct.details.get("exhausted"):
+            return direct
         unable = bool(tunnel.details.get("unable"))
         if unable or tunnel.details.get("unsure"):
             # Meanwhile other attempts may have shown that the links are cut.
--- a/lacewinghub/reach.py
+++ b/lacewinghub/reach.py
@@ -57,6 +57,8 @@
         """Return why an endpoint was not reached; see ``TunnelTargets``."""
         if self._link.is_cut:
             return RefusalReason.LINKS_CUT
+        if exc.details.get("exhausted"):
+            return RefusalReason.NO_ROOM
         timed_out = bool(exc.details.get("timeout"))
         if not self._link.is_confident(timed_out):
             return RefusalReason.UNSURE
--- a/tests/test_stale_refusals.py
+++ b/tests/test_stale_refusals.py
@@ -1,16 +1,19 @@
 """Tests of refusals by nodes that know an endpoint's earlier or later process."""
 
+import asyncio
+import errno
 import unittest
 from typing import Any, cast
+from unittest.mock import patch
 
 from lacewinghub.connector import ConnectionFailed, ConnectionProtocol, DirectConnector
 from lacewinghub.directory import Announcement, EndpointDirectory
 from lacewinghub.endpoint_pause import EndpointPauses
-from lacewinghub.failover_connector import FailoverConnector
+from lacewinghub.failover_connector import FailoverConnector, MeasuredConnector
 from lacewinghub.link_state import LinkState
 from lacewinghub.reach import DirectoryTargets
 from lacewinghub.tables import Endpoint
-from lacewinghub.tunnel import MAX_PAUSE_S
+from lacewinghub.tunnel import MAX_PAUSE_S, RefusalReason
 from lacewinghub.tunnel_client import TunnelClient, TunnelRefused
 from lacewinghub.tunnel_peers import TunnelPeer, TunnelPeers
 
@@ -81,5 +84,30 @@
                     self.assertEqual(asking.accepts, accepts)
 
 
+class TestExhaustion(unittest.IsolatedAsyncioTestCase):
+    """Guards against a node without descriptors that takes endpoints for unreachable."""
+
+    async def test_errors_of_the_own_system(self) -> None:
+        cases = (
+            (errno.EMFILE, RefusalReason.NO_ROOM, False),
+            (errno.EADDRNOTAVAIL, RefusalReason.NO_ROOM, False),
+            (errno.ECONNREFUSED, RefusalReason.CONNECTION_REFUSED, True),
+        )
+        for number, reason, counts in cases:
+            node = _Node(1.0)
+            node.link.on_direct_ok("another")
+            loop = asyncio.get_running_loop()
+            with (
+                self.subTest(errno.errorcode[number]),
+                patch.object(loop, "create_connection", side_effect=OSError(number, "failed")),
+            ):
+                with self.assertRaises(ConnectionFailed) as caught:
+                    await MeasuredConnector(DirectConnector(), node.link).connect(
+                        ConnectionProtocol, ENDPOINT.address, ENDPOINT.name, timeout_s=0.1
+                    )
+                self.assertEqual(node.targets.explain(caught.exception), reason)
+                self.assertEqual(node.link.has_failed(ENDPOINT.address), counts)
+
+
 if __name__ == "__main__":
     unittest.main()
