Don't take the links for cut after failed connects for other nodes

A node that is asked for tunnels to endpoints which are down records its failed connects, and nothing told that it had judged them to be the endpoints' fault: with three in a row between two connections of its own, as when a zone of endpoints is lost, it took its own links for cut. What it answers to others counts for its own verdict now.

The new test in tests/test_reach.py (renamed from test_stale_refusals.py) fails without the change and passes with it, as do tests.test_link_state and tests.test_tunnel.

--- a/lacewinghub/link_state.py
+++ b/lacewinghub/link_state.py
@@ -38,6 +38,7 @@
         failed_at: Last failed direct connection.
         reached_at: Last connection through another node.
         unreached_at: Last failed connection through a node that is not cut itself.
+        judged_at: Last failed direct connection that was not due to the links.
         timed_out: True if the last failed direct connection was not answered.
     """
 
@@ -45,6 +46,7 @@
     failed_at: float = float("-inf")
     reached_at: float = float("-inf")
     unreached_at: float = float("-inf")
+    judged_at: float = float("-inf")
     timed_out: bool = False
 
     @property
@@ -182,6 +184,10 @@
         """Record that another node, whose links work, did not reach an endpoint either."""
         self._endpoint(address).unreached_at = _now()
 
+    def on_judged(self, address: str) -> None:
+        """Record that an endpoint was not reached just now although the links of this node work."""
+        self._endpoint(address).judged_at = _now()
+
     def retain(self, addresses: Iterable[str]) -> None:
         """Forget all endpoints but those at the given addresses."""
         kept = set(addresses)
@@ -244,8 +250,9 @@
 
 
 def _is_down(item: _Endpoint) -> bool:
-    """Tell whether another node did not reach the endpoint at about the same time, either."""
-    return item.unreached_at > item.reached_at and item.unreached_at >= item.failed_at - VERDICT_S
+    """Tell whether the last failure at about the same time was found to be the endpoint's fault."""
+    found_at = max(item.unreached_at, item.judged_at)
+    return found_at > item.reached_at and found_at >= item.failed_at - VERDICT_S
 
 
 def _now() -> float:
--- a/lacewinghub/reach.py
+++ b/lacewinghub/reach.py
@@ -53,7 +53,7 @@
             )
         return None
 
-    def explain(self, exc: ConnectionFailed) -> RefusalReason:
+    def explain(self, address: str, exc: ConnectionFailed) -> RefusalReason:
         """Return why an endpoint was not reached; see ``TunnelTargets``."""
         if self._link.is_cut:
             return RefusalReason.LINKS_CUT
@@ -62,6 +62,8 @@
         timed_out = bool(exc.details.get("timeout"))
         if not self._link.is_confident(timed_out):
             return RefusalReason.UNSURE
+        # Other nodes ask for the endpoints that are down, one after the other.
+        self._link.on_judged(address)
         return RefusalReason.TIMED_OUT if timed_out else RefusalReason.CONNECTION_REFUSED
 
     def on_statement(self, endpoint: str, statement: Statement) -> None:
--- a/lacewinghub/tunnel_server.py
+++ b/lacewinghub/tunnel_server.py
@@ -52,8 +52,8 @@
         """Return why no tunnel to an endpoint may be opened now, or None."""
 
     @abstractmethod
-    def explain(self, exc: ConnectionFailed) -> RefusalReason:
-        """Return why an endpoint was not reached directly."""
+    def explain(self, address: str, exc: ConnectionFailed) -> RefusalReason:
+        """Return why the endpoint at an address was not reached directly."""
 
     @abstractmethod
     def on_statement(self, endpoint: str, statement: Statement) -> None:
@@ -153,9 +153,9 @@
             return TunnelRefusal(reason=RefusalReason.NO_ROOM)
         return self._targets.refusal(req.endpoint, req.address)
 
-    def explain(self, exc: ConnectionFailed) -> RefusalReason:
+    def explain(self, address: str, exc: ConnectionFailed) -> RefusalReason:
         """Return why an endpoint was not reached; see ``TunnelTargets``."""
-        return self._targets.explain(exc)
+        return self._targets.explain(address, exc)
 
     def on_statement(self, endpoint: str, statement: Statement) -> None:
         """Take over what an endpoint stated; see ``TunnelTargets``."""
@@ -331,7 +331,7 @@
             endpoint = await self._server.connect(req, self)
         except ConnectionFailed as exc:
             self._opening = None
-            self._refuse(TunnelRefusal(reason=self._server.explain(exc)))
+            self._refuse(TunnelRefusal(reason=self._server.explain(req.address, exc)))
             return
         self._opening = None
         if self._ended:
--- a/tests/test_stale_refusals.py
+++ b/tests/test_reach.py
@@ -1,4 +1,4 @@
-"""Tests of refusals by nodes that know an endpoint's earlier or later process."""
+"""Tests of what nodes tell each other about endpoints that they do not reach."""
 
 import asyncio
 import errno
@@ -105,9 +105,27 @@
                     await MeasuredConnector(DirectConnector(), node.link).connect(
                         ConnectionProtocol, ENDPOINT.address, ENDPOINT.name, timeout_s=0.1
                     )
-                self.assertEqual(node.targets.explain(caught.exception), reason)
+                self.assertEqual(node.targets.explain(ENDPOINT.address, caught.exception), reason)
                 self.assertEqual(node.link.has_failed(ENDPOINT.address), counts)
 
 
+class TestServing(unittest.IsolatedAsyncioTestCase):
+    """Guards against a node that thinks its links cut because it is asked for dead endpoints."""
+
+    async def test_tunnels_to_endpoints_that_are_down(self) -> None:
+        for is_confident in (True, False):
+            node = _Node(1.0)
+            node.link = LinkState(lambda: 9)
+            node.targets = DirectoryTargets(node.directory, node.pauses, node.link)
+            if is_confident:
+                node.link.on_direct_ok("another")
+            for number in range(4):
+                address = f"127.0.0.1:{number}"
+                node.link.on_direct_failed(address, timed_out=False)
+                node.targets.explain(address, ConnectionFailed("refused"))
+            with self.subTest(is_confident=is_confident):
+                self.assertEqual(node.link.is_cut, not is_confident)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_tunnel.py
+++ b/tests/test_tunnel.py
@@ -96,7 +96,7 @@
     def refusal(self, endpoint: str, address: str) -> TunnelRefusal | None:
         return self.answer
 
-    def explain(self, exc: ConnectionFailed) -> RefusalReason:
+    def explain(self, address: str, exc: ConnectionFailed) -> RefusalReason:
         timed_out = exc.details.get("timeout", False)
         return RefusalReason.TIMED_OUT if timed_out else RefusalReason.CONNECTION_REFUSED
 
