--- a/lacewinghub/link_state.py
+++ b/lacewinghub/link_state.py
@@ -95,6 +95,8 @@
         item = self._endpoints.get(address)
         if item is None or not item.has_failed or not item.is_reached_by_others:
             return False
+        if item.failed_at < self._cut_at:
+            return False  # The cut explains it.
         return _now() - max(item.reached_at, item.failed_at) < EVIDENCE_S
 
     def prefers_tunnel(self, address: str) -> bool:
