--- a/lacewinghub/link_state.py
+++ b/lacewinghub/link_state.py
@@ -38,6 +38,7 @@
         failed_at: Last failed direct connection.
         reached_at: Last connection through another node.
         unreached_at: Last failed connection through a node that is not cut itself.
+        judged_at: Last failed direct connection that was not due to the links.
         timed_out: True if the last failed direct connection was not answered.
     """
 
@@ -45,6 +46,7 @@
     failed_at: float = float("-inf")
     reached_at: float = float("-inf")
     unreached_at: float = float("-inf")
+    judged_at: float = float("-inf")
     timed_out: bool = False
 
     @property
@@ -93,6 +95,8 @@
         item = self._endpoints.get(address)
         if item is None or not item.has_failed or not item.is_reached_by_others:
             return False
+        if item.failed_at < self._cut_at:
+            return False  # The cut explains it.
         return _now() - max(item.reached_at, item.failed_at) < EVIDENCE_S
 
     def prefers_tunnel(self, address: str) -> bool:
@@ -156,8 +160,7 @@
         if self._back_since is None:
             self._back_since = now
         self._back.add(address)
-        enough = min(BACK_COUNT, max(1, self._known()))
-        if len(self._back) >= enough and now - self._back_since >= BACK_S:
+        if self._has_reached_enough() and now - self._back_since >= BACK_S:
             self._set_back()
 
     def on_direct_failed(self, address: str, timed_out: bool) -> None:
@@ -165,11 +168,12 @@
         item = self._endpoint(address)
         item.failed_at = self._failed_at = _now()
         item.timed_out = timed_out
-        if self.is_cut:
+        if not self.is_cut:
+            self._evaluate()
+        elif address in self._back or not self._has_reached_enough():
+            # Otherwise the endpoint itself may be down, and would keep the links cut for good.
             self._back_since = None
             self._back.clear()
-        else:
-            self._evaluate()
         for listener in self._failure_listeners:
             listener()
 
@@ -182,11 +186,22 @@
         """Record that another node, whose links work, did not reach an endpoint either."""
         self._endpoint(address).unreached_at = _now()
 
+    def on_judged(self, address: str) -> None:
+        """Record that an endpoint was not reached just now although the links of this node work."""
+        self._endpoint(address).judged_at = _now()
+
     def retain(self, addresses: Iterable[str]) -> None:
         """Forget all endpoints but those at the given addresses."""
         kept = set(addresses)
         self._endpoints = {name: item for name, item in self._endpoints.items() if name in kept}
 
+    def _has_reached_enough(self) -> bool:
+        """Return whether enough endpoints were reached directly for the links to be back.
+
+        One of a few endpoints may be down.
+        """
+        return len(self._back) >= min(BACK_COUNT, max(1, self._known() - 1))
+
     def _evaluate(self) -> None:
         if self.is_cut:
             return
@@ -237,8 +252,9 @@
 
 
 def _is_down(item: _Endpoint) -> bool:
-    """Tell whether another node did not reach the endpoint at about the same time, either."""
-    return item.unreached_at > item.reached_at and item.unreached_at >= item.failed_at - VERDICT_S
+    """Tell whether the last failure at about the same time was found to be the endpoint's fault."""
+    found_at = max(item.unreached_at, item.judged_at)
+    return found_at > item.reached_at and found_at >= item.failed_at - VERDICT_S
 
 
 def _now() -> float:
--- a/lacewinghub/tunnel_server.py
+++ b/lacewinghub/tunnel_server.py
@@ -39,6 +39,9 @@
 MAX_HANDSHAKES = 64
 CONNECT_S = 0.3
 BACKLOG = 256
+# The other node reads nothing while its caller does not read; the system's time-out for a dead host
+# counts this time, too.
+UNREAD_TIMEOUT_MS = 60_000
 
 
 class TunnelTargets(ABC):
@@ -49,8 +52,8 @@
         """Return why no tunnel to an endpoint may be opened now, or None."""
 
     @abstractmethod
-    def explain(self, exc: ConnectionFailed) -> RefusalReason:
-        """Return why an endpoint was not reached directly."""
+    def explain(self, address: str, exc: ConnectionFailed) -> RefusalReason:
+        """Return why the endpoint at an address was not reached directly."""
 
     @abstractmethod
     def on_statement(self, endpoint: str, statement: Statement) -> None:
@@ -150,9 +153,9 @@
             return TunnelRefusal(reason=RefusalReason.NO_ROOM)
         return self._targets.refusal(req.endpoint, req.address)
 
-    def explain(self, exc: ConnectionFailed) -> RefusalReason:
+    def explain(self, address: str, exc: ConnectionFailed) -> RefusalReason:
         """Return why an endpoint was not reached; see ``TunnelTargets``."""
-        return self._targets.explain(exc)
+        return self._targets.explain(address, exc)
 
     def on_statement(self, endpoint: str, statement: Statement) -> None:
         """Take over what an endpoint stated; see ``TunnelTargets``."""
@@ -240,7 +243,7 @@
             self._tcp.abort()
             return
         sock = transport.get_extra_info("socket")
-        enable_dead_host_detection(sock)
+        enable_dead_host_detection(sock, UNREAD_TIMEOUT_MS)
         limit_receive_buffer(sock, RECEIVE_BYTES)
         self._tcp.set_write_buffer_limits(high=HIGH_WATER_BYTES)
         self._timer = asyncio.get_running_loop().call_later(HANDSHAKE_S, self.abort)
@@ -328,7 +331,7 @@
             endpoint = await self._server.connect(req, self)
         except ConnectionFailed as exc:
             self._opening = None
-            self._refuse(TunnelRefusal(reason=self._server.explain(exc)))
+            self._refuse(TunnelRefusal(reason=self._server.explain(req.address, exc)))
             return
         self._opening = None
         if self._ended:
