Ask a runner for its start once when many connections to it are opened at once

Each of many streams that began at once on new connections was preceded by a report of its own. Connections that are opened while one is being asked wait for that call; since it was open when they were opened, its process is theirs. Without an answer in time a new stream begins as after a call of its own.

--- a/lacewinghub/platform/runner.py
+++ b/lacewinghub/platform/runner.py
@@ -53,6 +53,8 @@
     def __init__(self, pool: ConnectionPool, statements: EndpointStatements) -> None:
         self._pool = pool
         self._statements = statements
+        # Set once a runner has been asked for its incarnation; by its address.
+        self._asking: dict[str, asyncio.Event] = {}
 
     async def stream(
         self, endpoint: Endpoint, req: Request
@@ -112,6 +114,8 @@
             if conn.reused:
                 conn.close()  # The runner may be closing it just now.
                 conn = await self._pool.get(endpoint.address, True, endpoint.name)
+            if await self._needs_no_call(endpoint, conn, req):
+                return conn
             return await self._ask_for_proof(endpoint, conn, req)
         except ConnectionFailed as exc:
             raise _connect_error(endpoint, exc) from exc
@@ -132,6 +136,32 @@
             conn.close()
             raise
 
+    async def _needs_no_call(self, endpoint: Endpoint, conn: HttpConnection, req: Request) -> bool:
+        """Wait for a call that is under way on another connection to the runner.
+
+        Many connections that are opened at once need one call. Like after a call of its own, a new
+        stream begins if there is no answer in time.
+
+        Raises:
+            ConnectionBroken: If the connection ended meanwhile.
+            EndpointRestarted: If the endpoint is announced with other software by now.
+        """
+        asked = self._asking.get(endpoint.address)
+        if asked is None or conn.via:
+            return False
+        is_answered = True
+        try:
+            async with asyncio.timeout(REPORT_LIMIT_S):
+                await asked.wait()
+        except TimeoutError:
+            is_answered = False
+        if not conn.is_idle:
+            conn.close()
+            raise ConnectionBroken("the connection ended before it was used")
+        if self._is_proven(endpoint, conn):
+            return True
+        return not is_answered and not continues_stream(req)
+
     async def _ask_for_proof(
         self, endpoint: Endpoint, conn: HttpConnection, req: Request
     ) -> HttpConnection:
@@ -146,6 +176,7 @@
             EndpointRestarted: If it is not the announced process.
         """
         keeps = False
+        asked = self._asking[endpoint.address] = asyncio.Event()
         try:
             async with asyncio.timeout(REPORT_LIMIT_S):
                 response, data = await _exchange(conn, endpoint.address, b"GET", names.REPORT_PATH)
@@ -156,6 +187,9 @@
             if continues_stream(req):
                 raise ConnectionBroken("the runner does not report its incarnation") from exc
         finally:
+            asked.set()
+            if self._asking.get(endpoint.address) is asked:
+                del self._asking[endpoint.address]
             if not keeps:
                 conn.close()
         return conn if keeps else await self._pool.get(endpoint.address, True, endpoint.name)
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -50,6 +50,10 @@
             await asyncio.gather(*(self.ask_one(number) for number in range(8)))
         self.assertLess(self.reports, STREAMS)
 
+    async def test_connections_that_are_opened_at_once_need_one_call(self) -> None:
+        await asyncio.gather(*(self.ask_one(number) for number in range(STREAMS)))
+        self.assertLess(self.reports, STREAMS / 4)
+
     async def test_plain_requests_are_not_preceded_by_a_call(self) -> None:
         answer = await self.ask("/lookup/a")
         self.assertEqual(answer.status, 200)
