Share the bounded map, the decoding of tunnel messages and a test loop; drop an unused kind of evidence

The witness of stream ends had the directory's way of keeping the newest entries once more; the three messages of a tunnel were decoded by the same lines, and two tests played the same loop on two paths.

--- a/lacewinghub/directory.py
+++ b/lacewinghub/directory.py
@@ -12,6 +12,7 @@
 
 from loguru import logger
 
+from ._recent import remember
 from .scaling import EngineSpec, RunnerInfo, ScalingRule
 from .tables import Endpoint, Pool, Tables
 
@@ -111,7 +112,7 @@
 
     def announced_start(self, name: str) -> float | None:
         """Return the start time of a known endpoint, in seconds, or None; leaving ones have one."""
-        item = self._known.get(name)
+        item = self.announcement(name)
         return item.started if item is not None else None
 
     def announcement(self, name: str) -> Announcement | None:
@@ -145,7 +146,7 @@
             )
             self._notify_reset(item.endpoint)
         if item.leaving and item.started:
-            _remember(self._leaving, name, item.started)
+            remember(self._leaving, name, item.started, MAX_REMEMBERED)
         if old is None:
             self._hold_if_removed(item)
         if item.leaving and not (old is not None and old.leaving):
@@ -215,7 +216,7 @@
         item = self._known.get(name)
         if item is None or not self._accepts_requests(item):
             return
-        _remember(self._leaving, name, item.started)
+        remember(self._leaving, name, item.started, MAX_REMEMBERED)
         logger.bind(endpoint=name, pool=item.pool).info("endpoint states that it is leaving")
         self._rebuild()
 
@@ -300,7 +301,7 @@
         self._ends_at.pop(name, None)
         if item is None:
             return
-        _remember(self._removed, name, item.started)
+        remember(self._removed, name, item.started, MAX_REMEMBERED)
         logger.bind(endpoint=name, pool=item.pool).info("endpoint is gone")
         self._notify_reset(item.endpoint)
         self._rebuild()
@@ -324,11 +325,3 @@
         self.tables.pools = {item.name: item for item in pools}
         for listener in self._listeners:
             listener(self.tables)
-
-
-def _remember(starts: dict[str, float], name: str, started: float) -> None:
-    """Record the start time of an endpoint, and forget the oldest of too many."""
-    starts.pop(name, None)
-    starts[name] = started
-    if len(starts) > MAX_REMEMBERED:
-        del starts[next(iter(starts))]
--- a/lacewinghub/end_witness.py
+++ b/lacewinghub/end_witness.py
@@ -9,8 +9,8 @@
 import asyncio
 from collections.abc import Callable
 from enum import StrEnum
-from typing import TypeVar
 
+from ._recent import remember
 from .proxyclient import ProxyClient
 from .shared_reports import SharedReports
 from .stream_end import DEADLINE_MARGIN_S
@@ -33,9 +33,6 @@
 MAX_REMEMBERED = 1024
 
 
-KeyT = TypeVar("KeyT")
-
-
 class Testimony(StrEnum):
     """What is known of the process that wrote a stream, after the stream has ended."""
 
@@ -69,7 +66,7 @@
 
     def distrust(self, endpoint: Endpoint, started: float | None) -> None:
         """Record that a stream went on after this process's connection had ended in order."""
-        _remember(self._distrusted, (endpoint.name, started), _now() + DISTRUST_S)
+        remember(self._distrusted, (endpoint.name, started), _now() + DISTRUST_S, MAX_REMEMBERED)
 
     def is_distrusted(self, endpoint: Endpoint, started: float | None) -> bool:
         """Return whether ends of this process's connections prove nothing now."""
@@ -112,7 +109,7 @@
                 found = Testimony.SILENT
                 failures += 1
             elif started is None or incarnation.started != started:
-                _remember(self._stated, endpoint.name, incarnation.started)
+                remember(self._stated, endpoint.name, incarnation.started, MAX_REMEMBERED)
                 return Testimony.OTHER_PROCESS
             elif agrees or request_id not in incarnation.running:
                 return Testimony.FINISHED
@@ -123,13 +120,5 @@
         return found
 
 
-def _remember(values: dict[KeyT, float], key: KeyT, value: float) -> None:
-    """Set a value as the newest one, and forget the oldest of too many."""
-    values.pop(key, None)
-    values[key] = value
-    if len(values) > MAX_REMEMBERED:
-        del values[next(iter(values))]
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/lacewinghub/stream_end.py
+++ b/lacewinghub/stream_end.py
@@ -35,7 +35,6 @@
 class Evidence(StrEnum):
     """Why a stream counts as whole."""
 
-    FORM = "length or last chunk"
     AGREEMENT = "a run that was asked to go on adds nothing"
     TESTIMONY = "the process that wrote it has ended the run"
 
--- a/lacewinghub/tunnel.py
+++ b/lacewinghub/tunnel.py
@@ -14,6 +14,7 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from enum import IntEnum, StrEnum
+from typing import TypeVar
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
@@ -33,6 +34,8 @@
 MAX_PAUSE_S = 86_400.0
 _HEADER = struct.Struct(">BI")
 
+ModelT = TypeVar("ModelT", bound=BaseModel)
+
 
 class TunnelError(LacewingError):
     """The other side does not keep to the protocol."""
@@ -215,10 +218,7 @@
     """
     if frame.kind is not FrameKind.OPEN:
         raise TunnelError(f"a frame of kind {frame.kind.name} in place of a request")
-    try:
-        req = OpenRequest.model_validate_json(frame.data)
-    except ValidationError as exc:
-        raise TunnelError("an invalid request for a tunnel") from exc
+    req = _decode(OpenRequest, frame, "an invalid request for a tunnel")
     expected = _mac(key, nonce, req.node, req.endpoint, req.address)
     if not hmac.compare_digest(expected.encode(), req.mac.encode()):
         raise TunnelError("a request for a tunnel with a wrong key")
@@ -231,10 +231,7 @@
     Raises:
         TunnelError: If it is none.
     """
-    try:
-        return TunnelRefusal.model_validate_json(frame.data)
-    except ValidationError as exc:
-        raise TunnelError("an invalid refusal of a tunnel") from exc
+    return _decode(TunnelRefusal, frame, "an invalid refusal of a tunnel")
 
 
 def parse_statement(frame: Frame) -> Statement:
@@ -243,12 +240,17 @@
     Raises:
         TunnelError: If it is none.
     """
-    try:
-        return Statement.model_validate_json(frame.data)
-    except ValidationError as exc:
-        raise TunnelError("an invalid statement") from exc
+    return _decode(Statement, frame, "an invalid statement")
 
 
 def _mac(key: bytes, nonce: bytes, *fields: str) -> str:
     message = nonce + json.dumps(fields).encode()
     return hmac.new(key, message, hashlib.sha256).hexdigest()
+
+
+def _decode(model: type[ModelT], frame: Frame, reason: str) -> ModelT:
+    """Decode the JSON of a frame; the error for invalid data gives the reason."""
+    try:
+        return model.model_validate_json(frame.data)
+    except ValidationError as exc:
+        raise TunnelError(reason) from exc
--- a/tests/test_stream_evidence.py
+++ b/tests/test_stream_evidence.py
@@ -147,6 +147,18 @@
         answer, was_reset = await self.exchange(path, DEADLINE_MS)
         return not was_reset and is_whole(answer), answer.count(b"data: piece")
 
+    async def check_only_sound_streams_are_whole(self, path: str) -> None:
+        """Play the causes that can be told apart; only sound streams may end as whole."""
+        for cause in Cause:
+            if cause in INDISTINCT:
+                continue
+            with self.subTest(cause):
+                await self.begin(cause)
+                for _ in range(PLAYS):
+                    whole, count = await self.play(path)
+                    self.assertEqual(whole, cause is Cause.SOUND)
+                    self.assertLessEqual(count, EVENTS if whole else CUT_AFTER)
+
 
 class TestEndsInOrder(EvidenceCase):
     """Guards against a stream that ends as complete since somebody accepts or refuses a call."""
@@ -164,15 +176,7 @@
                         self.assertEqual(count, EVENTS)
 
     async def test_streams_that_cannot_be_resumed(self) -> None:
-        for cause in Cause:
-            if cause in INDISTINCT:
-                continue
-            with self.subTest(cause):
-                await self.begin(cause)
-                for _ in range(PLAYS):
-                    whole, count = await self.play("/chat/a")
-                    self.assertEqual(whole, cause is Cause.SOUND)
-                    self.assertLessEqual(count, EVENTS if whole else CUT_AFTER)
+        await self.check_only_sound_streams_are_whole("/chat/a")
 
 
 class TestMisleadingEnds(EvidenceCase):
@@ -193,15 +197,7 @@
     settings = {"bounds": {"budget_min_retries": 0, "retry_budget_ratio": 0}}  # noqa: RUF012
 
     async def test_streams_that_may_be_resumed(self) -> None:
-        for cause in Cause:
-            if cause in INDISTINCT:
-                continue
-            with self.subTest(cause):
-                await self.begin(cause)
-                for _ in range(PLAYS):
-                    whole, count = await self.play("/draft/a")
-                    self.assertEqual(whole, cause is Cause.SOUND)
-                    self.assertLessEqual(count, EVENTS if whole else CUT_AFTER)
+        await self.check_only_sound_streams_are_whole("/draft/a")
 
 
 if __name__ == "__main__":
